--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,289 @@
+// Package agent is the process beside each endpoint: it announces the endpoint
+// to the entries, holds its slots, leases and results, and refuses what must
+// not run. The decisions are in the cores exec (requests) and groups (gang
+// members); this package does their I/O.
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// Kind tells what the agent stands beside.
+type Kind string
+
+// The kinds of endpoints.
+const (
+	KindMinion Kind = "minion"
+	KindWorker Kind = "worker"
+)
+
+const (
+	tickInterval       = 50 * time.Millisecond
+	heartbeatInterval  = 300 * time.Millisecond
+	healthInterval     = 500 * time.Millisecond
+	healthTimeout      = time.Second
+	idlePollInterval   = 20 * time.Millisecond
+	leaveNoticeTimeout = 500 * time.Millisecond
+)
+
+// Config describes one agent and its endpoint.
+type Config struct {
+	ID       string
+	Zone     string
+	Rack     string
+	Kind     Kind
+	Service  string        // of a minion
+	Slots    int           // of a minion
+	Capacity api.Resources // of a worker
+	Balancer string        // address in front of the entries
+}
+
+// Agent is the service that runs an agent.
+type Agent struct {
+	cfg         Config
+	incarnation string
+	started     time.Time
+	log         zerolog.Logger
+	registry    metrics.Registry
+
+	links    *linkSet
+	requests *requestHost // nil for a worker
+	tasks    *taskHost    // nil for a minion
+
+	mu         sync.Mutex
+	permission permission
+	healthy    bool
+	leaving    bool
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New returns an agent. Minion is used for KindMinion, worker for KindWorker.
+func New(cfg Config, minion platform.Minion, worker platform.Worker, registry metrics.Registry, log zerolog.Logger) *Agent {
+	a := &Agent{
+		cfg:         cfg,
+		incarnation: uuid.NewString(),
+		started:     time.Now(),
+		log:         log,
+		registry:    registry,
+	}
+	a.links = newLinkSet(a)
+	if cfg.Kind == KindMinion {
+		a.requests = newRequestHost(a, minion)
+	} else {
+		a.tasks = newTaskHost(a, worker)
+	}
+	return a
+}
+
+// clock is the agent's monotonic clock.
+func (a *Agent) clock() time.Duration { return time.Since(a.started) }
+
+// Start begins to announce the endpoint; it does not wait for an entry.
+func (a *Agent) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.goLoop(func() { a.links.run(ctx) })
+	a.goLoop(func() { every(ctx, tickInterval, a.tick) })
+	a.goLoop(func() { every(ctx, healthInterval, func() { a.probe(ctx) }) })
+	return nil
+}
+
+// Stop announces that the endpoint leaves, lets the work in progress finish
+// and its results be acknowledged, and closes the links. It fails when ctx
+// ends first.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.log.Info().Msg("leaving")
+	a.host().leave()
+	a.links.heartbeatNow()
+	sleep(ctx, leaveNoticeTimeout)
+	for !a.host().idle() && ctx.Err() == nil {
+		sleep(ctx, idlePollInterval)
+	}
+	idle := a.host().idle()
+	a.cancel()
+	a.done.Wait()
+	if !idle {
+		return errors.Timeoutf("work in progress on %q did not finish: stop", a.cfg.ID)
+	}
+	return nil
+}
+
+// Ready reports whether the endpoint is healthy and an entry is linked.
+func (a *Agent) Ready() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.leaving:
+		return errors.New("leaving")
+	case !a.healthy:
+		return errors.Errorf("endpoint of %q does not answer", a.cfg.ID)
+	case a.links.up() == 0:
+		return errors.New("no entry is linked")
+	}
+	return nil
+}
+
+// host is the part of the agent that serves its kind of endpoint.
+type host interface {
+	tick(allowed bool)
+	linkUp(entry string)
+	linkDown(entry string)
+	handle(entry string, m *rpc.EntryMessage)
+	caretaker(stamp time.Duration)
+	ownerSeen(epoch uint64)
+	reports() []*rpc.GroupReport
+	leave()
+	idle() bool
+	slotsInUse() int
+	probe(ctx context.Context) error
+	dump() any
+}
+
+func (a *Agent) host() host {
+	if a.requests != nil {
+		return a.requests
+	}
+	return a.tasks
+}
+
+func (a *Agent) tick() { a.host().tick(a.allowed()) }
+
+// allowed reports whether work may start at this moment.
+func (a *Agent) allowed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.healthy && a.permission.allowed(a.clock())
+}
+
+func (a *Agent) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	err := a.host().probe(ctx)
+	a.mu.Lock()
+	changed := a.healthy != (err == nil)
+	a.healthy = err == nil
+	a.mu.Unlock()
+	if !changed {
+		return
+	}
+	if err != nil {
+		a.log.Warn().Err(err).Msg("endpoint unhealthy")
+	} else {
+		a.log.Info().Msg("endpoint healthy")
+	}
+	a.links.heartbeatNow()
+}
+
+// onHeartbeat takes in an entry's heartbeat.
+func (a *Agent) onHeartbeat(hb *rpc.EntryHeartbeat) {
+	a.mu.Lock()
+	before := a.permission.version
+	a.permission.update(hb)
+	after, out := a.permission.version, a.permission.zoneOut
+	a.mu.Unlock()
+	if after != before {
+		a.log.Info().Uint64("version", after).Bool("zone_out", out).Msg("configuration applied")
+	}
+	a.host().ownerSeen(hb.OwnerEpoch)
+	if hb.StoreDownEverywhere {
+		a.host().caretaker(time.Duration(hb.EchoClockMs) * time.Millisecond)
+	}
+	a.host().tick(a.allowed())
+	a.links.learn(hb.Entries)
+}
+
+func (a *Agent) hello() *rpc.Hello {
+	c := a.cfg.Capacity
+	kind := rpc.EndpointKind_ENDPOINT_KIND_MINION
+	if a.cfg.Kind == KindWorker {
+		kind = rpc.EndpointKind_ENDPOINT_KIND_WORKER
+	}
+	return &rpc.Hello{
+		AgentId:     a.cfg.ID,
+		Incarnation: a.incarnation,
+		Kind:        kind,
+		Service:     a.cfg.Service,
+		Zone:        a.cfg.Zone,
+		Rack:        a.cfg.Rack,
+		Slots:       int32(a.cfg.Slots),
+		Capacity:    rpc.FromResources(c),
+		Groups:      a.host().reports(),
+	}
+}
+
+func (a *Agent) heartbeat() *rpc.AgentHeartbeat {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &rpc.AgentHeartbeat{
+		ClockMs:         a.clock().Milliseconds(),
+		SlotsInUse:      int32(a.host().slotsInUse()),
+		Leaving:         a.leaving,
+		ConfigVersion:   a.permission.version,
+		EndpointHealthy: a.healthy,
+	}
+}
+
+// DumpState returns the agent's state.
+func (a *Agent) DumpState() any {
+	a.mu.Lock()
+	p, healthy, leaving := a.permission, a.healthy, a.leaving
+	a.mu.Unlock()
+	return struct {
+		ID            string
+		Incarnation   string
+		ClockMS       int64
+		ConfigVersion uint64
+		ZoneOut       bool
+		Allowed       bool
+		Healthy       bool
+		Leaving       bool
+		Links         any
+		Endpoint      any
+	}{a.cfg.ID, a.incarnation, a.clock().Milliseconds(), p.version, p.zoneOut, a.allowed(), healthy, leaving, a.links.dump(), a.host().dump()}
+}
+
+func (a *Agent) goLoop(fn func()) {
+	a.done.Add(1)
+	go func() {
+		defer a.done.Done()
+		fn()
+	}()
+}
+
+// every calls fn at once and then each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		fn()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/agent/links.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	// announceInterval is the time between two looks for entries through the
+	// balancer while at least one link is up, and announceRetry while none is.
+	announceInterval = 3 * time.Second
+	announceRetry    = 300 * time.Millisecond
+	announceTimeout  = time.Second
+	// forgetAfter is how long an address that is no longer listed is tried.
+	forgetAfter = 10 * time.Second
+	maxLinks    = 64
+)
+
+// linkSet keeps one link to each live entry. Entries are learned through the
+// balancer and from the heartbeats of linked entries.
+type linkSet struct {
+	agent *Agent
+
+	mu      sync.Mutex
+	links   map[string]*link // by rpc address
+	ctx     context.Context
+	upGauge metrics.Gauge
+}
+
+func newLinkSet(a *Agent) *linkSet {
+	return &linkSet{
+		agent:   a,
+		links:   map[string]*link{},
+		upGauge: metrics.GetOrRegisterGauge("links.up", a.registry),
+	}
+}
+
+func (s *linkSet) run(ctx context.Context) {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	for ctx.Err() == nil {
+		s.announce(ctx)
+		s.forgetUnlisted()
+		wait := announceInterval
+		if s.up() == 0 {
+			wait = announceRetry
+		}
+		sleep(ctx, wait/2+rand.N(wait))
+	}
+}
+
+// announce asks any entry for the list of entries. A new connection is made
+// each time, since the balancer may have tied an old one to a dead entry.
+func (s *linkSet) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	conn, err := dial(s.agent.cfg.Balancer)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := rpc.NewAnnounceClient(conn).Entries(ctx, &rpc.EntriesRequest{AgentId: s.agent.cfg.ID})
+	if err != nil {
+		metrics.GetOrRegisterCounter("announce.failed", s.agent.registry).Inc(1)
+		return
+	}
+	s.learn(reply.Entries)
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(rpc.MaxMessageBytes), grpc.MaxCallSendMsgSize(rpc.MaxMessageBytes)),
+		grpc.WithNoProxy())
+}
+
+// learn opens links to entries that are not linked yet.
+func (s *linkSet) learn(entries []*rpc.EntryAddress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil || s.ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	for _, e := range entries {
+		if l, ok := s.links[e.RpcAddress]; ok {
+			l.listed = now
+			continue
+		}
+		if len(s.links) >= maxLinks {
+			continue
+		}
+		ctx, cancel := context.WithCancel(s.ctx)
+		l := &link{agent: s.agent, address: e.RpcAddress, listed: now, cancel: cancel}
+		s.links[e.RpcAddress] = l
+		s.agent.goLoop(func() { l.run(ctx) })
+	}
+}
+
+func (s *linkSet) forgetUnlisted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, l := range s.links {
+		if time.Since(l.listed) > forgetAfter && l.session() == nil {
+			l.cancel()
+			delete(s.links, address)
+		}
+	}
+}
+
+// sessions returns the open sessions in order of address.
+func (s *linkSet) sessions() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*session
+	for _, l := range s.links {
+		if open := l.session(); open != nil {
+			out = append(out, open)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].entry < out[j].entry })
+	s.upGauge.Update(int64(len(out)))
+	return out
+}
+
+func (s *linkSet) up() int { return len(s.sessions()) }
+
+// send queues a message for one entry; it is dropped when no link is up.
+func (s *linkSet) send(entry string, m *rpc.AgentMessage) {
+	for _, open := range s.sessions() {
+		if open.entry == entry {
+			open.send(m)
+		}
+	}
+}
+
+// broadcast queues a message for all linked entries.
+func (s *linkSet) broadcast(m *rpc.AgentMessage) {
+	for _, open := range s.sessions() {
+		open.send(m)
+	}
+}
+
+// heartbeatNow sends a heartbeat to all entries without waiting for the interval.
+func (s *linkSet) heartbeatNow() {
+	for _, open := range s.sessions() {
+		open.send(heartbeatMessage(s.agent))
+	}
+}
+
+func (s *linkSet) dump() any {
+	var out []string
+	for _, open := range s.sessions() {
+		out = append(out, open.entry+" at "+open.address)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agent/requests.go
@@ -0,0 +1,199 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/agent/exec"
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// localQueuePerSlot bounds the executions that wait at the agent for a slot.
+	localQueuePerSlot = 1
+	resultKeep        = 10 * time.Minute
+	maxResults        = 20000
+	// pauseLimit is the longest time between the decision to call the endpoint
+	// and the call itself; beyond it the process was paused in between and the
+	// permission may have lapsed.
+	pauseLimit = 200 * time.Millisecond
+)
+
+// execution holds the bodies of one attempt.
+type execution struct {
+	request platform.MinionRequest
+	reply   *platform.MinionReply
+}
+
+// requestHost runs the exec core beside a minion.
+type requestHost struct {
+	agent  *Agent
+	minion platform.Minion
+
+	mu      sync.Mutex
+	core    *exec.Core
+	bodies  map[exec.Ref]*execution
+	running sync.WaitGroup
+}
+
+func newRequestHost(a *Agent, minion platform.Minion) *requestHost {
+	return &requestHost{
+		agent:  a,
+		minion: minion,
+		core: exec.New(exec.Config{
+			Incarnation: a.incarnation,
+			Slots:       a.cfg.Slots,
+			Queue:       a.cfg.Slots * localQueuePerSlot,
+			Keep:        resultKeep,
+			MaxResults:  maxResults,
+		}),
+		bodies: map[exec.Ref]*execution{},
+	}
+}
+
+func (h *requestHost) step(events ...exec.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, ev := range events {
+		for _, act := range h.core.Step(h.agent.clock(), ev) {
+			h.apply(act)
+		}
+	}
+}
+
+func (h *requestHost) apply(act exec.Action) {
+	switch act := act.(type) {
+	case exec.Call:
+		metrics.GetOrRegisterCounter("requests.calls", h.agent.registry).Inc(1)
+		decided := h.agent.clock()
+		x := h.bodies[act.Ref]
+		h.running.Add(1)
+		go h.call(act, x, decided)
+	case exec.Send:
+		h.send(act)
+	case exec.Forget:
+		delete(h.bodies, act.Ref)
+	}
+}
+
+func (h *requestHost) call(act exec.Call, x *execution, decided time.Duration) {
+	defer h.running.Done()
+	if h.agent.clock()-decided > pauseLimit {
+		metrics.GetOrRegisterCounter("requests.paused", h.agent.registry).Inc(1)
+		h.step(exec.Called{Ref: act.Ref, Outcome: api.OutcomeNotRun, Detail: "agent was paused before the call"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), act.Timeout)
+	defer cancel()
+	reply, err := h.minion.Call(ctx, x.request)
+	outcome, detail := callOutcome(reply, err)
+	if err == nil {
+		h.mu.Lock()
+		x.reply = &reply
+		h.mu.Unlock()
+	}
+	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail})
+}
+
+func callOutcome(reply platform.MinionReply, err error) (api.Outcome, string) {
+	switch {
+	case errors.Is(err, platform.ErrNotSent):
+		return api.OutcomeNotRun, err.Error()
+	case err != nil:
+		return api.OutcomeUnknown, err.Error()
+	case reply.Status >= 500:
+		return api.OutcomeFailed, ""
+	}
+	return api.OutcomeDone, ""
+}
+
+func (h *requestHost) send(act exec.Send) {
+	metrics.GetOrRegisterCounter("requests.results."+string(act.Outcome), h.agent.registry).Inc(1)
+	m := &rpc.RequestResult{
+		RequestId: act.Ref.ID,
+		Attempt:   act.Ref.Attempt,
+		Outcome:   rpc.FromOutcome(act.Outcome),
+		Detail:    act.Detail,
+	}
+	if x := h.bodies[act.Ref]; act.FromEndpoint && x != nil && x.reply != nil {
+		m.Status = int32(x.reply.Status)
+		m.ContentType = x.reply.ContentType
+		m.Body = x.reply.Body
+		m.Length = int64(len(m.Body))
+		m.Digest = rpc.Digest(m.Body)
+	}
+	h.agent.links.send(act.Entry, &rpc.AgentMessage{Body: &rpc.AgentMessage_Result{Result: m}})
+}
+
+func (h *requestHost) handle(entry string, m *rpc.EntryMessage) {
+	switch body := m.Body.(type) {
+	case *rpc.EntryMessage_Execute:
+		h.execute(entry, body.Execute)
+	case *rpc.EntryMessage_Void:
+		v := body.Void
+		h.step(exec.Void{Entry: entry, Ref: exec.Ref{ID: v.RequestId, Attempt: v.Attempt}, Incarnation: v.Incarnation})
+	case *rpc.EntryMessage_Ack:
+		for _, r := range body.Ack.Requests {
+			h.step(exec.Ack{Entry: entry, Ref: exec.Ref{ID: r.RequestId, Attempt: r.Attempt}})
+		}
+	}
+}
+
+func (h *requestHost) execute(entry string, x *rpc.Execute) {
+	ref := exec.Ref{ID: x.RequestId, Attempt: x.Attempt}
+	h.mu.Lock()
+	if h.bodies[ref] == nil {
+		h.bodies[ref] = &execution{request: platform.MinionRequest{
+			RequestID:   x.RequestId,
+			Attempt:     x.Attempt,
+			ContentType: x.ContentType,
+			Body:        x.Body,
+		}}
+	}
+	h.mu.Unlock()
+	h.step(exec.Permission{Allowed: h.agent.allowed()}, exec.Execute{
+		Entry:       entry,
+		Ref:         ref,
+		Incarnation: x.Incarnation,
+		Stamp:       time.Duration(x.StampMs) * time.Millisecond,
+		Permit:      time.Duration(x.PermitMs) * time.Millisecond,
+		Timeout:     time.Duration(x.TimeoutMs) * time.Millisecond,
+		Idempotent:  x.Idempotent,
+		Corrupt:     !rpc.Intact(x.Body, x.Length, x.Digest),
+	})
+}
+
+func (h *requestHost) tick(allowed bool) {
+	h.step(exec.Permission{Allowed: allowed}, exec.Tick{})
+}
+
+func (h *requestHost) linkUp(entry string)             { h.step(exec.LinkUp{Entry: entry}) }
+func (h *requestHost) linkDown(entry string)           { h.step(exec.LinkDown{Entry: entry}) }
+func (h *requestHost) caretaker(time.Duration)         {}
+func (h *requestHost) ownerSeen(uint64)                {}
+func (h *requestHost) reports() []*rpc.GroupReport     { return nil }
+func (h *requestHost) leave()                          { h.step(exec.Leave{}) }
+func (h *requestHost) probe(ctx context.Context) error { return h.minion.Healthy(ctx) }
+
+func (h *requestHost) idle() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Idle()
+}
+
+func (h *requestHost) slotsInUse() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.InUse()
+}
+
+func (h *requestHost) dump() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Dump()
+}
--- /dev/null
+++ b/internal/agent/tasks.go
@@ -0,0 +1,285 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/agent/groups"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	workerCallTimeout = 2 * time.Second
+	// lostAfter is the number of lists in a row in which a started task is
+	// missing before it counts as lost.
+	lostAfter = 2
+)
+
+// taskHost runs the groups core beside a worker.
+type taskHost struct {
+	agent  *Agent
+	worker platform.Worker
+
+	mu      sync.Mutex
+	core    *groups.Core
+	started map[string]int // task id to the number of lists in a row that lack it
+	ops     opQueue
+}
+
+func newTaskHost(a *Agent, worker platform.Worker) *taskHost {
+	return &taskHost{
+		agent:   a,
+		worker:  worker,
+		core:    groups.New(groups.Config{Capacity: a.cfg.Capacity}),
+		started: map[string]int{},
+	}
+}
+
+func (h *taskHost) step(events ...groups.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, ev := range events {
+		for _, act := range h.core.Step(h.agent.clock(), ev) {
+			h.apply(act)
+		}
+	}
+}
+
+// apply carries out one action. Calls of the worker are queued, so that those
+// for one task keep their order and none blocks the core.
+func (h *taskHost) apply(act groups.Action) {
+	switch act := act.(type) {
+	case groups.StartTask:
+		metrics.GetOrRegisterCounter("tasks.started", h.agent.registry).Inc(1)
+		decided := h.agent.clock()
+		h.ops.push(func() { h.startTask(act.Task, decided) })
+	case groups.StopTask:
+		h.ops.push(func() { h.endTask(act.ID, h.worker.Stop) })
+	case groups.CheckpointTask:
+		h.ops.push(func() { h.endTask(act.ID, h.worker.Checkpoint) })
+	case groups.RenewTasks:
+		h.ops.push(func() { h.renew(act) })
+	case groups.Report:
+		report := reportMessage(act)
+		h.agent.links.broadcast(&rpc.AgentMessage{Body: &rpc.AgentMessage_Group{Group: report}})
+	}
+}
+
+func (h *taskHost) startTask(task platform.Task, decided time.Duration) {
+	if h.agent.clock()-decided > workerCallTimeout {
+		h.step(groups.TaskLost{ID: task.ID, Detail: "agent was paused before the start"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
+	defer cancel()
+	status, err := h.worker.Start(ctx, task)
+	if err != nil {
+		h.step(groups.TaskLost{ID: task.ID, Detail: err.Error()})
+		return
+	}
+	h.mu.Lock()
+	h.started[task.ID] = 0
+	h.mu.Unlock()
+	h.step(groups.TaskUpdate{Status: status})
+}
+
+func (h *taskHost) endTask(id string, end func(context.Context, string) (platform.TaskStatus, error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
+	defer cancel()
+	status, err := end(ctx, id)
+	if err != nil {
+		return // the next list, or the worker's own lease, settles it
+	}
+	h.step(groups.TaskUpdate{Status: status})
+}
+
+func (h *taskHost) renew(act groups.RenewTasks) {
+	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
+	defer cancel()
+	if err := h.worker.Renew(ctx, act.IDs, act.Lease.Milliseconds()); err != nil {
+		metrics.GetOrRegisterCounter("tasks.renew_failed", h.agent.registry).Inc(1)
+	}
+}
+
+// probe lists the worker's tasks and takes in what has changed.
+func (h *taskHost) probe(ctx context.Context) error {
+	list, err := h.worker.List(ctx)
+	if err != nil {
+		return err
+	}
+	listed := map[string]bool{}
+	for _, status := range list {
+		listed[status.ID] = true
+		h.step(groups.TaskUpdate{Status: status})
+	}
+	for _, id := range h.missing(listed) {
+		h.step(groups.TaskLost{ID: id, Detail: "worker does not list the task"})
+	}
+	return nil
+}
+
+func (h *taskHost) missing(listed map[string]bool) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for id := range h.started {
+		if listed[id] {
+			h.started[id] = 0
+			continue
+		}
+		h.started[id]++
+		if h.started[id] >= lostAfter {
+			delete(h.started, id)
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (h *taskHost) handle(_ string, m *rpc.EntryMessage) {
+	switch body := m.Body.(type) {
+	case *rpc.EntryMessage_Hold:
+		x := body.Hold
+		h.step(groups.Permission{Allowed: h.agent.allowed()}, groups.Hold{
+			Epoch:   x.Epoch,
+			Ref:     groups.Ref{JobID: x.JobId, Attempt: x.Attempt},
+			Tasks:   int(x.Tasks),
+			PerTask: rpc.ToResources(x.PerTask),
+			Stamp:   ms(x.StampMs),
+			Permit:  ms(x.PermitMs),
+			Lease:   ms(x.LeaseMs),
+		})
+	case *rpc.EntryMessage_Start:
+		x := body.Start
+		h.step(groups.Permission{Allowed: h.agent.allowed()}, groups.Start{
+			Epoch:      x.Epoch,
+			Ref:        groups.Ref{JobID: x.JobId, Attempt: x.Attempt},
+			Stamp:      ms(x.StampMs),
+			Permit:     ms(x.PermitMs),
+			Lease:      ms(x.LeaseMs),
+			FirstTask:  int(x.FirstTask),
+			Payload:    json.RawMessage(x.Payload),
+			Checkpoint: x.Checkpoint,
+		})
+	case *rpc.EntryMessage_Stop:
+		x := body.Stop
+		h.step(groups.Stop{
+			Epoch:  x.Epoch,
+			Ref:    groups.Ref{JobID: x.JobId, Attempt: x.Attempt},
+			Grace:  ms(x.GraceMs),
+			Reason: x.Reason,
+		})
+	case *rpc.EntryMessage_Renew:
+		h.step(renewEvent(body.Renew))
+	}
+}
+
+func renewEvent(x *rpc.Renew) groups.Renew {
+	ev := groups.Renew{Epoch: x.Epoch, Stamp: ms(x.StampMs), Lease: ms(x.LeaseMs)}
+	for _, g := range x.Groups {
+		ev.Refs = append(ev.Refs, groups.Ref{JobID: g.JobId, Attempt: g.Attempt})
+	}
+	return ev
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+var groupStates = map[groups.State]rpc.GroupState{
+	groups.Held:         rpc.GroupState_GROUP_STATE_HELD,
+	groups.Refused:      rpc.GroupState_GROUP_STATE_REFUSED,
+	groups.Running:      rpc.GroupState_GROUP_STATE_RUNNING,
+	groups.Done:         rpc.GroupState_GROUP_STATE_DONE,
+	groups.Failed:       rpc.GroupState_GROUP_STATE_FAILED,
+	groups.Checkpointed: rpc.GroupState_GROUP_STATE_CHECKPOINTED,
+	groups.Stopped:      rpc.GroupState_GROUP_STATE_STOPPED,
+	groups.Absent:       rpc.GroupState_GROUP_STATE_ABSENT,
+}
+
+func reportMessage(r groups.Report) *rpc.GroupReport {
+	return &rpc.GroupReport{
+		JobId:       r.Ref.JobID,
+		Attempt:     r.Ref.Attempt,
+		State:       groupStates[r.State],
+		Tasks:       int32(r.Tasks),
+		ProgressMs:  r.Progress.Milliseconds(),
+		Usage:       rpc.FromResources(r.Usage),
+		Detail:      r.Detail,
+		Result:      r.Result,
+		Checkpoint:  r.Checkpoint,
+		WorkerFault: r.WorkerFault,
+	}
+}
+
+func (h *taskHost) reports() []*rpc.GroupReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*rpc.GroupReport
+	for _, r := range h.core.Reports() {
+		out = append(out, reportMessage(r))
+	}
+	return out
+}
+
+func (h *taskHost) tick(allowed bool) {
+	h.step(groups.Permission{Allowed: allowed}, groups.Tick{})
+}
+
+func (h *taskHost) caretaker(stamp time.Duration) {
+	h.step(groups.Caretaker{Stamp: stamp, Lease: sched.GroupLease})
+}
+
+func (h *taskHost) ownerSeen(epoch uint64) { h.step(groups.OwnerSeen{Epoch: epoch}) }
+func (h *taskHost) linkUp(string)          {}
+func (h *taskHost) linkDown(string)        {}
+func (h *taskHost) leave()                 { h.step(groups.Leave{}) }
+func (h *taskHost) slotsInUse() int        { return 0 }
+
+func (h *taskHost) idle() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Idle()
+}
+
+func (h *taskHost) dump() any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Dump()
+}
+
+// opQueue runs functions one after the other in a goroutine that lives while
+// there are any.
+type opQueue struct {
+	mu      sync.Mutex
+	pending []func()
+	running bool
+}
+
+func (q *opQueue) push(fn func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending = append(q.pending, fn)
+	if !q.running {
+		q.running = true
+		go q.drain()
+	}
+}
+
+func (q *opQueue) drain() {
+	for {
+		q.mu.Lock()
+		if len(q.pending) == 0 {
+			q.running = false
+			q.mu.Unlock()
+			return
+		}
+		fn := q.pending[0]
+		q.pending = q.pending[1:]
+		q.mu.Unlock()
+		fn()
+	}
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -128,6 +128,24 @@
 	return c.Zones[name].State == ZoneOut
 }
 
+// Zone returns the named zone's state; a zone that is not listed is in.
+func (c *Config) Zone(name string) AvailabilityZone {
+	if c != nil {
+		if z, ok := c.Zones[name]; ok {
+			return z
+		}
+	}
+	return AvailabilityZone{Name: name, State: ZoneIn}
+}
+
+// ProfileVersion returns the version of a profile, 0 when it does not exist.
+func (c *Config) ProfileVersion(name string) uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Profiles[name].Version
+}
+
 // Clone returns a copy that shares no maps with c.
 func (c *Config) Clone() *Config {
 	out := &Config{Version: c.Version, Profiles: map[string]Profile{}, Zones: map[string]AvailabilityZone{}}
--- /dev/null
+++ b/internal/entry/httpapi/config.go
@@ -0,0 +1,215 @@
+package httpapi
+
+import (
+	"context"
+	"regexp"
+	"sort"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+var nameRule = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// ProfileList is the answer to a listing of profiles.
+type ProfileList struct {
+	Profiles []api.Profile `json:"profiles"`
+}
+
+// ZoneList is the answer to a listing of availability zones.
+type ZoneList struct {
+	Zones []api.AvailabilityZone `json:"zones"`
+}
+
+// expected returns the version that the caller expects an item to have.
+func expected(ctx *fasthttp.RequestCtx) (uint64, error) {
+	tag := string(ctx.Request.Header.Peek(fasthttp.HeaderIfMatch))
+	if tag == "" || tag == "*" {
+		return confstate.AnyVersion, nil
+	}
+	return httpx.ParseETag(tag)
+}
+
+func (a *API) listProfiles(ctx *fasthttp.RequestCtx) {
+	out := ProfileList{Profiles: []api.Profile{}}
+	for _, p := range a.Config.Current().Profiles {
+		out.Profiles = append(out.Profiles, p)
+	}
+	sort.Slice(out.Profiles, func(i, j int) bool { return out.Profiles[i].Name < out.Profiles[j].Name })
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, out)
+}
+
+func (a *API) getProfile(ctx *fasthttp.RequestCtx) {
+	name := pathValue(ctx, "name")
+	p, ok := a.Config.Current().Profiles[name]
+	if !ok {
+		problem(ctx, fasthttp.StatusNotFound, "profile %q does not exist", name)
+		return
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(p.Version))
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, p)
+}
+
+func (a *API) putProfile(ctx *fasthttp.RequestCtx) {
+	var p api.Profile
+	if err := httpx.ReadJSON(ctx, &p); err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	name := pathValue(ctx, "name")
+	if p.Name == "" {
+		p.Name = name
+	}
+	if err := checkProfile(name, p); err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	expect, err := expected(ctx)
+	if err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	warning, err := a.Scheduler.CheckGuarantees(withProfile(a.Config.Current(), p))
+	if err != nil {
+		problem(ctx, fasthttp.StatusUnprocessableEntity, "%v", err)
+		return
+	}
+	if warning != "" {
+		ctx.Response.Header.Set(httpx.HeaderWarning, warning)
+	}
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	config, err := a.Config.PutProfile(c, p, expect)
+	if a.refusedChange(ctx, config, err, config.ProfileVersion(name)) {
+		return
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(config.ProfileVersion(name)))
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, config.Profiles[name])
+}
+
+func withProfile(c *api.Config, p api.Profile) *api.Config {
+	out := c.Clone()
+	out.Profiles[p.Name] = p
+	return out
+}
+
+func checkProfile(name string, p api.Profile) error {
+	if !nameRule.MatchString(name) {
+		return errors.NotValidf("profile name %q (want letters, digits, dot, dash, underscore; at most 64)", name)
+	}
+	if p.Name != name {
+		return errors.NotValidf("name %q in the body of profile %q", p.Name, name)
+	}
+	if p.ClientAccount == "" {
+		return errors.NotValidf("client_account: missing")
+	}
+	if p.Weight < 0 || p.MaxQueue < 0 || p.Timeout < 0 || p.QuotaAccelerators < 0 {
+		return errors.NotValidf("profile %q: negative weight, max_queue, timeout or quota_accelerators", name)
+	}
+	if p.Guarantee == nil {
+		return nil
+	}
+	if p.Guarantee.Gangs < 1 {
+		return errors.NotValidf("guarantee.gangs: %d (want 1 or more)", p.Guarantee.Gangs)
+	}
+	return checkShape("guarantee.shape", p.Guarantee.Shape)
+}
+
+func (a *API) deleteProfile(ctx *fasthttp.RequestCtx) {
+	name := pathValue(ctx, "name")
+	if _, ok := a.Config.Current().Profiles[name]; !ok {
+		problem(ctx, fasthttp.StatusNotFound, "profile %q does not exist", name)
+		return
+	}
+	expect, err := expected(ctx)
+	if err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	config, err := a.Config.DeleteProfile(c, name, expect)
+	if a.refusedChange(ctx, config, err, config.ProfileVersion(name)) {
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// refusedChange answers a change that was not made, and reports whether it did.
+func (a *API) refusedChange(ctx *fasthttp.RequestCtx, config *api.Config, err error, version uint64) bool {
+	switch {
+	case err == nil:
+		return false
+	case errors.Is(err, confstate.ErrLostRace):
+		p := httpx.Problemf(fasthttp.StatusPreconditionFailed, "%v; the current version is %d", err, version)
+		p.Version = version
+		ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(version))
+		httpx.WriteProblem(ctx, p)
+	default:
+		storeProblem(ctx, err)
+	}
+	return true
+}
+
+func (a *API) listZones(ctx *fasthttp.RequestCtx) {
+	out := ZoneList{Zones: []api.AvailabilityZone{}}
+	config := a.Config.Current()
+	names := map[string]bool{}
+	for name := range config.Zones {
+		names[name] = true
+	}
+	for _, p := range a.Status.ConfigStatus().Processes {
+		names[p.Zone] = true
+	}
+	for name := range names {
+		out.Zones = append(out.Zones, config.Zone(name))
+	}
+	sort.Slice(out.Zones, func(i, j int) bool { return out.Zones[i].Name < out.Zones[j].Name })
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, out)
+}
+
+func (a *API) getZone(ctx *fasthttp.RequestCtx) {
+	z := a.Config.Current().Zone(pathValue(ctx, "name"))
+	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(z.Version))
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, z)
+}
+
+func (a *API) putZone(ctx *fasthttp.RequestCtx) {
+	name := pathValue(ctx, "name")
+	var body struct {
+		State api.ZoneState `json:"state"`
+	}
+	if err := httpx.ReadJSON(ctx, &body); err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	if body.State != api.ZoneIn && body.State != api.ZoneOut {
+		problem(ctx, fasthttp.StatusBadRequest, "state %q is not valid (want in or out)", body.State)
+		return
+	}
+	if !nameRule.MatchString(name) {
+		problem(ctx, fasthttp.StatusBadRequest, "zone name %q is not valid", name)
+		return
+	}
+	expect, err := expected(ctx)
+	if err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	config, err := a.Config.PutZone(c, name, body.State, expect)
+	if a.refusedChange(ctx, config, err, config.Zone(name).Version) {
+		return
+	}
+	z := config.Zone(name)
+	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(z.Version))
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, z)
+}
+
+func (a *API) configStatus(ctx *fasthttp.RequestCtx) {
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, a.Status.ConfigStatus())
+}
--- /dev/null
+++ b/internal/entry/httpapi/httpapi.go
@@ -0,0 +1,137 @@
+// Package httpapi is the callers' and operators' HTTP interface of an entry.
+package httpapi
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/jobs"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/requests"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/scheduler"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultTimeout = 30 * time.Second
+	maxTimeout     = 10 * time.Minute
+	storeTimeout   = 5 * time.Second
+	// storeRetryAfter is when to come back after a refusal because of the store.
+	storeRetryAfter = 5 * time.Second
+	maxKeyBytes     = 256
+)
+
+// StatusSource tells which process has which configuration.
+type StatusSource interface {
+	ConfigStatus() api.ConfigStatus
+}
+
+// Notifier tells the owner of the cell that a job's row has changed.
+type Notifier interface {
+	JobChanged(id string)
+}
+
+// API serves the interface.
+type API struct {
+	Config    confstate.Store
+	Requests  *requests.Service
+	Jobs      *jobs.Store
+	Waiters   *jobs.Waiters
+	Scheduler *scheduler.Service
+	Notifier  Notifier
+	Status    StatusSource
+	Registry  metrics.Registry
+}
+
+// Mount adds the interface's paths to a router.
+func (a *API) Mount(r *router.Router) {
+	r.POST("/v1/services/{service}/requests", a.postRequest)
+	r.POST("/v1/jobs", a.postJob)
+	r.GET("/v1/jobs", a.listJobs)
+	r.GET("/v1/jobs/{id}", a.getJob)
+	r.DELETE("/v1/jobs/{id}", a.cancelJob)
+	r.GET("/v1/profiles", a.listProfiles)
+	r.GET("/v1/profiles/{name}", a.getProfile)
+	r.PUT("/v1/profiles/{name}", a.putProfile)
+	r.DELETE("/v1/profiles/{name}", a.deleteProfile)
+	r.GET("/v1/zones", a.listZones)
+	r.GET("/v1/zones/{name}", a.getZone)
+	r.PUT("/v1/zones/{name}", a.putZone)
+	r.GET("/v1/config/status", a.configStatus)
+}
+
+func pathValue(ctx *fasthttp.RequestCtx, name string) string {
+	s, _ := ctx.UserValue(name).(string)
+	return s
+}
+
+// notRun refuses work that has certainly not run, with when to come back.
+func notRun(ctx *fasthttp.RequestCtx, status int, retryAfter time.Duration, format string, args ...any) {
+	ctx.Response.Header.Set(httpx.HeaderOutcome, string(api.OutcomeNotRun))
+	p := httpx.Problemf(status, format, args...)
+	p.RetryAfter = seconds(retryAfter)
+	httpx.WriteProblem(ctx, p)
+}
+
+func problem(ctx *fasthttp.RequestCtx, status int, format string, args ...any) {
+	httpx.WriteProblem(ctx, httpx.Problemf(status, format, args...))
+}
+
+// seconds rounds up, since Retry-After has whole seconds.
+func seconds(d time.Duration) int {
+	if d <= 0 {
+		return 0
+	}
+	return int((d + time.Second - 1) / time.Second)
+}
+
+// storeProblem answers after the store gave no answer; nothing was accepted.
+func storeProblem(ctx *fasthttp.RequestCtx, err error) {
+	p := httpx.Problemf(fasthttp.StatusServiceUnavailable, "platform's table is unavailable: %v", err)
+	if errors.Is(err, ledger.ErrUnknown) {
+		p.Detail = "platform's table gave no answer: the change may or may not take effect; repeat the call"
+	}
+	p.RetryAfter = seconds(storeRetryAfter)
+	httpx.WriteProblem(ctx, p)
+}
+
+// profile returns the named profile, or answers with a problem.
+func (a *API) profile(ctx *fasthttp.RequestCtx, name string) (api.Profile, bool) {
+	config := a.Config.Current()
+	if config.Version == 0 {
+		notRun(ctx, fasthttp.StatusServiceUnavailable, time.Second, "configuration has not been read yet")
+		return api.Profile{}, false
+	}
+	p, ok := config.Profiles[name]
+	if !ok {
+		notRun(ctx, fasthttp.StatusUnprocessableEntity, 0, "profile %q does not exist", name)
+	}
+	return p, ok
+}
+
+// boolHeader reads "true" or "false"; absent is the given default.
+func boolHeader(ctx *fasthttp.RequestCtx, name string, absent bool) (bool, error) {
+	text := string(ctx.Request.Header.Peek(name))
+	if text == "" {
+		return absent, nil
+	}
+	v, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, errors.NotValidf("header %s %q (want true or false)", name, text)
+	}
+	return v, nil
+}
+
+func keyHeader(ctx *fasthttp.RequestCtx) (string, error) {
+	key := string(ctx.Request.Header.Peek(httpx.HeaderIdempotencyKey))
+	if len(key) > maxKeyBytes {
+		return "", errors.NotValidf("header %s of %d bytes (at most %d)", httpx.HeaderIdempotencyKey, len(key), maxKeyBytes)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/internal/entry/httpapi/jobs.go
@@ -0,0 +1,242 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/jobs"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	maxWait        = 5 * time.Minute
+	defaultListing = 100
+	maxListing     = 1000
+	maxGangTasks   = 1024
+	// maxPayloadBytes bounds a job's payload, which is kept in its row.
+	maxPayloadBytes = 256 << 10
+)
+
+// jobRequest is the document that callers submit.
+type jobRequest struct {
+	Profile        string          `json:"profile"`
+	Gang           api.Shape       `json:"gang"`
+	Payload        json.RawMessage `json:"payload"`
+	Idempotent     bool            `json:"idempotent"`
+	Checkpointable bool            `json:"checkpointable"`
+	DeclaredRun    api.Duration    `json:"declared_run"`
+	Deadline       time.Time       `json:"deadline"`
+}
+
+// JobList is the answer to a listing. Next is the id to go on after.
+type JobList struct {
+	Jobs []api.JobRecord `json:"jobs"`
+	Next string          `json:"next,omitempty"`
+}
+
+func (a *API) postJob(ctx *fasthttp.RequestCtx) {
+	job, err := readJob(ctx)
+	if err != nil {
+		notRun(ctx, fasthttp.StatusBadRequest, 0, "%v", err)
+		return
+	}
+	profile, ok := a.profile(ctx, job.Profile)
+	if !ok {
+		return
+	}
+	job.ID = jobs.JobID(profile.ClientAccount, job.IdempotencyKey)
+	if reason, never := a.Scheduler.NeverFits(job); never {
+		notRun(ctx, fasthttp.StatusUnprocessableEntity, 0, "job can never run: %s", reason)
+		return
+	}
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	record, created, err := a.Jobs.Create(c, job)
+	switch {
+	case errors.Is(err, jobs.ErrKeyReused):
+		problem(ctx, fasthttp.StatusUnprocessableEntity, "%v", err)
+		return
+	case err != nil:
+		metrics.GetOrRegisterCounter("jobs.refused.store", a.Registry).Inc(1)
+		storeProblem(ctx, err)
+		return
+	}
+	if created {
+		metrics.GetOrRegisterCounter("jobs.accepted", a.Registry).Inc(1)
+		a.announce(record)
+	}
+	ctx.Response.Header.Set("Location", "/v1/jobs/"+job.ID)
+	httpx.WriteJSON(ctx, fasthttp.StatusAccepted, record)
+}
+
+// announce tells the owner of the cell; its scan finds the job in any case.
+func (a *API) announce(record api.JobRecord) {
+	if !a.Scheduler.Submitted(record) {
+		a.Notifier.JobChanged(record.Job.ID)
+	}
+}
+
+func readJob(ctx *fasthttp.RequestCtx) (api.Job, error) {
+	var r jobRequest
+	if err := httpx.ReadJSON(ctx, &r); err != nil {
+		return api.Job{}, err
+	}
+	key, err := keyHeader(ctx)
+	if err != nil {
+		return api.Job{}, err
+	}
+	job := api.Job{
+		IdempotencyKey: key,
+		Profile:        r.Profile,
+		Gang:           r.Gang,
+		Payload:        r.Payload,
+		Idempotent:     r.Idempotent,
+		Checkpointable: r.Checkpointable,
+		DeclaredRun:    r.DeclaredRun,
+		Deadline:       r.Deadline,
+		Submitted:      time.Now().UTC(),
+	}
+	return job, checkJob(job)
+}
+
+func checkJob(job api.Job) error {
+	if job.Profile == "" {
+		return errors.NotValidf("profile: missing")
+	}
+	if len(job.Payload) > maxPayloadBytes {
+		return errors.NotValidf("payload: %d bytes (at most %d)", len(job.Payload), maxPayloadBytes)
+	}
+	if job.DeclaredRun < 0 {
+		return errors.NotValidf("declared_run: %v", job.DeclaredRun.D())
+	}
+	if !job.Deadline.IsZero() && job.Deadline.Before(job.Submitted) {
+		return errors.NotValidf("deadline: %v has passed", job.Deadline)
+	}
+	return checkShape("gang", job.Gang)
+}
+
+func checkShape(name string, s api.Shape) error {
+	if s.Tasks < 1 || s.Tasks > maxGangTasks {
+		return errors.NotValidf("%s.tasks: %d (want 1 to %d)", name, s.Tasks, maxGangTasks)
+	}
+	r := s.PerTask
+	if r.Accelerators < 0 || r.MilliCPU < 0 || r.MemoryMB < 0 || r == (api.Resources{}) {
+		return errors.NotValidf("%s.per_task: %+v (want amounts of 0 or more, one of them above 0)", name, r)
+	}
+	switch s.Adjacency {
+	case api.AdjacentWorker, api.AdjacentRack, api.AdjacentZone:
+		return nil
+	}
+	return errors.NotValidf("%s.adjacency: %q (want worker, rack or zone)", name, s.Adjacency)
+}
+
+func (a *API) getJob(ctx *fasthttp.RequestCtx) {
+	wait, err := waitArgument(ctx)
+	if err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	id := pathValue(ctx, "id")
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	record, err := a.Jobs.One(c, id)
+	if err == nil && wait > 0 && record.State != api.JobFinal {
+		record = a.awaitJob(id, wait, record)
+	}
+	writeRecord(ctx, fasthttp.StatusOK, record, err)
+}
+
+// awaitJob returns the final record, or the given one when it does not come in time.
+func (a *API) awaitJob(id string, wait time.Duration, record api.JobRecord) api.JobRecord {
+	c, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if final, err := a.Waiters.Wait(c, id); err == nil {
+		return final
+	}
+	return record
+}
+
+func writeRecord(ctx *fasthttp.RequestCtx, status int, record api.JobRecord, err error) {
+	switch {
+	case errors.Is(err, jobs.ErrNoJob):
+		problem(ctx, fasthttp.StatusNotFound, "%v", err)
+	case err != nil:
+		storeProblem(ctx, err)
+	default:
+		if record.State == api.JobFinal {
+			ctx.Response.Header.Set(httpx.HeaderOutcome, string(record.Outcome))
+		}
+		httpx.WriteJSON(ctx, status, record)
+	}
+}
+
+func waitArgument(ctx *fasthttp.RequestCtx) (time.Duration, error) {
+	text := string(ctx.QueryArgs().Peek("wait"))
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 || d > maxWait {
+		return 0, errors.NotValidf("wait %q (want a Go duration up to %v)", text, maxWait)
+	}
+	return d, nil
+}
+
+func (a *API) cancelJob(ctx *fasthttp.RequestCtx) {
+	id := pathValue(ctx, "id")
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	record, err := a.Jobs.AskCancel(c, id)
+	if errors.Is(err, jobs.ErrFinal) {
+		writeRecord(ctx, fasthttp.StatusOK, record, nil)
+		return
+	}
+	if err == nil {
+		a.Notifier.JobChanged(id)
+	}
+	writeRecord(ctx, fasthttp.StatusAccepted, record, err)
+}
+
+func (a *API) listJobs(ctx *fasthttp.RequestCtx) {
+	limit, err := limitArgument(ctx)
+	if err != nil {
+		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	state := api.JobState(ctx.QueryArgs().Peek("state"))
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	list, err := a.Jobs.List(c, string(ctx.QueryArgs().Peek("after")), limit)
+	if err != nil {
+		storeProblem(ctx, err)
+		return
+	}
+	out := JobList{Jobs: []api.JobRecord{}}
+	if len(list) == limit {
+		out.Next = list[len(list)-1].Job.ID
+	}
+	for _, r := range list {
+		if state == "" || r.State == state {
+			out.Jobs = append(out.Jobs, r)
+		}
+	}
+	httpx.WriteJSON(ctx, fasthttp.StatusOK, out)
+}
+
+func limitArgument(ctx *fasthttp.RequestCtx) (int, error) {
+	text := string(ctx.QueryArgs().Peek("limit"))
+	if text == "" {
+		return defaultListing, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxListing {
+		return 0, errors.NotValidf("limit %q (want 1 to %d)", text, maxListing)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/entry/jobs/store.go
@@ -0,0 +1,309 @@
+// Package jobs keeps job rows in the platform's table and answers callers that
+// wait for them.
+//
+// Each job has a row job/<id> with its record and, until it is final, a row
+// active/<cell>/<id> in the same transactions, so that a new owner of the cell
+// finds all jobs that it is responsible for with one scan.
+package jobs
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+)
+
+const (
+	jobPrefix    = "job/"
+	activePrefix = "active/"
+	scanPage     = 1000
+	getBatch     = 200
+)
+
+// Errors of the store.
+const (
+	ErrNoJob     = errors.ConstError("job does not exist")
+	ErrKeyReused = errors.ConstError("idempotency key belongs to a different job")
+	ErrFinal     = errors.ConstError("job is final")
+	// ErrEpoch says that an owner with a higher epoch has written the row.
+	ErrEpoch = errors.ConstError("row was written by a later owner")
+)
+
+// Row is the table's row of a job. Epoch is that of the owner who wrote it
+// last; 0 before the first owner did.
+type Row struct {
+	Cell   string        `json:"cell"`
+	Epoch  uint64        `json:"epoch"`
+	Digest string        `json:"digest"` // of the submitted job
+	Record api.JobRecord `json:"record"`
+
+	version uint64
+}
+
+// Active is the row that marks a job as not final. Each write of it tells the
+// owner to look at the job again.
+type Active struct {
+	ID      string
+	Version uint64
+}
+
+// Store reads and writes job rows.
+type Store struct {
+	ledger ledger.Ledger
+	cell   string
+}
+
+// NewStore returns a store for the jobs of a cell.
+func NewStore(l ledger.Ledger, cell string) *Store { return &Store{ledger: l, cell: cell} }
+
+// JobID returns the id of a job. The same key of the same client account
+// always gives the same id, through any entry.
+func JobID(account, key string) string {
+	if key == "" {
+		return "j-" + uuid.NewString()
+	}
+	sum := sha256.Sum256([]byte(account + "\x00" + key))
+	return "j-" + hex.EncodeToString(sum[:16])
+}
+
+func (s *Store) activeKey(id string) string { return activePrefix + s.cell + "/" + id }
+
+// Create keeps a new job. With an id that exists already the existing record
+// is returned, or ErrKeyReused when the job differs.
+func (s *Store) Create(ctx context.Context, job api.Job) (api.JobRecord, bool, error) {
+	row := Row{
+		Cell:   s.cell,
+		Digest: jobDigest(job),
+		Record: api.JobRecord{Job: job, State: api.JobQueued},
+	}
+	rows, err := s.ledger.Commit(ctx, ledger.CauseJob,
+		ledger.Write{Key: jobPrefix + job.ID, Data: encode(row)},
+		ledger.Write{Key: s.activeKey(job.ID), Data: encode(struct{}{})})
+	if err == nil {
+		return row.Record, true, nil
+	}
+	if !errors.Is(err, ledger.ErrConflict) {
+		return api.JobRecord{}, false, errors.Annotatef(err, "keeping job %q", job.ID)
+	}
+	old, err := decodeRow(rows[0])
+	if err != nil {
+		return api.JobRecord{}, false, errors.Annotatef(err, "job %q", job.ID)
+	}
+	if old.Digest != row.Digest {
+		return api.JobRecord{}, false, errors.Annotatef(ErrKeyReused, "job %q", job.ID)
+	}
+	return old.Record, false, nil
+}
+
+// jobDigest covers what the caller submitted, not when.
+func jobDigest(job api.Job) string {
+	job.Submitted = time.Time{}
+	sum := sha256.Sum256(encode(job))
+	return hex.EncodeToString(sum[:8])
+}
+
+// Get returns the rows of the jobs that exist, by id.
+func (s *Store) Get(ctx context.Context, cause ledger.Cause, ids ...string) (map[string]Row, error) {
+	out := map[string]Row{}
+	for len(ids) > 0 {
+		n := min(len(ids), getBatch)
+		keys := make([]string, n)
+		for i, id := range ids[:n] {
+			keys[i] = jobPrefix + id
+		}
+		rows, err := s.ledger.Get(ctx, cause, keys...)
+		if err != nil {
+			return nil, errors.Annotatef(err, "reading %d job rows", n)
+		}
+		for i, r := range rows {
+			if r.Version == 0 {
+				continue
+			}
+			row, err := decodeRow(r)
+			if err != nil {
+				return nil, errors.Annotatef(err, "job %q", ids[i])
+			}
+			out[ids[i]] = row
+		}
+		ids = ids[n:]
+	}
+	return out, nil
+}
+
+// One returns the record of one job.
+func (s *Store) One(ctx context.Context, id string) (api.JobRecord, error) {
+	rows, err := s.Get(ctx, ledger.CauseJob, id)
+	if err != nil {
+		return api.JobRecord{}, err
+	}
+	row, ok := rows[id]
+	if !ok {
+		return api.JobRecord{}, errors.Annotatef(ErrNoJob, "job %q", id)
+	}
+	return row.Record, nil
+}
+
+// List returns up to limit records with ids above after.
+func (s *Store) List(ctx context.Context, after string, limit int) ([]api.JobRecord, error) {
+	from := ""
+	if after != "" {
+		from = jobPrefix + after
+	}
+	rows, err := s.ledger.Scan(ctx, ledger.CauseJob, jobPrefix, from, limit)
+	if err != nil {
+		return nil, errors.Annotate(err, "listing jobs")
+	}
+	out := []api.JobRecord{}
+	for _, r := range rows {
+		row, err := decodeRow(r)
+		if err != nil {
+			return nil, errors.Annotatef(err, "row %q", r.Key)
+		}
+		out = append(out, row.Record)
+	}
+	return out, nil
+}
+
+// Actives returns the marks of all jobs of the cell that are not final.
+func (s *Store) Actives(ctx context.Context, cause ledger.Cause) ([]Active, error) {
+	prefix := activePrefix + s.cell + "/"
+	var out []Active
+	after := ""
+	for {
+		rows, err := s.ledger.Scan(ctx, cause, prefix, after, scanPage)
+		if err != nil {
+			return nil, errors.Annotatef(err, "scanning active jobs of cell %q", s.cell)
+		}
+		for _, r := range rows {
+			out = append(out, Active{ID: r.Key[len(prefix):], Version: r.Version})
+		}
+		if len(rows) < scanPage {
+			return out, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// AskCancel marks a job for its end. It returns the record as it stands; a
+// final one is returned unchanged with ErrFinal.
+func (s *Store) AskCancel(ctx context.Context, id string) (api.JobRecord, error) {
+	for {
+		rows, err := s.Get(ctx, ledger.CauseJob, id)
+		if err != nil {
+			return api.JobRecord{}, err
+		}
+		row, ok := rows[id]
+		if !ok {
+			return api.JobRecord{}, errors.Annotatef(ErrNoJob, "job %q", id)
+		}
+		if row.Record.State == api.JobFinal {
+			return row.Record, errors.Annotatef(ErrFinal, "job %q", id)
+		}
+		if row.Record.CancelAsked {
+			return row.Record, nil
+		}
+		record, err := s.markCancel(ctx, id, row)
+		if !errors.Is(err, ledger.ErrConflict) {
+			return record, errors.Annotatef(err, "cancelling job %q", id)
+		}
+	}
+}
+
+func (s *Store) markCancel(ctx context.Context, id string, row Row) (api.JobRecord, error) {
+	active, err := s.ledger.Get(ctx, ledger.CauseJob, s.activeKey(id))
+	if err != nil {
+		return api.JobRecord{}, err
+	}
+	row.Record.CancelAsked = true
+	_, err = s.ledger.Commit(ctx, ledger.CauseJob,
+		ledger.Write{Key: jobPrefix + id, Version: row.version, Data: encode(row)},
+		ledger.Write{Key: s.activeKey(id), Version: active[0].Version, Data: encode(struct{}{})})
+	return row.Record, err
+}
+
+// Save writes a record for the owner with the given epoch. A cancellation
+// that came in between is kept. ErrEpoch and ErrFinal mean that another owner
+// has gone on with the job; nothing was written then.
+func (s *Store) Save(ctx context.Context, epoch uint64, record api.JobRecord) (Row, error) {
+	id := record.Job.ID
+	for {
+		rows, err := s.Get(ctx, ledger.CauseJob, id)
+		if err != nil {
+			return Row{}, err
+		}
+		row, err := rowToSave(rows, epoch, record)
+		if err != nil {
+			return row, err
+		}
+		if sameRecord(rows[id].Record, row.Record) && rows[id].Epoch == epoch {
+			return row, nil // an earlier try took effect
+		}
+		err = s.write(ctx, row)
+		if !errors.Is(err, ledger.ErrConflict) {
+			return row, errors.Annotatef(err, "saving job %q", id)
+		}
+	}
+}
+
+func rowToSave(rows map[string]Row, epoch uint64, record api.JobRecord) (Row, error) {
+	id := record.Job.ID
+	row, ok := rows[id]
+	if !ok {
+		return Row{}, errors.Annotatef(ErrNoJob, "job %q", id)
+	}
+	record.CancelAsked = record.CancelAsked || row.Record.CancelAsked
+	switch {
+	case row.Epoch > epoch:
+		return row, errors.Annotatef(ErrEpoch, "job %q: epoch %d, own %d", id, row.Epoch, epoch)
+	case row.Record.State == api.JobFinal && !sameRecord(row.Record, record):
+		return row, errors.Annotatef(ErrFinal, "job %q", id)
+	}
+	row.Record = record
+	row.Epoch = epoch
+	return row, nil
+}
+
+func sameRecord(a, b api.JobRecord) bool { return string(encode(a)) == string(encode(b)) }
+
+func (s *Store) write(ctx context.Context, row Row) error {
+	id := row.Record.Job.ID
+	writes := []ledger.Write{{Key: jobPrefix + id, Version: row.version, Data: encode(row)}}
+	if row.Record.State == api.JobFinal {
+		active, err := s.ledger.Get(ctx, ledger.CauseJob, s.activeKey(id))
+		if err != nil {
+			return err
+		}
+		if active[0].Version > 0 {
+			writes = append(writes, ledger.Write{Key: s.activeKey(id), Version: active[0].Version, Delete: true})
+		}
+	}
+	_, err := s.ledger.Commit(ctx, ledger.CauseJob, writes...)
+	return err
+}
+
+func decodeRow(r ledger.Row) (Row, error) {
+	var row Row
+	if r.Version == 0 {
+		return row, errors.Trace(ErrNoJob)
+	}
+	if err := json.Unmarshal(r.Data, &row); err != nil {
+		return row, errors.Annotatef(err, "row %q is damaged", r.Key)
+	}
+	row.version = r.Version
+	return row, nil
+}
+
+// encode writes a value of a type that always encodes.
+func encode(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/entry/jobs/waiters.go
@@ -0,0 +1,147 @@
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/juju/errors"
+)
+
+const (
+	// watchInterval is the time between two reads of all jobs that callers
+	// wait for; one read serves all of them.
+	watchInterval = 300 * time.Millisecond
+	watchTimeout  = 2 * time.Second
+	maxWaiters    = 20000
+)
+
+// ErrTooManyWaiters says that the entry holds as many waiting callers as it may.
+const ErrTooManyWaiters = errors.ConstError("too many callers wait for jobs")
+
+// Waiters lets callers wait for the end of jobs.
+type Waiters struct {
+	store *Store
+
+	mu      sync.Mutex
+	waiting map[string][]chan api.JobRecord
+	count   int
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// NewWaiters returns a service over the store.
+func NewWaiters(s *Store) *Waiters {
+	return &Waiters{store: s, waiting: map[string][]chan api.JobRecord{}}
+}
+
+// Start begins to watch.
+func (w *Waiters) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.done.Add(1)
+	go func() {
+		defer w.done.Done()
+		w.loop(ctx)
+	}()
+	return nil
+}
+
+// Stop ends the watch; callers still waiting run into their own timeouts.
+func (w *Waiters) Stop(context.Context) error {
+	w.cancel()
+	w.done.Wait()
+	return nil
+}
+
+func (w *Waiters) loop(ctx context.Context) {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			w.look(ctx)
+		}
+	}
+}
+
+func (w *Waiters) look(ctx context.Context) {
+	ids := w.ids()
+	if len(ids) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	rows, err := w.store.Get(ctx, ledger.CauseJob, ids...)
+	if err != nil {
+		return
+	}
+	for _, row := range rows {
+		w.Final(row.Record)
+	}
+}
+
+func (w *Waiters) ids() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]string, 0, len(w.waiting))
+	for id := range w.waiting {
+		out = append(out, id)
+	}
+	return out
+}
+
+// Final hands a final record to those who wait for it.
+func (w *Waiters) Final(record api.JobRecord) {
+	if record.State != api.JobFinal {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, ch := range w.waiting[record.Job.ID] {
+		ch <- record
+		w.count--
+	}
+	delete(w.waiting, record.Job.ID)
+}
+
+// Wait returns the job's record once it is final or ctx has ended.
+func (w *Waiters) Wait(ctx context.Context, id string) (api.JobRecord, error) {
+	ch := make(chan api.JobRecord, 1)
+	w.mu.Lock()
+	if w.count >= maxWaiters {
+		w.mu.Unlock()
+		return api.JobRecord{}, errors.Trace(ErrTooManyWaiters)
+	}
+	w.waiting[id] = append(w.waiting[id], ch)
+	w.count++
+	w.mu.Unlock()
+	select {
+	case record := <-ch:
+		return record, nil
+	case <-ctx.Done():
+		w.drop(id, ch)
+		return api.JobRecord{}, ctx.Err()
+	}
+}
+
+func (w *Waiters) drop(id string, ch chan api.JobRecord) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.waiting[id]
+	for i, c := range list {
+		if c != ch {
+			continue
+		}
+		w.waiting[id] = append(list[:i], list[i+1:]...)
+		w.count--
+		break
+	}
+	if len(w.waiting[id]) == 0 {
+		delete(w.waiting, id)
+	}
+}
--- /dev/null
+++ b/internal/entry/node/notifier.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	noticeTimeout = time.Second
+	noticeQueue   = 4096
+)
+
+// Notifier tells the owner of the cell of changed job rows. A notice that gets
+// lost costs only time: the owner scans the active jobs regularly.
+type Notifier struct {
+	owner    *owner.Service
+	local    JobNotices
+	registry metrics.Registry
+
+	queue  chan string
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	address string
+	conn    *grpc.ClientConn
+}
+
+// NewNotifier returns a notifier; local takes the notices while this entry
+// owns the cell.
+func NewNotifier(o *owner.Service, local JobNotices, registry metrics.Registry) *Notifier {
+	return &Notifier{owner: o, local: local, registry: registry, queue: make(chan string, noticeQueue)}
+}
+
+// Start begins to send.
+func (n *Notifier) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		n.loop(ctx)
+	}()
+	return nil
+}
+
+// Stop ends the sending.
+func (n *Notifier) Stop(context.Context) error {
+	n.cancel()
+	n.done.Wait()
+	n.disconnect()
+	return nil
+}
+
+// JobChanged queues a notice. It never blocks.
+func (n *Notifier) JobChanged(id string) {
+	if n.local.Notify(id) {
+		return
+	}
+	select {
+	case n.queue <- id:
+	default:
+		metrics.GetOrRegisterCounter("notices.dropped", n.registry).Inc(1)
+	}
+}
+
+func (n *Notifier) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-n.queue:
+			n.send(ctx, id)
+		}
+	}
+}
+
+func (n *Notifier) send(ctx context.Context, id string) {
+	address := n.owner.Current().OwnerAddr
+	if address == "" || !n.connect(address) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	_, err := rpc.NewPeerClient(n.conn).Notify(ctx, &rpc.JobNotice{JobId: id})
+	if err != nil {
+		metrics.GetOrRegisterCounter("notices.failed", n.registry).Inc(1)
+		n.disconnect()
+	}
+}
+
+func (n *Notifier) connect(address string) bool {
+	if n.conn != nil && n.address == address {
+		return true
+	}
+	n.disconnect()
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
+	if err != nil {
+		return false
+	}
+	n.conn, n.address = conn, address
+	return true
+}
+
+func (n *Notifier) disconnect() {
+	if n.conn != nil {
+		_ = n.conn.Close()
+		n.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/entry/node/rpcserver.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+)
+
+// PeerService answers the other entries.
+type PeerService interface {
+	HandleExchange(*rpc.PeerState) *rpc.PeerState
+}
+
+// JobNotices takes in notices of changed job rows; false means that this entry
+// does not own the cell.
+type JobNotices interface {
+	Notify(id string) bool
+}
+
+// RPCServer serves agents and other entries over gRPC.
+type RPCServer struct {
+	rpc.UnimplementedAnnounceServer
+	rpc.UnimplementedPeerServer
+
+	address string
+	members Members
+	peers   PeerService
+	notices JobNotices
+	links   *links.Server
+
+	server *grpc.Server
+	served sync.WaitGroup
+}
+
+// NewRPCServer returns a server that does not listen yet.
+func NewRPCServer(address string, members Members, peers PeerService, notices JobNotices, l *links.Server) *RPCServer {
+	return &RPCServer{address: address, members: members, peers: peers, notices: notices, links: l}
+}
+
+// Start listens and serves.
+func (s *RPCServer) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Annotatef(err, "listening on %q", s.address)
+	}
+	s.server = grpc.NewServer(
+		grpc.MaxRecvMsgSize(rpc.MaxMessageBytes),
+		grpc.MaxSendMsgSize(rpc.MaxMessageBytes))
+	rpc.RegisterAnnounceServer(s.server, s)
+	rpc.RegisterPeerServer(s.server, s)
+	rpc.RegisterLinkServer(s.server, s.links)
+	s.served.Add(1)
+	go func() {
+		defer s.served.Done()
+		// Serve returns an error only when the listener is closed.
+		_ = s.server.Serve(listener)
+	}()
+	return nil
+}
+
+// Stop closes the links and the listener. It comes after the services that
+// need links have finished their work.
+func (s *RPCServer) Stop(context.Context) error {
+	s.links.Close()
+	s.server.Stop()
+	s.served.Wait()
+	return nil
+}
+
+// Entries lists the live entries for an agent that came through the balancer.
+func (s *RPCServer) Entries(context.Context, *rpc.EntriesRequest) (*rpc.EntriesReply, error) {
+	return &rpc.EntriesReply{Entries: s.members.Entries()}, nil
+}
+
+// Exchange swaps states with another entry.
+func (s *RPCServer) Exchange(_ context.Context, state *rpc.PeerState) (*rpc.PeerState, error) {
+	return s.peers.HandleExchange(state), nil
+}
+
+// Notify takes in the notice of a changed job row.
+func (s *RPCServer) Notify(_ context.Context, n *rpc.JobNotice) (*rpc.JobNoticeReply, error) {
+	return &rpc.JobNoticeReply{Accepted: s.notices.Notify(n.JobId)}, nil
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -4,3 +4,9 @@
 package rpc
 
 //go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative coltsfoot.proto
+
+// MaxBodyBytes bounds the body of one request or answer.
+const MaxBodyBytes = 8 << 20
+
+// MaxMessageBytes bounds one message, which holds one body at most.
+const MaxMessageBytes = MaxBodyBytes + 64<<10
