Settings: strict TOML with all findings reported together

Unknown keys, wrong types and units, missing, duplicate and clashing values are collected with file, line, column and key.

--- /dev/null
+++ b/internal/settings/document.go
@@ -0,0 +1,252 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// node is a key's value with the place of the key. The value is a string,
+// int64, bool, *table, []*node or unsupported.
+type node struct {
+	line   int
+	column int
+	value  any
+}
+
+// unsupported is a value of a TOML type that no setting has.
+type unsupported string
+
+type table struct {
+	nodes map[string]*node
+	// header is true once the table has a [header] or is an inline table.
+	header bool
+}
+
+func newTable() *table { return &table{nodes: map[string]*node{}} }
+
+// document is a parsed TOML file. Unlike the library's decoder it goes on
+// after a duplicate key or a wrong type, so that all faults are found.
+type document struct {
+	file     string
+	root     *table
+	findings Findings
+	// broken is true after a syntax error: the rest of the file is not known.
+	broken bool
+}
+
+func parseDocument(file string, data []byte) *document {
+	d := &document{file: file, root: newTable()}
+	p := &unstable.Parser{}
+	p.Reset(data)
+	current, prefix := d.root, ""
+	for p.NextExpression() {
+		expr := p.Expression()
+		switch expr.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			current, prefix = d.openTable(p, expr)
+		case unstable.KeyValue:
+			d.addKeyValue(p, current, prefix, expr)
+		}
+	}
+	d.addSyntaxError(p)
+	return d
+}
+
+func (d *document) add(line, column int, key, format string, args ...any) {
+	d.findings = append(d.findings, Finding{d.file, line, column, key, fmt.Sprintf(format, args...)})
+}
+
+func (d *document) addSyntaxError(p *unstable.Parser) {
+	err := p.Error()
+	if err == nil {
+		return
+	}
+	d.broken = true
+	var perr *unstable.ParserError
+	if !errors.As(err, &perr) {
+		d.add(0, 0, "", "%v", err)
+		return
+	}
+	at := p.Shape(p.Range(perr.Highlight)).Start
+	d.add(at.Line, at.Column, "", "syntax error: %s", perr.Message)
+}
+
+type keyPart struct {
+	name   string
+	line   int
+	column int
+}
+
+func keyParts(p *unstable.Parser, n *unstable.Node) []keyPart {
+	var parts []keyPart
+	for it := n.Key(); it.Next(); {
+		at := p.Shape(it.Node().Raw).Start
+		parts = append(parts, keyPart{string(it.Node().Data), at.Line, at.Column})
+	}
+	return parts
+}
+
+// openTable returns the table that a [header] or [[header]] names, and its path.
+func (d *document) openTable(p *unstable.Parser, expr *unstable.Node) (*table, string) {
+	parts := keyParts(p, expr)
+	last := len(parts) - 1
+	parent, prefix := d.descend(d.root, "", parts[:last])
+	part := parts[last]
+	path := joinKey(prefix, part.name)
+	if expr.Kind == unstable.ArrayTable {
+		return d.appendTable(parent, path, part)
+	}
+	existing := parent.nodes[part.name]
+	if existing == nil {
+		t := newTable()
+		t.header = true
+		parent.nodes[part.name] = &node{part.line, part.column, t}
+		return t, path
+	}
+	t, ok := existing.value.(*table)
+	if !ok || t.header {
+		d.addDuplicate(part, path, existing)
+		return newTable(), path
+	}
+	t.header = true
+	return t, path
+}
+
+func (d *document) appendTable(parent *table, path string, part keyPart) (*table, string) {
+	t := newTable()
+	t.header = true
+	n := parent.nodes[part.name]
+	if n == nil {
+		n = &node{part.line, part.column, []*node{}}
+		parent.nodes[part.name] = n
+	}
+	elements, ok := n.value.([]*node)
+	if !ok {
+		d.addDuplicate(part, path, n)
+		return t, path
+	}
+	n.value = append(elements, &node{part.line, part.column, t})
+	return t, indexKey(path, len(elements))
+}
+
+// descend walks down the tables that parts name and creates missing ones.
+func (d *document) descend(t *table, prefix string, parts []keyPart) (*table, string) {
+	for _, part := range parts {
+		path := joinKey(prefix, part.name)
+		n := t.nodes[part.name]
+		if n == nil {
+			n = &node{part.line, part.column, newTable()}
+			t.nodes[part.name] = n
+		}
+		prefix = path
+		switch v := n.value.(type) {
+		case *table:
+			t = v
+		case []*node:
+			t = lastTable(v)
+			prefix = indexKey(path, len(v)-1)
+		default:
+			d.addDuplicate(part, path, n)
+			t = newTable()
+		}
+	}
+	return t, prefix
+}
+
+func lastTable(elements []*node) *table {
+	if len(elements) > 0 {
+		if t, ok := elements[len(elements)-1].value.(*table); ok {
+			return t
+		}
+	}
+	return newTable()
+}
+
+func (d *document) addKeyValue(p *unstable.Parser, t *table, prefix string, expr *unstable.Node) {
+	parts := keyParts(p, expr)
+	last := len(parts) - 1
+	t, prefix = d.descend(t, prefix, parts[:last])
+	part := parts[last]
+	path := joinKey(prefix, part.name)
+	if existing := t.nodes[part.name]; existing != nil {
+		d.addDuplicate(part, path, existing)
+		return
+	}
+	value := d.value(p, path, part, expr.Value())
+	t.nodes[part.name] = &node{part.line, part.column, value}
+}
+
+func (d *document) addDuplicate(part keyPart, path string, first *node) {
+	d.add(part.line, part.column, path, "is set twice (first on line %d)", first.line)
+}
+
+func (d *document) value(p *unstable.Parser, path string, part keyPart, n *unstable.Node) any {
+	switch n.Kind {
+	case unstable.String:
+		return string(n.Data)
+	case unstable.Bool:
+		return string(n.Data) == "true"
+	case unstable.Integer:
+		return integer(string(n.Data))
+	case unstable.Array:
+		return d.array(p, path, part, n)
+	case unstable.InlineTable:
+		return d.inlineTable(p, path, n)
+	case unstable.Float:
+		return unsupported("a floating-point number")
+	default:
+		return unsupported("a date or time")
+	}
+}
+
+// integer reads a TOML integer; one that does not fit is unsupported.
+func integer(text string) any {
+	v, err := strconv.ParseInt(text, 0, 64)
+	if err != nil {
+		return unsupported("an integer out of range")
+	}
+	return v
+}
+
+func (d *document) array(p *unstable.Parser, path string, part keyPart, n *unstable.Node) any {
+	elements := []*node{}
+	for it := n.Children(); it.Next(); {
+		child := it.Node()
+		if child.Kind == unstable.Comment {
+			continue
+		}
+		place := part
+		if child.Raw.Length > 0 {
+			at := p.Shape(child.Raw).Start
+			place.line, place.column = at.Line, at.Column
+		}
+		value := d.value(p, indexKey(path, len(elements)), place, child)
+		elements = append(elements, &node{place.line, place.column, value})
+	}
+	return elements
+}
+
+func (d *document) inlineTable(p *unstable.Parser, path string, n *unstable.Node) any {
+	t := newTable()
+	t.header = true
+	for it := n.Children(); it.Next(); {
+		if it.Node().Kind == unstable.KeyValue {
+			d.addKeyValue(p, t, path, it.Node())
+		}
+	}
+	return t
+}
+
+func joinKey(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
+
+func indexKey(path string, i int) string {
+	return fmt.Sprintf("%s[%d]", path, i)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,144 @@
+// Package settings reads the TOML settings of the processes. Reading is
+// strict: unknown keys, wrong types and units, missing and clashing values are
+// all collected with their place and reported together as Findings.
+package settings
+
+import (
+	"os"
+	"reflect"
+
+	"github.com/juju/errors"
+)
+
+// ErrRead says that a settings file could not be read.
+const ErrRead = errors.ConstError("settings file not readable")
+
+// LoadEntry reads the settings of an entry.
+func LoadEntry(path string) (*Entry, error) {
+	s := defaultEntry()
+	if err := load(path, RoleEntry, s, s.checkTogether); err != nil {
+		return nil, err
+	}
+	if s.RPCAdvertise == "" && !s.RPCListen.anyPort() {
+		s.RPCAdvertise = s.RPCListen
+	}
+	return s, nil
+}
+
+// LoadAgent reads the settings of an agent.
+func LoadAgent(path string) (*Agent, error) {
+	s := defaultAgent()
+	if err := load(path, RoleAgent, s, s.checkTogether); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// LoadStandin reads the settings of a process of stand-ins.
+func LoadStandin(path string) (*Standin, error) {
+	s := defaultStandin()
+	if err := load(path, RoleStandin, s, s.checkTogether); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Check reads a settings file of any role; the file's key role tells which.
+func Check(path string) error {
+	data, err := read(path)
+	if err != nil {
+		return err
+	}
+	return checkData(path, data)
+}
+
+func checkData(path string, data []byte) error {
+	d := parseDocument(path, data)
+	switch d.role() {
+	case RoleEntry:
+		s := defaultEntry()
+		return d.decode(RoleEntry, s, s.checkTogether)
+	case RoleAgent:
+		s := defaultAgent()
+		return d.decode(RoleAgent, s, s.checkTogether)
+	case RoleStandin:
+		s := defaultStandin()
+		return d.decode(RoleStandin, s, s.checkTogether)
+	}
+	return d.decode("", &struct {
+		Role Role `toml:"role,required"`
+	}{}, nil)
+}
+
+func load(path string, role Role, out any, checkTogether func(*document)) error {
+	data, err := read(path)
+	if err != nil {
+		return err
+	}
+	return parseDocument(path, data).decode(role, out, checkTogether)
+}
+
+func read(path string) ([]byte, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotatef(ErrRead, "%v", err)
+	}
+	return data, nil
+}
+
+// role returns the file's role, or "" when it has none or an unknown one.
+func (d *document) role() Role {
+	if n := d.root.nodes["role"]; n != nil {
+		if text, ok := n.value.(string); ok && Role(text).check() == nil {
+			return Role(text)
+		}
+	}
+	return ""
+}
+
+// decode copies the document into out. A file of another or an unknown role is
+// not looked at further, as all its keys would seem wrong.
+func (d *document) decode(want Role, out any, checkTogether func(*document)) error {
+	top := &node{line: 1, column: 1}
+	if role := d.role(); role != "" && role != want {
+		n := d.root.nodes["role"]
+		d.add(n.line, n.column, "role", "is %q, want %q", role, want)
+		return d.findings.err()
+	}
+	if d.role() == "" {
+		d.decodeRole(top)
+		return d.findings.err()
+	}
+	d.decodeTable(d.root, "", top, reflect.ValueOf(out).Elem())
+	if checkTogether != nil && !d.broken {
+		checkTogether(d)
+	}
+	return d.findings.err()
+}
+
+func (d *document) decodeRole(top *node) {
+	n := d.root.nodes["role"]
+	if n == nil {
+		if !d.broken {
+			d.add(top.line, top.column, "role", "is required: \"entry\", \"agent\" or \"standin\"")
+		}
+		return
+	}
+	var role Role
+	d.decodeScalar(n, "role", reflect.ValueOf(&role).Elem())
+}
+
+// place returns the node of a top-level key or of a key of a top-level table,
+// and whether the file sets it.
+func (d *document) place(path ...string) (*node, bool) {
+	t := d.root
+	n := &node{line: 1, column: 1}
+	for _, name := range path {
+		if t == nil || t.nodes[name] == nil {
+			return n, false
+		}
+		n = t.nodes[name]
+		t, _ = n.value.(*table)
+	}
+	return n, true
+}
--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Address is a TCP address with an IP number and a port, such as
+// "10.0.0.1:7000" or "[fd00::1]:7000". A listen address may have port 0.
+type Address string
+
+func (a Address) check() error {
+	_, err := netip.ParseAddrPort(string(a))
+	if err != nil {
+		return errors.Errorf("%q is not an IP number and port, such as \"10.0.0.1:7000\"", string(a))
+	}
+	return nil
+}
+
+// unspecified reports whether the address stands for all local addresses.
+func (a Address) unspecified() bool {
+	v, err := netip.ParseAddrPort(string(a))
+	return err == nil && v.Addr().IsUnspecified()
+}
+
+// anyPort reports whether the system chooses the port.
+func (a Address) anyPort() bool {
+	v, err := netip.ParseAddrPort(string(a))
+	return err == nil && v.Port() == 0
+}
+
+// URL is the base URL of an HTTP service, with an IP number as its host.
+type URL string
+
+func (u URL) check() error {
+	v, err := url.Parse(string(u))
+	if err != nil || (v.Scheme != "http" && v.Scheme != "https") {
+		return errors.Errorf("%q is not an HTTP URL, such as \"http://10.0.0.1:7000\"", string(u))
+	}
+	if _, err := netip.ParseAddr(v.Hostname()); err != nil {
+		return errors.Errorf("%q has no IP number as its host, as in \"http://10.0.0.1:7000\"", string(u))
+	}
+	return nil
+}
+
+// Role is the kind of process that a settings file is for.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+	RoleStandin Role = "standin"
+)
+
+func (r Role) check() error {
+	return oneOf(r, RoleEntry, RoleAgent, RoleStandin)
+}
+
+// EndpointKind is what an agent stands beside.
+type EndpointKind string
+
+// The kinds of endpoint.
+const (
+	KindMinion EndpointKind = "minion"
+	KindWorker EndpointKind = "worker"
+)
+
+func (k EndpointKind) check() error {
+	return oneOf(k, KindMinion, KindWorker)
+}
+
+// Level is the least level of log lines that are written.
+type Level string
+
+func (l Level) check() error {
+	return oneOf(l, "debug", "info", "warn", "error")
+}
+
+// Name is an identifier that is used in URLs, keys and metrics.
+type Name string
+
+const (
+	maxNameLength = 63
+	nameCharacter = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
+)
+
+func (n Name) check() error {
+	if n == "" || len(n) > maxNameLength || strings.Trim(string(n), nameCharacter) != "" {
+		return errors.Errorf("%q is not a name of 1 to %d letters, digits, '-', '_' and '.'", string(n), maxNameLength)
+	}
+	return nil
+}
+
+func oneOf[T ~string](v T, allowed ...T) error {
+	if slices.Contains(allowed, v) {
+		return nil
+	}
+	quoted := make([]string, len(allowed))
+	for i, a := range allowed {
+		quoted[i] = `"` + string(a) + `"`
+	}
+	return errors.Errorf("%q is not one of %s", string(v), strings.Join(quoted, ", "))
+}
