--- /dev/null
+++ b/internal/httpx/debug.go
@@ -0,0 +1,94 @@
+package httpx
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/fasthttp/router"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// Paths of the pages that each process has.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathState   = "/debug/state"
+)
+
+// DebugDeps is what the pages of a process show.
+type DebugDeps struct {
+	// Ready returns nil when the process takes new work, otherwise the reason
+	// why not. A nil Ready stands for a process that is always ready.
+	Ready func() error
+	// Registry holds the metrics.
+	Registry metrics.Registry
+	// Dump returns the state of the process, in a form that has JSON.
+	Dump func() any
+}
+
+// Health is the document of /healthz and /readyz.
+type Health struct {
+	Status string `json:"status"`
+}
+
+// Debug mounts /healthz, /readyz, /metrics and /debug/state.
+func Debug(r *router.Router, deps DebugDeps) {
+	r.GET(PathHealth, func(ctx *fasthttp.RequestCtx) {
+		WriteJSON(ctx, fasthttp.StatusOK, Health{"ok"})
+	})
+	r.GET(PathReady, func(ctx *fasthttp.RequestCtx) { serveReady(ctx, deps.Ready) })
+	r.GET(PathMetrics, func(ctx *fasthttp.RequestCtx) { serveMetrics(ctx, deps.Registry) })
+	r.GET(PathState, func(ctx *fasthttp.RequestCtx) {
+		WriteJSON(ctx, fasthttp.StatusOK, deps.Dump())
+	})
+}
+
+func serveReady(ctx *fasthttp.RequestCtx, ready func() error) {
+	if ready != nil {
+		if err := ready(); err != nil {
+			WriteProblem(ctx, Problemf(fasthttp.StatusServiceUnavailable, "not ready: %v", err))
+			return
+		}
+	}
+	WriteJSON(ctx, fasthttp.StatusOK, Health{"ready"})
+}
+
+// serveMetrics answers in JSON, or in lines of "name value" when the client
+// asks for plain text.
+func serveMetrics(ctx *fasthttp.RequestCtx, registry metrics.Registry) {
+	all := registry.GetAll()
+	accept := string(ctx.Request.Header.Peek(fasthttp.HeaderAccept))
+	if !strings.Contains(accept, "text/plain") {
+		WriteJSON(ctx, fasthttp.StatusOK, all)
+		return
+	}
+	ctx.SetContentType(ContentTypeText)
+	ctx.SetBody(metricLines(all))
+}
+
+func metricLines(all map[string]map[string]any) []byte {
+	var lines []string
+	for name, values := range all {
+		for field, value := range values {
+			lines = append(lines, fmt.Sprintf("%s %v\n", metricName(name, field), value))
+		}
+	}
+	sort.Strings(lines)
+	var b bytes.Buffer
+	for _, line := range lines {
+		b.WriteString(line)
+	}
+	return b.Bytes()
+}
+
+// metricName leaves out the field of metrics that have a single value.
+func metricName(name, field string) string {
+	if field == "count" || field == "value" {
+		return name
+	}
+	return name + "." + strings.ReplaceAll(field, "%", "")
+}
--- /dev/null
+++ b/internal/httpx/server.go
@@ -0,0 +1,193 @@
+package httpx
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Limits of the HTTP servers.
+const (
+	readTimeout     = 60 * time.Second
+	writeTimeout    = 60 * time.Second
+	idleTimeout     = 2 * time.Minute
+	maxHeaderBytes  = 16 << 10
+	lingerTimeout   = 2 * time.Second
+	maxLingerBytes  = 64 << 20
+	lingerChunkSize = 32 << 10
+)
+
+// NewRouter returns a router that answers unknown paths, wrong methods and
+// panics with problem documents. onPanic, if not nil, is told of each panic.
+func NewRouter(onPanic func(path string, value any)) *router.Router {
+	r := router.New()
+	r.RedirectTrailingSlash = false
+	r.RedirectFixedPath = false
+	r.HandleMethodNotAllowed = true
+	r.NotFound = func(ctx *fasthttp.RequestCtx) {
+		WriteProblem(ctx, Problemf(fasthttp.StatusNotFound, "path %q does not exist", ctx.Path()))
+	}
+	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
+		WriteProblem(ctx, Problemf(fasthttp.StatusMethodNotAllowed,
+			"method %s is not allowed for path %q", ctx.Method(), ctx.Path()))
+	}
+	r.PanicHandler = func(ctx *fasthttp.RequestCtx, value any) {
+		if onPanic != nil {
+			onPanic(string(ctx.Path()), value)
+		}
+		ctx.Response.Reset()
+		WriteProblem(ctx, Problemf(fasthttp.StatusInternalServerError, "internal error"))
+	}
+	return r
+}
+
+// ServerOptions configures a Server.
+type ServerOptions struct {
+	// Listen is the address to listen on; port 0 lets the system choose.
+	Listen string
+	// Handler serves the requests.
+	Handler fasthttp.RequestHandler
+	// MaxBodyBytes bounds a request's body; 0 stands for fasthttp's default.
+	MaxBodyBytes int
+	// LameDuck is how long Stop goes on accepting connections, while answers
+	// ask clients to close theirs, before the listener is closed.
+	LameDuck time.Duration
+}
+
+// Server is an HTTP server with the life of a kernel service.
+type Server struct {
+	options  ServerOptions
+	server   *fasthttp.Server
+	listener net.Listener
+	draining atomic.Bool
+	served   sync.WaitGroup
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(options ServerOptions) *Server {
+	s := &Server{options: options}
+	s.server = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          handleError,
+		MaxRequestBodySize:    options.MaxBodyBytes,
+		ReadBufferSize:        maxHeaderBytes,
+		ReadTimeout:           readTimeout,
+		WriteTimeout:          writeTimeout,
+		IdleTimeout:           idleTimeout,
+		CloseOnShutdown:       true,
+		NoDefaultServerHeader: true,
+	}
+	return s
+}
+
+// Start listens and serves.
+func (s *Server) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.options.Listen)
+	if err != nil {
+		return errors.Annotatef(err, "listening on %q", s.options.Listen)
+	}
+	s.listener = listener
+	s.served.Add(1)
+	go func() {
+		defer s.served.Done()
+		// Serve returns an error only when the listener is closed.
+		_ = s.server.Serve(lingerListener{listener})
+	}()
+	return nil
+}
+
+// Addr returns the address that the server listens on, after Start.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Draining reports whether Stop has begun.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Stop waits for the requests in progress. While LameDuck lasts new requests
+// are still served.
+func (s *Server) Stop(ctx context.Context) error {
+	s.draining.Store(true)
+	timer := time.NewTimer(s.options.LameDuck)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if err := s.server.ShutdownWithContext(ctx); err != nil {
+		return errors.Annotate(err, "requests still in progress")
+	}
+	s.served.Wait()
+	return nil
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	s.options.Handler(ctx)
+}
+
+// handleError answers requests that could not be read.
+func handleError(ctx *fasthttp.RequestCtx, err error) {
+	if conn, ok := ctx.Conn().(*lingerConn); ok {
+		conn.linger.Store(true)
+	}
+	var tooLarge *fasthttp.ErrSmallBuffer
+	var netErr net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		WriteProblem(ctx, Problemf(fasthttp.StatusRequestEntityTooLarge, "body exceeds the limit"))
+	case errors.As(err, &tooLarge):
+		WriteProblem(ctx, Problemf(fasthttp.StatusRequestHeaderFieldsTooLarge, "header exceeds %d bytes", maxHeaderBytes))
+	case errors.As(err, &netErr) && netErr.Timeout():
+		WriteProblem(ctx, Problemf(fasthttp.StatusRequestTimeout, "request was not complete within %v", readTimeout))
+	default:
+		WriteProblem(ctx, Problemf(fasthttp.StatusBadRequest, "request not valid: %v", err))
+	}
+}
+
+// lingerListener wraps connections so that a client which is still sending
+// reads the answer to a refused request. Closing a socket with unread data
+// would reset the connection and discard the answer.
+type lingerListener struct{ net.Listener }
+
+func (l lingerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lingerConn{Conn: conn}, nil
+}
+
+type lingerConn struct {
+	net.Conn
+	linger atomic.Bool
+}
+
+// Close discards what the client still sends, for a bounded time, when the
+// last request was refused before its end.
+func (c *lingerConn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.linger.Load() {
+		discardRest(tcp)
+	}
+	return c.Conn.Close()
+}
+
+func discardRest(conn *net.TCPConn) {
+	if conn.CloseWrite() != nil || conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	buffer := make([]byte, lingerChunkSize)
+	for total := 0; total < maxLingerBytes; {
+		n, err := conn.Read(buffer)
+		total += n
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/procmain/procmain.go
@@ -0,0 +1,179 @@
+// Package procmain is the common main part of the processes: settings from
+// the command line, the logger, signals, graceful stop and exit codes.
+package procmain
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+)
+
+// The exit codes of the processes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // a service could not start, or failed while it ran
+	ExitUsage    = 2 // wrong flags or settings
+	ExitNotClean = 3 // the stop was cut short: work was still in progress
+)
+
+// stopSettleTime is how long services get after the drain timeout to return.
+const stopSettleTime = 5 * time.Second
+
+// Load parses the flags of a process, which are -settings FILE, and loads the
+// file. It returns nil and the exit code when the process has to end, after
+// writing the reason to stderr.
+func Load[T any](name string, args []string, stderr io.Writer, load func(path string) (*T, error)) (*T, int) {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	path := flags.String("settings", "", "`FILE` with the settings in TOML (required)")
+	flags.Usage = func() {
+		fmt.Fprintf(stderr, "Usage: %s -settings FILE\n", name)
+		flags.PrintDefaults()
+	}
+	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) {
+		return nil, ExitOK
+	} else if err != nil {
+		return nil, ExitUsage
+	}
+	if *path == "" || flags.NArg() > 0 {
+		flags.Usage()
+		return nil, ExitUsage
+	}
+	s, err := load(*path)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return nil, ExitUsage
+	}
+	return s, ExitOK
+}
+
+// NewLogger returns the logger of a process.
+func NewLogger(w io.Writer, level settings.Level, role settings.Role, id string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(string(level))
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	logger := zerolog.New(w).Level(parsed).With().Timestamp().Str("role", string(role))
+	return logger.Str("id", id).Logger()
+}
+
+// Process is a kernel that runs until a signal ends it.
+type Process struct {
+	Kernel *kernel.Kernel
+	Log    zerolog.Logger
+	// DrainTimeout bounds how long a planned stop waits for work in progress.
+	DrainTimeout time.Duration
+	// Failed, if not nil, ends the process when a service fails while it runs.
+	Failed <-chan error
+	// Dump receives the state dump on SIGUSR1. Default os.Stderr.
+	Dump io.Writer
+}
+
+// Run starts the kernel, serves until SIGTERM or SIGINT, stops gracefully and
+// returns the exit code. A second signal cuts the stop short. SIGUSR1 writes
+// the state dump.
+func (p Process) Run() int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	return p.run(signals)
+}
+
+func (p Process) run(signals <-chan os.Signal) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := p.Kernel.Start(ctx); err != nil {
+		p.Log.Error().Err(err).Msg("start failed")
+		return ExitFailed
+	}
+	p.Log.Info().Msg("started")
+	err := p.serve(signals)
+	code := p.stop(signals)
+	if err != nil {
+		return ExitFailed
+	}
+	return code
+}
+
+// serve returns nil when a signal asks for the stop, or the failure of a service.
+func (p Process) serve(signals <-chan os.Signal) error {
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				p.dump()
+				continue
+			}
+			p.Log.Info().Stringer("signal", s).Msg("stopping")
+			return nil
+		case err := <-p.Failed:
+			p.Log.Error().Err(err).Msg("service failed")
+			return err
+		}
+	}
+}
+
+func (p Process) stop(signals <-chan os.Signal) int {
+	ctx, cancel := context.WithTimeout(context.Background(), p.DrainTimeout)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.Kernel.Stop(ctx) }()
+	for {
+		select {
+		case err := <-stopped:
+			return p.stopped(err)
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				p.dump()
+				continue
+			}
+			cancel()
+			return p.settle(stopped)
+		case <-ctx.Done():
+			return p.settle(stopped)
+		}
+	}
+}
+
+// settle gives the services a last chance to return after ctx has ended.
+func (p Process) settle(stopped <-chan error) int {
+	select {
+	case err := <-stopped:
+		return p.stopped(err)
+	case <-time.After(stopSettleTime):
+		p.Log.Error().Msg("services did not return after the drain timeout")
+		return ExitNotClean
+	}
+}
+
+func (p Process) stopped(err error) int {
+	if err != nil {
+		p.Log.Error().Err(err).Msg("stopped with work in progress")
+		return ExitNotClean
+	}
+	p.Log.Info().Msg("stopped")
+	return ExitOK
+}
+
+func (p Process) dump() {
+	w := p.Dump
+	if w == nil {
+		w = os.Stderr
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(p.Kernel.DumpState()); err != nil {
+		p.Log.Error().Err(err).Msg("state dump has no JSON form")
+	}
+}
