Clients and stand-ins of the platform's services

HTTP and JSON clients for the table, the object store, workers and minions: bounded connections, no retries, every failure that leaves the effect open is ErrUnavailable, ErrNotSent only when nothing was written. An answer without a length, or with fewer bytes than announced, is not complete and is refused.

Stand-ins with fault switches (down, slow, answer lost after the effect, every task fails, answer cut short) and coltsfoot-standin, which serves any number of them in one process. The balancer is a TCP relay; it can also go silent.

--- a/cmd/coltsfoot-standin/main.go
+++ b/cmd/coltsfoot-standin/main.go
@@ -1,4 +1,36 @@
-// Command coltsfoot-standin is one of the processes of coltsfootlug.
+// Command coltsfoot-standin serves stand-ins for the platform's services, for
+// tests and the demo. Each flag may be given several times:
+//
+//	coltsfoot-standin -table 127.0.0.1:7001 -objects 127.0.0.1:7002 \
+//	  -worker 127.0.0.1:7003,id=w1,accelerators=8,milli_cpu=64000,memory_mb=250000 \
+//	  -minion 127.0.0.1:7004,id=m1,slots=8 \
+//	  -balancer 127.0.0.1:7005,control=127.0.0.1:7006,target=127.0.0.1:8001,target=127.0.0.1:8002
 package main
 
-func main() {}
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+)
+
+func main() {
+	var specs standin.Specs
+	flags := flag.NewFlagSet("coltsfoot-standin", flag.ExitOnError)
+	specs.Register(flags)
+	// ExitOnError: Parse does not return an error.
+	_ = flags.Parse(os.Args[1:])
+	group, err := specs.Serve()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "coltsfoot-standin:", err)
+		os.Exit(1)
+	}
+	fmt.Fprintln(os.Stderr, "coltsfoot-standin: ready")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	group.Close()
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,120 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Bounds of one client.
+const (
+	maxConnsPerClient   = 64
+	maxIdleConnDuration = 5 * time.Second
+	maxResponseBytes    = 64 << 20
+	connectTimeout      = time.Second
+)
+
+// notSentError marks a failure before the first byte of a request was written.
+type notSentError struct{ cause error }
+
+func (e *notSentError) Error() string { return e.cause.Error() }
+
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// client sends requests to one platform service. It never retries.
+type client struct {
+	service string
+	base    string
+	timeout time.Duration
+	http    *fasthttp.HostClient
+}
+
+func newClient(service, url string, timeout time.Duration) *client {
+	address := strings.TrimPrefix(strings.TrimRight(url, "/"), "http://")
+	return &client{
+		service: service,
+		base:    "http://" + address,
+		timeout: timeout,
+		http: &fasthttp.HostClient{
+			Addr:                      address,
+			Dial:                      dial,
+			MaxConns:                  maxConnsPerClient,
+			MaxIdleConnDuration:       maxIdleConnDuration,
+			MaxResponseBodySize:       maxResponseBytes,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+		},
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, connectTimeout)
+	if err != nil {
+		return nil, &notSentError{err}
+	}
+	return conn, nil
+}
+
+// do sends req before the earlier of ctx's deadline and the client's timeout.
+func (c *client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := ctx.Err(); err != nil {
+		return &notSentError{err}
+	}
+	deadline := time.Now().Add(c.timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	err := c.http.DoDeadline(req, resp, deadline)
+	if err == fasthttp.ErrNoFreeConns {
+		return &notSentError{err}
+	}
+	return err
+}
+
+// exchange sends one request and returns a copy of the response's body.
+// An answer that is neither 2xx nor 404 counts as no answer.
+func (c *client) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(c.base + path)
+	req.SetBodyRaw(body)
+	if err := c.do(ctx, req, resp); err != nil {
+		return nil, errors.WithType(errors.Annotatef(err, "%s: %s %s", c.service, method, path), ErrUnavailable)
+	}
+	switch status := resp.StatusCode(); {
+	case status == fasthttp.StatusNotFound:
+		return nil, errors.Annotatef(ErrNotFound, "%s: %s %s", c.service, method, path)
+	case status < 200 || status > 299:
+		return nil, errors.Annotatef(ErrUnavailable, "%s: %s %s: status %d", c.service, method, path, status)
+	}
+	return bytes.Clone(resp.Body()), nil
+}
+
+// post sends in as JSON and decodes the answer into out, which may be nil.
+func (c *client) post(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Annotatef(err, "%s: %s", c.service, path)
+	}
+	answer, err := c.exchange(ctx, fasthttp.MethodPost, path, body)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return errors.WithType(errors.Annotatef(err, "%s: %s: answer", c.service, path), ErrUnavailable)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/balancer.go
@@ -0,0 +1,27 @@
+package standin
+
+import "github.com/fasthttp/router"
+
+// PathTargets reads (GET) and replaces (POST) a balancer's targets.
+const PathTargets = "/control/targets"
+
+// Targets is the body of PathTargets.
+type Targets struct {
+	Targets []string `json:"targets"`
+}
+
+// Balancer is the control interface of a Relay.
+type Balancer struct {
+	Faults
+	Relay *Relay
+}
+
+func (b *Balancer) faults() *Faults { return &b.Faults }
+
+func (b *Balancer) routes(r *router.Router) {
+	r.GET(PathTargets, get(func() any { return Targets{b.Relay.Targets()} }))
+	r.POST(PathTargets, post(func(in Targets) (Targets, error) {
+		b.Relay.SetTargets(in.Targets...)
+		return in, nil
+	}))
+}
--- /dev/null
+++ b/internal/standin/minion.go
@@ -0,0 +1,147 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+)
+
+// MinionCall is the body that controls a minion; any other body is echoed.
+type MinionCall struct {
+	SleepMS int64 `json:"sleep_ms"`
+	// Fail answers with status 500 and this message.
+	Fail string `json:"fail"`
+	// Size pads the answer by this number of bytes.
+	Size int `json:"size"`
+	// Cut closes the connection in the middle of the answer.
+	Cut bool `json:"cut"`
+}
+
+// MinionAnswer is the body of a minion's answer.
+type MinionAnswer struct {
+	Minion    string `json:"minion"`
+	RequestID string `json:"request_id"`
+	Attempt   string `json:"attempt"`
+	// Echo is the body of the call, Digest its xxhash64.
+	Echo    []byte `json:"echo"`
+	Digest  string `json:"digest"`
+	Padding string `json:"padding,omitempty"`
+}
+
+// MinionStats tells what a minion has done.
+type MinionStats struct {
+	Minion string `json:"minion"`
+	// Executions counts the started calls of each request.
+	Executions map[string]int `json:"executions"`
+	InUse      int            `json:"in_use"`
+	MaxInUse   int            `json:"max_in_use"`
+	// Waited counts the calls that came while all slots were in use.
+	Waited int `json:"waited"`
+}
+
+// Minion answers calls on a bounded number of slots.
+type Minion struct {
+	Faults
+
+	id    string
+	slots chan struct{}
+
+	mu    sync.Mutex
+	stats MinionStats
+}
+
+// NewMinion returns a minion with the given number of slots.
+func NewMinion(id string, slots int) *Minion {
+	return &Minion{
+		id:    id,
+		slots: make(chan struct{}, slots),
+		stats: MinionStats{Minion: id, Executions: map[string]int{}},
+	}
+}
+
+// Stats returns what the minion has done.
+func (m *Minion) Stats() MinionStats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	stats := m.stats
+	stats.Executions = make(map[string]int, len(m.stats.Executions))
+	for id, n := range m.stats.Executions {
+		stats.Executions[id] = n
+	}
+	return stats
+}
+
+func (m *Minion) call(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
+	m.enter(id)
+	defer m.leave()
+	var control MinionCall
+	// A body that is not a MinionCall asks for nothing special.
+	_ = json.Unmarshal(ctx.PostBody(), &control)
+	sleepMS(control.SleepMS)
+	if control.Fail != "" {
+		ctx.Error(control.Fail, fasthttp.StatusInternalServerError)
+		return
+	}
+	body, err := json.Marshal(m.answer(ctx, id, control.Size))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	if control.Cut {
+		drop(ctx, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2]))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func (m *Minion) answer(ctx *fasthttp.RequestCtx, id string, size int) MinionAnswer {
+	return MinionAnswer{
+		Minion:    m.id,
+		RequestID: id,
+		Attempt:   string(ctx.Request.Header.Peek(platform.HeaderAttempt)),
+		Echo:      ctx.PostBody(),
+		Digest:    fmt.Sprintf("%016x", xxhash.Sum64(ctx.PostBody())),
+		Padding:   strings.Repeat("x", max(size, 0)),
+	}
+}
+
+// enter waits for a slot and counts the execution.
+func (m *Minion) enter(id string) {
+	select {
+	case m.slots <- struct{}{}:
+	default:
+		m.mu.Lock()
+		m.stats.Waited++
+		m.mu.Unlock()
+		m.slots <- struct{}{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stats.Executions[id]++
+	m.stats.InUse++
+	m.stats.MaxInUse = max(m.stats.MaxInUse, m.stats.InUse)
+}
+
+func (m *Minion) leave() {
+	m.mu.Lock()
+	m.stats.InUse--
+	m.mu.Unlock()
+	<-m.slots
+}
+
+func (m *Minion) faults() *Faults { return &m.Faults }
+
+func (m *Minion) observe() any { return m.Stats() }
+
+func (m *Minion) routes(r *router.Router) {
+	r.GET(platform.PathHealth, healthy)
+	r.POST(platform.PathMinionCall, m.call)
+}
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,216 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const relayDialTimeout = 500 * time.Millisecond
+
+// Relay forwards TCP connections to its targets in turn. It can cut its
+// connections, delay them, or stop forwarding without closing them.
+type Relay struct {
+	listener net.Listener
+
+	mu      sync.Mutex
+	targets []string
+	next    int
+	links   map[*link]struct{}
+	delay   time.Duration
+	refuse  bool
+}
+
+// link is one forwarded connection.
+type link struct {
+	near, far net.Conn
+	silent    chan struct{}
+	once      sync.Once
+}
+
+// NewRelay listens on address and forwards to targets.
+func NewRelay(address string, targets ...string) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	r := &Relay{listener: listener, targets: targets, links: map[*link]struct{}{}}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Targets returns the current targets.
+func (r *Relay) Targets() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.targets...)
+}
+
+// SetTargets replaces the targets; open connections stay.
+func (r *Relay) SetTargets(targets ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targets = append([]string(nil), targets...)
+}
+
+// SetDelay delays what is forwarded from now on.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Refuse closes new connections at once, or lets them through again.
+func (r *Relay) Refuse(refuse bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuse = refuse
+}
+
+// Silence stops forwarding on all open connections without closing them. New
+// connections work.
+func (r *Relay) Silence() int {
+	links := r.open()
+	for _, l := range links {
+		l.once.Do(func() { close(l.silent) })
+	}
+	return len(links)
+}
+
+// Cut closes all open connections. New connections work.
+func (r *Relay) Cut() int {
+	links := r.open()
+	for _, l := range links {
+		l.close()
+	}
+	return len(links)
+}
+
+// Close stops the relay and closes all connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.Cut()
+}
+
+func (r *Relay) open() []*link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	links := make([]*link, 0, len(r.links))
+	for l := range r.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(near)
+	}
+}
+
+func (r *Relay) serve(near net.Conn) {
+	far := r.dial()
+	if far == nil {
+		_ = near.Close()
+		return
+	}
+	l := &link{near: near, far: far, silent: make(chan struct{})}
+	r.mu.Lock()
+	r.links[l] = struct{}{}
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { r.forward(l, far, near) })
+	both.Go(func() { r.forward(l, near, far) })
+	both.Wait()
+	l.close()
+	r.mu.Lock()
+	delete(r.links, l)
+	r.mu.Unlock()
+}
+
+// dial connects to the next target that accepts.
+func (r *Relay) dial() net.Conn {
+	r.mu.Lock()
+	targets, first, refuse := r.targets, r.next, r.refuse
+	r.next++
+	r.mu.Unlock()
+	if refuse {
+		return nil
+	}
+	for i := range targets {
+		conn, err := net.DialTimeout("tcp", targets[(first+i)%len(targets)], relayDialTimeout)
+		if err == nil {
+			return conn
+		}
+	}
+	return nil
+}
+
+// forward copies from one side to the other until the sender ends. On a
+// silent link it keeps both sides open and copies nothing.
+func (r *Relay) forward(l *link, to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-l.silent:
+			// The other end must not see the sender's end either.
+			_, _ = io.Copy(io.Discard, from)
+			l.waitClosed(to)
+			return
+		default:
+		}
+		if n > 0 {
+			r.pause()
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				l.close()
+				return
+			}
+		}
+		if err != nil {
+			closeWrite(to)
+			return
+		}
+	}
+}
+
+func (r *Relay) pause() {
+	r.mu.Lock()
+	delay := r.delay
+	r.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
+
+func (l *link) close() {
+	_ = l.near.Close()
+	_ = l.far.Close()
+}
+
+// waitClosed polls until the connection is closed on this side, which the
+// goroutine of the other direction or Cut does.
+func (l *link) waitClosed(c net.Conn) {
+	for {
+		if err := c.SetDeadline(time.Time{}); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
--- /dev/null
+++ b/internal/standin/relay_test.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+// rawServer answers each connection's request with the given bytes and closes.
+func rawServer(t *testing.T, answer string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func newRelay(t *testing.T, targets ...string) *Relay {
+	t.Helper()
+	relay, err := NewRelay("127.0.0.1:0", targets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	return relay
+}
+
+func TestRelaySkipsDeadTargets(t *testing.T) {
+	server, err := Serve("127.0.0.1:0", NewMinion("m1", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	relay := newRelay(t, "127.0.0.1:1", server.Address())
+	for range 4 {
+		minion := platform.NewMinionClient("http://"+relay.Address(), callTimeout)
+		if err := minion.Healthy(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestRelaySilence(t *testing.T) {
+	server, err := Serve("127.0.0.1:0", NewMinion("m1", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	relay := newRelay(t, server.Address())
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", relay.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	answers := func(conn net.Conn, wait time.Duration) error {
+		_, _ = io.WriteString(conn, "GET /health HTTP/1.1\r\nHost: m\r\n\r\n")
+		_ = conn.SetReadDeadline(time.Now().Add(wait))
+		_, err := conn.Read(make([]byte, 1))
+		return err
+	}
+	old := dial()
+	if err := answers(old, callTimeout); err != nil {
+		t.Fatal(err)
+	}
+	if n := relay.Silence(); n != 1 {
+		t.Fatalf("silenced %d connections", n)
+	}
+	err = answers(dial(), callTimeout)
+	if err != nil {
+		t.Fatalf("new connection: %v", err)
+	}
+	// Drain what was forwarded before the silence, then expect a timeout, not an end.
+	_ = old.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, _ = io.Copy(io.Discard, old)
+	if err, ok := answers(old, 100*time.Millisecond).(net.Error); !ok || !err.Timeout() {
+		t.Fatalf("silent connection: %v", err)
+	}
+	relay.Cut()
+	_ = old.SetReadDeadline(time.Now().Add(callTimeout))
+	if _, err := old.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("cut connection: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,127 @@
+// Package standin holds small stand-ins for the platform's services, for tests
+// and the demo: the table, the object store, workers, minions and the
+// balancer. Each can be told to fail over its control interface.
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Bounds of a stand-in's server.
+const (
+	maxRequestBytes = 64 << 20
+	stopTimeout     = 2 * time.Second
+)
+
+// Service is one stand-in, served over HTTP.
+type Service interface {
+	routes(r *router.Router)
+	faults() *Faults
+}
+
+// Server serves one stand-in.
+type Server struct {
+	listener net.Listener
+	http     *fasthttp.Server
+}
+
+// Serve starts to serve s on address.
+func Serve(address string, s Service) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	server := &Server{
+		listener: listener,
+		http: &fasthttp.Server{
+			Handler:            handler(s),
+			MaxRequestBodySize: maxRequestBytes,
+			Name:               "coltsfoot-standin",
+			CloseOnShutdown:    true,
+		},
+	}
+	go func() { _ = server.http.Serve(listener) }()
+	return server, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// URL returns the server's base URL.
+func (s *Server) URL() string { return "http://" + s.Address() }
+
+// Close stops the server. Requests in progress have a short time to finish.
+func (s *Server) Close() error {
+	done := make(chan error, 1)
+	go func() { done <- s.http.Shutdown() }()
+	select {
+	case err := <-done:
+		return errors.Trace(err)
+	case <-time.After(stopTimeout):
+		return nil
+	}
+}
+
+// handler puts the control interface beside the service, whose own routes
+// pass through its faults.
+func handler(s Service) fasthttp.RequestHandler {
+	service := router.New()
+	s.routes(service)
+	f := s.faults()
+	all := router.New()
+	all.POST(PathFaults, post(func(next FaultSettings) (FaultSettings, error) { return f.set(next), nil }))
+	all.GET(PathFaults, get(func() any { return f.get() }))
+	if o, ok := s.(observer); ok {
+		all.GET(PathObserve, get(o.observe))
+	}
+	all.NotFound = f.wrap(service.Handler)
+	all.HandleMethodNotAllowed = false
+	return all.Handler
+}
+
+// observer is a service that reports what it has done, for tests.
+type observer interface{ observe() any }
+
+// post adapts a function to a handler of JSON bodies.
+func post[In, Out any](fn func(In) (Out, error)) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		var in In
+		if body := ctx.PostBody(); len(body) > 0 {
+			if err := json.Unmarshal(body, &in); err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+				return
+			}
+		}
+		out, err := fn(in)
+		switch {
+		case errors.Is(err, errors.NotFound):
+			ctx.Error(err.Error(), fasthttp.StatusNotFound)
+		case err != nil:
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		default:
+			writeJSON(ctx, out)
+		}
+	}
+}
+
+func get(fn func() any) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) { writeJSON(ctx, fn()) }
+}
+
+func healthy(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") }
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/standin/specs.go
@@ -0,0 +1,171 @@
+package standin
+
+import (
+	"flag"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/juju/errors"
+)
+
+// The defaults of a spec's optional values.
+const (
+	defaultSlots        = 8
+	defaultAccelerators = 8
+	defaultMilliCPU     = 64_000
+	defaultMemoryMB     = 250_000
+)
+
+// Specs are the stand-ins of one process, as given by flags.
+type Specs struct {
+	list []spec
+}
+
+// spec is one stand-in: "address,key=value,key=value".
+type spec struct {
+	kind    string
+	address string
+	values  url.Values
+}
+
+// builder makes one stand-in. Objects is the process's object store.
+type builder func(s spec, objects platform.Objects) (Service, error)
+
+var builders = map[string]builder{
+	"table":    func(spec, platform.Objects) (Service, error) { return NewTable(), nil },
+	"worker":   buildWorker,
+	"minion":   buildMinion,
+	"balancer": buildBalancer,
+}
+
+// Register adds the flags of all kinds of stand-ins.
+func (s *Specs) Register(flags *flag.FlagSet) {
+	s.flag(flags, "table", "`address` of a table")
+	s.flag(flags, "objects", "`address` of the object store")
+	s.flag(flags, "worker", "`address`,id=ID,accelerators=8,milli_cpu=64000,memory_mb=250000")
+	s.flag(flags, "minion", "`address`,id=ID,slots=8")
+	s.flag(flags, "balancer", "`address`,control=ADDRESS,target=ADDRESS,target=ADDRESS")
+}
+
+func (s *Specs) flag(flags *flag.FlagSet, kind, usage string) {
+	flags.Func(kind, usage, func(value string) error { return s.Add(kind, value) })
+}
+
+// Add adds one stand-in of the kind.
+func (s *Specs) Add(kind, value string) error {
+	parts := strings.Split(value, ",")
+	one := spec{kind: kind, address: parts[0], values: url.Values{}}
+	for _, part := range parts[1:] {
+		key, v, ok := strings.Cut(part, "=")
+		if !ok {
+			return errors.NotValidf("%q (want key=value)", part)
+		}
+		one.values.Add(key, v)
+	}
+	s.list = append(s.list, one)
+	return nil
+}
+
+// Group is a set of running stand-ins.
+type Group struct {
+	servers []*Server
+	relays  []*Relay
+}
+
+// Serve starts all stand-ins. Workers keep their checkpoints in the object
+// store of the same process.
+func (s *Specs) Serve() (*Group, error) {
+	group := &Group{}
+	objects := NewObjects()
+	for _, one := range s.list {
+		if err := group.add(one, objects); err != nil {
+			group.Close()
+			return nil, errors.Annotatef(err, "%s %s", one.kind, one.address)
+		}
+	}
+	return group, nil
+}
+
+// Close stops all stand-ins.
+func (g *Group) Close() {
+	for _, server := range g.servers {
+		_ = server.Close()
+	}
+	for _, relay := range g.relays {
+		relay.Close()
+	}
+}
+
+func (g *Group) add(one spec, objects *Objects) error {
+	if one.kind == "objects" {
+		return g.serve(one.address, objects)
+	}
+	service, err := builders[one.kind](one, objects)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	balancer, ok := service.(*Balancer)
+	if !ok {
+		return g.serve(one.address, service)
+	}
+	g.relays = append(g.relays, balancer.Relay)
+	if control := one.values.Get("control"); control != "" {
+		return g.serve(control, balancer)
+	}
+	return nil
+}
+
+func (g *Group) serve(address string, service Service) error {
+	server, err := Serve(address, service)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	g.servers = append(g.servers, server)
+	return nil
+}
+
+func buildWorker(s spec, objects platform.Objects) (Service, error) {
+	var capacity api.Resources
+	var err error
+	if capacity.Accelerators, err = s.number("accelerators", defaultAccelerators); err != nil {
+		return nil, err
+	}
+	if capacity.MilliCPU, err = s.number("milli_cpu", defaultMilliCPU); err != nil {
+		return nil, err
+	}
+	if capacity.MemoryMB, err = s.number("memory_mb", defaultMemoryMB); err != nil {
+		return nil, err
+	}
+	return NewWorker(s.values.Get("id"), capacity, objects), nil
+}
+
+func buildMinion(s spec, _ platform.Objects) (Service, error) {
+	slots, err := s.number("slots", defaultSlots)
+	if err != nil {
+		return nil, err
+	}
+	return NewMinion(s.values.Get("id"), slots), nil
+}
+
+func buildBalancer(s spec, _ platform.Objects) (Service, error) {
+	relay, err := NewRelay(s.address, s.values["target"]...)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Balancer{Relay: relay}, nil
+}
+
+func (s spec) number(key string, absent int) (int, error) {
+	text := s.values.Get(key)
+	if text == "" {
+		return absent, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n <= 0 {
+		return 0, errors.NotValidf("%s=%q (want a positive number)", key, text)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,382 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/fasthttp/router"
+	"github.com/juju/errors"
+)
+
+const (
+	// usageLag is how long a task runs before its usage is reported.
+	usageLag = 400 * time.Millisecond
+	// failAfter is how long a task runs that its worker makes fail.
+	failAfter = 20 * time.Millisecond
+	// checkpointPrefix starts the keys of checkpoints in the object store.
+	checkpointPrefix = "checkpoints/"
+	// throttledSpeed is the progress of a throttled task, as a divisor.
+	throttledSpeed = 2
+)
+
+// TaskPayload is the payload that a worker understands.
+type TaskPayload struct {
+	RunMS int64 `json:"run_ms"`
+	// Result is the task's output; without it, the output names the task.
+	Result json.RawMessage `json:"result,omitempty"`
+	// Fail lets the task fail with this message at its end.
+	Fail string `json:"fail,omitempty"`
+	// Grow is what the task uses above its declaration.
+	Grow api.Resources `json:"grow"`
+}
+
+// Execution is the record of one task's run on one worker.
+type Execution struct {
+	ID      string             `json:"id"`
+	Worker  string             `json:"worker"`
+	State   platform.TaskState `json:"state"`
+	Started time.Time          `json:"started"`
+	Ended   time.Time          `json:"ended,omitzero"`
+	LeaseBy time.Time          `json:"lease_by"`
+}
+
+// Worker runs tasks on timers.
+type Worker struct {
+	Faults
+
+	id       string
+	capacity api.Resources
+	objects  platform.Objects
+
+	mu    sync.Mutex
+	tasks map[string]*task
+}
+
+type task struct {
+	platform.TaskStatus
+	payload   TaskPayload
+	resources api.Resources
+	limit     *api.Resources
+	started   time.Time
+	ended     time.Time
+	leaseBy   time.Time
+	counted   time.Time // progress is counted up to here
+	end       *time.Timer
+	lapse     *time.Timer
+}
+
+var _ platform.Worker = (*Worker)(nil)
+
+// NewWorker returns a worker that keeps its checkpoints in objects.
+func NewWorker(id string, capacity api.Resources, objects platform.Objects) *Worker {
+	return &Worker{id: id, capacity: capacity, objects: objects, tasks: map[string]*task{}}
+}
+
+// Start starts a task, unless its ID is known already.
+func (w *Worker) Start(ctx context.Context, t platform.Task) (platform.TaskStatus, error) {
+	if status, known := w.status(t.ID); known {
+		return status, nil
+	}
+	var payload TaskPayload
+	if len(t.Payload) > 0 {
+		if err := json.Unmarshal(t.Payload, &payload); err != nil {
+			return w.refuse(t.ID, err.Error()), nil
+		}
+	}
+	progress, err := w.loadProgress(ctx, t.Checkpoint)
+	if err != nil {
+		return platform.TaskStatus{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known := w.tasks[t.ID]; known != nil {
+		return w.report(known), nil
+	}
+	if !t.Resources.Fits(w.free()) {
+		return platform.TaskStatus{ID: t.ID, State: platform.TaskFailed, WorkerFault: true, Detail: "no capacity"}, nil
+	}
+	return w.report(w.run(t, payload, progress)), nil
+}
+
+// Renew extends the leases of the named tasks that run.
+func (w *Worker) Renew(_ context.Context, ids []string, leaseMS int64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		if t := w.tasks[id]; t != nil && t.State == platform.TaskRunning {
+			w.lease(t, leaseMS)
+		}
+	}
+	return nil
+}
+
+// Checkpoint saves a task's progress and ends it.
+func (w *Worker) Checkpoint(ctx context.Context, id string) (platform.TaskStatus, error) {
+	status, known := w.status(id)
+	if !known {
+		return status, errors.NotFoundf("task %q", id)
+	}
+	if status.State != platform.TaskRunning {
+		return status, nil
+	}
+	key := checkpointPrefix + id
+	saved, err := json.Marshal(status.ProgressMS)
+	if err != nil {
+		return status, errors.Trace(err)
+	}
+	if err := w.objects.Put(ctx, key, saved); err != nil {
+		return status, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tasks[id]
+	if t.State == platform.TaskRunning {
+		w.finish(t, platform.TaskCheckpointed, "")
+		t.Checkpoint = key
+		t.ProgressMS = status.ProgressMS
+	}
+	return w.report(t), nil
+}
+
+// Throttle limits what a task uses.
+func (w *Worker) Throttle(_ context.Context, id string, limit api.Resources) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tasks[id]
+	if t == nil {
+		return errors.NotFoundf("task %q", id)
+	}
+	if t.State == platform.TaskRunning {
+		w.count(t)
+		t.limit = &limit
+		w.schedule(t)
+	}
+	return nil
+}
+
+// Stop ends a task.
+func (w *Worker) Stop(_ context.Context, id string) (platform.TaskStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.tasks[id]
+	if t == nil {
+		return platform.TaskStatus{}, errors.NotFoundf("task %q", id)
+	}
+	if t.State == platform.TaskRunning {
+		w.finish(t, platform.TaskStopped, "stopped")
+	}
+	return w.report(t), nil
+}
+
+// List returns all tasks in order of their IDs.
+func (w *Worker) List(context.Context) ([]platform.TaskStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := []platform.TaskStatus{}
+	for _, t := range w.sorted() {
+		list = append(list, w.report(t))
+	}
+	return list, nil
+}
+
+// Executions returns a record of each task that was started.
+func (w *Worker) Executions() []Execution {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := []Execution{}
+	for _, t := range w.sorted() {
+		list = append(list, Execution{t.ID, w.id, t.State, t.started, t.ended, t.leaseBy})
+	}
+	return list
+}
+
+func (w *Worker) sorted() []*task {
+	list := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		list = append(list, t)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+func (w *Worker) status(id string) (platform.TaskStatus, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := w.tasks[id]; t != nil {
+		return w.report(t), true
+	}
+	return platform.TaskStatus{ID: id}, false
+}
+
+func (w *Worker) refuse(id, detail string) platform.TaskStatus {
+	return platform.TaskStatus{ID: id, State: platform.TaskFailed, Detail: detail}
+}
+
+func (w *Worker) loadProgress(ctx context.Context, checkpoint string) (int64, error) {
+	if checkpoint == "" {
+		return 0, nil
+	}
+	saved, err := w.objects.Get(ctx, checkpoint)
+	if err != nil {
+		return 0, errors.Annotatef(err, "checkpoint %q", checkpoint)
+	}
+	var progress int64
+	err = json.Unmarshal(saved, &progress)
+	return progress, errors.Annotatef(err, "checkpoint %q", checkpoint)
+}
+
+func (w *Worker) free() api.Resources {
+	free := w.capacity
+	for _, t := range w.tasks {
+		if t.State == platform.TaskRunning {
+			free = free.Sub(t.resources)
+		}
+	}
+	return free
+}
+
+func (w *Worker) run(started platform.Task, payload TaskPayload, progress int64) *task {
+	now := time.Now()
+	t := &task{
+		TaskStatus: platform.TaskStatus{ID: started.ID, State: platform.TaskRunning, ProgressMS: progress},
+		payload:    payload,
+		resources:  started.Resources,
+		started:    now,
+		counted:    now,
+	}
+	w.tasks[t.ID] = t
+	w.lease(t, started.LeaseMS)
+	w.schedule(t)
+	return t
+}
+
+// lease lets the task end leaseMS from now unless it is renewed.
+func (w *Worker) lease(t *task, leaseMS int64) {
+	lease := time.Duration(leaseMS) * time.Millisecond
+	t.leaseBy = time.Now().Add(lease)
+	if t.lapse != nil {
+		t.lapse.Stop()
+	}
+	t.lapse = time.AfterFunc(lease, func() { w.lapsed(t) })
+}
+
+func (w *Worker) lapsed(t *task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.State == platform.TaskRunning && !time.Now().Before(t.leaseBy) {
+		w.finish(t, platform.TaskStopped, "lease lapsed")
+	}
+}
+
+// schedule sets the time of the task's own end.
+func (w *Worker) schedule(t *task) {
+	remaining := time.Duration(t.payload.RunMS-t.ProgressMS) * time.Millisecond
+	if t.limit != nil {
+		remaining *= throttledSpeed
+	}
+	if w.get().FailTasks != "" {
+		remaining = failAfter
+	}
+	if t.end != nil {
+		t.end.Stop()
+	}
+	t.end = time.AfterFunc(max(remaining, 0), func() { w.ended(t) })
+}
+
+func (w *Worker) ended(t *task) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.State != platform.TaskRunning {
+		return
+	}
+	faults := w.get()
+	switch {
+	case faults.FailTasks != "":
+		t.WorkerFault = faults.WorkerFault
+		w.finish(t, platform.TaskFailed, faults.FailTasks)
+	case t.payload.Fail != "":
+		w.finish(t, platform.TaskFailed, t.payload.Fail)
+	default:
+		t.Output = t.payload.Result
+		if t.Output == nil {
+			t.Output, _ = json.Marshal(t.ID)
+		}
+		w.finish(t, platform.TaskDone, "")
+	}
+}
+
+func (w *Worker) finish(t *task, state platform.TaskState, detail string) {
+	w.count(t)
+	t.State = state
+	t.Detail = detail
+	t.ended = time.Now()
+	t.end.Stop()
+	t.lapse.Stop()
+}
+
+// count adds the progress since the last call.
+func (w *Worker) count(t *task) {
+	now := time.Now()
+	gained := now.Sub(t.counted)
+	if t.limit != nil {
+		gained /= throttledSpeed
+	}
+	t.ProgressMS = min(t.ProgressMS+gained.Milliseconds(), t.payload.RunMS)
+	t.counted = now
+}
+
+func (w *Worker) report(t *task) platform.TaskStatus {
+	if t.State == platform.TaskRunning {
+		w.count(t)
+	}
+	status := t.TaskStatus
+	if time.Since(t.started) >= usageLag {
+		status.Usage = t.usage()
+	}
+	return status
+}
+
+func (t *task) usage() api.Resources {
+	used := t.resources.Add(t.payload.Grow)
+	if t.limit == nil {
+		return used
+	}
+	return api.Resources{
+		Accelerators: min(used.Accelerators, t.limit.Accelerators),
+		MilliCPU:     min(used.MilliCPU, t.limit.MilliCPU),
+		MemoryMB:     min(used.MemoryMB, t.limit.MemoryMB),
+	}
+}
+
+func (w *Worker) faults() *Faults { return &w.Faults }
+
+func (w *Worker) observe() any { return w.Executions() }
+
+func (w *Worker) routes(r *router.Router) {
+	ctx := context.Background()
+	r.GET(platform.PathHealth, healthy)
+	r.POST(platform.PathWorkerStart, post(func(in platform.Task) (platform.TaskStatus, error) {
+		return w.Start(ctx, in)
+	}))
+	r.POST(platform.PathWorkerRenew, post(func(in platform.RenewRequest) (struct{}, error) {
+		return struct{}{}, w.Renew(ctx, in.IDs, in.LeaseMS)
+	}))
+	r.POST(platform.PathWorkerCheckpoint, post(func(in platform.TaskRequest) (platform.TaskStatus, error) {
+		return w.Checkpoint(ctx, in.ID)
+	}))
+	r.POST(platform.PathWorkerThrottle, post(func(in platform.TaskRequest) (struct{}, error) {
+		return struct{}{}, w.Throttle(ctx, in.ID, in.Limit)
+	}))
+	r.POST(platform.PathWorkerStop, post(func(in platform.TaskRequest) (platform.TaskStatus, error) {
+		return w.Stop(ctx, in.ID)
+	}))
+	r.POST(platform.PathWorkerList, post(func(struct{}) (platform.ListReply, error) {
+		list, err := w.List(ctx)
+		return platform.ListReply{Tasks: list}, err
+	}))
+}
