exec: core of the agent's executions, first version

Slots, a bounded queue, permissions checked at the call, results kept until acknowledged or expired. Void carries the stamp of the attempt, so that an agent that has forgotten an attempt answers unknown and not not-run: floors of forgotten stamps separate new attempts from forgotten ones. Called carries the size of the body for the bound on kept bodies. ClaimHolder and route.Void carry the stamp as well; a shell that does not pass it on loses precision, not truth.

--- /dev/null
+++ b/internal/agent/exec/config.go
@@ -0,0 +1,66 @@
+package exec
+
+import "time"
+
+// Config holds the settings of a Core. Zero values take the defaults.
+type Config struct {
+	// Incarnation names this start of the agent; executions for another are not run.
+	Incarnation string
+	// Slots is the number of calls that the endpoint takes at once.
+	Slots int
+	// Queue bounds the executions that wait for a slot; further ones are
+	// answered OutcomeNotRun.
+	Queue int
+	// Keep is how long a result waits for its acknowledgement, and how long a
+	// non-idempotent attempt is remembered after its end.
+	Keep time.Duration
+	// MaxResults bounds the remembered attempts. When it is reached, attempts
+	// that are acknowledged, refused or idempotent are forgotten early; when
+	// that does not help, new executions are answered OutcomeNotRun.
+	MaxResults int
+	// MaxBytes bounds the bodies of results. When it is reached, bodies of
+	// acknowledged results are dropped first; when that does not help, new
+	// executions are answered OutcomeNotRun. Calls that run already may exceed it.
+	MaxBytes int64
+}
+
+// Defaults of Config.
+const (
+	DefaultKeep       = 10 * time.Minute
+	DefaultMaxResults = 16384
+	DefaultMaxBytes   = 24 << 20
+)
+
+// MaxPermit bounds the permission to start that an execution may carry. Every
+// attempt is remembered at least until MaxPermit after its stamp.
+const MaxPermit = 3 * time.Second
+
+const (
+	// sweepInterval is the time between two searches for expired attempts.
+	sweepInterval = time.Second
+	// pressureInterval is the least time between two searches for attempts
+	// that can be forgotten early.
+	pressureInterval = 100 * time.Millisecond
+	// linkGrace is how long a leaving agent waits for the link of an entry
+	// that has a result to receive.
+	linkGrace = 5 * time.Second
+	// maxWaiters bounds the entries that one result is sent to.
+	maxWaiters = 16
+)
+
+func (c Config) withDefaults() Config {
+	if c.Slots <= 0 {
+		c.Slots = 1
+	}
+	if c.Keep <= 0 {
+		c.Keep = DefaultKeep
+	}
+	c.Keep = max(c.Keep, MaxPermit)
+	if c.MaxResults <= 0 {
+		c.MaxResults = DefaultMaxResults
+	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = DefaultMaxBytes
+	}
+	return c
+}
--- /dev/null
+++ b/internal/agent/exec/dump.go
@@ -0,0 +1,47 @@
+package exec
+
+// Dump is the state of a Core for operators.
+type Dump struct {
+	Incarnation string         `json:"incarnation"`
+	Allowed     bool           `json:"allowed"`
+	Leaving     bool           `json:"leaving"`
+	Slots       int            `json:"slots"`
+	Running     int            `json:"running"`
+	Queued      int            `json:"queued"`
+	Remembered  map[string]int `json:"remembered"`
+	Unacked     int            `json:"unacked"`
+	BodyBytes   int64          `json:"body_bytes"`
+	Executing   []Execution    `json:"executing"`
+}
+
+// Execution is one running or queued attempt in a Dump.
+type Execution struct {
+	ID      string `json:"id"`
+	Attempt uint32 `json:"attempt"`
+	Entry   string `json:"entry"`
+	State   string `json:"state"`
+}
+
+// Dump returns the state of the core.
+func (c *Core) Dump() any {
+	d := Dump{
+		Incarnation: c.cfg.Incarnation,
+		Allowed:     c.allowed,
+		Leaving:     c.leaving,
+		Slots:       c.cfg.Slots,
+		Running:     c.running,
+		Queued:      len(c.queue),
+		Remembered:  map[string]int{},
+		BodyBytes:   c.bytes,
+	}
+	for _, r := range c.records {
+		d.Remembered[string(r.state)]++
+		if r.over() && !r.acked() {
+			d.Unacked++
+		}
+	}
+	for _, r := range c.sorted(func(r *record) bool { return !r.over() }) {
+		d.Executing = append(d.Executing, Execution{r.ref.ID, r.ref.Attempt, r.waiters[0].entry, string(r.state)})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/agent/exec/record.go
@@ -0,0 +1,95 @@
+package exec
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+type state string
+
+const (
+	stateQueued  state = "queued"
+	stateRunning state = "running"
+	// stateRan: the call has ended and may have had effects.
+	stateRan state = "ran"
+	// stateRefused: the attempt has not run and never will.
+	stateRefused state = "refused"
+)
+
+// waiter is an entry that wants the result of an attempt.
+type waiter struct {
+	entry string
+	acked bool
+}
+
+// record is what the agent knows of one attempt. The first waiter is the owner.
+type record struct {
+	ref        Ref
+	seq        uint64
+	state      state
+	idempotent bool
+	stamp      time.Duration
+	permitEnd  time.Duration
+	deadline   time.Duration
+	ended      time.Duration
+	outcome    api.Outcome
+	detail     string
+	hasBody    bool
+	size       int64
+	// listed is set while the attempt is in Core.ackedBodies.
+	listed  bool
+	waiters []waiter
+}
+
+// over reports whether the attempt has a final outcome.
+func (r *record) over() bool { return r.state == stateRan || r.state == stateRefused }
+
+// acked reports whether the owner has acknowledged the result.
+func (r *record) acked() bool { return r.waiters[0].acked }
+
+func (r *record) waiting(entry string) bool {
+	for _, w := range r.waiters {
+		if w.entry == entry {
+			return !w.acked
+		}
+	}
+	return false
+}
+
+// await notes that an entry wants the result. Beyond maxWaiters the oldest
+// waiter but the owner is dropped; it can ask again.
+func (r *record) await(entry string) {
+	for i := range r.waiters {
+		if r.waiters[i].entry == entry {
+			r.waiters[i].acked = false
+			return
+		}
+	}
+	if len(r.waiters) == maxWaiters {
+		r.waiters = append(r.waiters[:1], r.waiters[2:]...)
+	}
+	r.waiters = append(r.waiters, waiter{entry: entry})
+}
+
+func (r *record) ack(entry string) {
+	for i := range r.waiters {
+		if r.waiters[i].entry == entry {
+			r.waiters[i].acked = true
+		}
+	}
+}
+
+// keepUntil returns when the record may be forgotten.
+func (r *record) keepUntil(keep time.Duration, pressure bool) time.Duration {
+	short := r.stamp + MaxPermit
+	long := max(short, r.ended+keep)
+	switch {
+	case r.state == stateRan && !r.idempotent && !(pressure && r.acked()):
+		return long
+	case pressure || r.acked():
+		return short
+	default:
+		return long
+	}
+}
--- a/internal/agent/exec/types.go
+++ b/internal/agent/exec/types.go
@@ -34,11 +34,14 @@
 }
 
 // Void asks for the result of an attempt; one that has not been seen or has
-// not started yet is answered OutcomeNotRun and never runs.
+// not started yet is answered OutcomeNotRun and never runs. Stamp is that of
+// the attempt's Execute. An attempt that may have run and been forgotten is
+// answered OutcomeUnknown.
 type Void struct {
 	Entry       string
 	Ref         Ref
 	Incarnation string
+	Stamp       time.Duration
 }
 
 // Ack lets a result be forgotten.
@@ -47,11 +50,13 @@
 	Ref   Ref
 }
 
-// Called ends a call of the endpoint. The body stays with the shell.
+// Called ends a call of the endpoint. The body, of Size bytes, stays with the
+// shell until Forget.
 type Called struct {
 	Ref     Ref
 	Outcome api.Outcome
 	Detail  string
+	Size    int64
 }
 
 // LinkUp says that a link with an entry is open; unacknowledged results for
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -15,7 +15,7 @@
 
 // Request describes one accepted call. The body stays with the caller of the core.
 type Request struct {
-	ID         string // unique for each call of this entry
+	ID         string // unique among the calls of all entries
 	Service    string
 	Profile    string
 	Account    string
@@ -30,7 +30,8 @@
 // in the table before its first execution.
 type Submit struct{ Request Request }
 
-// Gone says that the caller of a request has gone away.
+// Gone says that the caller of a request has gone away. The request still ends
+// with one Answer: at once when nothing of it is under way.
 type Gone struct{ ID string }
 
 // AgentUp says that a link with an agent is open. Another incarnation of the
@@ -77,12 +78,14 @@
 	Holder ClaimHolder
 }
 
-// ClaimHolder names the execution that a key belongs to.
+// ClaimHolder names the execution that a key belongs to. StampMS is that of
+// its Execute.
 type ClaimHolder struct {
 	Agent       string
 	Incarnation string
 	RequestID   string
 	Attempt     uint32
+	StampMS     int64
 }
 
 // Permit tells whether the entry's configuration is fresh enough to start
@@ -92,6 +95,9 @@
 	ZonesOut map[string]bool
 }
 
+// Peers tells how many entries share the agents, this one included.
+type Peers struct{ Entries int }
+
 // Tick lets time pass; the shell sends one every TickInterval.
 type Tick struct{}
 
@@ -106,6 +112,7 @@
 func (Result) event()      {}
 func (ClaimReply) event()  {}
 func (Permit) event()      {}
+func (Peers) event()       {}
 func (Tick) event()        {}
 func (Drain) event()       {}
 
@@ -132,12 +139,14 @@
 }
 
 // Void asks an agent for the result of an attempt; an agent that has not seen
-// the attempt answers OutcomeNotRun and never runs it.
+// the attempt answers OutcomeNotRun and never runs it. StampMS is that of the
+// attempt's Execute; it tells the agent whether it may have forgotten the attempt.
 type Void struct {
 	Agent       string
 	Incarnation string
 	ID          string
 	Attempt     uint32
+	StampMS     int64
 }
 
 // Ack lets an agent forget a result.
@@ -169,7 +178,9 @@
 	ResultAttempt uint32
 }
 
-// Record stores the final outcome of a claimed key.
+// Record stores the final outcome of a claimed key. It applies only while the
+// row still names Holder. OutcomeNotRun is not final: it releases the key, so
+// that the next Claim wins or is told OutcomeNotRun as Final.
 type Record struct {
 	ID      string
 	Key     string
