--- /dev/null
+++ b/test/demo/main.go
@@ -0,0 +1,293 @@
+// Command demo starts a whole small system on loopback, drives it with
+// coltsfootctl and prints what happened. It exits with 0 when each step had
+// the expected result.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	demoTimeout = 55 * time.Second
+	// inForceLimit is the bound for a configuration change to be in force everywhere.
+	inForceLimit = 3 * time.Second
+	steadyTime   = 2 * time.Second
+	zoneTaken    = "z2"
+)
+
+func main() {
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) (err error) {
+	f, err := newFleet()
+	if err != nil {
+		return err
+	}
+	fmt.Println("coltsfootlug demo")
+	fmt.Println("logs and settings:", f.dir)
+	defer func() {
+		bad := f.stop()
+		if err == nil && len(bad) > 0 {
+			err = errors.Errorf("processes did not stop gracefully:\n%s", strings.Join(bad, "\n"))
+		}
+		if err == nil {
+			fmt.Printf("\nStopped %d processes gracefully, all with exit status 0.\n", len(f.processes))
+		}
+	}()
+	t, err := build(f)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\nStarted %d processes: stand-ins, 2 entries, %d agents in zones %s.\n",
+		len(f.processes), len(f.processes)-3, strings.Join(zones, ", "))
+	d := &demo{ctx: ctx, topology: t}
+	for _, step := range []func() error{d.profiles, d.request, d.gang, d.zoneRound} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type demo struct {
+	ctx      context.Context
+	topology *topology
+}
+
+func (d *demo) ctl(args ...string) (string, error) {
+	return d.topology.fleet.ctl(d.ctx, d.topology.http, args...)
+}
+
+// until repeats a check until it holds or the limit has passed.
+func (d *demo) until(what string, limit time.Duration, check func() (bool, error)) (time.Duration, error) {
+	began := time.Now()
+	for {
+		ok, err := check()
+		if ok {
+			return time.Since(began), nil
+		}
+		if time.Since(began) > limit {
+			return 0, errors.Errorf("%s: not after %v (last error: %v)", what, limit, err)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func section(format string, args ...any) { fmt.Printf("\n== "+format+"\n", args...) }
+
+func (d *demo) profiles() error {
+	section("Profiles")
+	docs := map[string]string{
+		"survey":         `{"client_account":"county","weight":2}`,
+		"reconstruction": `{"client_account":"clinic","guarantee":{"gangs":1,"shape":{"tasks":2,"per_task":{"accelerators":8,"milli_cpu":8000,"memory_mb":16000},"adjacency":"rack"}}}`,
+	}
+	for name, doc := range docs {
+		path := d.topology.fleet.dir + "/profile-" + name + ".json"
+		if err := os.WriteFile(path, []byte(doc), 0o600); err != nil {
+			return errors.Trace(err)
+		}
+		if _, err := d.ctl("profiles", "set", name, path); err != nil {
+			return err
+		}
+	}
+	if err := d.awaitInForce(); err != nil {
+		return err
+	}
+	out, err := d.ctl("profiles", "list")
+	fmt.Print(out)
+	return err
+}
+
+// awaitInForce waits until every process has the newest configuration.
+func (d *demo) awaitInForce() error {
+	took, err := d.until("configuration in force", inForceLimit, func() (bool, error) {
+		out, err := d.ctl("--json", "config", "status")
+		if err != nil {
+			return false, err
+		}
+		var status struct {
+			InForce bool `json:"in_force"`
+		}
+		err = json.Unmarshal([]byte(out), &status)
+		return status.InForce, err
+	})
+	if err == nil {
+		fmt.Printf("in force in every process after %v\n", took.Round(10*time.Millisecond))
+	}
+	return err
+}
+
+func (d *demo) request() error {
+	section("Request")
+	path := d.topology.fleet.dir + "/request.json"
+	if err := os.WriteFile(path, []byte(`{"tree":"samaan-17","finding":"consent"}`), 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	out, err := d.ctl("request", "--profile", "survey", "--key", "consent-samaan-17", "assessment", path)
+	if err != nil {
+		return err
+	}
+	fmt.Println("answer:", strings.TrimSpace(out))
+	again, err := d.ctl("request", "--profile", "survey", "--key", "consent-samaan-17", "assessment", path)
+	if err != nil {
+		return err
+	}
+	if again != out {
+		return errors.Errorf("the same key got another answer: %s", again)
+	}
+	fmt.Println("the same key again, through the other entry: the same answer, not run twice")
+	return nil
+}
+
+func (d *demo) gang() error {
+	section("Gang job")
+	path := d.topology.fleet.dir + "/job.json"
+	doc := `{"profile":"reconstruction","gang":{"tasks":2,"per_task":{"accelerators":8,"milli_cpu":8000,"memory_mb":16000},"adjacency":"rack"},
+"payload":{"run_ms":1000,"result":"stages"},"idempotent":true,"checkpointable":true,"declared_run":"1s"}`
+	if err := os.WriteFile(path, []byte(doc), 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	record, err := d.submit("night-1", path)
+	if err != nil {
+		return err
+	}
+	return d.awaitDone(record.Job.ID)
+}
+
+// jobRecord is the part of a job's record that the demo reads.
+type jobRecord struct {
+	Job struct {
+		ID string `json:"id"`
+	} `json:"job"`
+	State      string `json:"state"`
+	Attempt    int    `json:"attempt"`
+	Outcome    string `json:"outcome"`
+	Detail     string `json:"detail"`
+	Placements []struct {
+		Worker string `json:"worker"`
+		Zone   string `json:"zone"`
+		Tasks  int    `json:"tasks"`
+	} `json:"placements"`
+	Results json.RawMessage `json:"results"`
+}
+
+func (d *demo) submit(key, path string) (jobRecord, error) {
+	out, err := d.ctl("--json", "jobs", "submit", "--key", key, path)
+	if err != nil {
+		return jobRecord{}, err
+	}
+	return decodeRecord(out)
+}
+
+func decodeRecord(text string) (jobRecord, error) {
+	var r jobRecord
+	err := json.Unmarshal([]byte(text), &r)
+	return r, errors.Annotatef(err, "job record %q", text)
+}
+
+func (d *demo) awaitDone(id string) error {
+	out, err := d.ctl("--json", "jobs", "wait", id)
+	if err != nil {
+		return err
+	}
+	r, err := decodeRecord(out)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("job %s: %s after attempt %d, results %s\n", id, r.Outcome, r.Attempt, r.Results)
+	if r.Outcome != "done" {
+		return errors.Errorf("job %s: %s %s", id, r.Outcome, r.Detail)
+	}
+	return nil
+}
+
+func (d *demo) awaitRunning(id string) (jobRecord, error) {
+	var r jobRecord
+	_, err := d.until("job "+id+" running", 10*time.Second, func() (bool, error) {
+		out, err := d.ctl("--json", "jobs", "get", id)
+		if err != nil {
+			return false, err
+		}
+		r, err = decodeRecord(out)
+		return r.State == "running", err
+	})
+	return r, err
+}
+
+// zoneRound takes a zone out and back in while requests and a gang go on.
+func (d *demo) zoneRound() error {
+	section("Availability zone %s out and back in, under load", zoneTaken)
+	l := startLoad(d.topology.http)
+	began := time.Now()
+	time.Sleep(steadyTime)
+	fmt.Println("requests done before:", counted(l.since(began, time.Now())))
+	if err := d.zone("out"); err != nil {
+		return err
+	}
+	outFrom := time.Now()
+	time.Sleep(steadyTime)
+	during := l.since(outFrom, time.Now())
+	fmt.Println("requests done while it was out:", counted(during))
+	if during["minion-"+zoneTaken] > 0 {
+		return errors.Errorf("zone %s is out, and its minion answered %d requests", zoneTaken, during["minion-"+zoneTaken])
+	}
+	if err := d.gangDuring(); err != nil {
+		return err
+	}
+	if err := d.zone("in"); err != nil {
+		return err
+	}
+	_, err := d.until("zone "+zoneTaken+" takes requests again", 10*time.Second, func() (bool, error) {
+		return l.since(outFrom, time.Now())["minion-"+zoneTaken] > 0, nil
+	})
+	if err != nil {
+		return err
+	}
+	l.end()
+	counts, failures := l.outcomes()
+	fmt.Println("requests done after its return:", counted(l.since(outFrom.Add(steadyTime), time.Now())))
+	fmt.Println("all requests of the load:", counted(counts))
+	if len(failures) > 0 || len(counts) != 1 || counts["done"] == 0 {
+		return errors.Errorf("load: %s; failures %v", counted(counts), failures)
+	}
+	return nil
+}
+
+func (d *demo) zone(state string) error {
+	if _, err := d.ctl("zones", state, zoneTaken); err != nil {
+		return err
+	}
+	fmt.Printf("zone %s %s: ", zoneTaken, state)
+	return d.awaitInForce()
+}
+
+func (d *demo) gangDuring() error {
+	record, err := d.submit("night-2", d.topology.fleet.dir+"/job.json")
+	if err != nil {
+		return err
+	}
+	running, err := d.awaitRunning(record.Job.ID)
+	if err != nil {
+		return err
+	}
+	for _, p := range running.Placements {
+		if p.Zone == zoneTaken {
+			return errors.Errorf("job %s was placed in zone %s, which is out", record.Job.ID, p.Zone)
+		}
+		fmt.Printf("gang member of %d tasks on %s in %s\n", p.Tasks, p.Worker, p.Zone)
+	}
+	return d.awaitDone(record.Job.ID)
+}
--- /dev/null
+++ b/test/demo/topology.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/juju/errors"
+)
+
+// The size of the demo.
+var zones = []string{"z1", "z2", "z3"}
+
+const (
+	minionSlots        = 4
+	workersPerZone     = 2
+	workerAccelerators = 8
+)
+
+// topology is the running system: where to reach its parts.
+type topology struct {
+	fleet   *fleet
+	http    string   // the balancer in front of the entries' HTTP interface
+	entries []string // the entries' own HTTP addresses
+	minions []string
+}
+
+type endpoint struct {
+	kind     string
+	id       string
+	zone     string
+	address  string
+	httpAddr string
+}
+
+// build starts the stand-ins, two entries and an agent beside each endpoint.
+func build(f *fleet) (*topology, error) {
+	endpoints, err := planEndpoints()
+	if err != nil {
+		return nil, err
+	}
+	p, err := ports(9)
+	if err != nil {
+		return nil, err
+	}
+	table, objects, rpcBalancer, httpBalancer := p[0], p[1], p[2], p[3]
+	entryHTTP, entryRPC := p[4:6], p[6:8]
+	args := []string{
+		"-table", table, "-objects", objects,
+		"-balancer", fmt.Sprintf("%s,target=%s,target=%s", rpcBalancer, entryRPC[0], entryRPC[1]),
+		"-balancer", fmt.Sprintf("%s,target=%s,target=%s", httpBalancer, entryHTTP[0], entryHTTP[1]),
+	}
+	t := &topology{fleet: f, http: "http://" + httpBalancer}
+	for _, e := range endpoints {
+		args = append(args, "-"+e.kind, e.standinSpec())
+		if e.kind == "minion" {
+			t.minions = append(t.minions, e.address)
+		}
+	}
+	if err := f.start("standin", "", "coltsfoot-standin", args...); err != nil {
+		return nil, err
+	}
+	for i := range entryHTTP {
+		t.entries = append(t.entries, "http://"+entryHTTP[i])
+		if err := startEntry(f, i, entryHTTP[i], entryRPC[i], table, objects); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range endpoints {
+		if err := startAgent(f, e, rpcBalancer); err != nil {
+			return nil, err
+		}
+	}
+	return t, f.waitReady()
+}
+
+func planEndpoints() ([]endpoint, error) {
+	var out []endpoint
+	for _, zone := range zones {
+		out = append(out, endpoint{kind: "minion", id: "minion-" + zone, zone: zone})
+		for i := range workersPerZone {
+			out = append(out, endpoint{kind: "worker", id: fmt.Sprintf("worker-%s-%d", zone, i+1), zone: zone})
+		}
+	}
+	p, err := ports(2 * len(out))
+	if err != nil {
+		return nil, err
+	}
+	for i := range out {
+		out[i].address = p[2*i]
+		out[i].httpAddr = p[2*i+1]
+	}
+	return out, nil
+}
+
+func (e endpoint) standinSpec() string {
+	if e.kind == "minion" {
+		return fmt.Sprintf("%s,id=%s,slots=%d", e.address, e.id, minionSlots)
+	}
+	return fmt.Sprintf("%s,id=%s,accelerators=%d", e.address, e.id, workerAccelerators)
+}
+
+func startEntry(f *fleet, i int, httpAddr, rpcAddr, table, objects string) error {
+	name := fmt.Sprintf("entry-%d", i+1)
+	path, err := f.writeSettings(name, fmt.Sprintf(`role = "entry"
+id = %q
+zone = %q
+http_listen = %q
+rpc_listen = %q
+
+[table]
+url = "http://%s"
+
+[objects]
+url = "http://%s"
+`, name, zones[i], httpAddr, rpcAddr, table, objects))
+	if err != nil {
+		return err
+	}
+	return f.start(name, "http://"+httpAddr+"/readyz", "coltsfoot-entry", "-settings", path)
+}
+
+func startAgent(f *fleet, e endpoint, balancer string) error {
+	name := "agent-" + e.id
+	text := fmt.Sprintf(`role = "agent"
+id = %q
+zone = %q
+rack = "rack-%s"
+kind = %q
+endpoint = "http://%s"
+balancer = %q
+http_listen = %q
+`, e.id, e.zone, e.zone, e.kind, e.address, balancer, e.httpAddr)
+	if e.kind == "minion" {
+		text += fmt.Sprintf("service = \"assessment\"\nslots = %d\n", minionSlots)
+	} else {
+		text += fmt.Sprintf("\n[capacity]\naccelerators = %d\nmilli_cpu = 64000\nmemory_mb = 250000\n", workerAccelerators)
+	}
+	path, err := f.writeSettings(name, text)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return f.start(name, "http://"+e.httpAddr+"/readyz", "coltsfoot-agent", "-settings", path)
+}
