route: core of request routing, first version

Fair queues by virtual start time, admission by the implied wait, retry budget, claims of keys with the stamp taken at the claim, followers of a key's holder, outcomes asked with Void. Peers is a new event with the number of entries.

--- /dev/null
+++ b/internal/route/config.go
@@ -0,0 +1,105 @@
+package route
+
+import "time"
+
+// Config holds the settings of a Core. Zero values take the defaults.
+type Config struct {
+	// Entries is the number of entries that share the agents, this one
+	// included; Peers changes it.
+	Entries int
+	// MaxOpen bounds the requests that are queued or under way; further ones
+	// are refused with ReasonQueueFull.
+	MaxOpen int
+	// MaxQueue bounds the queue of a profile that sets no bound of its own.
+	MaxQueue int
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts int
+	// MaxAgents bounds the known agents; further ones are ignored.
+	MaxAgents int
+	// MaxFlows bounds the profiles with learned times for each service; the
+	// times of profiles without requests are forgotten, the oldest first.
+	MaxFlows int
+	// RetryFraction is the number of retries earned by each request that
+	// succeeds at its first attempt.
+	RetryFraction float64
+	// RetryBurst bounds the saved retries.
+	RetryBurst float64
+}
+
+// Defaults of Config.
+const (
+	DefaultEntries       = 2
+	DefaultMaxOpen       = 50000
+	DefaultMaxQueue      = 1000
+	DefaultMaxAttempts   = 16
+	DefaultMaxAgents     = 16384
+	DefaultMaxFlows      = 4096
+	DefaultRetryFraction = 0.1
+	DefaultRetryBurst    = 50.0
+)
+
+const (
+	// stampMaxAge is the age of an agent's last heartbeat beyond which nothing
+	// new is sent to it.
+	stampMaxAge = 900 * time.Millisecond
+	// suspicionTime is the silence of an agent after which its idempotent
+	// requests are retried elsewhere.
+	suspicionTime = 1500 * time.Millisecond
+	// refusalPatience is how long requests wait in a queue that cannot be
+	// served, for want of a fresh configuration or of endpoints.
+	refusalPatience = time.Second
+	// startPatience is refusalPatience for an entry that has just started.
+	startPatience = 2 * time.Second
+	// claimTimeout is how long a claim may take.
+	claimTimeout = 2 * time.Second
+	// probeDelay is the time after an Execute at which the agent is asked for
+	// the outcome; the permission to start has lapsed by then.
+	probeDelay = PermitTTL + 500*time.Millisecond
+	// maxProbeInterval bounds the time between two probes, which doubles.
+	maxProbeInterval = 8 * time.Second
+	// lostPatience is how long an idempotent request without a retry left
+	// waits for word from its lost attempt.
+	lostPatience = 2 * time.Second
+	// attemptGrace is how long after its deadline an attempt may hold a slot.
+	attemptGrace = 2 * time.Second
+	// agentKeep is how long an agent without a link is remembered.
+	agentKeep = 10 * time.Minute
+	// rampInterval is the time in which a new agent's limit grows by one.
+	rampInterval = 250 * time.Millisecond
+	// rampStart is the limit of a new agent.
+	rampStart = 2
+	// refusalBackoff is the pause after an agent's first refusal; it doubles
+	// with each further one up to maxRefusalBackoff.
+	refusalBackoff    = TickInterval
+	maxRefusalBackoff = time.Second
+	// minRetryAfter and maxRetryAfter bound the advice to callers.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// finalFetchTimeout bounds the search for the body of a recorded answer.
+	finalFetchTimeout = time.Second
+	// newIncarnationPatience is how long the holder of a key may be absent
+	// while its agent is linked under another incarnation.
+	newIncarnationPatience = 2 * time.Second
+	// unknownServiceTime is the cost of a request before any time is learned.
+	unknownServiceTime = 10 * time.Millisecond
+	// learnRate is the weight of the newest service time in the mean.
+	learnRate = 0.1
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Entries, DefaultEntries)
+	setDefault(&c.MaxOpen, DefaultMaxOpen)
+	setDefault(&c.MaxQueue, DefaultMaxQueue)
+	setDefault(&c.MaxAttempts, DefaultMaxAttempts)
+	setDefault(&c.MaxAgents, DefaultMaxAgents)
+	setDefault(&c.MaxFlows, DefaultMaxFlows)
+	setDefault(&c.RetryFraction, DefaultRetryFraction)
+	setDefault(&c.RetryBurst, DefaultRetryBurst)
+	return c
+}
+
+func setDefault[T int | float64](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/route/service.go
@@ -0,0 +1,151 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// service is one service's agents and waiting requests.
+type service struct {
+	name     string
+	agents   []*agent // by name
+	queue    fairQueue
+	open     int           // requests that are queued or under way
+	mean     time.Duration // learned service time
+	capacity int           // slots that this entry may use
+	busy     int           // attempts that may hold one of them
+	usableAt time.Duration // when an agent was last usable
+	stale    bool          // the figures above have to be worked out again
+}
+
+func (c *Core) service(name string) *service {
+	s := c.services[name]
+	if s == nil {
+		s = &service{name: name, queue: newFairQueue(), usableAt: startPatience - refusalPatience}
+		c.services[name] = s
+		i, _ := slices.BinarySearchFunc(c.serviceList, name, func(s *service, n string) int { return cmp.Compare(s.name, n) })
+		c.serviceList = slices.Insert(c.serviceList, i, s)
+	}
+	return s
+}
+
+func (s *service) find(a *agent) (int, bool) {
+	return slices.BinarySearchFunc(s.agents, a.name, func(x *agent, n string) int { return cmp.Compare(x.name, n) })
+}
+
+func (s *service) addAgent(a *agent) {
+	i, _ := s.find(a)
+	s.agents = slices.Insert(s.agents, i, a)
+}
+
+func (s *service) removeAgent(a *agent) {
+	if i, ok := s.find(a); ok {
+		s.agents = slices.Delete(s.agents, i, i+1)
+	}
+}
+
+// refresh works out the capacity again after a change of the agents.
+func (c *Core) refresh(s *service) {
+	if !s.stale {
+		return
+	}
+	s.stale = false
+	s.capacity = 0
+	s.busy = 0
+	for _, a := range s.agents {
+		if !c.usable(a) {
+			continue
+		}
+		s.capacity += c.share(a)
+		s.busy += len(a.open)
+	}
+	if s.capacity > 0 {
+		s.usableAt = c.now
+	}
+}
+
+// pick returns the least loaded agent that takes one more attempt, or nil.
+// Equal loads are spread by a hash of the request. The agent that refused the
+// request last is taken only when there is no other.
+func (c *Core) pick(s *service, r *request) *agent {
+	var best *agent
+	var second *agent
+	for _, a := range s.agents {
+		if !c.free(a) {
+			continue
+		}
+		if a == r.avoid {
+			second = a
+			continue
+		}
+		if best == nil || a.before(best, r.hash) {
+			best = a
+		}
+	}
+	if best == nil {
+		return second
+	}
+	return best
+}
+
+// before reports whether a is less loaded than b, or comes first for the hash.
+func (a *agent) before(b *agent, hash uint64) bool {
+	left := (len(a.open) + a.others) * b.slots
+	right := (len(b.open) + b.others) * a.slots
+	if left != right {
+		return left < right
+	}
+	return mix(a.hash^hash) < mix(b.hash^hash)
+}
+
+// dispatch starts waiting requests while agents are free.
+func (c *Core) dispatch(s *service) {
+	if !c.fresh {
+		return
+	}
+	for r := s.queue.first(); r != nil; r = s.queue.first() {
+		a := c.pick(s, r)
+		if a == nil {
+			return
+		}
+		s.queue.serve(c.serviceTime(r.flow, s))
+		c.start(r, a)
+	}
+}
+
+// serviceTime is the learned time of a flow's requests.
+func (c *Core) serviceTime(f *flow, s *service) time.Duration {
+	switch {
+	case f.mean > 0:
+		return f.mean
+	case s.mean > 0:
+		return s.mean
+	default:
+		return unknownServiceTime
+	}
+}
+
+func learn(mean *time.Duration, sample time.Duration) {
+	if *mean == 0 {
+		*mean = sample
+		return
+	}
+	*mean += time.Duration(learnRate * float64(sample-*mean))
+}
+
+func hashString(s string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * prime
+	}
+	return h
+}
+
+// mix spreads the bits of x over the whole word.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
