--- /dev/null
+++ b/internal/confstate/rows.go
@@ -0,0 +1,70 @@
+package confstate
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+)
+
+// The rows of the configuration. Both are written in one transaction; the head
+// is small, so that a poll costs little.
+const (
+	headKey = "config/head"
+	docKey  = "config/doc"
+)
+
+type head struct {
+	Version uint64 `json:"version"`
+}
+
+// base is a configuration with the versions of the rows that hold it.
+type base struct {
+	config  *api.Config
+	headRow uint64
+	docRow  uint64
+}
+
+func decodeHead(r ledger.Row) (uint64, error) {
+	if r.Version == 0 {
+		return 0, nil
+	}
+	var h head
+	if err := json.Unmarshal(r.Data, &h); err != nil {
+		return 0, errors.Annotatef(err, "row %q", headKey)
+	}
+	return h.Version, nil
+}
+
+// decodeBase reads the rows of head and document, in this order.
+func decodeBase(rows []ledger.Row) (*base, error) {
+	if len(rows) != 2 {
+		return nil, errors.NotValidf("answer with %d rows (want 2)", len(rows))
+	}
+	b := &base{config: &api.Config{}, headRow: rows[0].Version, docRow: rows[1].Version}
+	if rows[1].Version != 0 {
+		if err := json.Unmarshal(rows[1].Data, b.config); err != nil {
+			return nil, errors.Annotatef(err, "row %q", docKey)
+		}
+	}
+	b.config = b.config.Clone()
+	return b, nil
+}
+
+// writes returns the writes that replace the base by a configuration.
+func (b *base) writes(c *api.Config) ([]ledger.Write, error) {
+	h, err := json.Marshal(head{c.Version})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	doc, err := json.Marshal(c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return []ledger.Write{
+		{Key: headKey, Version: b.headRow, Data: h},
+		{Key: docKey, Version: b.docRow, Data: doc},
+	}, nil
+}
--- /dev/null
+++ b/internal/confstate/service.go
@@ -0,0 +1,258 @@
+package confstate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+)
+
+// Config sets up a service. Zero values take the defaults.
+type Config struct {
+	PollInterval time.Duration
+	Metrics      metrics.Registry
+	Log          zerolog.Logger
+}
+
+// Service is the Store over the ledger.
+type Service struct {
+	ledger ledger.Ledger
+	peers  PeerView
+	clock  func() time.Duration
+	cfg    Config
+
+	mu   sync.Mutex
+	view *view
+	base *base // rows as last seen, nil if unknown
+
+	editing chan struct{} // holds one token while an edit is in progress
+	feed    *feed
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+var _ Store = (*Service)(nil)
+
+// New returns a service that is not polling yet. The clock is monotonic.
+func New(l ledger.Ledger, peers PeerView, clock func() time.Duration, cfg Config) *Service {
+	if cfg.PollInterval == 0 {
+		cfg.PollInterval = PollInterval
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	return &Service{
+		ledger:  l,
+		peers:   peers,
+		clock:   clock,
+		cfg:     cfg,
+		view:    newView(),
+		editing: make(chan struct{}, 1),
+		feed:    newFeed(),
+	}
+}
+
+// Start starts the polling.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.loops.Add(2)
+	go func() {
+		defer s.loops.Done()
+		s.pollLoop(ctx)
+	}()
+	go func() {
+		defer s.loops.Done()
+		s.feed.run(ctx, s.Current)
+	}()
+	return nil
+}
+
+// Stop ends the polling.
+func (s *Service) Stop(context.Context) error {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.loops.Wait()
+	return nil
+}
+
+func (s *Service) pollLoop(ctx context.Context) {
+	t := time.NewTicker(s.cfg.PollInterval)
+	defer t.Stop()
+	for {
+		s.Poll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Poll reads the head and, if it is newer, the document.
+func (s *Service) Poll(ctx context.Context) {
+	start := s.clock()
+	have := s.Current().Version
+	rows, err := s.ledger.Get(ctx, ledger.CauseConfig, headKey)
+	if err != nil {
+		s.count("config.poll_failures")
+		return
+	}
+	version, err := decodeHead(rows[0])
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Msg("configuration cannot be read")
+		return
+	}
+	switch {
+	case version > have:
+		// An error leaves the version unconfirmed; the next poll tries again.
+		_, _ = s.readBase(ctx)
+	case version < have:
+		s.count("config.store_behind")
+	default:
+		s.confirm(version, start)
+	}
+}
+
+// readBase reads head and document and applies what is newer.
+func (s *Service) readBase(ctx context.Context) (*base, error) {
+	start := s.clock()
+	have := s.Current().Version
+	rows, err := s.ledger.Get(ctx, ledger.CauseConfig, headKey, docKey)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	b, err := decodeBase(rows)
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Msg("configuration cannot be read")
+		return nil, err
+	}
+	s.learn(b, start, b.config.Version >= have)
+	return b, nil
+}
+
+// learn takes over rows that were read by a call that began at start.
+func (s *Service) learn(b *base, start time.Duration, confirms bool) {
+	s.mu.Lock()
+	s.base = b
+	applied := s.view.apply(b.config)
+	if confirms {
+		s.view.read(start)
+		s.view.confirm(b.config.Version, start)
+	}
+	s.mu.Unlock()
+	s.announce(applied, b.config)
+}
+
+func (s *Service) confirm(version uint64, start time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.read(start)
+	s.view.confirm(version, start)
+}
+
+// announce tells the subscribers of an applied configuration.
+func (s *Service) announce(applied bool, c *api.Config) {
+	if !applied {
+		return
+	}
+	metrics.GetOrRegisterGauge("config.version", s.cfg.Metrics).Update(int64(c.Version))
+	s.cfg.Log.Info().Uint64("version", c.Version).Msg("configuration in force")
+	s.feed.wake()
+}
+
+// Current returns the configuration in force. It must not be changed.
+func (s *Service) Current() *api.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.current
+}
+
+// Snapshot returns the configuration in force and, as one, how long ago it was
+// confirmed; ok is false before the first confirmation.
+func (s *Service) Snapshot() (c *api.Config, age time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.current, s.clock() - s.view.confirmed, s.view.known
+}
+
+// StoreFailing reports whether this entry's own reads fail.
+func (s *Service) StoreFailing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.storeFailing(s.clock())
+}
+
+// StoreDownEverywhere reports whether this entry and all its peers fail to
+// reach the store.
+func (s *Service) StoreDownEverywhere() bool {
+	peers, known := s.peers.Peers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	return downEverywhere(now, s.view.storeFailing(now), peers, known)
+}
+
+// Permit reports whether work may start now: the configuration was confirmed
+// within FreshLimit, or the store is down for every entry.
+func (s *Service) Permit() bool {
+	s.mu.Lock()
+	fresh := s.view.fresh(s.clock())
+	known := s.view.known
+	s.mu.Unlock()
+	return fresh || known && s.StoreDownEverywhere()
+}
+
+// Offer brings a configuration relayed by a peer, confirmed age ago.
+func (s *Service) Offer(c *api.Config, age time.Duration) {
+	s.mu.Lock()
+	applied := s.view.apply(c)
+	s.view.confirm(c.Version, s.clock()-age)
+	s.mu.Unlock()
+	s.announce(applied, c)
+}
+
+// Confirm says that the store's version was the given one age ago, according
+// to a peer.
+func (s *Service) Confirm(version uint64, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.confirm(version, s.clock()-age)
+}
+
+// Subscribe calls fn with the present and each newer configuration.
+func (s *Service) Subscribe(fn func(*api.Config)) { s.feed.add(fn) }
+
+func (s *Service) count(name string) {
+	metrics.GetOrRegisterCounter(name, s.cfg.Metrics).Inc(1)
+}
+
+// State is the dump of a service.
+type State struct {
+	Version             uint64 `json:"version"`
+	Confirmed           bool   `json:"confirmed"`
+	AgeMS               int64  `json:"age_ms"`
+	StoreFailing        bool   `json:"store_failing"`
+	StoreDownEverywhere bool   `json:"store_down_everywhere"`
+	Permit              bool   `json:"permit"`
+}
+
+// DumpState returns the service's state.
+func (s *Service) DumpState() any {
+	c, age, ok := s.Snapshot()
+	return State{
+		Version:             c.Version,
+		Confirmed:           ok,
+		AgeMS:               age.Milliseconds(),
+		StoreFailing:        s.StoreFailing(),
+		StoreDownEverywhere: s.StoreDownEverywhere(),
+		Permit:              s.Permit(),
+	}
+}
--- a/internal/confstate/types.go
+++ b/internal/confstate/types.go
@@ -41,6 +41,8 @@
 	StoreDownEverywhere() bool
 	// Offer brings a configuration relayed by a peer, confirmed age ago.
 	Offer(c *api.Config, age time.Duration)
-	// Subscribe calls fn after each applied version, in order, from one goroutine.
+	// Subscribe calls fn with the present configuration and with each newer one,
+	// in order, from one goroutine. A version that has been replaced before its
+	// turn is left out.
 	Subscribe(fn func(*api.Config))
 }
--- /dev/null
+++ b/internal/confstate/view.go
@@ -0,0 +1,64 @@
+package confstate
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+// view is what this process knows of the configuration. It is pure; times are
+// on the process's monotonic clock.
+type view struct {
+	current *api.Config
+	// confirmed is the time at which current was certainly not older than the
+	// store's configuration.
+	confirmed time.Duration
+	// known is set once any configuration was read or relayed.
+	known bool
+	// lastRead is the start of the last own read that succeeded.
+	lastRead time.Duration
+	everRead bool
+}
+
+func newView() *view {
+	return &view{current: (&api.Config{}).Clone()}
+}
+
+// apply takes over a configuration with a higher version.
+func (v *view) apply(c *api.Config) bool {
+	if c.Version <= v.current.Version {
+		return false
+	}
+	v.current = c
+	return true
+}
+
+// confirm says that the store's version was the given one at a time. It tells
+// nothing when this process does not have that version yet.
+func (v *view) confirm(version uint64, at time.Duration) {
+	if version > v.current.Version {
+		return
+	}
+	if !v.known || at > v.confirmed {
+		v.confirmed = at
+	}
+	v.known = true
+}
+
+// read says that an own read that began at a time has succeeded.
+func (v *view) read(at time.Duration) {
+	if !v.everRead || at > v.lastRead {
+		v.lastRead = at
+	}
+	v.everRead = true
+}
+
+// fresh reports whether the configuration was confirmed within FreshLimit.
+func (v *view) fresh(now time.Duration) bool {
+	return v.known && now-v.confirmed <= FreshLimit
+}
+
+// storeFailing reports whether no own read has succeeded within FreshLimit.
+func (v *view) storeFailing(now time.Duration) bool {
+	return !v.everRead || now-v.lastRead > FreshLimit
+}
--- /dev/null
+++ b/internal/ledger/cleanup.go
@@ -0,0 +1,100 @@
+package ledger
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+const (
+	// maxGraves bounds the tombstones that a client remembers.
+	maxGraves = 8192
+	// cleanInterval is the time between two removals of tombstones.
+	cleanInterval = 15 * time.Second
+)
+
+// graves remembers tombstones and since when each has been seen unchanged.
+type graves struct {
+	mu   sync.Mutex
+	rows map[string]grave
+}
+
+type grave struct {
+	key     string
+	version uint64
+	since   time.Duration
+}
+
+func newGraves() *graves { return &graves{rows: map[string]grave{}} }
+
+func (g *graves) add(key string, version uint64, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old, known := g.rows[key]
+	if known && old.version >= version || !known && len(g.rows) >= maxGraves {
+		return
+	}
+	g.rows[key] = grave{key, version, now}
+}
+
+// takeOlder removes and returns up to limit tombstones seen at or before a time.
+func (g *graves) takeOlder(than time.Duration, limit int) []grave {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []grave
+	for _, v := range g.rows {
+		if v.since <= than {
+			out = append(out, v)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].key < out[j].key })
+	out = out[:min(len(out), limit)]
+	for _, v := range out {
+		delete(g.rows, v.key)
+	}
+	return out
+}
+
+func (g *graves) len() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.rows)
+}
+
+func (c *Client) cleanLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.cfg.Sleep(ctx, cleanInterval)
+		if ctx.Err() == nil {
+			c.clean(ctx)
+		}
+	}
+}
+
+// clean removes the rows of tombstones that are old enough that no late write
+// can still refer to them. A tombstone that has been written again is left; a
+// scan finds what a failed removal leaves.
+func (c *Client) clean(ctx context.Context) {
+	now := c.cfg.Clock()
+	if now < c.cfg.TombstoneAge || c.breaker.open() {
+		return
+	}
+	for _, v := range c.graves.takeOlder(now-c.cfg.TombstoneAge, c.cfg.MaxGroupRows) {
+		if err := c.spend(ctx, CauseCleanup, c.meter.writeLimit(CauseCleanup)); err != nil {
+			return
+		}
+		c.remove(ctx, v)
+	}
+}
+
+func (c *Client) remove(ctx context.Context, v grave) {
+	txn := platform.Txn{Conds: []platform.Cond{{Key: v.key, Version: v.version}}, Deletes: []string{v.key}}
+	c.meter.count(CauseCleanup, countTxns, 1)
+	// A failure leaves the tombstone to the next scan.
+	_ = c.call(ctx, func(ctx context.Context) error {
+		_, err := c.table.Commit(ctx, txn)
+		return err
+	})
+}
--- /dev/null
+++ b/internal/ledger/config.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// Limits of a client that its Config leaves at zero.
+const (
+	defaultMaxGroupRows  = 128
+	defaultMaxGroupBytes = 512 << 10
+	defaultMaxQueue      = 4096
+	defaultMaxQueueBytes = 16 << 20
+	defaultMaxReads      = 64
+	defaultOpTimeout     = time.Second
+	defaultTombstoneAge  = 5 * time.Minute
+	defaultUngrouped     = 16
+)
+
+// Budget is the number of store operations per second that a cause may use.
+// A transaction that carries writes of several causes counts once for each.
+type Budget struct {
+	Reads  float64
+	Writes float64
+	Burst  int
+}
+
+// DefaultBudgets returns the budgets that apply when a Config has none. Their
+// sum stays below what the platform's table carries.
+func DefaultBudgets() map[Cause]Budget {
+	return map[Cause]Budget{
+		CauseConfig:   {Reads: 20, Writes: 20, Burst: 40},
+		CauseOwner:    {Reads: 20, Writes: 10, Burst: 20},
+		CausePresence: {Reads: 5, Writes: 5, Burst: 10},
+		CauseJob:      {Reads: 200, Writes: 100, Burst: 100},
+		CauseClaim:    {Reads: 200, Writes: 50, Burst: 50},
+		CauseRecovery: {Reads: 200, Writes: 20, Burst: 50},
+		CauseCleanup:  {Reads: 1, Writes: 1, Burst: 2},
+	}
+}
+
+// Config sets the limits of a client. Zero values take the defaults.
+type Config struct {
+	// Ungrouped sends every commit in a transaction of its own.
+	Ungrouped     bool
+	MaxGroupRows  int
+	MaxGroupBytes int
+	// MaxQueue and MaxQueueBytes bound the commits that wait in one lane.
+	MaxQueue      int
+	MaxQueueBytes int
+	// MaxReads bounds the reads in progress.
+	MaxReads  int
+	OpTimeout time.Duration
+	// TombstoneAge is how long the row of a deleted key stays as a tombstone.
+	TombstoneAge time.Duration
+	Budgets      map[Cause]Budget
+	Metrics      metrics.Registry
+	Log          zerolog.Logger
+
+	// Clock is the process's monotonic clock.
+	Clock func() time.Duration
+	// Sleep waits for a duration or the end of ctx.
+	Sleep func(ctx context.Context, d time.Duration)
+	// Spawn runs a lane's sender, in a goroutine of its own by default.
+	Spawn func(func())
+	// Token returns a token that no other write has.
+	Token func() string
+	// Jitter returns a factor from the range [0,1).
+	Jitter func() float64
+}
+
+func (c Config) withDefaults() Config {
+	setInt(&c.MaxGroupRows, defaultMaxGroupRows)
+	setInt(&c.MaxGroupBytes, defaultMaxGroupBytes)
+	setInt(&c.MaxQueue, defaultMaxQueue)
+	setInt(&c.MaxQueueBytes, defaultMaxQueueBytes)
+	setInt(&c.MaxReads, defaultMaxReads)
+	if c.OpTimeout == 0 {
+		c.OpTimeout = defaultOpTimeout
+	}
+	if c.TombstoneAge == 0 {
+		c.TombstoneAge = defaultTombstoneAge
+	}
+	if c.Budgets == nil {
+		c.Budgets = DefaultBudgets()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	c.setHooks()
+	return c
+}
+
+func (c *Config) setHooks() {
+	if c.Clock == nil {
+		c.Clock = Monotonic()
+	}
+	if c.Sleep == nil {
+		c.Sleep = sleep
+	}
+	if c.Spawn == nil {
+		c.Spawn = func(fn func()) { go fn() }
+	}
+	if c.Token == nil {
+		c.Token = newToken
+	}
+	if c.Jitter == nil {
+		c.Jitter = rand.Float64
+	}
+}
+
+func setInt(v *int, def int) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// Monotonic returns a clock that counts from now on and never goes back.
+func Monotonic() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// tokenBytes is the size of the random part of a token.
+const tokenBytes = 12
+
+func newToken() string {
+	id := uuid.New()
+	return encodeToken(id[:tokenBytes])
+}
--- /dev/null
+++ b/internal/ledger/dump.go
@@ -0,0 +1,35 @@
+package ledger
+
+import (
+	"strings"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// State is the dump of a client.
+type State struct {
+	Down          bool             `json:"down"`
+	ControlQueue  int              `json:"control_queue"`
+	BulkQueue     int              `json:"bulk_queue"`
+	ReadsInFlight int              `json:"reads_in_flight"`
+	Tombstones    int              `json:"tombstones"`
+	Counters      map[string]int64 `json:"counters"`
+}
+
+// DumpState returns the client's state.
+func (c *Client) DumpState() any {
+	s := State{
+		Down:          c.Down(),
+		ControlQueue:  c.control.len(),
+		BulkQueue:     c.bulk.len(),
+		ReadsInFlight: len(c.reads),
+		Tombstones:    c.graves.len(),
+		Counters:      map[string]int64{},
+	}
+	c.cfg.Metrics.Each(func(name string, v any) {
+		if counter, ok := v.(metrics.Counter); ok && strings.HasPrefix(name, "ledger.") {
+			s.Counters[name] = counter.Count()
+		}
+	})
+	return s
+}
--- /dev/null
+++ b/internal/ledger/lane.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+// The states of a waiting commit. Its caller withdraws it or the lane sends
+// it, never both.
+const (
+	waiting int32 = iota
+	taken
+	withdrawn
+)
+
+// waiter is a caller's commit in a lane.
+type waiter struct {
+	*part
+	ctx   context.Context
+	cause Cause
+	state atomic.Int32
+	done  chan struct{}
+}
+
+// lane is a bounded queue of commits with its senders. It has one sender with
+// group commit: a commit is sent at once when the lane is idle, and those that
+// arrive while a transaction is in flight form the next group.
+type lane struct {
+	client  *Client
+	senders int
+
+	mu      sync.Mutex
+	queue   []*waiter
+	bytes   int
+	running int
+}
+
+// add queues a waiter and starts a sender if one is free.
+func (l *lane) add(w *waiter) error {
+	l.mu.Lock()
+	cfg := &l.client.cfg
+	if len(l.queue) >= cfg.MaxQueue || l.bytes+w.bytes > cfg.MaxQueueBytes {
+		l.mu.Unlock()
+		return errors.Annotatef(ErrOverloaded, "%d commits wait", cfg.MaxQueue)
+	}
+	l.queue = append(l.queue, w)
+	l.bytes += w.bytes
+	start := l.running < l.senders
+	if start {
+		l.running++
+	}
+	l.mu.Unlock()
+	if start {
+		cfg.Spawn(l.run)
+	}
+	return nil
+}
+
+func (l *lane) run() {
+	for {
+		ws := l.take()
+		if ws == nil {
+			return
+		}
+		l.client.send(l, ws)
+	}
+}
+
+// take removes the next group from the queue. With an empty queue it ends the
+// sender and returns nil. A second write of the same key waits for the next
+// group.
+func (l *lane) take() []*waiter {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	cfg := &l.client.cfg
+	keys := map[string]bool{}
+	rows, bytes := 0, 0
+	var ws, rest []*waiter
+	for i, w := range l.queue {
+		if len(ws) > 0 && (rows+len(w.writes) > cfg.MaxGroupRows || bytes+w.bytes > cfg.MaxGroupBytes) {
+			rest = append(rest, l.queue[i:]...)
+			break
+		}
+		if overlaps(keys, w.writes) {
+			rest = append(rest, w)
+			continue
+		}
+		rows += len(w.writes)
+		bytes += w.bytes
+		ws = append(ws, w)
+	}
+	l.queue = rest
+	l.bytes -= bytes
+	if len(ws) == 0 {
+		l.running--
+		return nil
+	}
+	return ws
+}
+
+func overlaps(keys map[string]bool, writes []Write) bool {
+	for _, w := range writes {
+		if keys[w.Key] {
+			return true
+		}
+	}
+	for _, w := range writes {
+		keys[w.Key] = true
+	}
+	return false
+}
+
+// refuse fails all waiting commits; none of them has been sent.
+func (l *lane) refuse(err error) {
+	l.mu.Lock()
+	queue := l.queue
+	l.queue, l.bytes = nil, 0
+	l.mu.Unlock()
+	for _, w := range queue {
+		if w.state.CompareAndSwap(waiting, taken) {
+			w.finish(err)
+		}
+	}
+}
+
+func (w *waiter) finish(err error) {
+	w.end(nil, err)
+	close(w.done)
+}
+
+func (l *lane) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue)
+}
+
+func (l *lane) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running == 0 && len(l.queue) == 0
+}
--- /dev/null
+++ b/internal/ledger/table_test.go
@@ -0,0 +1,152 @@
+package ledger
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+// fault is what happens to one call of the fake table.
+type fault int
+
+const (
+	noFault   fault = iota
+	faultDown       // not applied, no answer
+	faultLost       // applied, no answer
+	faultLate       // applied when release is called, no answer
+)
+
+// fakeTable is an in-memory platform.Table with faults.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	latency time.Duration
+	stall   bool // calls hang until their context ends
+
+	faults  []fault // for the next calls, reads and writes alike
+	down    bool
+	late    []platform.Txn
+	commits int
+	reads   int
+	before  func(txn platform.Txn) // runs before a transaction is applied
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+// enter waits and returns the fault of a call.
+func (t *fakeTable) enter(ctx context.Context) fault {
+	t.mu.Lock()
+	latency, stall := t.latency, t.stall
+	f := noFault
+	if len(t.faults) > 0 {
+		f, t.faults = t.faults[0], t.faults[1:]
+	}
+	if t.down {
+		f = faultDown
+	}
+	t.mu.Unlock()
+	if stall {
+		<-ctx.Done()
+		return faultDown
+	}
+	if latency > 0 {
+		time.Sleep(latency)
+	}
+	return f
+}
+
+func (t *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	f := t.enter(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if f != noFault {
+		return nil, platform.ErrUnavailable
+	}
+	return t.get(keys), nil
+}
+
+func (t *fakeTable) get(keys []string) []platform.Row {
+	out := make([]platform.Row, len(keys))
+	for i, k := range keys {
+		out[i] = t.rows[k]
+		out[i].Key = k
+	}
+	return out
+}
+
+func (t *fakeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	f := t.enter(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if f != noFault {
+		return nil, platform.ErrUnavailable
+	}
+	var keys []string
+	for k := range t.rows {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return t.get(keys[:min(limit, len(keys))]), nil
+}
+
+func (t *fakeTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	f := t.enter(ctx)
+	if t.before != nil {
+		t.before(txn)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	switch f {
+	case faultDown:
+		return platform.TxnResult{}, platform.ErrUnavailable
+	case faultLate:
+		t.late = append(t.late, txn)
+		return platform.TxnResult{}, platform.ErrUnavailable
+	}
+	res := t.apply(txn)
+	if f == faultLost {
+		return platform.TxnResult{}, platform.ErrUnavailable
+	}
+	return res, nil
+}
+
+func (t *fakeTable) apply(txn platform.Txn) platform.TxnResult {
+	keys := make([]string, len(txn.Conds))
+	holds := true
+	for i, c := range txn.Conds {
+		keys[i] = c.Key
+		holds = holds && t.rows[c.Key].Version == c.Version
+	}
+	if !holds {
+		return platform.TxnResult{Rows: t.get(keys)}
+	}
+	res := platform.TxnResult{Committed: true}
+	for _, p := range txn.Puts {
+		p.Version = t.rows[p.Key].Version + 1
+		t.rows[p.Key] = p
+		res.Rows = append(res.Rows, platform.Row{Key: p.Key, Version: p.Version})
+	}
+	for _, k := range txn.Deletes {
+		delete(t.rows, k)
+	}
+	return res
+}
+
+// release applies the transactions that are late.
+func (t *fakeTable) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, txn := range t.late {
+		t.apply(txn)
+	}
+	t.late = nil
+}
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -12,8 +12,9 @@
 )
 
 // Errors of the ledger. ErrUnknown is returned only when ctx ends before a
-// lost answer could be settled; ErrOverloaded and ErrDown mean that nothing
-// has been written.
+// lost answer could be settled, or when so many other writes came between that
+// the row no longer tells; ErrOverloaded and ErrDown mean that nothing has been
+// written.
 const (
 	ErrConflict   = errors.ConstError("row has changed")
 	ErrUnknown    = errors.ConstError("write may have taken effect")
@@ -32,6 +33,8 @@
 	CauseJob      Cause = "job"
 	CauseClaim    Cause = "claim"
 	CauseRecovery Cause = "recovery"
+	// CauseCleanup is the removal of tombstones.
+	CauseCleanup Cause = "cleanup"
 )
 
 // Row is a row of the ledger without its envelope.
--- /dev/null
+++ b/internal/membership/peer.go
@@ -0,0 +1,111 @@
+package membership
+
+import (
+	"context"
+	"sync"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+// maxMisses is the number of exchanges in a row without an answer after which
+// a connection is replaced.
+const maxMisses = 2
+
+// Dialer talks to other entries over gRPC. A connection that has gone silent
+// is replaced by a new one instead of waiting for TCP.
+type Dialer struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[string]*peerConn
+}
+
+type peerConn struct {
+	conn   *grpc.ClientConn
+	misses int
+}
+
+var _ Transport = (*Dialer)(nil)
+
+// NewDialer returns a dialer without connections.
+func NewDialer(options ...grpc.DialOption) *Dialer {
+	options = append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, options...)
+	return &Dialer{options: options, conns: map[string]*peerConn{}}
+}
+
+// Exchange swaps states with the entry at an address.
+func (d *Dialer) Exchange(ctx context.Context, addr string, s *rpc.PeerState) (*rpc.PeerState, error) {
+	var reply *rpc.PeerState
+	err := d.call(addr, func(conn *grpc.ClientConn) (err error) {
+		reply, err = rpc.NewPeerClient(conn).Exchange(ctx, s)
+		return err
+	})
+	return reply, errors.Annotatef(err, "exchange with entry at %q", addr)
+}
+
+// Entries asks for the list of entries at an address, such as the balancer's.
+func (d *Dialer) Entries(ctx context.Context, addr string) ([]*rpc.EntryAddress, error) {
+	var reply *rpc.EntriesReply
+	err := d.call(addr, func(conn *grpc.ClientConn) (err error) {
+		reply, err = rpc.NewAnnounceClient(conn).Entries(ctx, &rpc.EntriesRequest{})
+		return err
+	})
+	return reply.GetEntries(), errors.Annotatef(err, "list of entries at %q", addr)
+}
+
+// call uses the connection to an address and replaces it after misses.
+func (d *Dialer) call(addr string, use func(*grpc.ClientConn) error) error {
+	p, err := d.get(addr)
+	if err != nil {
+		return err
+	}
+	err = use(p.conn)
+	d.note(addr, p, err)
+	return err
+}
+
+func (d *Dialer) get(addr string) (*peerConn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.conns[addr]; ok {
+		return p, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr, d.options...)
+	if err != nil {
+		return nil, err
+	}
+	p := &peerConn{conn: conn}
+	d.conns[addr] = p
+	return p, nil
+}
+
+func (d *Dialer) note(addr string, p *peerConn, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		p.misses = 0
+		return
+	}
+	p.misses++
+	if p.misses >= maxMisses && d.conns[addr] == p {
+		delete(d.conns, addr)
+		// The connection is given up; its error has no use.
+		_ = p.conn.Close()
+	}
+}
+
+// Keep closes the connections to all other addresses.
+func (d *Dialer) Keep(addrs map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for addr, p := range d.conns {
+		if !addrs[addr] {
+			delete(d.conns, addr)
+			_ = p.conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/service.go
@@ -0,0 +1,386 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+const (
+	// ExchangeInterval is the time between two exchanges with each peer.
+	ExchangeInterval = 300 * time.Millisecond
+	// ExchangeTimeout bounds one exchange.
+	ExchangeTimeout = time.Second
+
+	prefix    = "presence/"
+	scanLimit = 256
+	// lookupInterval is the time between two questions to the seeds while the
+	// list of entries is not known from the store.
+	lookupInterval = time.Second
+)
+
+// Transport reaches other entries.
+type Transport interface {
+	Exchange(ctx context.Context, addr string, s *rpc.PeerState) (*rpc.PeerState, error)
+	Entries(ctx context.Context, addr string) ([]*rpc.EntryAddress, error)
+	// Keep tells which addresses are still in use.
+	Keep(addrs map[string]bool)
+}
+
+// Configuration is the part of the configuration's service that exchanges need.
+type Configuration interface {
+	Snapshot() (c *api.Config, age time.Duration, ok bool)
+	StoreFailing() bool
+	Offer(c *api.Config, age time.Duration)
+	Confirm(version uint64, age time.Duration)
+}
+
+// Self describes this entry.
+type Self struct {
+	ID   string
+	Addr string
+	Zone string
+}
+
+// Config sets up a service.
+type Config struct {
+	// Seeds are addresses at which some entry answers, such as the balancer's.
+	// They are asked while the store cannot be read.
+	Seeds   []string
+	Metrics metrics.Registry
+	Log     zerolog.Logger
+}
+
+// Service keeps this entry's presence and the list of the others.
+type Service struct {
+	ledger    ledger.Ledger
+	self      Self
+	transport Transport
+	clock     func() time.Duration
+	cfg       Config
+
+	conf Configuration
+	fill []func(*rpc.PeerState)
+
+	mu         sync.Mutex
+	roster     *roster
+	exchanging map[string]bool // addresses with an exchange in progress
+	leaving    bool
+
+	presence   Presence
+	rowVersion uint64 // of the own row; used by the presence loop only
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
+}
+
+var _ confstate.PeerView = (*Service)(nil)
+
+// New returns a service that is not running yet. The clock is monotonic.
+func New(l ledger.Ledger, self Self, t Transport, clock func() time.Duration, cfg Config) *Service {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	return &Service{
+		ledger:     l,
+		self:       self,
+		transport:  t,
+		clock:      clock,
+		cfg:        cfg,
+		roster:     newRoster(self.ID),
+		exchanging: map[string]bool{},
+		presence: Presence{
+			ID:          self.ID,
+			Addr:        self.Addr,
+			Zone:        self.Zone,
+			Incarnation: uuid.NewString(),
+			Started:     time.Now().UTC(),
+		},
+	}
+}
+
+// Bind sets the configuration that exchanges carry and functions that add to
+// each state sent. It must be called before Start.
+func (s *Service) Bind(conf Configuration, fill ...func(*rpc.PeerState)) {
+	s.conf = conf
+	s.fill = fill
+}
+
+// Start starts to announce this entry and to exchange states.
+func (s *Service) Start(context.Context) error {
+	if s.conf == nil {
+		return errors.NotValidf("membership without configuration")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.every(ctx, PresenceInterval, s.announce)
+	s.every(ctx, ScanInterval, s.scan)
+	s.every(ctx, ExchangeInterval, s.exchangeAll)
+	s.every(ctx, lookupInterval, s.lookup)
+	return nil
+}
+
+// every runs fn now and at each interval until ctx ends.
+func (s *Service) every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+	s.loops.Add(1)
+	go func() {
+		defer s.loops.Done()
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			fn(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	}()
+}
+
+// Stop tells the peers that this entry leaves and removes its row.
+func (s *Service) Stop(ctx context.Context) error {
+	if s.cancel == nil {
+		return nil
+	}
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.cancel()
+	s.loops.Wait()
+	s.farewell(ctx)
+	return s.removeRow(ctx)
+}
+
+func (s *Service) farewell(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range s.targets() {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.exchange(ctx, p.id, p.addr)
+		}()
+	}
+	wg.Wait()
+	s.transport.Keep(nil)
+}
+
+func (s *Service) removeRow(ctx context.Context) error {
+	if s.rowVersion == 0 {
+		return nil
+	}
+	w := ledger.Write{Key: prefix + s.self.ID, Version: s.rowVersion, Delete: true}
+	_, err := s.ledger.Commit(ctx, ledger.CausePresence, w)
+	if err != nil {
+		// The other entries drop the row when its lease is over.
+		s.cfg.Log.Warn().Err(err).Msg("presence not removed")
+	}
+	return nil
+}
+
+// announce writes the next beat of the own row.
+func (s *Service) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, PresenceInterval)
+	defer cancel()
+	s.presence.Beat++
+	data, err := json.Marshal(s.presence)
+	if err != nil {
+		return
+	}
+	w := ledger.Write{Key: prefix + s.self.ID, Version: s.rowVersion, Data: data}
+	rows, err := s.ledger.Commit(ctx, ledger.CausePresence, w)
+	switch {
+	case err == nil:
+		s.rowVersion = rows[0].Version
+	case errors.Is(err, ledger.ErrConflict):
+		s.count("membership.own_row_changed")
+		s.rowVersion = rows[0].Version
+		w.Version = s.rowVersion
+		if rows, err = s.ledger.Commit(ctx, ledger.CausePresence, w); err == nil {
+			s.rowVersion = rows[0].Version
+		}
+	default:
+		s.count("membership.announce_failures")
+	}
+}
+
+// scan reads all rows of presence and removes those of entries long gone.
+func (s *Service) scan(ctx context.Context) {
+	rows, err := s.readRows(ctx)
+	if err != nil {
+		s.count("membership.scan_failures")
+		return
+	}
+	s.mu.Lock()
+	dead := s.roster.scan(s.clock(), rows)
+	s.mu.Unlock()
+	for _, w := range dead {
+		// Another entry may have removed the row already.
+		_, _ = s.ledger.Commit(ctx, ledger.CausePresence, ledger.Write{Key: prefix + w.ID, Version: w.version, Delete: true})
+	}
+}
+
+func (s *Service) readRows(ctx context.Context) ([]row, error) {
+	var out []row
+	after := ""
+	for {
+		page, err := s.ledger.Scan(ctx, ledger.CausePresence, prefix, after, scanLimit)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range page {
+			w := row{version: r.Version}
+			if err := json.Unmarshal(r.Data, &w.Presence); err != nil {
+				return nil, errors.Annotatef(err, "row %q", r.Key)
+			}
+			out = append(out, w)
+			after = r.Key
+		}
+		if len(page) < scanLimit {
+			return out, nil
+		}
+	}
+}
+
+// lookup asks the seeds for the entries while the store does not tell.
+func (s *Service) lookup(ctx context.Context) {
+	s.mu.Lock()
+	needed := !s.roster.watching(s.clock())
+	s.mu.Unlock()
+	if !needed {
+		return
+	}
+	for _, seed := range s.cfg.Seeds {
+		s.lookupAt(ctx, seed)
+	}
+}
+
+func (s *Service) lookupAt(ctx context.Context, seed string) {
+	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
+	defer cancel()
+	entries, err := s.transport.Entries(ctx, seed)
+	if err != nil {
+		s.count("membership.lookup_failures")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
+		s.roster.meet(e.Id, e.RpcAddress)
+	}
+	if len(entries) > 0 {
+		s.roster.known = true
+	}
+}
+
+// Entries returns the present entries with this one, in order of id.
+func (s *Service) Entries() []*rpc.EntryAddress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []*rpc.EntryAddress{}
+	self := &rpc.EntryAddress{Id: s.self.ID, RpcAddress: s.self.Addr}
+	placed := s.leaving
+	for _, m := range s.roster.entries(s.clock()) {
+		if !placed && m.id > s.self.ID {
+			out = append(out, self)
+			placed = true
+		}
+		out = append(out, &rpc.EntryAddress{Id: m.id, RpcAddress: m.addr})
+	}
+	if !placed {
+		out = append(out, self)
+	}
+	return out
+}
+
+// Peers returns the other entries for the rule on starting work.
+func (s *Service) Peers() ([]confstate.Peer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.peers(s.clock()), s.roster.known
+}
+
+// HighestOwnerEpoch returns the highest epoch of an owner that a peer has told.
+func (s *Service) HighestOwnerEpoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.highest
+}
+
+// PeerReport is a peer's last state and its age.
+type PeerReport struct {
+	State *rpc.PeerState
+	Zone  string
+	Age   time.Duration
+	Heard bool // false while the peer has not answered yet
+}
+
+// Reports returns the last state of each present peer, in order of id.
+func (s *Service) Reports() []PeerReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	var out []PeerReport
+	for _, m := range s.roster.entries(now) {
+		if m.state != nil {
+			out = append(out, PeerReport{m.state, m.zone, now - m.heard, m.ever})
+		}
+	}
+	return out
+}
+
+func (s *Service) count(name string) {
+	metrics.GetOrRegisterCounter(name, s.cfg.Metrics).Inc(1)
+}
+
+// PeerDump is a peer in the dump of a service.
+type PeerDump struct {
+	ID           string `json:"id"`
+	Addr         string `json:"rpc_address"`
+	Zone         string `json:"zone,omitempty"`
+	Row          uint64 `json:"row_version"`
+	Heard        bool   `json:"heard"`
+	HeardAgeMS   int64  `json:"heard_age_ms"`
+	StoreFailing bool   `json:"store_failing"`
+}
+
+// State is the dump of a service.
+type State struct {
+	Self       Self       `json:"self"`
+	Known      bool       `json:"list_known"`
+	ScanAgeMS  int64      `json:"scan_age_ms"`
+	OwnerEpoch uint64     `json:"highest_owner_epoch"`
+	Peers      []PeerDump `json:"peers"`
+}
+
+// DumpState returns the service's state.
+func (s *Service) DumpState() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	st := State{
+		Self:       s.self,
+		Known:      s.roster.known,
+		ScanAgeMS:  (now - s.roster.lastScan).Milliseconds(),
+		OwnerEpoch: s.roster.highest,
+		Peers:      []PeerDump{},
+	}
+	for _, m := range s.roster.list() {
+		st.Peers = append(st.Peers, PeerDump{
+			ID: m.id, Addr: m.addr, Zone: m.zone, Row: m.rowVersion,
+			Heard: m.ever, HeardAgeMS: (now - m.heard).Milliseconds(),
+			StoreFailing: m.state.GetStoreFailing(),
+		})
+	}
+	return st
+}
--- /dev/null
+++ b/internal/owner/core.go
@@ -0,0 +1,392 @@
+// Package owner decides which entry owns the scheduling of a cell. Ownership
+// is a row of the ledger with an epoch; the owner renews it, the others watch
+// it and take it over by a conditional write once it has not changed for
+// longer than the lease.
+package owner
+
+import "time"
+
+// Times of ownership.
+const (
+	// DefaultLease is how long one renewal lasts.
+	DefaultLease = 3 * time.Second
+	// DefaultRenew is the time between two renewals.
+	DefaultRenew = time.Second
+	// DefaultMargin covers the difference of clock rates during a lease.
+	DefaultMargin = 300 * time.Millisecond
+	// DefaultPoll is the time between two looks at the row by the others.
+	DefaultPoll = 400 * time.Millisecond
+	// DefaultPermitTTL is how long a permission to start lasts that an owner has given.
+	DefaultPermitTTL = 2 * time.Second
+
+	// retryInterval is the time until a write is tried again that was refused.
+	retryInterval = 200 * time.Millisecond
+	// watchGap is the longest time between two reads of an unbroken watch.
+	watchGap = 2 * time.Second
+)
+
+// Times configures a core.
+type Times struct {
+	Lease     time.Duration
+	Renew     time.Duration
+	Margin    time.Duration
+	Poll      time.Duration
+	PermitTTL time.Duration
+}
+
+func (t Times) withDefaults() Times {
+	setDuration(&t.Lease, DefaultLease)
+	setDuration(&t.Renew, DefaultRenew)
+	setDuration(&t.Margin, DefaultMargin)
+	setDuration(&t.Poll, DefaultPoll)
+	setDuration(&t.PermitTTL, DefaultPermitTTL)
+	return t
+}
+
+func setDuration(v *time.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// Self identifies this process. Incarnation differs for each start of it.
+type Self struct {
+	ID          string
+	Addr        string
+	Incarnation string
+}
+
+// Row is the row of a cell's ownership.
+type Row struct {
+	EntryID     string `json:"entry_id"`
+	Addr        string `json:"addr"`
+	Incarnation string `json:"incarnation"`
+	Epoch       uint64 `json:"epoch"`
+	Beat        uint64 `json:"beat"`
+	Released    bool   `json:"released,omitempty"`
+}
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// ReadDone answers a Read. Version is 0 for an absent row.
+type ReadDone struct {
+	Version uint64
+	Row     Row
+}
+
+// ReadFailed says that a Read got no answer.
+type ReadFailed struct{}
+
+// WriteDone says that the Write took effect and gave the row this version.
+type WriteDone struct{ Version uint64 }
+
+// WriteConflict says that the Write did not take effect, as the row is another.
+type WriteConflict struct {
+	Version uint64
+	Row     Row
+}
+
+// WriteFailed says that the Write did not take effect and never will.
+type WriteFailed struct{}
+
+// WriteUnknown says that the Write may have taken effect or still may.
+type WriteUnknown struct{}
+
+// PeerEpoch brings the epoch of an owner that another entry knows.
+type PeerEpoch struct{ Epoch uint64 }
+
+// Release gives the ownership up for good, for a planned stop.
+type Release struct{}
+
+func (Tick) event()          {}
+func (ReadDone) event()      {}
+func (ReadFailed) event()    {}
+func (WriteDone) event()     {}
+func (WriteConflict) event() {}
+func (WriteFailed) event()   {}
+func (WriteUnknown) event()  {}
+func (PeerEpoch) event()     {}
+func (Release) event()       {}
+
+// Action is an output of the core. At most one is in progress at a time.
+type Action interface{ action() }
+
+// Read asks for the row.
+type Read struct{}
+
+// Write asks for a conditional write of the row.
+type Write struct {
+	Version uint64
+	Row     Row
+}
+
+func (Read) action()  {}
+func (Write) action() {}
+
+// Core is the state of one process's part in the ownership of a cell. It is
+// pure: it does no I/O and reads no clock. Times are on the process's
+// monotonic clock, which goes on while the process is paused.
+type Core struct {
+	self  Self
+	times Times
+
+	// The row as last seen or written.
+	seen    bool
+	version uint64
+	row     Row
+	// unchangedSince is when the row was first seen at version, in a series of
+	// reads without a gap; lastRead is the last of them.
+	unchangedSince time.Duration
+	lastRead       time.Duration
+	watching       bool
+
+	// epoch is that of the term held, 0 for none. The term is valid until
+	// validUntil and may start work from startAfter on.
+	epoch      uint64
+	validUntil time.Duration
+	startAfter time.Duration
+	highest    uint64 // highest epoch heard of
+
+	busy     bool // an action is in progress
+	pending  Row
+	sentAt   time.Duration
+	nextSend time.Duration
+	nextRead time.Duration
+	mustRead bool
+	leaving  bool
+}
+
+// NewCore returns a core that has seen nothing.
+func NewCore(self Self, times Times) *Core {
+	return &Core{self: self, times: times.withDefaults()}
+}
+
+// Step takes an event and returns the action to carry out, if any.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	switch e := ev.(type) {
+	case Tick:
+		return c.tick(now)
+	case ReadDone:
+		c.busy, c.mustRead = false, false
+		c.observe(now, e.Version, e.Row)
+	case ReadFailed:
+		c.busy, c.watching = false, false
+	case WriteDone:
+		c.busy = false
+		c.written(now, e.Version)
+	case WriteConflict:
+		c.busy = false
+		c.observe(now, e.Version, e.Row)
+	case WriteFailed:
+		c.busy = false
+		c.nextSend = now + retryInterval
+	case WriteUnknown:
+		c.busy, c.mustRead, c.watching = false, true, false
+	case PeerEpoch:
+		c.hear(e.Epoch)
+	case Release:
+		c.leaving = true
+		c.nextSend = now
+	}
+	return nil
+}
+
+func (c *Core) tick(now time.Duration) []Action {
+	switch {
+	case c.busy:
+		return nil
+	case c.mustRead:
+		return c.read(now)
+	case c.epoch > 0:
+		return c.renew(now)
+	case c.mayClaim(now):
+		return c.claim(now)
+	case now >= c.nextRead && !c.leaving:
+		return c.read(now)
+	}
+	return nil
+}
+
+func (c *Core) read(now time.Duration) []Action {
+	if now < c.nextRead {
+		return nil
+	}
+	c.busy = true
+	c.nextRead = now + c.times.Poll
+	return []Action{Read{}}
+}
+
+// renew sends the next beat, or the release when this process is leaving.
+func (c *Core) renew(now time.Duration) []Action {
+	if now < c.nextSend {
+		return nil
+	}
+	row := c.row
+	row.Beat++
+	row.Released = c.leaving
+	c.nextSend = now + c.times.Renew
+	return c.write(now, row)
+}
+
+func (c *Core) write(now time.Duration, row Row) []Action {
+	c.busy = true
+	c.pending = row
+	c.sentAt = now
+	return []Action{Write{Version: c.version, Row: row}}
+}
+
+// mayClaim reports whether the row is free: absent, released, or unchanged
+// for so long that its owner's lease is over on any clock.
+func (c *Core) mayClaim(now time.Duration) bool {
+	if !c.seen || c.leaving || now < c.nextSend {
+		return false
+	}
+	if c.free() {
+		return true
+	}
+	return c.watching && now-c.lastRead <= watchGap && now-c.unchangedSince > c.times.Lease+c.times.Margin
+}
+
+func (c *Core) free() bool { return c.version == 0 || c.row.Released }
+
+func (c *Core) claim(now time.Duration) []Action {
+	c.nextSend = now + c.times.Renew
+	return c.write(now, Row{
+		EntryID:     c.self.ID,
+		Addr:        c.self.Addr,
+		Incarnation: c.self.Incarnation,
+		Epoch:       max(c.row.Epoch, c.highest) + 1,
+		Beat:        1,
+	})
+}
+
+// written takes over a row that this process has written. Validity counts from
+// before the write was sent.
+func (c *Core) written(now time.Duration, version uint64) {
+	clean := c.free()
+	claimed := c.epoch == 0
+	c.see(now, version, c.pending)
+	if c.pending.Released {
+		c.drop()
+		return
+	}
+	c.hold(c.pending.Epoch)
+	c.validUntil = c.sentAt + c.times.Lease - c.times.Margin
+	if claimed {
+		c.startAfter = c.firstStart(now, clean)
+	}
+	if c.leaving {
+		c.nextSend = now
+	}
+}
+
+// firstStart returns from when on a new term may start work: at once when the
+// earlier owner has released the row, otherwise when the permissions that it
+// may have given up to the end of its lease are over.
+func (c *Core) firstStart(now time.Duration, clean bool) time.Duration {
+	if clean {
+		return now
+	}
+	return now + c.times.PermitTTL + c.times.Margin
+}
+
+// observe takes over a row that was read.
+func (c *Core) observe(now time.Duration, version uint64, row Row) {
+	wasHeld := c.epoch
+	c.see(now, version, row)
+	c.highest = max(c.highest, row.Epoch)
+	if !c.mine(row) {
+		c.drop()
+		return
+	}
+	c.hold(row.Epoch)
+	c.nextSend = now
+	if wasHeld == 0 {
+		c.startAfter = c.firstStart(now, false)
+	}
+}
+
+// mine reports whether a row shows a term of this process.
+func (c *Core) mine(row Row) bool {
+	return row.Epoch > 0 && row.Incarnation == c.self.Incarnation && !row.Released
+}
+
+func (c *Core) see(now time.Duration, version uint64, row Row) {
+	unbroken := c.watching && now-c.lastRead <= watchGap
+	if !c.seen || version != c.version || !unbroken {
+		c.unchangedSince = now
+	}
+	c.seen, c.watching = true, true
+	c.version, c.row, c.lastRead = version, row, now
+}
+
+func (c *Core) hold(epoch uint64) {
+	if c.epoch != epoch {
+		c.validUntil = 0
+	}
+	c.epoch = epoch
+	c.highest = max(c.highest, epoch)
+}
+
+func (c *Core) drop() {
+	c.epoch, c.validUntil, c.startAfter = 0, 0, 0
+}
+
+// hear ends the term when a higher epoch exists.
+func (c *Core) hear(epoch uint64) {
+	c.highest = max(c.highest, epoch)
+	if c.epoch > 0 && epoch > c.epoch {
+		c.drop()
+		c.mustRead = true
+	}
+}
+
+// Outage tells what the peers know of the store, for the time in which the
+// lease cannot be renewed.
+type Outage struct {
+	// Everywhere is true while no entry reaches the store.
+	Everywhere bool
+	// Down is true while this entry's store is down.
+	Down bool
+}
+
+// Authority is this process's right to act for a cell at one moment.
+type Authority struct {
+	// Owner is true while this process may renew running work, and start work
+	// if StoreDown is false and StartAfter has passed.
+	Owner      bool
+	Epoch      uint64
+	StartAfter time.Duration
+	OwnerID    string
+	OwnerAddr  string
+	StoreDown  bool
+}
+
+// Authority returns the rights at a time. A process that was paused past its
+// lease has none, as its clock went on.
+func (c *Core) Authority(now time.Duration, o Outage) Authority {
+	a := Authority{Epoch: c.highest}
+	if c.seen && !c.free() {
+		a.OwnerID, a.OwnerAddr = c.row.EntryID, c.row.Addr
+	}
+	if c.epoch == 0 || c.leaving || c.validUntil == 0 {
+		return a
+	}
+	valid := now < c.validUntil
+	if !valid && !o.Everywhere {
+		return a
+	}
+	a.Owner = true
+	a.StartAfter = c.startAfter
+	a.StoreDown = !valid || o.Down
+	return a
+}
+
+// Released reports whether a leaving process holds the row no longer.
+func (c *Core) Released() bool {
+	return c.leaving && c.epoch == 0 && !c.busy && !c.mustRead
+}
