--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -136,7 +136,7 @@
 		h.execute(entry, body.Execute)
 	case *rpc.EntryMessage_Void:
 		v := body.Void
-		h.step(exec.Void{Entry: entry, Ref: exec.Ref{ID: v.RequestId, Attempt: v.Attempt}, Incarnation: v.Incarnation})
+		h.step(exec.Void{Entry: entry, Ref: exec.Ref{ID: v.RequestId, Attempt: v.Attempt}, Incarnation: v.Incarnation, Stamp: ms(v.StampMs)})
 	case *rpc.EntryMessage_Ack:
 		for _, r := range body.Ack.Requests {
 			h.step(exec.Ack{Entry: entry, Ref: exec.Ref{ID: r.RequestId, Attempt: r.Attempt}})
--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -24,6 +24,7 @@
 	recordTimeout = 5 * time.Minute
 	recordRetry   = 500 * time.Millisecond
 	maxClaimOps   = 1024 // at once
+	maxClaimTries = 4
 	// maxInlineBody is the largest answer kept in the table's row itself.
 	maxInlineBody = 4 << 10
 )
@@ -112,56 +113,60 @@
 	defer cancel()
 	key := claimKey(w.call.Profile.ClientAccount, w.call.Service, act.Key)
 	row := claimRow{Holder: act.Holder, Digest: rpc.Digest(w.call.Body), Created: time.Now().UTC()}
+	failed := route.ClaimReply{ID: act.ID, Failed: true}
 	version := uint64(0)
-	if act.From != nil {
-		current, err := c.ledger.Get(ctx, ledger.CauseClaim, key)
-		if err != nil {
-			return route.ClaimReply{ID: act.ID, Failed: true}
+	for range maxClaimTries {
+		rows, err := c.ledger.Commit(ctx, ledger.CauseClaim, ledger.Write{Key: key, Version: version, Data: encode(row)})
+		if err == nil {
+			return route.ClaimReply{ID: act.ID, Won: true, Holder: act.Holder}
 		}
-		old, reply, done := c.judge(ctx, act, w, current[0])
-		if done && (old == nil || old.Holder != *act.From || old.Outcome != "") {
-			return reply
+		if !errors.Is(err, ledger.ErrConflict) {
+			return failed
+		}
+		version = rows[0].Version
+		if version == 0 {
+			continue // the row has expired meanwhile
+		}
+		var old claimRow
+		if err := json.Unmarshal(rows[0].Data, &old); err != nil {
+			return failed
+		}
+		if !replaceable(old, act.From) {
+			return c.existing(ctx, act, w, old)
 		}
-		version = current[0].Version
-	}
-	rows, err := c.ledger.Commit(ctx, ledger.CauseClaim, ledger.Write{Key: key, Version: version, Data: encode(row)})
-	switch {
-	case err == nil:
-		return route.ClaimReply{ID: act.ID, Won: true, Holder: act.Holder}
-	case errors.Is(err, ledger.ErrConflict):
-		_, reply, _ := c.judge(ctx, act, w, rows[0])
-		return reply
 	}
-	return route.ClaimReply{ID: act.ID, Failed: true}
+	return failed
 }
 
-// judge reads an existing row: done is false when it is absent.
-func (c *claims) judge(ctx context.Context, act route.Claim, w *waiter, current ledger.Row) (*claimRow, route.ClaimReply, bool) {
-	if current.Version == 0 {
-		return nil, route.ClaimReply{ID: act.ID, Failed: true}, false
-	}
-	var row claimRow
-	if err := json.Unmarshal(current.Data, &row); err != nil {
-		return nil, route.ClaimReply{ID: act.ID, Failed: true}, true
+// replaceable reports whether a claim may take the row over: the execution
+// that it names has certainly not run.
+func replaceable(old claimRow, from *route.ClaimHolder) bool {
+	if old.Outcome == api.OutcomeNotRun {
+		return true
 	}
+	return old.Outcome == "" && from != nil && old.Holder == *from
+}
+
+// existing answers a claim with the row of an earlier one.
+func (c *claims) existing(ctx context.Context, act route.Claim, w *waiter, row claimRow) route.ClaimReply {
 	if row.Digest != rpc.Digest(w.call.Body) {
 		c.mismatch(act.ID, w)
-		return &row, route.ClaimReply{ID: act.ID, Failed: true}, true
+		return route.ClaimReply{ID: act.ID, Failed: true}
 	}
 	if row.Outcome == "" {
-		return &row, route.ClaimReply{ID: act.ID, Won: row.Holder == act.Holder, Holder: row.Holder}, true
+		return route.ClaimReply{ID: act.ID, Won: row.Holder == act.Holder, Holder: row.Holder}
 	}
 	if row.Object != "" {
 		body, err := c.objects.Get(ctx, row.Object)
 		if err != nil {
-			return &row, route.ClaimReply{ID: act.ID, Failed: true}, true
+			return route.ClaimReply{ID: act.ID, Failed: true}
 		}
 		row.Body = body
 	}
 	c.service.mu.Lock()
 	w.stored = &row
 	c.service.mu.Unlock()
-	return &row, route.ClaimReply{ID: act.ID, Final: row.Outcome, Holder: row.Holder}, true
+	return route.ClaimReply{ID: act.ID, Final: row.Outcome, Holder: row.Holder}
 }
 
 // mismatch answers a call whose key was used with another body.
--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -25,6 +25,11 @@
 // ErrTooMany says that the entry holds as many requests as it may.
 const ErrTooMany = errors.ConstError("entry holds too many requests")
 
+// Members lists the live entries, this one included.
+type Members interface {
+	Entries() []*rpc.EntryAddress
+}
+
 // Config bounds the service.
 type Config struct {
 	EntryID     string
@@ -72,6 +77,7 @@
 	cfg      Config
 	links    *links.Server
 	permits  Permits
+	members  Members
 	claims   *claims
 	registry metrics.Registry
 	log      zerolog.Logger
@@ -90,11 +96,12 @@
 }
 
 // New returns the service; it listens to srv from now on.
-func New(cfg Config, srv *links.Server, permits Permits, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *Service {
+func New(cfg Config, srv *links.Server, permits Permits, members Members, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *Service {
 	s := &Service{
 		cfg:      cfg,
 		links:    srv,
 		permits:  permits,
+		members:  members,
 		registry: registry,
 		log:      log,
 		started:  time.Now(),
@@ -152,7 +159,7 @@
 	t := time.NewTicker(route.TickInterval)
 	defer t.Stop()
 	for {
-		s.step(s.permit(), route.Tick{})
+		s.step(s.permit(), route.Peers{Entries: len(s.members.Entries())}, route.Tick{})
 		select {
 		case <-ctx.Done():
 			return
@@ -217,7 +224,7 @@
 		s.execute(act)
 	case route.Void:
 		s.send(act.Agent, &rpc.EntryMessage{Body: &rpc.EntryMessage_Void{Void: &rpc.Void{
-			RequestId: act.ID, Attempt: act.Attempt, Incarnation: act.Incarnation,
+			RequestId: act.ID, Attempt: act.Attempt, Incarnation: act.Incarnation, StampMs: act.StampMS,
 		}}})
 	case route.Ack:
 		s.claims.ack(act)
