groups: core of the agent's gang members

Holds, starts, leases, checkpoints and final reports of one worker, as a pure core. Tasks found at the agent's start are adopted without renewing their leases; a group with missing tasks is stopped.

Messages: Adopt (new), StartTask.StartBy and RenewTasks.By for the shell's last check before a call, TaskLost.NotSent for a start held back by that check. platform: TaskStatus.Resources and Task.CheckpointTo.

--- a/internal/agent/groups/types.go
+++ b/internal/agent/groups/types.go
@@ -63,7 +63,7 @@
 	Refs  []Ref
 }
 
-// Caretaker extends all leases to Stamp + Lease while every entry reports the
+// Caretaker extends the leases of running groups to Stamp + Lease while every entry reports the
 // store as down, so that nobody can place the groups again.
 type Caretaker struct {
 	Stamp time.Duration
@@ -79,13 +79,21 @@
 // TaskUpdate is the worker's state of one task.
 type TaskUpdate struct{ Status platform.TaskStatus }
 
-// TaskLost says that the worker does not know the task or did not answer in time.
+// TaskLost says that the worker does not know the task or did not answer in
+// time; with NotSent, that the start was never asked of it.
 type TaskLost struct {
-	ID     string
-	Detail string
+	ID      string
+	Detail  string
+	NotSent bool
 }
 
-// Leave refuses new holds for good, for a planned stop.
+// Adopt brings the tasks that the worker had when the agent started. Whole
+// groups among those that still run are adopted, without renewing their leases
+// on the worker, so that they end when the former agent's leases do unless the
+// owner renews them. Everything else that runs is stopped.
+type Adopt struct{ Tasks []platform.TaskStatus }
+
+// Leave refuses new holds and starts for good, for a planned stop.
 type Leave struct{}
 
 // Tick lets time pass.
@@ -100,6 +108,7 @@
 func (Permission) event() {}
 func (TaskUpdate) event() {}
 func (TaskLost) event()   {}
+func (Adopt) event()      {}
 func (Leave) event()      {}
 func (Tick) event()       {}
 
@@ -121,8 +130,12 @@
 // Action is an output of the core.
 type Action interface{ action() }
 
-// StartTask starts one task on the worker. Its ID is TaskID(ref, index).
-type StartTask struct{ Task platform.Task }
+// StartTask starts one task on the worker. Its ID is a TaskName. The call must
+// not be made after StartBy, which the shell checks once more before the call.
+type StartTask struct {
+	Task    platform.Task
+	StartBy time.Duration
+}
 
 // StopTask stops one task on the worker.
 type StopTask struct{ ID string }
@@ -130,21 +143,27 @@
 // CheckpointTask asks the worker for a checkpoint of one task, which ends it.
 type CheckpointTask struct{ ID string }
 
-// RenewTasks extends the worker's own leases.
+// RenewTasks extends the worker's own leases by Lease, which ends at By.
 type RenewTasks struct {
 	IDs   []string
 	Lease time.Duration
+	By    time.Duration
 }
 
 // Report tells all entries the state of a group.
 type Report struct {
-	Ref         Ref
-	State       State
-	Tasks       int
-	Progress    time.Duration
-	Usage       api.Resources
-	Detail      string
-	Result      json.RawMessage
+	Ref   Ref
+	State State
+	Tasks int
+	// Progress is that of the task that is furthest behind.
+	Progress time.Duration
+	// Usage is the sum over the tasks.
+	Usage  api.Resources
+	Detail string
+	// Result is a JSON array of the tasks' outputs, in order of their indexes.
+	Result json.RawMessage
+	// Checkpoint names the checkpoints of all tasks of the attempt; another
+	// attempt resumes from it however its tasks are spread over workers.
 	Checkpoint  string
 	WorkerFault bool
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -79,18 +79,23 @@
 // Task is what a worker runs. ID is unique for each attempt; a worker that
 // knows the ID already returns its state and starts nothing.
 type Task struct {
-	ID         string          `json:"id"`
-	Resources  api.Resources   `json:"resources"`
-	Payload    json.RawMessage `json:"payload,omitempty"`
-	Checkpoint string          `json:"checkpoint,omitempty"`
-	LeaseMS    int64           `json:"lease_ms"`
+	ID        string          `json:"id"`
+	Resources api.Resources   `json:"resources"`
+	Payload   json.RawMessage `json:"payload,omitempty"`
+	// Checkpoint is the object store key to resume from, CheckpointTo the one
+	// under which a checkpoint of this task is saved.
+	Checkpoint   string `json:"checkpoint,omitempty"`
+	CheckpointTo string `json:"checkpoint_to,omitempty"`
+	LeaseMS      int64  `json:"lease_ms"`
 }
 
 // TaskStatus is a worker's report on one task. Usage lags behind.
 type TaskStatus struct {
-	ID         string          `json:"id"`
-	State      TaskState       `json:"state"`
-	ProgressMS int64           `json:"progress_ms"`
+	ID         string    `json:"id"`
+	State      TaskState `json:"state"`
+	ProgressMS int64     `json:"progress_ms"`
+	// Resources is what the task was started with.
+	Resources  api.Resources   `json:"resources"`
 	Usage      api.Resources   `json:"usage"`
 	Output     json.RawMessage `json:"output,omitempty"`
 	Checkpoint string          `json:"checkpoint,omitempty"`
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"sort"
@@ -18,7 +19,7 @@
 	usageLag = 400 * time.Millisecond
 	// failAfter is how long a task runs that its worker makes fail.
 	failAfter = 20 * time.Millisecond
-	// checkpointPrefix starts the keys of checkpoints in the object store.
+	// checkpointPrefix starts the keys of checkpoints of tasks that name none.
 	checkpointPrefix = "checkpoints/"
 	// throttledSpeed is the progress of a throttled task, as a divisor.
 	throttledSpeed = 2
@@ -59,15 +60,15 @@
 
 type task struct {
 	platform.TaskStatus
-	payload   TaskPayload
-	resources api.Resources
-	limit     *api.Resources
-	started   time.Time
-	ended     time.Time
-	leaseBy   time.Time
-	counted   time.Time // progress is counted up to here
-	end       *time.Timer
-	lapse     *time.Timer
+	payload      TaskPayload
+	checkpointTo string
+	limit        *api.Resources
+	started      time.Time
+	ended        time.Time
+	leaseBy      time.Time
+	counted      time.Time // progress is counted up to here
+	end          *time.Timer
+	lapse        *time.Timer
 }
 
 var _ platform.Worker = (*Worker)(nil)
@@ -124,7 +125,7 @@
 	if status.State != platform.TaskRunning {
 		return status, nil
 	}
-	key := checkpointPrefix + id
+	key := w.checkpointKey(id)
 	saved, err := json.Marshal(status.ProgressMS)
 	if err != nil {
 		return status, errors.Trace(err)
@@ -213,6 +214,12 @@
 	return platform.TaskStatus{ID: id}, false
 }
 
+func (w *Worker) checkpointKey(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tasks[id].checkpointTo
+}
+
 func (w *Worker) refuse(id, detail string) platform.TaskStatus {
 	return platform.TaskStatus{ID: id, State: platform.TaskFailed, Detail: detail}
 }
@@ -234,7 +241,7 @@
 	free := w.capacity
 	for _, t := range w.tasks {
 		if t.State == platform.TaskRunning {
-			free = free.Sub(t.resources)
+			free = free.Sub(t.Resources)
 		}
 	}
 	return free
@@ -243,11 +250,11 @@
 func (w *Worker) run(started platform.Task, payload TaskPayload, progress int64) *task {
 	now := time.Now()
 	t := &task{
-		TaskStatus: platform.TaskStatus{ID: started.ID, State: platform.TaskRunning, ProgressMS: progress},
-		payload:    payload,
-		resources:  started.Resources,
-		started:    now,
-		counted:    now,
+		TaskStatus:   platform.TaskStatus{ID: started.ID, State: platform.TaskRunning, ProgressMS: progress, Resources: started.Resources},
+		payload:      payload,
+		checkpointTo: cmp.Or(started.CheckpointTo, checkpointPrefix+started.ID),
+		started:      now,
+		counted:      now,
 	}
 	w.tasks[t.ID] = t
 	w.lease(t, started.LeaseMS)
@@ -342,7 +349,7 @@
 }
 
 func (t *task) usage() api.Resources {
-	used := t.resources.Add(t.payload.Grow)
+	used := t.Resources.Add(t.payload.Grow)
 	if t.limit == nil {
 		return used
 	}
