--- /dev/null
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/httpapi"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/jobs"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/node"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/requests"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/scheduler"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/membership"
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+)
+
+// lameDuck is how long a leaving entry goes on accepting connections, so that
+// the balancer sees that it is not ready before it is gone.
+const lameDuck = 500 * time.Millisecond
+
+// clock is the process's monotonic clock.
+type clock func() time.Duration
+
+// services are all services of an entry.
+type services struct {
+	dig.In
+
+	Ledger     *ledger.Client
+	Membership *membership.Service
+	Config     *confstate.Service
+	Owner      *owner.Service
+	Waiters    *jobs.Waiters
+	RPC        *node.RPCServer
+	Scheduler  *scheduler.Service
+	Requests   *requests.Service
+	Notifier   *node.Notifier
+	HTTP       *httpx.Server
+}
+
+// wire builds the services and registers them in the order of their start.
+// They stop in reverse: first no new calls, then the work in progress, then
+// the links and the lasting state.
+func wire(k *kernel.Kernel, s *settings.Entry, log zerolog.Logger) error {
+	if s.Limits.MaxBodyBytes > rpc.MaxBodyBytes {
+		return errors.NotValidf("limits.max_body_bytes %d (at most %d)", s.Limits.MaxBodyBytes, rpc.MaxBodyBytes)
+	}
+	err := k.Provide(
+		func() *settings.Entry { return s },
+		func() zerolog.Logger { return log },
+		func() clock { return clock(ledger.Monotonic()) },
+		metrics.NewRegistry,
+		newTable, newObjects, newLedger, newMembership, newConfig, newOwner,
+		newBeat, newLinks, newStore, jobs.NewWaiters, newScheduler, newRequests,
+		newRPC, newNotifier, newStatus, newAPI, newHTTP,
+	)
+	if err != nil {
+		return err
+	}
+	return k.Invoke(func(all services) error { return register(k, all) })
+}
+
+func register(k *kernel.Kernel, all services) error {
+	for _, r := range []struct {
+		name    string
+		service kernel.Service
+	}{
+		{"ledger", all.Ledger},
+		{"config", all.Config},
+		{"membership", all.Membership},
+		{"owner", all.Owner},
+		{"waiters", all.Waiters},
+		{"rpc", all.RPC},
+		{"scheduler", all.Scheduler},
+		{"requests", all.Requests},
+		{"notifier", all.Notifier},
+		{"http", all.HTTP},
+	} {
+		if err := k.Register(r.name, r.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newTable(s *settings.Entry) platform.Table {
+	return platform.NewTableClient(string(s.Table.URL), s.Table.Timeout.D())
+}
+
+func newObjects(s *settings.Entry) platform.Objects {
+	return platform.NewObjectsClient(string(s.Objects.URL), s.Objects.Timeout.D())
+}
+
+func newLedger(table platform.Table, c clock, registry metrics.Registry, log zerolog.Logger) (*ledger.Client, ledger.Ledger) {
+	client := ledger.New(table, ledger.Config{Metrics: registry, Log: log, Clock: c})
+	return client, client
+}
+
+func newMembership(l ledger.Ledger, s *settings.Entry, c clock, registry metrics.Registry, log zerolog.Logger) *membership.Service {
+	self := membership.Self{ID: string(s.ID), Addr: advertised(s), Zone: string(s.Zone)}
+	return membership.New(l, self, membership.NewDialer(), c, membership.Config{Metrics: registry, Log: log})
+}
+
+func advertised(s *settings.Entry) string {
+	if s.RPCAdvertise != "" {
+		return string(s.RPCAdvertise)
+	}
+	return string(s.RPCListen)
+}
+
+func newConfig(l ledger.Ledger, m *membership.Service, c clock, registry metrics.Registry, log zerolog.Logger) (*confstate.Service, confstate.Store) {
+	config := confstate.New(l, m, c, confstate.Config{Metrics: registry, Log: log})
+	return config, config
+}
+
+func newOwner(l ledger.Ledger, s *settings.Entry, m *membership.Service, config *confstate.Service, c clock, registry metrics.Registry, log zerolog.Logger) *owner.Service {
+	self := owner.Self{ID: string(s.ID), Addr: advertised(s)}
+	o := owner.New(l, string(s.Cell), self, c, owner.Config{Peers: ownerPeers{config, m}, Metrics: registry, Log: log})
+	m.Bind(config, func(state *rpc.PeerState) {
+		a := o.Current()
+		state.OwnerEpoch = a.Epoch
+		state.OwnerId = a.OwnerID
+	})
+	return o
+}
+
+// ownerPeers joins what ownership asks of the other entries.
+type ownerPeers struct {
+	config     *confstate.Service
+	membership *membership.Service
+}
+
+func (p ownerPeers) StoreDownEverywhere() bool { return p.config.StoreDownEverywhere() }
+func (p ownerPeers) HighestOwnerEpoch() uint64 { return p.membership.HighestOwnerEpoch() }
+
+func newBeat(s *settings.Entry, config confstate.Store, m *membership.Service, o *owner.Service) *node.Beat {
+	return &node.Beat{EntryID: string(s.ID), Config: config, Members: m, Owner: o}
+}
+
+func newLinks(beat *node.Beat, config confstate.Store, registry metrics.Registry, log zerolog.Logger) *links.Server {
+	server := links.New(beat, registry, log)
+	config.Subscribe(func(*api.Config) { server.BeatAll() })
+	return server
+}
+
+func newStore(l ledger.Ledger, s *settings.Entry) *jobs.Store { return jobs.NewStore(l, string(s.Cell)) }
+
+func newScheduler(o *owner.Service, c clock, config confstate.Store, store *jobs.Store, w *jobs.Waiters, srv *links.Server, registry metrics.Registry, log zerolog.Logger) *scheduler.Service {
+	return scheduler.New(node.Ownership{Owner: o, Clock: c}, config, store, w, srv, registry, log)
+}
+
+func newRequests(s *settings.Entry, srv *links.Server, config confstate.Store, m *membership.Service, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *requests.Service {
+	cfg := requests.Config{EntryID: string(s.ID), MaxRequests: s.Limits.MaxRequests}
+	return requests.New(cfg, srv, config, m, l, objects, registry, log)
+}
+
+func newRPC(s *settings.Entry, m *membership.Service, sch *scheduler.Service, srv *links.Server) *node.RPCServer {
+	return node.NewRPCServer(string(s.RPCListen), m, m, sch, srv)
+}
+
+func newNotifier(o *owner.Service, sch *scheduler.Service, registry metrics.Registry) *node.Notifier {
+	return node.NewNotifier(o, sch, registry)
+}
+
+func newStatus(s *settings.Entry, config *confstate.Service, m *membership.Service, srv *links.Server) *node.Status {
+	return &node.Status{EntryID: string(s.ID), Zone: string(s.Zone), Config: config, Members: m, Links: srv}
+}
+
+func newAPI(config confstate.Store, r *requests.Service, store *jobs.Store, w *jobs.Waiters, sch *scheduler.Service, n *node.Notifier, status *node.Status, registry metrics.Registry) *httpapi.API {
+	return &httpapi.API{
+		Config:    config,
+		Requests:  r,
+		Jobs:      store,
+		Waiters:   w,
+		Scheduler: sch,
+		Notifier:  n,
+		Status:    status,
+		Registry:  registry,
+	}
+}
+
+func newHTTP(k *kernel.Kernel, s *settings.Entry, a *httpapi.API, config *confstate.Service, registry metrics.Registry, log zerolog.Logger) *httpx.Server {
+	r := httpx.NewRouter(func(path string, value any) {
+		metrics.GetOrRegisterCounter("http.panics", registry).Inc(1)
+		log.Error().Str("path", path).Interface("panic", value).Msg("handler panicked")
+	})
+	a.Mount(r)
+	var server *httpx.Server
+	httpx.Debug(r, httpx.DebugDeps{
+		Ready: func() error {
+			if server.Draining() {
+				return errors.New("stopping")
+			}
+			return node.Ready(config)
+		},
+		Registry: registry,
+		Dump:     func() any { return k.DumpState() },
+	})
+	server = httpx.NewServer(httpx.ServerOptions{
+		Listen:       string(s.HTTPListen),
+		Handler:      r.Handler,
+		MaxBodyBytes: s.Limits.MaxBodyBytes,
+		LameDuck:     lameDuck,
+	})
+	return server
+}
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -59,6 +59,10 @@
 func (h *requestHost) step(events ...exec.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.stepLocked(events...)
+}
+
+func (h *requestHost) stepLocked(events ...exec.Event) {
 	for _, ev := range events {
 		for _, act := range h.core.Step(h.agent.clock(), ev) {
 			h.apply(act)
@@ -97,7 +101,7 @@
 		x.reply = &reply
 		h.mu.Unlock()
 	}
-	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail})
+	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: int64(len(reply.Body))})
 }
 
 func callOutcome(reply platform.MinionReply, err error) (api.Outcome, string) {
@@ -146,7 +150,9 @@
 
 func (h *requestHost) execute(entry string, x *rpc.Execute) {
 	ref := exec.Ref{ID: x.RequestId, Attempt: x.Attempt}
+	allowed := h.agent.allowed()
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.bodies[ref] == nil {
 		h.bodies[ref] = &execution{request: platform.MinionRequest{
 			RequestID:   x.RequestId,
@@ -155,8 +161,7 @@
 			Body:        x.Body,
 		}}
 	}
-	h.mu.Unlock()
-	h.step(exec.Permission{Allowed: h.agent.allowed()}, exec.Execute{
+	h.stepLocked(exec.Permission{Allowed: allowed}, exec.Execute{
 		Entry:       entry,
 		Ref:         ref,
 		Incarnation: x.Incarnation,
@@ -166,6 +171,9 @@
 		Idempotent:  x.Idempotent,
 		Corrupt:     !rpc.Intact(x.Body, x.Length, x.Digest),
 	})
+	if !h.core.Known(ref) {
+		delete(h.bodies, ref)
+	}
 }
 
 func (h *requestHost) tick(allowed bool) {
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	core    *groups.Core
 	started map[string]int // task id to the number of lists in a row that lack it
+	adopted bool           // the worker's tasks at the agent's start were taken in
 	ops     opQueue
 }
 
@@ -56,8 +57,7 @@
 	switch act := act.(type) {
 	case groups.StartTask:
 		metrics.GetOrRegisterCounter("tasks.started", h.agent.registry).Inc(1)
-		decided := h.agent.clock()
-		h.ops.push(func() { h.startTask(act.Task, decided) })
+		h.ops.push(func() { h.startTask(act) })
 	case groups.StopTask:
 		h.ops.push(func() { h.endTask(act.ID, h.worker.Stop) })
 	case groups.CheckpointTask:
@@ -70,9 +70,12 @@
 	}
 }
 
-func (h *taskHost) startTask(task platform.Task, decided time.Duration) {
-	if h.agent.clock()-decided > workerCallTimeout {
-		h.step(groups.TaskLost{ID: task.ID, Detail: "agent was paused before the start"})
+// startTask checks once more that the start is still permitted, since the
+// process may have been paused after the decision.
+func (h *taskHost) startTask(act groups.StartTask) {
+	task := act.Task
+	if h.agent.clock() > act.StartBy {
+		h.step(groups.TaskLost{ID: task.ID, Detail: "agent was paused before the start", NotSent: true})
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
@@ -99,9 +102,13 @@
 }
 
 func (h *taskHost) renew(act groups.RenewTasks) {
+	lease := act.By - h.agent.clock()
+	if lease <= 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
-	if err := h.worker.Renew(ctx, act.IDs, act.Lease.Milliseconds()); err != nil {
+	if err := h.worker.Renew(ctx, act.IDs, lease.Milliseconds()); err != nil {
 		metrics.GetOrRegisterCounter("tasks.renew_failed", h.agent.registry).Inc(1)
 	}
 }
@@ -112,6 +119,9 @@
 	if err != nil {
 		return err
 	}
+	if h.adopt(list) {
+		return nil
+	}
 	listed := map[string]bool{}
 	for _, status := range list {
 		listed[status.ID] = true
@@ -123,6 +133,25 @@
 	return nil
 }
 
+// adopt takes in the tasks that the worker had when the agent started. It
+// returns false once that has been done.
+func (h *taskHost) adopt(list []platform.TaskStatus) bool {
+	h.mu.Lock()
+	if h.adopted {
+		h.mu.Unlock()
+		return false
+	}
+	h.adopted = true
+	for _, status := range list {
+		if status.State == platform.TaskRunning {
+			h.started[status.ID] = 0
+		}
+	}
+	h.mu.Unlock()
+	h.step(groups.Adopt{Tasks: list})
+	return true
+}
+
 func (h *taskHost) missing(listed map[string]bool) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/entry/node/ownership.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched"
+)
+
+// Ownership gives the scheduler its standing as owner of the cell.
+type Ownership struct {
+	Owner *owner.Service
+	Clock func() time.Duration
+}
+
+// Authority returns the present standing and how long from now the earlier
+// owner's permissions may still be in use.
+func (o Ownership) Authority() (sched.Authority, time.Duration) {
+	a := o.Owner.Current()
+	wait := max(0, a.StartAfter-o.Clock())
+	return sched.Authority{Owner: a.Owner, Epoch: a.Epoch, StoreDown: a.StoreDown}, wait
+}
