--- /dev/null
+++ b/internal/sched/claim.go
@@ -0,0 +1,260 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
+)
+
+const (
+	// urgentGrace is the time for a checkpoint when urgent work waits.
+	urgentGrace = time.Second
+	// claimTimeout is how long a gang waits for its victims to end.
+	claimTimeout = 30 * time.Second
+	// maxEvictionPlans bounds how many places are compared for an eviction.
+	maxEvictionPlans = 64
+)
+
+// claim is a place for a gang and the preemptible work that has to end for it.
+type claim struct {
+	res     *reservation // nil outside of guarantees
+	parts   []placement.Part
+	victims []*job
+	loss    time.Duration
+}
+
+// plan finds the victims that open the parts for a job with the least work
+// lost. Those that have run for less than minRun are spared.
+func (c *Core) plan(j *job, parts []placement.Part, minRun time.Duration) (claim, bool) {
+	cl := claim{parts: parts}
+	var candidates []*job
+	for _, p := range parts {
+		w := c.workers[p.Worker.Name]
+		if j.perTask.Times(p.Tasks).Fits(c.opening(w, nil)) {
+			continue
+		}
+		for _, g := range w.groups {
+			if c.isVictim(g, minRun) && !slices.Contains(candidates, g.job) {
+				candidates = append(candidates, g.job)
+			}
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.loss(c.now), b.loss(c.now)), cmp.Compare(a.id(), b.id()))
+	})
+	for _, v := range candidates {
+		if c.opens(j, &cl) {
+			break
+		}
+		if c.helps(j, v, &cl) {
+			cl.victims = append(cl.victims, v)
+		}
+	}
+	if !c.opens(j, &cl) {
+		return claim{}, false
+	}
+	c.spare(j, &cl)
+	for _, v := range cl.victims {
+		cl.loss += v.loss(c.now)
+	}
+	return cl, true
+}
+
+func (c *Core) isVictim(g *group, minRun time.Duration) bool {
+	j := g.job
+	if g.ending || g.detached || !j.preemptible() {
+		return false
+	}
+	switch j.phase {
+	case phaseHolding:
+		return true
+	case phaseSaving:
+		return !j.aborted
+	case phaseRunning:
+		return c.now-j.startedAt >= minRun
+	}
+	return false
+}
+
+// opening is the capacity of a worker that is free, or will be once the groups
+// that are ending and the victims have ended.
+func (c *Core) opening(w *worker, victims []*job) api.Resources {
+	open := w.FreeNow().Sub(w.Earmarked)
+	for _, g := range w.groups {
+		victim := !g.detached && slices.Contains(victims, g.job)
+		if g.ending || victim {
+			open = open.Add(g.amount)
+		}
+	}
+	return open
+}
+
+func (c *Core) opens(j *job, cl *claim) bool {
+	for _, p := range cl.parts {
+		if !j.perTask.Times(p.Tasks).Fits(c.opening(c.workers[p.Worker.Name], cl.victims)) {
+			return false
+		}
+	}
+	return true
+}
+
+// helps reports whether a victim frees capacity on a worker that still lacks it.
+func (c *Core) helps(j, victim *job, cl *claim) bool {
+	for _, p := range cl.parts {
+		w := c.workers[p.Worker.Name]
+		if j.perTask.Times(p.Tasks).Fits(c.opening(w, cl.victims)) {
+			continue
+		}
+		for _, g := range victim.groups {
+			if g.worker == w && g.live() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// spare drops victims that are not needed, those with the largest loss first.
+func (c *Core) spare(j *job, cl *claim) {
+	for i := len(cl.victims) - 1; i >= 0; i-- {
+		fewer := claim{parts: cl.parts, victims: slices.Delete(slices.Clone(cl.victims), i, i+1)}
+		if c.opens(j, &fewer) {
+			cl.victims = fewer.victims
+		}
+	}
+}
+
+// claim sets the place aside for the job and stops the victims. The job goes on
+// when all of the place is free.
+func (c *Core) claim(j *job, cl claim, graceTime time.Duration) {
+	c.dropWaiting(j)
+	j.reserved = cl.res
+	c.takeParts(j, cl, !c.lent(j) && cl.res == nil, groupClaimed)
+	j.phase = phaseClaiming
+	for _, g := range j.groups {
+		g.worker.claims = append(g.worker.claims, j)
+	}
+	for _, v := range cl.victims {
+		c.notice(v, "", ReasonReclaim, j.id())
+		c.preempt(v, min(graceTime, grace(v)), ReasonReclaim)
+	}
+	attempt := j.attempt
+	c.after(claimTimeout, func() {
+		if j.phase == phaseClaiming && j.attempt == attempt {
+			c.dropClaim(j)
+			c.backoff(j)
+		}
+	})
+	c.claimReady(j)
+}
+
+// preempt ends an attempt, whatever it has come to, for another one later.
+func (c *Core) preempt(j *job, graceTime time.Duration, why Reason) {
+	switch j.phase {
+	case phaseClaiming:
+		c.dropClaim(j)
+		c.enqueue(j)
+	case phaseHolding:
+		c.abandonHolds(j, string(why))
+		c.enqueue(j)
+	case phaseSaving:
+		c.abortSaving(j, string(why))
+	case phaseRunning:
+		c.end(j, graceTime, why)
+	}
+}
+
+// claimsProgress lets the claims on a worker go on after capacity became free.
+func (c *Core) claimsProgress(w *worker) {
+	for _, j := range slices.Clone(w.claims) {
+		if j.phase == phaseClaiming {
+			c.claimReady(j)
+		}
+	}
+}
+
+func (c *Core) claimReady(j *job) {
+	for _, g := range j.groups {
+		if !g.amount.Fits(g.worker.FreeNow()) {
+			return
+		}
+	}
+	c.forgetClaim(j)
+	for _, g := range j.groups {
+		c.update(g.worker, func(f *fleet.Worker) {
+			f.Earmarked = f.Earmarked.Sub(g.amount)
+			f.Used = f.Used.Add(g.amount)
+		})
+	}
+	c.hold(j)
+}
+
+func (c *Core) forgetClaim(j *job) {
+	for _, g := range j.groups {
+		w := g.worker
+		w.claims = slices.DeleteFunc(w.claims, func(o *job) bool { return o == j })
+	}
+}
+
+// dropClaim gives the place of a job up before anything was held.
+func (c *Core) dropClaim(j *job) {
+	c.forgetClaim(j)
+	groups := j.groups
+	j.groups = nil
+	j.reserved = nil
+	j.lost = 0
+	for _, g := range groups {
+		g.detached = true
+		c.gone(g, groupGone)
+	}
+}
+
+func (c *Core) dropClaimsOn(w *worker) {
+	for _, j := range slices.Clone(w.claims) {
+		if j.phase == phaseClaiming {
+			c.dropClaim(j)
+			c.enqueue(j)
+		}
+	}
+}
+
+func (c *Core) dropClaimsIn(s *share) {
+	for _, g := range slices.Clone(s.worker.groups) {
+		if g.share == s && g.job.phase == phaseClaiming && !g.detached {
+			c.dropClaim(g.job)
+			c.enqueue(g.job)
+		}
+	}
+}
+
+// claimGrace is the time that victims of a job get for their checkpoints.
+func (c *Core) claimGrace(j *job) time.Duration {
+	if c.config.Profiles[j.rec.Job.Profile].Urgent {
+		return urgentGrace
+	}
+	return CheckpointGrace
+}
+
+// tryEvict starts a job where preemptible work outside of reservations makes
+// room with the least loss.
+func (c *Core) tryEvict(j *job, graceTime time.Duration) bool {
+	var best claim
+	found := false
+	plans := 0
+	placement.Each(c.fleet, c.request(j, fleet.Evictable), func(parts []placement.Part) bool {
+		cl, ok := c.plan(j, parts, 0)
+		if ok && (!found || cl.loss < best.loss) {
+			best, found = cl, true
+		}
+		plans++
+		return plans < maxEvictionPlans && !(found && best.loss == 0)
+	})
+	if found {
+		c.claim(j, best, graceTime)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/sched/dump.go
@@ -0,0 +1,92 @@
+package sched
+
+import (
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+// Dump is the state of the core for operators.
+type Dump struct {
+	Now      string            `json:"now"`
+	Version  uint64            `json:"config_version"`
+	Epoch    uint64            `json:"epoch"`
+	Owner    bool              `json:"owner"`
+	Draining bool              `json:"draining"`
+	Queued   int               `json:"queued"`
+	Missing  int               `json:"guarantees_without_place"`
+	Workers  []WorkerDump      `json:"workers"`
+	Jobs     []JobDump         `json:"jobs"`
+	Places   []ReservationDump `json:"reservations"`
+	Reasons  map[Reason]int    `json:"reasons"`
+}
+
+// WorkerDump is the state of one worker.
+type WorkerDump struct {
+	Name        string        `json:"name"`
+	Zone        string        `json:"zone"`
+	Rack        string        `json:"rack"`
+	InService   bool          `json:"in_service"`
+	Quarantined bool          `json:"quarantined,omitempty"`
+	Capacity    api.Resources `json:"capacity"`
+	Used        api.Resources `json:"used"`
+	Reserved    api.Resources `json:"reserved"`
+	Groups      int           `json:"groups"`
+}
+
+// JobDump is the state of one job.
+type JobDump struct {
+	ID      string          `json:"id"`
+	Profile string          `json:"profile"`
+	Phase   string          `json:"phase"`
+	Attempt uint32          `json:"attempt"`
+	Workers []api.Placement `json:"workers,omitempty"`
+}
+
+// ReservationDump is capacity that is kept for a guarantee or a waiting gang.
+type ReservationDump struct {
+	Profile string   `json:"profile,omitempty"`
+	Job     string   `json:"job,omitempty"`
+	Workers []string `json:"workers"`
+	Used    bool     `json:"used"`
+}
+
+// Dump returns the state of the core.
+func (c *Core) Dump() any {
+	d := Dump{
+		Now: c.now.String(), Epoch: c.authority.Epoch, Owner: c.authority.Owner,
+		Draining: c.draining, Queued: c.queue.size, Missing: c.missing, Reasons: map[Reason]int{},
+	}
+	if c.config != nil {
+		d.Version = c.config.Version
+	}
+	for _, w := range c.ordered {
+		d.Workers = append(d.Workers, WorkerDump{
+			Name: w.Name, Zone: w.Zone, Rack: w.Rack.Name, InService: w.InService(), Quarantined: w.Quarantined,
+			Capacity: w.Capacity, Used: w.Used, Reserved: w.Reserved, Groups: len(w.groups),
+		})
+	}
+	for _, id := range sortedKeys(c.jobs) {
+		j := c.jobs[id]
+		d.Jobs = append(d.Jobs, JobDump{id, j.rec.Job.Profile, string(j.phase), j.attempt, placements(j)})
+	}
+	for _, r := range c.slots {
+		d.Places = append(d.Places, r.dump())
+	}
+	for _, r := range c.waiting {
+		d.Places = append(d.Places, r.dump())
+	}
+	for why, n := range c.counts {
+		d.Reasons[why] = n
+	}
+	return d
+}
+
+func (r *reservation) dump() ReservationDump {
+	d := ReservationDump{Profile: r.profile, Used: !r.unused()}
+	if r.job != nil {
+		d.Job = r.job.id()
+	}
+	for _, s := range r.shares {
+		d.Workers = append(d.Workers, s.worker.Name)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/sched/fleet/fleet.go
@@ -0,0 +1,362 @@
+// Package fleet holds the capacity of the workers of one cell, in racks and
+// zones, with indexes by free capacity. It decides nothing.
+package fleet
+
+import (
+	"container/list"
+
+	"github.com/google/btree"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+// btreeDegree is the node size of the indexes.
+const btreeDegree = 16
+
+// View selects which part of a worker's capacity a request may use.
+type View int
+
+// The views.
+const (
+	// Free is capacity that nothing uses, also inside reservations.
+	Free View = iota
+	// Firm is free capacity outside of reservations.
+	Firm
+	// Evictable is capacity outside of reservations that is free or used by
+	// preemptible work.
+	Evictable
+	// Whole is the capacity of the empty worker, whether it is in service or not.
+	Whole
+	viewCount
+)
+
+// Worker is the capacity of one worker. Its fields are changed through Fleet.Update.
+type Worker struct {
+	Name     string
+	Zone     string
+	Rack     *Rack
+	Capacity api.Resources
+	// Used is taken by groups, whether held, running or not yet confirmed as ended.
+	Used api.Resources
+	// Firm is the part of Used by work that must not be preempted and that
+	// runs outside of reservations.
+	Firm api.Resources
+	// Reserved belongs to guarantees and to reservations of waiting gangs.
+	Reserved api.Resources
+	// Earmarked is free, or about to be, and waits for a chosen gang.
+	Earmarked api.Resources
+
+	Linked      bool
+	Healthy     bool
+	Leaving     bool
+	Quarantined bool
+	// Probation admits one group of idempotent work, as a probe.
+	Probation bool
+	// Paused keeps a worker that refused a hold, or did not answer one, from
+	// being chosen again at once.
+	Paused bool
+	// ZoneOut says that operators have taken the worker's zone out.
+	ZoneOut bool
+	// Stepping says that the worker's zone returns by steps and that the
+	// worker is not yet open for work outside of guarantees.
+	Stepping bool
+
+	avail   [viewCount]api.Resources
+	indexed bool
+}
+
+// Rack is a set of adjacent workers in one zone.
+type Rack struct {
+	Name    string
+	Zone    string
+	Workers []*Worker
+	// Gen is the generation at which the rack last gained capacity.
+	Gen uint64
+	// Total sums the available capacity of the rack's workers, by view.
+	Total [viewCount]api.Resources
+
+	recent  *list.Element
+	indexed bool
+	key     api.Resources
+}
+
+// Fleet is all workers of a cell.
+type Fleet struct {
+	workers map[string]*Worker
+	racks   map[string]*Rack
+	zones   []string
+	zoneOf  map[string][]*Rack
+	ordered []*Worker
+	gen     uint64
+	recent  *list.List
+	byFree  *btree.BTreeG[*Worker]
+	byRack  *btree.BTreeG[*Rack]
+	service api.Resources
+}
+
+// New returns a fleet without workers.
+func New() *Fleet {
+	return &Fleet{
+		workers: map[string]*Worker{},
+		racks:   map[string]*Rack{},
+		zoneOf:  map[string][]*Rack{},
+		recent:  list.New(),
+		byFree:  btree.NewG(btreeDegree, lessWorker),
+		byRack:  btree.NewG(btreeDegree, lessRack),
+	}
+}
+
+func lessWorker(a, b *Worker) bool {
+	x, y := a.avail[Free], b.avail[Free]
+	if x.Accelerators != y.Accelerators {
+		return x.Accelerators < y.Accelerators
+	}
+	if x.MilliCPU != y.MilliCPU {
+		return x.MilliCPU < y.MilliCPU
+	}
+	return a.Name < b.Name
+}
+
+func lessRack(a, b *Rack) bool {
+	if a.key.Accelerators != b.key.Accelerators {
+		return a.key.Accelerators < b.key.Accelerators
+	}
+	if a.key.MilliCPU != b.key.MilliCPU {
+		return a.key.MilliCPU < b.key.MilliCPU
+	}
+	return a.Name < b.Name
+}
+
+// Gen is the generation of the last gain of capacity anywhere.
+func (f *Fleet) Gen() uint64 { return f.gen }
+
+// Service is the capacity of all workers in service.
+func (f *Fleet) Service() api.Resources { return f.service }
+
+// Workers returns all workers in order of their first announcement.
+func (f *Fleet) Workers() []*Worker { return f.ordered }
+
+// Zones returns the names of the zones, sorted.
+func (f *Fleet) Zones() []string { return f.zones }
+
+// Racks returns the racks of a zone in order of their first announcement.
+func (f *Fleet) Racks(zone string) []*Rack { return f.zoneOf[zone] }
+
+// Worker returns the named worker, or nil.
+func (f *Fleet) Worker(name string) *Worker { return f.workers[name] }
+
+// Add adds a worker without capacity; the caller sets the rest by Update. A
+// worker that is known already moves to the given rack if it changed.
+func (f *Fleet) Add(name, zone, rack string) *Worker {
+	w := f.workers[name]
+	if w == nil {
+		w = &Worker{Name: name, Healthy: true}
+		f.workers[name] = w
+		f.ordered = append(f.ordered, w)
+	}
+	if w.Rack != nil && w.Rack.Name == rackName(zone, rack) {
+		return w
+	}
+	f.detach(w)
+	w.Zone = zone
+	w.Rack = f.rack(zone, rack)
+	w.Rack.Workers = append(w.Rack.Workers, w)
+	return w
+}
+
+func rackName(zone, rack string) string { return zone + "/" + rack }
+
+func (f *Fleet) rack(zone, rack string) *Rack {
+	name := rackName(zone, rack)
+	r := f.racks[name]
+	if r != nil {
+		return r
+	}
+	r = &Rack{Name: name, Zone: zone}
+	r.recent = f.recent.PushBack(r)
+	f.racks[name] = r
+	if f.zoneOf[zone] == nil {
+		f.zones = insertSorted(f.zones, zone)
+	}
+	f.zoneOf[zone] = append(f.zoneOf[zone], r)
+	return r
+}
+
+func insertSorted(names []string, name string) []string {
+	i := 0
+	for i < len(names) && names[i] < name {
+		i++
+	}
+	names = append(names, "")
+	copy(names[i+1:], names[i:])
+	names[i] = name
+	return names
+}
+
+func (f *Fleet) detach(w *Worker) {
+	if w.Rack == nil {
+		return
+	}
+	old := w.Rack
+	f.unindex(w)
+	f.reindexRack(old, func() {
+		for v := range viewCount {
+			old.Total[v] = old.Total[v].Sub(w.avail[v])
+		}
+	})
+	w.avail = [viewCount]api.Resources{}
+	for i, o := range old.Workers {
+		if o == w {
+			old.Workers = append(old.Workers[:i], old.Workers[i+1:]...)
+			break
+		}
+	}
+}
+
+// Update applies change to a worker and brings the indexes up to date.
+func (f *Fleet) Update(w *Worker, change func(*Worker)) {
+	f.unindex(w)
+	before := w.avail
+	if w.InService() {
+		f.service = f.service.Sub(w.Capacity)
+	}
+	change(w)
+	if w.InService() {
+		f.service = f.service.Add(w.Capacity)
+	}
+	for v := range viewCount {
+		w.avail[v] = w.available(v)
+	}
+	f.reindexRack(w.Rack, func() {
+		for v := range viewCount {
+			w.Rack.Total[v] = w.Rack.Total[v].Add(w.avail[v]).Sub(before[v])
+		}
+	})
+	if w.Open() {
+		f.byFree.ReplaceOrInsert(w)
+		w.indexed = true
+	}
+	if gained(before, w.avail) {
+		f.gen++
+		w.Rack.Gen = f.gen
+		f.recent.MoveToFront(w.Rack.recent)
+	}
+}
+
+func gained(before, after [viewCount]api.Resources) bool {
+	for v := range viewCount {
+		if !after[v].Fits(before[v]) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) unindex(w *Worker) {
+	if w.indexed {
+		f.byFree.Delete(w)
+		w.indexed = false
+	}
+}
+
+func (f *Fleet) reindexRack(r *Rack, change func()) {
+	if r.indexed {
+		f.byRack.Delete(r)
+	}
+	change()
+	r.key = r.Total[Free]
+	f.byRack.ReplaceOrInsert(r)
+	r.indexed = true
+}
+
+// InService reports whether the worker may run work at all.
+func (w *Worker) InService() bool {
+	return w.Linked && w.Healthy && !w.Leaving && !w.Quarantined && !w.ZoneOut
+}
+
+// Open reports whether the worker may be given work outside of guarantees.
+func (w *Worker) Open() bool {
+	if !w.InService() || w.Stepping || w.Paused {
+		return false
+	}
+	return !w.Probation || w.Used == (api.Resources{})
+}
+
+// Avail returns what a view offers on the worker.
+func (w *Worker) Avail(v View) api.Resources { return w.avail[v] }
+
+// FreeNow is the capacity that no group uses.
+func (w *Worker) FreeNow() api.Resources { return w.Capacity.Sub(w.Used) }
+
+func (w *Worker) available(v View) api.Resources {
+	switch v {
+	case Whole:
+		return w.Capacity
+	case Evictable:
+		if !w.InService() || w.Probation {
+			return api.Resources{}
+		}
+		return positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm))
+	}
+	if !w.Open() {
+		return api.Resources{}
+	}
+	free := positive(w.FreeNow().Sub(w.Earmarked))
+	if v == Free {
+		return free
+	}
+	return least(free, positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm)))
+}
+
+func positive(r api.Resources) api.Resources {
+	return api.Resources{
+		Accelerators: max(r.Accelerators, 0),
+		MilliCPU:     max(r.MilliCPU, 0),
+		MemoryMB:     max(r.MemoryMB, 0),
+	}
+}
+
+func least(a, b api.Resources) api.Resources {
+	return api.Resources{
+		Accelerators: min(a.Accelerators, b.Accelerators),
+		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+	}
+}
+
+// BestFit visits the open workers with at least the free accelerators and CPU
+// of need, from the tightest fit on, until visit returns false.
+func (f *Fleet) BestFit(need api.Resources, visit func(*Worker) bool) {
+	last, ok := f.byFree.Max()
+	if !ok {
+		return
+	}
+	more := true
+	for a := need.Accelerators; more && a <= last.avail[Free].Accelerators; a++ {
+		from := &Worker{}
+		from.avail[Free] = api.Resources{Accelerators: a, MilliCPU: need.MilliCPU}
+		to := &Worker{}
+		to.avail[Free] = api.Resources{Accelerators: a + 1}
+		f.byFree.AscendRange(from, to, func(w *Worker) bool {
+			more = visit(w)
+			return more
+		})
+	}
+}
+
+// RacksByFree visits the racks with at least the free accelerators of need,
+// from the tightest on, until visit returns false.
+func (f *Fleet) RacksByFree(need api.Resources, visit func(*Rack) bool) {
+	from := &Rack{key: api.Resources{Accelerators: need.Accelerators}}
+	f.byRack.AscendGreaterOrEqual(from, visit)
+}
+
+// RacksSince visits the racks that gained capacity after the generation.
+func (f *Fleet) RacksSince(gen uint64, visit func(*Rack) bool) {
+	for e := f.recent.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*Rack)
+		if r.Gen <= gen || !visit(r) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/health.go
@@ -0,0 +1,100 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+)
+
+const (
+	// strikeWindow is how long a failure counts against a worker.
+	strikeWindow = 30 * time.Minute
+	// quarantineJobs is how many jobs must fail on a worker for its quarantine.
+	quarantineJobs = 3
+	probeAfter     = time.Minute
+	probeAfterMax  = time.Hour
+)
+
+// strike is the failure of one job on a worker.
+type strike struct {
+	jobID string
+	at    time.Duration
+}
+
+// strike counts a failure against a worker; several jobs put it in quarantine.
+func (c *Core) strike(w *worker, j *job, workerFault bool) {
+	if w.Quarantined {
+		return
+	}
+	var recent []strike
+	for _, s := range w.strikes {
+		if s.jobID != j.id() && s.at > c.now-strikeWindow {
+			recent = append(recent, s)
+		}
+	}
+	w.strikes = append(recent, strike{j.id(), c.now})
+	if len(w.strikes) >= quarantineJobs || (w.Probation && workerFault) {
+		c.quarantine(w)
+	}
+}
+
+// quarantine keeps work from a worker. The failures there do not count against
+// the jobs.
+func (c *Core) quarantine(w *worker) {
+	c.notice(nil, w.Name, ReasonQuarantine, "")
+	for _, s := range w.strikes {
+		if j := c.jobs[s.jobID]; j != nil {
+			j.failedOn = without(j.failedOn, w.Name)
+		}
+	}
+	w.strikes = nil
+	c.update(w, func(f *fleet.Worker) {
+		f.Quarantined = true
+		f.Probation = false
+	})
+	c.slotsDirty = true
+	c.dropClaimsOn(w)
+	wait := min(probeAfter<<min(w.probes, 6), probeAfterMax)
+	w.probes++
+	c.after(wait, func() {
+		c.update(w, func(f *fleet.Worker) {
+			f.Quarantined = false
+			f.Probation = true
+		})
+	})
+}
+
+func (c *Core) workerSucceeded(w *worker) {
+	w.strikes = nil
+	if !w.Probation {
+		return
+	}
+	w.probes = 0
+	c.slotsDirty = true
+	c.update(w, func(f *fleet.Worker) { f.Probation = false })
+}
+
+// clearStrikes takes back what a job that fails everywhere has done to the
+// standing of workers.
+func (c *Core) clearStrikes(j *job) {
+	for _, name := range j.avoid {
+		w := c.workers[name]
+		var rest []strike
+		for _, s := range w.strikes {
+			if s.jobID != j.id() {
+				rest = append(rest, s)
+			}
+		}
+		w.strikes = rest
+	}
+}
+
+func without(list []string, s string) []string {
+	var out []string
+	for _, o := range list {
+		if o != s {
+			out = append(out, o)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/job.go
@@ -0,0 +1,195 @@
+package sched
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+// phase is where a job stands on its way to the final answer.
+type phase string
+
+const (
+	phaseQueued   phase = "queued"
+	phaseBackoff  phase = "backoff"
+	phaseClaiming phase = "claiming" // victims are being stopped
+	phaseHolding  phase = "holding"
+	phaseSaving   phase = "saving" // the attempt's row is being written
+	phaseRunning  phase = "running"
+	phaseEnding   phase = "ending"    // stops are sent, not all are confirmed
+	phaseRequeue  phase = "requeuing" // the queued row is being written
+	phaseFinal    phase = "final"     // the final row is being written
+)
+
+type job struct {
+	rec     api.JobRecord
+	phase   phase
+	class   *class
+	account *account
+	// attempt is the highest attempt number seen.
+	attempt uint32
+	groups  []*group
+	// lost counts live groups whose worker's link is down.
+	lost int
+	// adopting is true until all members of a taken over attempt have reported.
+	adopting bool
+	// started says that a start of the current attempt may have happened.
+	started bool
+	// everStarted says so of any attempt.
+	everStarted bool
+	// aborted says that the attempt ended while its row was being written.
+	aborted bool
+	// verdict is the outcome after the attempt has ended; empty to try again.
+	verdict       api.Outcome
+	verdictDetail string
+
+	perTask    api.Resources // declared or learned
+	moves      Reason        // why the current attempt is being ended for another one
+	firm       bool
+	reserved   *reservation // the reservation that the attempt uses
+	waiting    *reservation // the reservation made for the waiting gang
+	queuedAt   time.Duration
+	startedAt  time.Duration
+	ranFor     time.Duration
+	holdFails  int
+	failedOn   []string
+	avoid      []string
+	deadlineOn bool
+	moving     bool // waits to leave a zone that is out or a worker that leaves
+}
+
+type groupState string
+
+const (
+	groupClaimed  groupState = "claimed"
+	groupHolding  groupState = "holding"
+	groupHeld     groupState = "held"
+	groupStarting groupState = "starting"
+	groupRunning  groupState = "running"
+	groupUnknown  groupState = "unknown" // taken over, not reported yet
+	groupDone     groupState = "done"
+	groupGone     groupState = "gone"
+)
+
+// group is the tasks of one attempt on one worker.
+type group struct {
+	job       *job
+	account   *account
+	attempt   uint32
+	worker    *worker
+	firstTask int
+	tasks     int
+	amount    api.Resources
+	state     groupState
+	// ending is set once a Stop is sent; detached once the job has left the attempt.
+	ending   bool
+	detached bool
+	firm     bool
+	share    *share
+
+	leaseUntil time.Duration
+	progress   time.Duration
+	saved      time.Duration // progress at the last checkpoint
+	outgrown   int           // reports in a row above the declared size
+	result     json.RawMessage
+}
+
+func (g *group) live() bool { return g.state != groupDone && g.state != groupGone }
+
+func (j *job) id() string { return j.rec.Job.ID }
+
+func (j *job) gang() api.Shape {
+	shape := j.rec.Job.Gang
+	shape.PerTask = j.perTask
+	return shape
+}
+
+func (j *job) total() api.Resources { return j.perTask.Times(j.rec.Job.Gang.Tasks) }
+
+func (j *job) all(state groupState) bool {
+	for _, g := range j.groups {
+		if g.state != state {
+			return false
+		}
+	}
+	return len(j.groups) > 0
+}
+
+func (j *job) anyLive() bool {
+	return slices.ContainsFunc(j.groups, (*group).live)
+}
+
+// movable reports whether the job may be stopped and run again elsewhere.
+func (j *job) movable() bool { return j.rec.Job.Idempotent }
+
+// preemptible reports whether the job runs on lent capacity.
+func (j *job) preemptible() bool { return !j.firm && j.reserved == nil && j.movable() }
+
+// loss is the work in accelerator time that stopping the job now would lose.
+func (j *job) loss(now time.Duration) time.Duration {
+	if !j.started {
+		return 0
+	}
+	var sum time.Duration
+	weight := time.Duration(max(1, j.perTask.Accelerators))
+	for _, g := range j.groups {
+		part := now - j.startedAt - g.saved
+		if j.rec.Job.Checkpointable {
+			part = min(part, CheckpointGrace)
+		}
+		sum += max(part, 0) * weight * time.Duration(g.tasks)
+	}
+	return sum
+}
+
+// checkpointRange is the key of a group in JobRecord.Checkpoints: its first
+// task and the number of tasks.
+func checkpointRange(first, tasks int) string {
+	return strconv.Itoa(first) + "+" + strconv.Itoa(tasks)
+}
+
+func parseRange(key string) (first, tasks int, ok bool) {
+	a, b, found := strings.Cut(key, "+")
+	first, errA := strconv.Atoi(a)
+	tasks, errB := strconv.Atoi(b)
+	return first, tasks, found && errA == nil && errB == nil
+}
+
+// setCheckpoint keeps the newest checkpoint of each range of tasks.
+func (j *job) setCheckpoint(first, tasks int, key string) {
+	next := map[string]string{}
+	for k, v := range j.rec.Checkpoints {
+		f, n, ok := parseRange(k)
+		inside := ok && f >= first && f+n <= first+tasks
+		if !inside {
+			next[k] = v
+		}
+	}
+	next[checkpointRange(first, tasks)] = key
+	j.rec.Checkpoints = next
+}
+
+// checkpointFor returns the checkpoint of a range of tasks: its own key, or
+// the keys of all ranges that overlap it, separated by spaces.
+func (j *job) checkpointFor(first, tasks int) string {
+	if own, ok := j.rec.Checkpoints[checkpointRange(first, tasks)]; ok {
+		return own
+	}
+	var ranges []string
+	for k := range j.rec.Checkpoints {
+		f, n, ok := parseRange(k)
+		if ok && f < first+tasks && first < f+n {
+			ranges = append(ranges, k)
+		}
+	}
+	slices.Sort(ranges)
+	keys := make([]string, 0, len(ranges))
+	for _, k := range ranges {
+		keys = append(keys, j.rec.Checkpoints[k])
+	}
+	return strings.Join(keys, " ")
+}
--- /dev/null
+++ b/internal/sched/jobs.go
@@ -0,0 +1,202 @@
+package sched
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+// submit takes in a durable job, also one that ran under the previous owner.
+func (c *Core) submit(rec api.JobRecord) {
+	id := rec.Job.ID
+	if old := c.jobs[id]; old != nil {
+		if rec.CancelAsked {
+			c.cancel(id)
+		}
+		return
+	}
+	if rec.State == api.JobFinal {
+		return
+	}
+	j := &job{rec: rec, attempt: rec.Attempt, perTask: rec.Job.Gang.PerTask, queuedAt: c.now}
+	j.everStarted = rec.Attempt > 0
+	c.jobs[id] = j
+	j.account = c.accountOf(j)
+	if rec.State == api.JobRunning {
+		c.adopt(j)
+		return
+	}
+	if rec.CancelAsked {
+		c.finish(j, api.OutcomeCancelled, "cancelled before a start")
+		return
+	}
+	c.enqueue(j)
+}
+
+func (c *Core) enqueue(j *job) {
+	j.phase = phaseQueued
+	c.queue.add(j)
+	c.watchDeadline(j)
+}
+
+// watchDeadline answers a job that is still queued at its deadline.
+func (c *Core) watchDeadline(j *job) {
+	if j.deadlineOn || j.rec.Job.Deadline.IsZero() {
+		return
+	}
+	j.deadlineOn = true
+	c.timers.add(j.rec.Job.Deadline.Sub(c.cfg.TermStart), func() { c.deadline(j) })
+}
+
+func (c *Core) deadline(j *job) {
+	j.deadlineOn = false
+	if j.phase != phaseQueued && j.phase != phaseBackoff && j.phase != phaseClaiming {
+		return
+	}
+	c.notice(j, "", ReasonDeadline, "")
+	if j.everStarted {
+		c.leaveQueue(j)
+		c.finish(j, api.OutcomeFailed, "the deadline passed before the job could run again")
+		return
+	}
+	c.leaveQueue(j)
+	c.finish(j, api.OutcomeNotRun, "the deadline passed before a start")
+}
+
+// leaveQueue takes a job that holds nothing yet out of all waiting structures.
+func (c *Core) leaveQueue(j *job) {
+	if j.phase == phaseClaiming {
+		c.dropClaim(j)
+	}
+	c.queue.remove(j)
+	c.dropWaiting(j)
+}
+
+func (c *Core) cancel(id string) {
+	j := c.jobs[id]
+	if j == nil || j.phase == phaseFinal || j.rec.CancelAsked {
+		return
+	}
+	j.rec.CancelAsked = true
+	c.notice(j, "", ReasonCancelled, "")
+	switch j.phase {
+	case phaseQueued, phaseBackoff, phaseClaiming:
+		c.leaveQueue(j)
+		c.finish(j, api.OutcomeCancelled, "cancelled while queued")
+	case phaseHolding:
+		c.abandonHolds(j, "cancelled")
+		c.finish(j, api.OutcomeCancelled, "cancelled before a start")
+	case phaseSaving:
+		c.abortSaving(j, "cancelled")
+	case phaseRunning:
+		c.end(j, 0, ReasonCancelled)
+	}
+}
+
+// finish writes the one answer of a job.
+func (c *Core) finish(j *job, outcome api.Outcome, detail string) {
+	j.phase = phaseFinal
+	j.rec.State = api.JobFinal
+	j.rec.Outcome = outcome
+	j.rec.Detail = detail
+	j.rec.Finished = c.wall()
+	j.rec.Results = nil
+	if outcome == api.OutcomeDone {
+		j.rec.Results = results(j)
+	}
+	c.learnRun(j)
+	c.emit(Save{j.rec})
+}
+
+func results(j *job) []api.TaskResult {
+	out := make([]api.TaskResult, 0, len(j.groups))
+	for _, g := range j.groups {
+		out = append(out, api.TaskResult{FirstTask: g.firstTask, Tasks: g.tasks, Output: g.result})
+	}
+	return out
+}
+
+// Retries of a row that could not be written, and of an attempt that got no holds.
+const (
+	saveRetry    = time.Second
+	holdRetryMin = 200 * time.Millisecond
+	holdRetryMax = 10 * time.Second
+)
+
+func (c *Core) saved(e Saved) {
+	j := c.jobs[e.JobID]
+	if j == nil {
+		return
+	}
+	switch {
+	case j.phase == phaseFinal && e.State == api.JobFinal:
+		c.savedFinal(j, e.Failed)
+	case j.phase == phaseRequeue && e.State == api.JobQueued:
+		c.savedQueued(j, e.Failed)
+	case j.phase == phaseSaving && e.State == api.JobRunning && e.Attempt == j.attempt:
+		c.savedAttempt(j, e.Failed)
+	}
+}
+
+func (c *Core) savedFinal(j *job, failed bool) {
+	if failed {
+		c.saveAgain(j)
+		return
+	}
+	for _, g := range j.groups {
+		// Lets the agent forget the group; its result is durable.
+		c.emit(Stop{Worker: g.worker.Name, JobID: j.id(), Attempt: g.attempt, Reason: "answered"})
+	}
+	delete(c.jobs, j.id())
+}
+
+func (c *Core) saveAgain(j *job) {
+	want := j.phase
+	c.after(saveRetry, func() {
+		if j.phase == want {
+			c.emit(Save{j.rec})
+		}
+	})
+}
+
+func (c *Core) savedQueued(j *job, failed bool) {
+	if failed {
+		c.saveAgain(j)
+		return
+	}
+	if j.rec.CancelAsked {
+		c.finish(j, api.OutcomeCancelled, fmt.Sprintf("cancelled after %d attempts", j.rec.Attempt))
+		return
+	}
+	c.enqueue(j)
+}
+
+// requeue brings a job back after an attempt whose groups have all ended. The
+// row is written first when it holds something that a takeover must not lose.
+func (c *Core) requeue(j *job) {
+	durable := !j.movable() || len(j.rec.Checkpoints) > 0
+	j.groups = nil
+	j.started = false
+	j.aborted = false
+	j.rec.State = api.JobQueued
+	j.rec.Placements = nil
+	if !durable {
+		c.enqueue(j)
+		return
+	}
+	j.phase = phaseRequeue
+	c.emit(Save{j.rec})
+}
+
+// backoff queues a job again after a while that grows with each failure.
+func (c *Core) backoff(j *job) {
+	j.phase = phaseBackoff
+	wait := min(holdRetryMin<<min(j.holdFails, 8), holdRetryMax)
+	j.holdFails++
+	c.after(wait, func() {
+		if j.phase == phaseBackoff {
+			c.enqueue(j)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"slices"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
+)
+
+// try begins an attempt of a queued job if it has a place. After a failure the
+// job's class waits for a change.
+func (c *Core) try(j *job) bool {
+	p, ok := c.config.Profiles[j.rec.Job.Profile]
+	if !ok {
+		return false
+	}
+	if !withinQuota(j, p) {
+		return false
+	}
+	if c.tryGuaranteed(j) || c.tryWaiting(j) || c.tryFree(j) {
+		return true
+	}
+	return p.Urgent && c.tryEvict(j, urgentGrace)
+}
+
+func withinQuota(j *job, p api.Profile) bool {
+	if p.QuotaAccelerators == 0 {
+		return true
+	}
+	return j.account.used.Accelerators+j.total().Accelerators <= p.QuotaAccelerators
+}
+
+// tryFree uses free capacity: any for preemptible work, that outside of
+// reservations for other work.
+func (c *Core) tryFree(j *job) bool {
+	lent := c.lent(j)
+	q := c.request(j, fleet.Firm)
+	if lent {
+		q.View = fleet.Free
+	}
+	if j.class.failed {
+		q.Since = j.class.since
+	}
+	parts := placement.Find(c.fleet, q)
+	if parts == nil {
+		j.class.since = c.fleet.Gen()
+		return false
+	}
+	c.begin(j, parts, !lent)
+	return true
+}
+
+func (c *Core) request(j *job, v fleet.View) placement.Request {
+	return placement.Request{Gang: j.gang(), View: v, Avoid: c.avoids(j)}
+}
+
+// avoids returns the workers that a job must not use: those on which it has
+// failed and, unless it may run twice, those that need a probe.
+func (c *Core) avoids(j *job) func(*fleet.Worker) bool {
+	return func(w *fleet.Worker) bool {
+		if w.Probation && !j.movable() {
+			return true
+		}
+		return slices.Contains(j.avoid, w.Name)
+	}
+}
--- /dev/null
+++ b/internal/sched/placement/placement.go
@@ -0,0 +1,353 @@
+// Package placement finds room for a whole gang: best fit by worker, then by
+// rack, so that whole workers and racks stay empty.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+)
+
+// Room is what one worker offers to a request.
+type Room struct {
+	Worker *fleet.Worker
+	Avail  api.Resources
+}
+
+// Part is the number of a gang's tasks on one worker.
+type Part struct {
+	Worker *fleet.Worker
+	Tasks  int
+}
+
+// Request asks for room for a gang.
+type Request struct {
+	Gang api.Shape
+	View fleet.View
+	// Since limits the search to racks (and their zones) that gained capacity
+	// after this generation.
+	Since uint64
+	// Avoid excludes workers; nil excludes none.
+	Avoid func(*fleet.Worker) bool
+}
+
+// Find returns the best room for the whole gang, or nil.
+func Find(f *fleet.Fleet, q Request) []Part {
+	if q.Gang.Tasks == 1 {
+		q.Gang.Adjacency = api.AdjacentWorker
+	}
+	switch q.Gang.Adjacency {
+	case api.AdjacentWorker:
+		return findWorker(f, q)
+	case api.AdjacentRack:
+		return findRack(f, q)
+	}
+	return findZone(f, q)
+}
+
+func (q *Request) room(w *fleet.Worker) api.Resources {
+	if q.Avoid != nil && q.Avoid(w) {
+		return api.Resources{}
+	}
+	return w.Avail(q.View)
+}
+
+// indexed reports whether the indexes by free capacity bound the view.
+func (q *Request) indexed() bool { return q.View == fleet.Free || q.View == fleet.Firm }
+
+func findWorker(f *fleet.Fleet, q Request) []Part {
+	need := q.Gang.PerTask.Times(q.Gang.Tasks)
+	var best *fleet.Worker
+	if q.Since == 0 && q.indexed() {
+		f.BestFit(need, func(w *fleet.Worker) bool {
+			if need.Fits(q.room(w)) {
+				best = w
+			}
+			return best == nil
+		})
+		return whole(best, q.Gang.Tasks)
+	}
+	eachRack(f, q, need, func(r *fleet.Rack) bool {
+		for _, w := range r.Workers {
+			if need.Fits(q.room(w)) && (best == nil || tighter(w, best, q.View)) {
+				best = w
+			}
+		}
+		return true
+	})
+	return whole(best, q.Gang.Tasks)
+}
+
+func whole(w *fleet.Worker, tasks int) []Part {
+	if w == nil {
+		return nil
+	}
+	return []Part{{Worker: w, Tasks: tasks}}
+}
+
+func tighter(a, b *fleet.Worker, v fleet.View) bool {
+	x, y := a.Avail(v), b.Avail(v)
+	return cmp.Or(
+		cmp.Compare(x.Accelerators, y.Accelerators),
+		cmp.Compare(x.MilliCPU, y.MilliCPU),
+		cmp.Compare(a.Name, b.Name)) < 0
+}
+
+// eachRack visits the racks whose total could hold need, changed ones only if
+// the request says so.
+func eachRack(f *fleet.Fleet, q Request, need api.Resources, visit func(*fleet.Rack) bool) {
+	filtered := func(r *fleet.Rack) bool {
+		if !need.Fits(r.Total[q.View]) {
+			return true
+		}
+		return visit(r)
+	}
+	if q.Since > 0 {
+		f.RacksSince(q.Since, filtered)
+		return
+	}
+	if q.indexed() {
+		f.RacksByFree(need, filtered)
+		return
+	}
+	for _, z := range f.Zones() {
+		for _, r := range f.Racks(z) {
+			if !filtered(r) {
+				return
+			}
+		}
+	}
+}
+
+func findRack(f *fleet.Fleet, q Request) []Part {
+	need := q.Gang.PerTask.Times(q.Gang.Tasks)
+	var best []Part
+	var bestRack *fleet.Rack
+	eachRack(f, q, need, func(r *fleet.Rack) bool {
+		if bestRack != nil && !fullerRack(r, bestRack, q.View) {
+			return true
+		}
+		parts := Pack(rooms(r.Workers, &q), q.Gang)
+		if parts != nil {
+			best, bestRack = parts, r
+		}
+		// The index visits racks from the tightest fit on.
+		return best == nil || q.Since > 0 || !q.indexed()
+	})
+	return best
+}
+
+func fullerRack(a, b *fleet.Rack, v fleet.View) bool {
+	return cmp.Or(
+		cmp.Compare(a.Total[v].Accelerators, b.Total[v].Accelerators),
+		cmp.Compare(a.Total[v].MilliCPU, b.Total[v].MilliCPU),
+		cmp.Compare(a.Name, b.Name)) < 0
+}
+
+func rooms(workers []*fleet.Worker, q *Request) []Room {
+	out := make([]Room, 0, len(workers))
+	for _, w := range workers {
+		if avail := q.room(w); q.Gang.PerTask.Fits(avail) {
+			out = append(out, Room{w, avail})
+		}
+	}
+	return out
+}
+
+func findZone(f *fleet.Fleet, q Request) []Part {
+	// One rack is the better place for a gang that may spread over a zone.
+	if parts := findRack(f, q); parts != nil {
+		return parts
+	}
+	need := q.Gang.PerTask.Times(q.Gang.Tasks)
+	for _, z := range zonesToTry(f, q) {
+		if !need.Fits(zoneTotal(f, z, q.View)) {
+			continue
+		}
+		if parts := packZone(f, z, q); parts != nil {
+			return parts
+		}
+	}
+	return nil
+}
+
+// zonesToTry returns the zones from the one with the least room on.
+func zonesToTry(f *fleet.Fleet, q Request) []string {
+	var zones []string
+	if q.Since == 0 {
+		zones = slices.Clone(f.Zones())
+	} else {
+		f.RacksSince(q.Since, func(r *fleet.Rack) bool {
+			if !slices.Contains(zones, r.Zone) {
+				zones = append(zones, r.Zone)
+			}
+			return true
+		})
+	}
+	slices.SortFunc(zones, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(zoneTotal(f, a, q.View).Accelerators, zoneTotal(f, b, q.View).Accelerators),
+			cmp.Compare(a, b))
+	})
+	return zones
+}
+
+func zoneTotal(f *fleet.Fleet, zone string, v fleet.View) api.Resources {
+	var sum api.Resources
+	for _, r := range f.Racks(zone) {
+		sum = sum.Add(r.Total[v])
+	}
+	return sum
+}
+
+// packZone spreads a gang over as few racks of the zone as it can.
+func packZone(f *fleet.Fleet, zone string, q Request) []Part {
+	type rackRoom struct {
+		rooms []Room
+		tasks int
+	}
+	var racks []rackRoom
+	total := 0
+	for _, r := range f.Racks(zone) {
+		rs := rooms(r.Workers, &q)
+		n := 0
+		for _, room := range rs {
+			n += Count(room.Avail, q.Gang.PerTask)
+		}
+		if n > 0 {
+			racks = append(racks, rackRoom{rs, n})
+			total += n
+		}
+	}
+	if total < q.Gang.Tasks {
+		return nil
+	}
+	slices.SortStableFunc(racks, func(a, b rackRoom) int { return cmp.Compare(b.tasks, a.tasks) })
+	var parts []Part
+	for left := q.Gang.Tasks; left > 0; {
+		// The last rack is the tightest that holds what is left.
+		pick := 0
+		for i := range racks {
+			if racks[i].tasks >= left {
+				pick = i
+			}
+		}
+		take := min(left, racks[pick].tasks)
+		parts = append(parts, fill(racks[pick].rooms, q.Gang.PerTask, take)...)
+		racks = slices.Delete(racks, pick, pick+1)
+		left -= take
+	}
+	return parts
+}
+
+// Pack places the gang into the rooms, which are adjacent enough already
+// unless the gang must share one worker. It returns nil if the gang does not fit.
+func Pack(in []Room, gang api.Shape) []Part {
+	if gang.Adjacency == api.AdjacentWorker {
+		return packOne(in, gang)
+	}
+	total := 0
+	for _, r := range in {
+		total += Count(r.Avail, gang.PerTask)
+	}
+	if total < gang.Tasks {
+		return nil
+	}
+	return fill(in, gang.PerTask, gang.Tasks)
+}
+
+func packOne(in []Room, gang api.Shape) []Part {
+	var best *Room
+	for i := range in {
+		n := Count(in[i].Avail, gang.PerTask)
+		if n >= gang.Tasks && (best == nil || n < Count(best.Avail, gang.PerTask)) {
+			best = &in[i]
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return whole(best.Worker, gang.Tasks)
+}
+
+// fill uses the largest rooms first and the tightest one for the rest. The
+// rooms hold at least the given number of tasks.
+func fill(in []Room, perTask api.Resources, tasks int) []Part {
+	type slot struct {
+		worker *fleet.Worker
+		tasks  int
+	}
+	slots := make([]slot, 0, len(in))
+	for _, r := range in {
+		if n := Count(r.Avail, perTask); n > 0 {
+			slots = append(slots, slot{r.Worker, n})
+		}
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(b.tasks, a.tasks) })
+	var parts []Part
+	for left, i := tasks, 0; left > 0; {
+		if slots[i].tasks <= left {
+			parts = append(parts, Part{slots[i].worker, slots[i].tasks})
+			left -= slots[i].tasks
+			i++
+			continue
+		}
+		last := i
+		for last+1 < len(slots) && slots[last+1].tasks >= left {
+			last++
+		}
+		parts = append(parts, Part{slots[last].worker, left})
+		left = 0
+	}
+	return parts
+}
+
+// maxTasksPerWorker bounds the count of tasks that ask for nothing.
+const maxTasksPerWorker = 1 << 20
+
+// Count returns how many tasks of the given size fit into avail.
+func Count(avail, perTask api.Resources) int {
+	n := maxTasksPerWorker
+	if perTask.Accelerators > 0 {
+		n = min(n, avail.Accelerators/perTask.Accelerators)
+	}
+	if perTask.MilliCPU > 0 {
+		n = min(n, avail.MilliCPU/perTask.MilliCPU)
+	}
+	if perTask.MemoryMB > 0 {
+		n = min(n, avail.MemoryMB/perTask.MemoryMB)
+	}
+	return n
+}
+
+// Each visits one room for the whole gang in each worker, rack or zone that
+// has one, until visit returns false.
+func Each(f *fleet.Fleet, q Request, visit func([]Part) bool) {
+	if q.Gang.Tasks == 1 {
+		q.Gang.Adjacency = api.AdjacentWorker
+	}
+	need := q.Gang.PerTask.Times(q.Gang.Tasks)
+	if q.Gang.Adjacency == api.AdjacentZone {
+		for _, z := range f.Zones() {
+			parts := packZone(f, z, q)
+			if parts != nil && !visit(parts) {
+				return
+			}
+		}
+		return
+	}
+	eachRack(f, q, need, func(r *fleet.Rack) bool {
+		if q.Gang.Adjacency == api.AdjacentRack {
+			parts := Pack(rooms(r.Workers, &q), q.Gang)
+			return parts == nil || visit(parts)
+		}
+		for _, w := range r.Workers {
+			if need.Fits(q.room(w)) && !visit(whole(w, q.Gang.Tasks)) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/sched/takeover.go
@@ -0,0 +1,141 @@
+package sched
+
+import "time"
+
+// earlyReportTime is how long after the start of its permissions an owner
+// keeps reports of jobs that it has not been given yet.
+const earlyReportTime = 2 * time.Second
+
+// adopt rebuilds an attempt that runs, or may run, under the permissions of
+// the previous owner. The agents' reports tell what is left of it.
+func (c *Core) adopt(j *job) {
+	j.phase = phaseRunning
+	j.adopting = true
+	j.started = true
+	j.startedAt = c.now
+	j.firm = !c.lent(j)
+	until := max(c.now, c.authority.StartAfter) + GroupLease + c.cfg.Margin
+	for _, p := range j.rec.Placements {
+		w := c.workers[p.Worker]
+		if w == nil {
+			w = c.worker(p.Worker, p.Zone, "")
+		}
+		g := &group{
+			job: j, attempt: j.attempt, worker: w, firstTask: p.FirstTask, tasks: p.Tasks,
+			amount: j.perTask.Times(p.Tasks), state: groupUnknown, firm: j.firm, leaseUntil: until,
+		}
+		j.groups = append(j.groups, g)
+		c.take(g)
+		if !w.Linked {
+			j.lost++
+		}
+		c.watchAdoption(g, until)
+	}
+	if j.rec.CancelAsked {
+		c.end(j, 0, ReasonCancelled)
+	}
+	c.replayEarly(j)
+}
+
+// watchAdoption gives up a member that nobody has reported in time.
+func (c *Core) watchAdoption(g *group, until time.Duration) {
+	c.timers.add(until, func() {
+		if g.state != groupUnknown || g.detached {
+			return
+		}
+		if g.leaseUntil <= c.now {
+			c.lapsed(g)
+			return
+		}
+		c.broken(g, ReasonWorkerLost)
+	})
+}
+
+// adopted goes on with an attempt once all its members have reported. Members
+// that are held only may start: the attempt's row is durable.
+func (c *Core) adopted(j *job) {
+	if !j.adopting || j.phase != phaseRunning {
+		return
+	}
+	for _, g := range j.groups {
+		if g.state == groupUnknown || g.state == groupGone {
+			return
+		}
+	}
+	j.adopting = false
+	c.startAdopted(j)
+	c.moveIfOut(j)
+}
+
+// startAdopted starts the members of an adopted attempt that are held only, as
+// soon as the previous owner's permissions have ended.
+func (c *Core) startAdopted(j *job) {
+	if j.phase != phaseRunning {
+		return
+	}
+	if c.now < c.authority.StartAfter {
+		c.timers.add(c.authority.StartAfter, func() { c.startAdopted(j) })
+		return
+	}
+	for _, g := range j.groups {
+		if g.state != groupHeld {
+			continue
+		}
+		if !c.authority.Owner || g.worker.ZoneOut || j.lost > 0 {
+			c.broken(g, ReasonZoneOut)
+			return
+		}
+		c.startGroup(g)
+	}
+}
+
+// keepEarly keeps the report of a job that may still be read from the table.
+// It returns false once all rows have been given to the core.
+func (c *Core) keepEarly(r GroupReport) bool {
+	if c.jobs[r.JobID] != nil || c.rowsComplete() {
+		return false
+	}
+	c.early = append(c.early, r)
+	return true
+}
+
+func (c *Core) rowsComplete() bool {
+	return c.authority.Owner && c.now >= c.authority.StartAfter+earlyReportTime
+}
+
+// replayEarly takes in the reports that came before the job's row.
+func (c *Core) replayEarly(j *job) {
+	var own, rest []GroupReport
+	for _, r := range c.early {
+		if r.JobID == j.id() {
+			own = append(own, r)
+			continue
+		}
+		rest = append(rest, r)
+	}
+	c.early = rest
+	for _, r := range own {
+		c.report(r)
+	}
+}
+
+// dropEarly stops the groups whose jobs turned out to have no row.
+func (c *Core) dropEarly() {
+	if len(c.early) == 0 || !c.rowsComplete() {
+		return
+	}
+	reports := c.early
+	c.early = nil
+	for _, r := range reports {
+		c.report(r)
+	}
+}
+
+// lent reports whether a job may use capacity that is guaranteed to others,
+// and so may be stopped when that is claimed.
+func (c *Core) lent(j *job) bool {
+	if c.config == nil || !j.movable() {
+		return false
+	}
+	return c.config.Profiles[j.rec.Job.Profile].Preemptible
+}
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -3,6 +3,10 @@
 // and depends on no map order. The caller passes events and the time to Step
 // and carries out the returned actions in order. Times are durations since
 // the start of the owner's term.
+//
+// A new owner gives the core the configuration, then all rows that are not
+// final (Submit), then Authority. Reports of jobs that it has not been given
+// yet are kept until the permissions of the previous owner have ended.
 package sched
 
 import (
@@ -137,6 +141,8 @@
 }
 
 // Start starts a held group. It is issued only after the attempt's Save.
+// Checkpoint is the object store key to resume from; if the tasks were grouped
+// differently when they were checkpointed, it is several keys with spaces between.
 type Start struct {
 	Worker     string
 	JobID      string
@@ -146,7 +152,9 @@
 }
 
 // Stop ends a group, held or running; with Grace a checkpoint is tried first.
-// The agent answers with a GroupReport (checkpointed, stopped or absent).
+// The agent answers with a GroupReport (checkpointed, stopped or absent). A
+// Stop of a group that has ended already lets the agent forget its result: the
+// job's answer is durable. Stops are repeated until they are answered.
 type Stop struct {
 	Worker  string
 	JobID   string
@@ -155,7 +163,8 @@
 	Reason  string
 }
 
-// Renew extends the leases of groups on one worker.
+// Renew extends the leases of groups on one worker, running or held. The
+// agent answers absent for those that it does not know.
 type Renew struct {
 	Worker string
 	Groups []GroupRef
--- /dev/null
+++ b/internal/sched/waiting.go
@@ -0,0 +1,242 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
+)
+
+const (
+	reviewInterval = time.Second
+	// reserveAfter is how long a gang waits before capacity is reserved for it.
+	reserveAfter = 30 * time.Second
+	// maxWaitingReservations bounds the gangs with a reservation at a time.
+	maxWaitingReservations = 8
+	// minRunBeforeEviction protects preemptible work from preemptible gangs.
+	minRunBeforeEviction = 10 * time.Minute
+	// restartCost is the time that a moved gang loses besides its checkpoint.
+	restartCost = 30 * time.Second
+	// defaultRun is expected of a job that declares no run time.
+	defaultRun = time.Hour
+)
+
+// review looks at the jobs that wait, once per reviewInterval.
+func (c *Core) review() {
+	if !c.mayStart() || c.now < c.reviewed+reviewInterval {
+		return
+	}
+	c.reviewed = c.now
+	for _, cl := range slices.Clone(c.queue.ordered) {
+		if j := cl.head(); cl.failed && j != nil {
+			c.reviewWaiting(j)
+		}
+	}
+	for _, r := range slices.Clone(c.waiting) {
+		c.migrateFor(r)
+	}
+}
+
+func (c *Core) reviewWaiting(j *job) {
+	p, ok := c.config.Profiles[j.rec.Job.Profile]
+	if !ok {
+		c.missingProfile(j)
+		return
+	}
+	if why, never := c.neverFits(j); never && c.now-j.queuedAt >= fleetSettle {
+		c.refuseQueued(j, ReasonNeverFits, why)
+		return
+	}
+	if j.waiting != nil && !j.waiting.whole() {
+		c.dropWaiting(j)
+	}
+	if j.waiting != nil && c.lent(j) {
+		// Victims may have run for long enough by now.
+		j.class.failed = false
+	}
+	if j.waiting == nil && c.now-j.queuedAt >= reserveAfter && withinQuota(j, p) {
+		c.reserve(j)
+	}
+}
+
+// reserve sets the place aside that is expected to be free first. Preemptible
+// work may go on using it.
+func (c *Core) reserve(j *job) {
+	if len(c.waiting) >= maxWaitingReservations {
+		return
+	}
+	parts := c.soonestPlace(j)
+	if parts == nil {
+		return
+	}
+	r := &reservation{job: j, gang: j.gang()}
+	c.place(r, parts)
+	j.waiting = r
+	c.waiting = append(c.waiting, r)
+	c.notice(j, parts[0].Worker.Name, ReasonReserved, "")
+}
+
+// freeingWorker is a worker with the time until its work outside of
+// reservations that must not be preempted is expected to end.
+type freeingWorker struct {
+	room placement.Room
+	wait time.Duration
+}
+
+func (c *Core) soonestPlace(j *job) []placement.Part {
+	var best []placement.Part
+	var bestWait time.Duration
+	for _, domain := range c.domains(j.gang().Adjacency) {
+		parts, wait := c.soonestIn(j, domain)
+		if parts != nil && (best == nil || wait < bestWait) {
+			best, bestWait = parts, wait
+		}
+	}
+	return best
+}
+
+// domains returns the sets of workers that are adjacent enough.
+func (c *Core) domains(adjacency api.Adjacency) [][]*fleet.Worker {
+	var out [][]*fleet.Worker
+	for _, z := range c.fleet.Zones() {
+		var zone []*fleet.Worker
+		for _, r := range c.fleet.Racks(z) {
+			if adjacency == api.AdjacentRack {
+				out = append(out, r.Workers)
+			}
+			zone = append(zone, r.Workers...)
+		}
+		if adjacency != api.AdjacentRack {
+			out = append(out, zone)
+		}
+	}
+	return out
+}
+
+func (c *Core) soonestIn(j *job, domain []*fleet.Worker) ([]placement.Part, time.Duration) {
+	avoid := c.avoids(j)
+	var all []freeingWorker
+	for _, w := range domain {
+		if !w.Open() || avoid(w) {
+			continue
+		}
+		avail := w.Capacity.Sub(w.Reserved)
+		if placement.Count(avail, j.perTask) > 0 {
+			all = append(all, freeingWorker{placement.Room{Worker: w, Avail: avail}, c.firmWait(c.workers[w.Name])})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b freeingWorker) int { return cmp.Compare(a.wait, b.wait) })
+	var rooms []placement.Room
+	gang := j.gang()
+	for _, f := range all {
+		rooms = append(rooms, f.room)
+		if gang.Adjacency == api.AdjacentWorker {
+			rooms = rooms[len(rooms)-1:]
+		}
+		if parts := placement.Pack(rooms, gang); parts != nil {
+			return parts, f.wait
+		}
+	}
+	return nil, 0
+}
+
+// firmWait is the time until all work that must not be preempted is expected to end.
+func (c *Core) firmWait(w *worker) time.Duration {
+	var wait time.Duration
+	for _, g := range w.groups {
+		if g.firm && !g.ending {
+			wait = max(wait, c.remaining(g.job))
+		}
+	}
+	return wait
+}
+
+func (c *Core) remaining(j *job) time.Duration {
+	ran := j.ranFor
+	if j.started {
+		ran += c.now - j.startedAt
+	}
+	// A job that has outrun its expectation counts as halfway.
+	return max(c.expectedRun(j)-ran, ran/2)
+}
+
+// tryWaiting starts a job in the place that is reserved for it.
+func (c *Core) tryWaiting(j *job) bool {
+	r := j.waiting
+	if r == nil {
+		return false
+	}
+	for _, s := range r.shares {
+		open := s.worker.Capacity.Sub(s.worker.Reserved).Sub(s.worker.Firm).Add(s.amount)
+		if !s.worker.Open() || !s.amount.Fits(open) {
+			return false
+		}
+	}
+	minRun := time.Duration(0)
+	if c.lent(j) {
+		minRun = minRunBeforeEviction
+	}
+	cl, ok := c.plan(j, r.parts(), minRun)
+	if !ok {
+		return false
+	}
+	c.claim(j, cl, CheckpointGrace)
+	return true
+}
+
+// dropWaiting gives up the reservation of a waiting gang, if it has one.
+func (c *Core) dropWaiting(j *job) {
+	r := j.waiting
+	if r == nil {
+		return
+	}
+	j.waiting = nil
+	c.waiting = slices.DeleteFunc(c.waiting, func(o *reservation) bool { return o == r })
+	c.lift(r)
+}
+
+func (c *Core) dropAllWaiting() {
+	for _, r := range slices.Clone(c.waiting) {
+		c.dropWaiting(r.job)
+	}
+}
+
+// migrateFor moves one job that stands in the way of a waiting gang, if it has
+// room elsewhere and the gang's gain repays the move.
+func (c *Core) migrateFor(r *reservation) {
+	for _, s := range r.shares {
+		for _, g := range s.worker.groups {
+			if g.ending {
+				return
+			}
+		}
+	}
+	for _, s := range r.shares {
+		for _, g := range slices.Clone(s.worker.groups) {
+			if c.repays(g, r) {
+				c.notice(g.job, s.worker.Name, ReasonMigrated, r.job.id())
+				c.end(g.job, grace(g.job), ReasonMigrated)
+				return
+			}
+		}
+	}
+}
+
+func (c *Core) repays(g *group, r *reservation) bool {
+	j := g.job
+	if !g.firm || g.detached || j.phase != phaseRunning || !j.movable() || !j.rec.Job.Checkpointable {
+		return false
+	}
+	gain := c.remaining(j) * time.Duration(max(1, r.job.total().Accelerators))
+	cost := (CheckpointGrace + restartCost) * time.Duration(max(1, j.total().Accelerators))
+	if gain <= cost {
+		return false
+	}
+	elsewhere := placement.Request{Gang: j.gang(), View: fleet.Firm, Avoid: func(w *fleet.Worker) bool {
+		return r.shareOn(c.workers[w.Name]) != nil
+	}}
+	return placement.Find(c.fleet, elsewhere) != nil
+}
--- /dev/null
+++ b/internal/sched/workers.go
@@ -0,0 +1,239 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+)
+
+// disconnectPatience is how long the link with a worker may be lost before the
+// gangs with a member there are stopped. It leaves the other members the time
+// for a checkpoint within their leases.
+const disconnectPatience = 4 * time.Second
+
+// worker is a worker of the fleet with the groups that use it.
+type worker struct {
+	*fleet.Worker
+	index    int
+	groups   []*group
+	claims   []*job
+	strikes  []strike
+	probes   int
+	downTime time.Duration
+}
+
+func (c *Core) worker(name, zone, rack string) *worker {
+	w := c.workers[name]
+	fw := c.fleet.Add(name, zone, rack)
+	if w == nil {
+		w = &worker{Worker: fw, index: len(c.ordered)}
+		c.workers[name] = w
+		c.ordered = append(c.ordered, w)
+	}
+	return w
+}
+
+func (c *Core) update(w *worker, change func(*fleet.Worker)) { c.fleet.Update(w.Worker, change) }
+
+func (c *Core) workerUp(e WorkerUp) {
+	w := c.worker(e.Worker, e.Zone, e.Rack)
+	wasDown := !w.Linked
+	out := c.config != nil && c.config.ZoneOut(e.Zone)
+	c.update(w, func(f *fleet.Worker) {
+		f.Capacity = e.Capacity
+		f.Linked = true
+		f.Healthy = true
+		f.Leaving = false
+		f.ZoneOut = out
+		f.Stepping = c.stepping(f)
+	})
+	c.slotsDirty = true
+	if !wasDown {
+		return
+	}
+	for _, g := range w.groups {
+		if !g.detached {
+			g.job.lost--
+		}
+		if g.ending {
+			c.sendStop(g, 0, "stopped while the link was lost")
+		}
+	}
+}
+
+func (c *Core) workerDown(name string) {
+	w := c.workers[name]
+	if w == nil || !w.Linked {
+		return
+	}
+	c.update(w, func(f *fleet.Worker) { f.Linked = false })
+	w.downTime = c.now
+	c.slotsDirty = true
+	c.dropClaimsOn(w)
+	for _, g := range append([]*group(nil), w.groups...) {
+		c.groupUnlinked(g)
+	}
+}
+
+func (c *Core) groupUnlinked(g *group) {
+	c.watchLapse(g)
+	if g.detached {
+		return
+	}
+	j := g.job
+	j.lost++
+	switch j.phase {
+	case phaseHolding:
+		c.holdFailed(j, "link lost")
+	case phaseSaving:
+		c.abortSaving(j, "link lost")
+	case phaseRunning:
+		c.awaitLink(g)
+	}
+}
+
+// awaitLink ends an attempt in time for checkpoints of the other members, if
+// the link with one member's worker does not come back.
+func (c *Core) awaitLink(g *group) {
+	j, w, since := g.job, g.worker, g.worker.downTime
+	c.after(disconnectPatience, func() {
+		if g.live() && !g.detached && j.phase == phaseRunning && !w.Linked && w.downTime == since {
+			c.broken(g, ReasonWorkerLost)
+		}
+	})
+}
+
+func (c *Core) workerStatus(e WorkerStatus) {
+	w := c.workers[e.Worker]
+	if w == nil || (w.Leaving == e.Leaving && w.Healthy == e.Healthy) {
+		return
+	}
+	c.update(w, func(f *fleet.Worker) {
+		f.Leaving = e.Leaving
+		f.Healthy = e.Healthy
+	})
+	c.slotsDirty = true
+	if !w.InService() {
+		c.vacate(w)
+	}
+}
+
+// pause keeps a worker from being chosen again at once.
+func (c *Core) pause(w *worker) {
+	c.update(w, func(f *fleet.Worker) { f.Paused = true })
+	c.after(workerPause, func() {
+		c.update(w, func(f *fleet.Worker) { f.Paused = false })
+	})
+}
+
+// take books the capacity of a group.
+func (c *Core) take(g *group) {
+	w := g.worker
+	w.groups = append(w.groups, g)
+	g.account = g.job.account
+	g.account.add(g)
+	if g.share != nil {
+		g.share.used = g.share.used.Add(g.amount)
+	}
+	c.update(w, func(f *fleet.Worker) {
+		if g.state == groupClaimed {
+			f.Earmarked = f.Earmarked.Add(g.amount)
+		} else {
+			f.Used = f.Used.Add(g.amount)
+		}
+		if g.firm {
+			f.Firm = f.Firm.Add(g.amount)
+		}
+	})
+}
+
+// gone frees the capacity of a group that has ended for certain.
+func (c *Core) gone(g *group, state groupState) {
+	if !g.live() {
+		return
+	}
+	w := g.worker
+	claimed := g.state == groupClaimed
+	g.state = state
+	for i, o := range w.groups {
+		if o == g {
+			w.groups = append(w.groups[:i], w.groups[i+1:]...)
+			break
+		}
+	}
+	if !g.detached && !w.Linked && g.job.lost > 0 {
+		g.job.lost--
+	}
+	g.account.sub(g)
+	c.update(w, func(f *fleet.Worker) {
+		if claimed {
+			f.Earmarked = f.Earmarked.Sub(g.amount)
+		} else {
+			f.Used = f.Used.Sub(g.amount)
+		}
+		if g.firm {
+			f.Firm = f.Firm.Sub(g.amount)
+		}
+	})
+	if g.share != nil {
+		g.share.used = g.share.used.Sub(g.amount)
+		g.share = nil
+	}
+	c.claimsProgress(w)
+}
+
+func (w *worker) find(jobID string, attempt uint32) *group {
+	for _, g := range w.groups {
+		if g.attempt == attempt && g.job.id() == jobID {
+			return g
+		}
+	}
+	return nil
+}
+
+// renewBuckets spreads the renewals of all workers over RenewInterval.
+const renewBuckets = int64(RenewInterval / TickInterval)
+
+func (c *Core) renewDue() {
+	last := c.renewed
+	c.renewed = int64(c.now / TickInterval)
+	if !c.authority.Owner {
+		return
+	}
+	from := max(last+1, c.renewed-renewBuckets+1)
+	for tick := from; tick <= c.renewed; tick++ {
+		for i := int(tick % renewBuckets); i < len(c.ordered); i += int(renewBuckets) {
+			c.renewWorker(c.ordered[i])
+		}
+	}
+}
+
+func (c *Core) renewWorker(w *worker) {
+	if !w.Linked {
+		return
+	}
+	var refs []GroupRef
+	for _, g := range w.groups {
+		if !renewable(g) {
+			continue
+		}
+		g.leaseUntil = c.now + GroupLease + c.cfg.Margin
+		refs = append(refs, GroupRef{g.job.id(), g.attempt})
+	}
+	if len(refs) > 0 {
+		c.emit(Renew{Worker: w.Name, Groups: refs})
+	}
+}
+
+// renewable reports whether a group's lease may be extended: those of a gang
+// are for all members or for none.
+func renewable(g *group) bool {
+	if g.ending || g.detached {
+		return false
+	}
+	j := g.job
+	if j.phase == phaseSaving {
+		return j.lost == 0 && !j.aborted
+	}
+	return j.phase == phaseRunning && (j.lost == 0 || j.adopting)
+}
