--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -12,7 +12,6 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/jobs"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
-	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
--- a/internal/entry/scheduler/term.go
+++ b/internal/entry/scheduler/term.go
@@ -58,7 +58,7 @@
 		epoch:      epoch,
 		began:      time.Now(),
 		startAfter: wait,
-		core:       sched.New(sched.Config{}),
+		core:       sched.New(sched.Config{TermStart: time.Now()}),
 		ctx:        ctx,
 		cancel:     cancel,
 		slots:      make(chan struct{}, maxSaves),
