--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -153,7 +153,9 @@
 	return server
 }
 
-func newStore(l ledger.Ledger, s *settings.Entry) *jobs.Store { return jobs.NewStore(l, string(s.Cell)) }
+func newStore(l ledger.Ledger, s *settings.Entry) *jobs.Store {
+	return jobs.NewStore(l, string(s.Cell))
+}
 
 func newScheduler(o *owner.Service, c clock, config confstate.Store, store *jobs.Store, w *jobs.Waiters, srv *links.Server, registry metrics.Registry, log zerolog.Logger) *scheduler.Service {
 	return scheduler.New(node.Ownership{Owner: o, Clock: c}, config, store, w, srv, registry, log)
