coltsfootctl: profiles, zones, jobs, requests, configuration status, dumps

A thin command line over internal/client. Exit codes tell a refusal for good (1) from one for now (3), a lost race (4), an entry that was not reached (5) and an effect that is not known (6). Submissions repeat a lost answer under the same key, waits go on over lost answers.

--- a/cmd/coltsfootctl/main.go
+++ b/cmd/coltsfootctl/main.go
@@ -1,4 +1,12 @@
-// Command coltsfootctl is one of the processes of coltsfootlug.
+// Command coltsfootctl is the operators' and callers' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Run(os.Args[1:], os.Getenv, os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,160 @@
+// Package client is an HTTP client of an entry's interface for callers and
+// operators.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/juju/errors"
+)
+
+// Errors without an answer. After ErrUnreachable nothing has been changed;
+// after ErrNoAnswer a change may or may not have taken effect.
+const (
+	ErrUnreachable = errors.ConstError("entry not reachable")
+	ErrNoAnswer    = errors.ConstError("no complete answer from the entry")
+)
+
+// ProblemError is a refusal by the entry.
+type ProblemError struct {
+	Problem api.Problem
+	// Outcome is what the entry says about the request, or empty.
+	Outcome api.Outcome
+}
+
+// Error returns the problem's title and detail.
+func (e *ProblemError) Error() string {
+	if e.Problem.Detail == "" {
+		return e.Problem.Title
+	}
+	return fmt.Sprintf("%s: %s", e.Problem.Title, e.Problem.Detail)
+}
+
+// maxAnswerBytes bounds an answer's body.
+const maxAnswerBytes = 64 << 20
+
+// Client talks to one entry, or to the balancer in front of the entries.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// New returns a client for the address, which is HOST:PORT or a base URL.
+// The timeout bounds each call, in addition to what the call waits for.
+func New(address string, timeout time.Duration) *Client {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return &Client{
+		base:    strings.TrimRight(address, "/"),
+		timeout: timeout,
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+	}
+}
+
+// call is one HTTP call.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	header http.Header
+	body   []byte
+	// wait is how long the entry may take in addition to the timeout.
+	wait time.Duration
+}
+
+// answer is a complete answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// do carries out the call and returns its complete answer, whatever its status.
+func (c *Client) do(ctx context.Context, call call) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+call.wait)
+	defer cancel()
+	target := c.base + call.path
+	if len(call.query) > 0 {
+		target += "?" + call.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return answer{}, errors.NewNotValid(err, "entry address")
+	}
+	for name, values := range call.header {
+		req.Header[name] = values
+	}
+	sent := false
+	resp, err := c.http.Do(withSentTrace(req, &sent))
+	if err != nil {
+		return answer{}, transportError(call.method, sent, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return answer{}, transportError(call.method, sent, err)
+	}
+	if len(body) > maxAnswerBytes {
+		return answer{}, errors.Annotatef(ErrNoAnswer, "answer exceeds %d bytes", maxAnswerBytes)
+	}
+	return answer{resp.StatusCode, resp.Header, body}, nil
+}
+
+// transportError tells a call that has had no effect from one that may have.
+func transportError(method string, sent bool, err error) error {
+	if !sent || method == http.MethodGet {
+		return errors.Annotate(ErrUnreachable, err.Error())
+	}
+	return errors.Annotate(ErrNoAnswer, err.Error())
+}
+
+// json carries out the call and reads its answer into out, if out is not nil.
+func (c *Client) json(ctx context.Context, call call, out any) (answer, error) {
+	a, err := c.do(ctx, call)
+	if err != nil {
+		return a, err
+	}
+	if a.status >= http.StatusBadRequest {
+		return a, problemError(a)
+	}
+	if out == nil || len(a.body) == 0 {
+		return a, nil
+	}
+	if err := json.Unmarshal(a.body, out); err != nil {
+		return a, errors.Annotatef(ErrNoAnswer, "answer of %s %s not understood: %v", call.method, call.path, err)
+	}
+	return a, nil
+}
+
+func problemError(a answer) error {
+	e := &ProblemError{Outcome: api.Outcome(a.header.Get(httpx.HeaderOutcome))}
+	if err := json.Unmarshal(a.body, &e.Problem); err != nil || e.Problem.Title == "" {
+		e.Problem = api.Problem{Title: http.StatusText(a.status), Detail: string(bytes.TrimSpace(a.body))}
+	}
+	e.Problem.Status = a.status
+	if seconds, err := strconv.Atoi(a.header.Get("Retry-After")); err == nil {
+		e.Problem.RetryAfter = seconds
+	}
+	return e
+}
+
+func jsonBody(v any) ([]byte, http.Header, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	return body, http.Header{"Content-Type": {httpx.ContentTypeJSON}}, nil
+}
--- /dev/null
+++ b/internal/client/work.go
@@ -0,0 +1,140 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/juju/errors"
+)
+
+// JobRequest is what a caller submits as a job.
+type JobRequest struct {
+	Profile        string          `json:"profile"`
+	Gang           api.Shape       `json:"gang"`
+	Payload        json.RawMessage `json:"payload,omitempty"`
+	Idempotent     bool            `json:"idempotent"`
+	Checkpointable bool            `json:"checkpointable"`
+	DeclaredRun    api.Duration    `json:"declared_run"`
+	Deadline       time.Time       `json:"deadline,omitzero"`
+}
+
+// JobsQuery selects jobs of a list.
+type JobsQuery struct {
+	State api.JobState
+	After string
+	Limit int
+}
+
+// JobsPage is a part of a list. Next is the After of the next part, or "".
+type JobsPage struct {
+	Jobs []api.JobRecord `json:"jobs"`
+	Next string          `json:"next"`
+}
+
+func jobPath(id string) string { return "/v1/jobs/" + url.PathEscape(id) }
+
+// SubmitJob submits a job. The same key always gives the same job, so that a
+// call without an answer can be repeated.
+func (c *Client) SubmitJob(ctx context.Context, job JobRequest, key string) (api.JobRecord, error) {
+	var record api.JobRecord
+	body, header, err := jsonBody(job)
+	if err != nil {
+		return record, err
+	}
+	header.Set(httpx.HeaderIdempotencyKey, key)
+	_, err = c.json(ctx, call{method: http.MethodPost, path: "/v1/jobs", header: header, body: body}, &record)
+	return record, err
+}
+
+// Jobs returns a part of the list of jobs.
+func (c *Client) Jobs(ctx context.Context, q JobsQuery) (JobsPage, error) {
+	query := url.Values{}
+	if q.State != "" {
+		query.Set("state", string(q.State))
+	}
+	if q.After != "" {
+		query.Set("after", q.After)
+	}
+	if q.Limit > 0 {
+		query.Set("limit", strconv.Itoa(q.Limit))
+	}
+	var page JobsPage
+	_, err := c.json(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query}, &page)
+	return page, err
+}
+
+// Job returns a job, after waiting up to wait for its end.
+func (c *Client) Job(ctx context.Context, id string, wait time.Duration) (api.JobRecord, error) {
+	call := call{method: http.MethodGet, path: jobPath(id), wait: wait}
+	if wait > 0 {
+		call.query = url.Values{"wait": {wait.String()}}
+	}
+	var record api.JobRecord
+	_, err := c.json(ctx, call, &record)
+	return record, err
+}
+
+// CancelJob asks for the end of a job.
+func (c *Client) CancelJob(ctx context.Context, id string) (api.JobRecord, error) {
+	var record api.JobRecord
+	_, err := c.json(ctx, call{method: http.MethodDelete, path: jobPath(id)}, &record)
+	return record, err
+}
+
+// Request is one call of a service.
+type Request struct {
+	Service     string
+	Profile     string
+	Key         string
+	Idempotent  bool
+	Timeout     time.Duration
+	ContentType string
+	Body        []byte
+}
+
+// Answer is the complete answer to a Request.
+type Answer struct {
+	Outcome     api.Outcome
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Request calls a service. A refusal by the entry is a ProblemError with an
+// Outcome; an answer of the service itself is an Answer, whatever its status.
+func (c *Client) Request(ctx context.Context, r Request) (Answer, error) {
+	header := http.Header{}
+	setHeader(header, "Content-Type", r.ContentType)
+	setHeader(header, httpx.HeaderProfile, r.Profile)
+	setHeader(header, httpx.HeaderIdempotencyKey, r.Key)
+	header.Set(httpx.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	if r.Timeout > 0 {
+		header.Set(httpx.HeaderTimeout, r.Timeout.String())
+	}
+	path := "/v1/services/" + url.PathEscape(r.Service) + "/requests"
+	a, err := c.do(ctx, call{method: http.MethodPost, path: path, header: header, body: r.Body, wait: r.Timeout})
+	if err != nil {
+		return Answer{}, err
+	}
+	outcome := api.Outcome(a.header.Get(httpx.HeaderOutcome))
+	contentType := a.header.Get("Content-Type")
+	if contentType == httpx.ContentTypeProblem && outcome != api.OutcomeDone {
+		return Answer{}, problemError(a)
+	}
+	if outcome == "" {
+		return Answer{}, errors.Annotatef(ErrNoAnswer, "answer with status %d names no outcome", a.status)
+	}
+	return Answer{outcome, a.status, contentType, a.body}, nil
+}
+
+func setHeader(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
--- /dev/null
+++ b/internal/ctl/config.go
@@ -0,0 +1,81 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/juju/errors"
+)
+
+// statusInterval is the time between two looks at the configuration status.
+const statusInterval = 200 * time.Millisecond
+
+func configCommands(e *env) []*command {
+	var wait time.Duration
+	return []*command{{
+		name: "status", synopsis: "show which process has which configuration version in force",
+		example: "  coltsfootctl config status --wait 10s",
+		flags: func(f *flag.FlagSet) {
+			f.DurationVar(&wait, "wait", 0, "wait up to `DURATION` until the newest version is in force everywhere")
+		},
+		run: func(ctx context.Context, _ []string) error { return e.configStatus(ctx, wait) },
+	}}
+}
+
+func (e *env) configStatus(ctx context.Context, wait time.Duration) error {
+	status, err := e.awaitInForce(ctx, wait)
+	if err != nil {
+		return err
+	}
+	if err := e.printStatus(status); err != nil {
+		return err
+	}
+	if wait > 0 && !status.InForce {
+		return errors.Annotatef(errNotYet, "version %d is not in force everywhere after %v", status.Version, wait)
+	}
+	return nil
+}
+
+func (e *env) awaitInForce(ctx context.Context, wait time.Duration) (api.ConfigStatus, error) {
+	c := e.client()
+	for deadline := time.Now().Add(wait); ; {
+		status, err := c.ConfigStatus(ctx)
+		if err != nil || status.InForce || !time.Now().Before(deadline) {
+			return status, err
+		}
+		if err := sleep(ctx, statusInterval); err != nil {
+			return status, err
+		}
+	}
+}
+
+func (e *env) printStatus(status api.ConfigStatus) error {
+	if e.json {
+		return e.printJSON(status)
+	}
+	state := "not yet in force everywhere"
+	if status.InForce {
+		state = "in force everywhere"
+	}
+	fmt.Fprintf(e.stdout, "version %d, %s\n", status.Version, state)
+	rows := [][]string{{"PROCESS", "ROLE", "ZONE", "VERSION", "AGE"}}
+	for _, p := range status.Processes {
+		age := (time.Duration(p.AgeMS) * time.Millisecond).String()
+		rows = append(rows, []string{p.Process, p.Role, p.Zone, fmt.Sprint(p.Version), age})
+	}
+	return e.printTable(rows)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,137 @@
+// Package ctl holds the subcommands of coltsfootctl.
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/google/subcommands"
+)
+
+const (
+	programName    = "coltsfootctl"
+	entryVariable  = "COLTSFOOT_ENTRY"
+	defaultEntry   = "127.0.0.1:8080"
+	defaultTimeout = 10 * time.Second
+)
+
+// env is what all subcommands share.
+type env struct {
+	entry   string
+	json    bool
+	timeout time.Duration
+
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+}
+
+func (e *env) client() *client.Client { return client.New(e.entry, e.timeout) }
+
+// addFlags adds the flags that every subcommand accepts, before or after its name.
+func (e *env) addFlags(f *flag.FlagSet) {
+	f.StringVar(&e.entry, "entry", e.entry, "`ADDRESS` of an entry or of the balancer in front of the entries (environment: "+entryVariable+")")
+	f.BoolVar(&e.json, "json", e.json, "print JSON for programs instead of text for people")
+	f.DurationVar(&e.timeout, "timeout", e.timeout, "`DURATION` that one call to the entry may take")
+}
+
+// Run carries out one command line, without the program's name, and returns
+// the exit code.
+func Run(args []string, getenv func(string) string, stdin io.Reader, stdout, stderr io.Writer) int {
+	e := &env{entry: defaultEntry, timeout: defaultTimeout, stdin: stdin, stdout: stdout, stderr: stderr}
+	if entry := getenv(entryVariable); entry != "" {
+		e.entry = entry
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	return int(e.execute(ctx, programName, topCommands(e), args))
+}
+
+func topCommands(e *env) []subcommands.Command {
+	return []subcommands.Command{
+		newGroup(e, "profiles", "list, show, set and delete profiles", profileCommands(e)),
+		newGroup(e, "zones", "list availability zones, take them out and in", zoneCommands(e)),
+		newGroup(e, "jobs", "submit, list, show, wait for and cancel jobs", jobCommands(e)),
+		newGroup(e, "config", "see which process has which configuration in force", configCommands(e)),
+		newGroup(e, "settings", "check settings files", settingsCommands(e)),
+		requestCommand(e),
+		dumpCommand(e),
+	}
+}
+
+// execute finds and runs one of the commands.
+func (e *env) execute(ctx context.Context, name string, commands []subcommands.Command, args []string) subcommands.ExitStatus {
+	top := flag.NewFlagSet(name, flag.ContinueOnError)
+	top.SetOutput(e.stderr)
+	e.addFlags(top)
+	commander := subcommands.NewCommander(top, name)
+	commander.Output, commander.Error = e.stdout, e.stderr
+	commander.Explain = func(w io.Writer) { explain(w, name, commands, top) }
+	for _, c := range commands {
+		commander.Register(c, "")
+	}
+	commander.Register(commander.HelpCommand(), "")
+	if err := top.Parse(helpArgs(commands, args)); err != nil {
+		return subcommands.ExitUsageError
+	}
+	if top.NArg() > 0 && top.Arg(0) != "help" && firstName(commands, top.Args()[:1]) == nil {
+		fmt.Fprintf(e.stderr, "%s: command %q does not exist\n\n", name, top.Arg(0))
+	}
+	return commander.Execute(ctx)
+}
+
+// helpArgs turns a help flag into the help command, which exits with 0. Help
+// flags behind the name of a group are left to the group.
+func helpArgs(commands []subcommands.Command, args []string) []string {
+	for i, arg := range args {
+		switch {
+		case arg == "--":
+			return args
+		case isHelp(arg):
+			return append([]string{"help"}, firstName(commands, args[:i])...)
+		case isGroup(commands, arg) && i+1 < len(args) && !isHelp(args[i+1]):
+			return args
+		}
+	}
+	return args
+}
+
+func isHelp(arg string) bool { return arg == "-h" || arg == "-help" || arg == "--help" }
+
+func isGroup(commands []subcommands.Command, name string) bool {
+	for _, c := range commands {
+		if _, ok := c.(*group); ok && c.Name() == name {
+			return true
+		}
+	}
+	return false
+}
+
+func firstName(commands []subcommands.Command, args []string) []string {
+	for _, arg := range args {
+		for _, c := range commands {
+			if c.Name() == arg {
+				return []string{arg}
+			}
+		}
+	}
+	return nil
+}
+
+func explain(w io.Writer, name string, commands []subcommands.Command, flags *flag.FlagSet) {
+	fmt.Fprintf(w, "Usage: %s [FLAGS] COMMAND [ARGUMENTS]\n\nCommands:\n", name)
+	for _, c := range commands {
+		fmt.Fprintf(w, "  %-10s %s\n", c.Name(), c.Synopsis())
+	}
+	fmt.Fprintf(w, "\n\"%s help COMMAND\" shows a command with an example.\n\nFlags:\n", name)
+	flags.SetOutput(w)
+	flags.PrintDefaults()
+	fmt.Fprintf(w, "\n%s", exitCodeHelp)
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,145 @@
+package ctl
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+	"github.com/juju/errors"
+)
+
+// The exit codes of coltsfootctl.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitNotRun      = 3
+	ExitLostRace    = 4
+	ExitUnreachable = 5
+	ExitUnknown     = 6
+	ExitNotYet      = 7
+)
+
+const exitCodeHelp = `Exit codes:
+  0  done
+  1  failed, cancelled, or refused for good (such as an unknown name)
+  2  wrong usage, or findings in a settings file
+  3  not run and not changed; the same command may succeed later
+  4  lost a race: the item has another version; read it and try again
+  5  the entry was not reached; nothing was sent
+  6  unknown: sent, but there was no complete answer, or it may have run
+  7  not yet: the awaited state was not reached in time
+`
+
+// errNotYet says that an awaited state was not reached in time.
+const errNotYet = errors.ConstError("not yet")
+
+// outcomeError is a final answer other than done.
+type outcomeError struct {
+	what    string
+	outcome api.Outcome
+	detail  string
+}
+
+func (e *outcomeError) Error() string {
+	text := fmt.Sprintf("%s: %s", e.what, e.outcome)
+	if e.detail != "" {
+		text += ": " + e.detail
+	}
+	return text
+}
+
+// checkOutcome returns nil for OutcomeDone.
+func checkOutcome(what string, outcome api.Outcome, detail string) error {
+	if outcome == api.OutcomeDone {
+		return nil
+	}
+	return &outcomeError{what, outcome, detail}
+}
+
+// report writes the error and returns its exit code.
+func (e *env) report(err error) int {
+	var problem *client.ProblemError
+	var findings settings.Findings
+	switch {
+	case errors.As(err, &findings):
+		fmt.Fprintln(e.stderr, findings)
+	case errors.As(err, &problem):
+		e.reportProblem(err, problem)
+	default:
+		fmt.Fprintf(e.stderr, "%s: %v\n", programName, err)
+	}
+	return exitCode(err)
+}
+
+func (e *env) reportProblem(err error, problem *client.ProblemError) {
+	if e.json {
+		// A failing write to stdout leaves nothing else to report to.
+		_ = e.printJSON(problem.Problem)
+	}
+	fmt.Fprintf(e.stderr, "%s: %v", programName, err)
+	if problem.Outcome != "" {
+		fmt.Fprintf(e.stderr, " (outcome %s)", problem.Outcome)
+	}
+	if problem.Problem.Version > 0 {
+		fmt.Fprintf(e.stderr, " (current version %d)", problem.Problem.Version)
+	}
+	if problem.Problem.RetryAfter > 0 {
+		fmt.Fprintf(e.stderr, " (try again in %d s)", problem.Problem.RetryAfter)
+	}
+	fmt.Fprintln(e.stderr)
+}
+
+func exitCode(err error) int {
+	var problem *client.ProblemError
+	var outcome *outcomeError
+	var findings settings.Findings
+	switch {
+	case errors.As(err, &problem):
+		return problemCode(problem)
+	case errors.As(err, &outcome):
+		return outcomeCode(outcome.outcome)
+	case errors.As(err, &findings), errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, client.ErrUnreachable):
+		return ExitUnreachable
+	case errors.Is(err, client.ErrNoAnswer):
+		return ExitUnknown
+	case errors.Is(err, errNotYet):
+		return ExitNotYet
+	}
+	return ExitFailed
+}
+
+func outcomeCode(outcome api.Outcome) int {
+	switch outcome {
+	case api.OutcomeDone:
+		return ExitOK
+	case api.OutcomeNotRun:
+		return ExitNotRun
+	case api.OutcomeUnknown:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// problemCode follows the outcome where the entry names one, and otherwise
+// the status.
+func problemCode(e *client.ProblemError) int {
+	status := e.Problem.Status
+	switch {
+	case status == http.StatusPreconditionFailed:
+		return ExitLostRace
+	case e.Outcome != "" && e.Outcome != api.OutcomeNotRun:
+		return outcomeCode(e.Outcome)
+	case e.Problem.RetryAfter > 0 || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return ExitNotRun
+	case e.Outcome == api.OutcomeNotRun && status >= http.StatusInternalServerError:
+		return ExitNotRun
+	case status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/ctl/fake_test.go
@@ -0,0 +1,215 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+)
+
+// fakeEntry serves the interface of an entry from memory. Faults are answers
+// for the next calls, by name.
+type fakeEntry struct {
+	server *httptest.Server
+
+	mu       sync.Mutex
+	version  uint64
+	profiles map[string]api.Profile
+	zones    map[string]api.AvailabilityZone
+	jobs     []api.JobRecord
+	faults   []string
+}
+
+func newFakeEntry() *fakeEntry {
+	f := &fakeEntry{profiles: map[string]api.Profile{}, zones: map[string]api.AvailabilityZone{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/profiles/{name}", f.getProfile)
+	mux.HandleFunc("PUT /v1/profiles/{name}", f.putProfile)
+	mux.HandleFunc("PUT /v1/zones/{name}", f.putZone)
+	mux.HandleFunc("GET /v1/zones", f.listZones)
+	mux.HandleFunc("POST /v1/jobs", f.postJob)
+	mux.HandleFunc("GET /v1/jobs", f.listJobs)
+	mux.HandleFunc("GET /v1/jobs/{id}", f.getJob)
+	mux.HandleFunc("DELETE /v1/jobs/{id}", f.getJob)
+	mux.HandleFunc("POST /v1/services/{service}/requests", f.postRequest)
+	mux.HandleFunc("GET /v1/config/status", f.getStatus)
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) { answer(w, 200, map[string]int{"links": 2}) })
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if len(f.faults) == 0 {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		fault := f.faults[0]
+		f.faults = f.faults[1:]
+		if fault == "late" { // the call takes effect and the answer is lost
+			mux.ServeHTTP(httptest.NewRecorder(), r)
+		}
+		f.fail(w, fault)
+	}))
+	return f
+}
+
+func (f *fakeEntry) fail(w http.ResponseWriter, fault string) {
+	var status, retry int
+	var outcome string
+	if n, _ := fmt.Sscanf(fault, "%d/%d/%s", &status, &retry, &outcome); n == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if outcome != "" {
+		w.Header().Set(httpx.HeaderOutcome, outcome)
+	}
+	if retry > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint(retry))
+	}
+	refuse(w, httpx.Problemf(status, "fault of the test"))
+}
+
+func refuse(w http.ResponseWriter, p api.Problem) {
+	w.Header().Set("Content-Type", httpx.ContentTypeProblem)
+	answer(w, p.Status, p)
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func read[T any](r *http.Request) T {
+	var v T
+	_ = json.NewDecoder(r.Body).Decode(&v)
+	return v
+}
+
+func (f *fakeEntry) getProfile(w http.ResponseWriter, r *http.Request) {
+	p, ok := f.profiles[r.PathValue("name")]
+	if !ok {
+		refuse(w, httpx.Problemf(404, "profile %q does not exist", r.PathValue("name")))
+		return
+	}
+	answer(w, 200, p)
+}
+
+// lostRace refuses a change whose If-Match is not the current version.
+func lostRace(w http.ResponseWriter, r *http.Request, current uint64) bool {
+	tag := r.Header.Get("If-Match")
+	if tag == "" || tag == httpx.ETag(current) {
+		return false
+	}
+	p := httpx.Problemf(412, "item has another version")
+	p.Version = current
+	refuse(w, p)
+	return true
+}
+
+func (f *fakeEntry) putProfile(w http.ResponseWriter, r *http.Request) {
+	p := read[api.Profile](r)
+	if lostRace(w, r, f.profiles[p.Name].Version) {
+		return
+	}
+	if p.Guarantee != nil {
+		w.Header().Set(httpx.HeaderWarning, "holds only while all zones are in")
+	}
+	f.version++
+	p.Version = f.version
+	f.profiles[p.Name] = p
+	answer(w, 200, p)
+}
+
+func (f *fakeEntry) putZone(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	if lostRace(w, r, f.zones[name].Version) {
+		return
+	}
+	f.version++
+	f.zones[name] = api.AvailabilityZone{Name: name, State: read[api.AvailabilityZone](r).State, Version: f.version}
+	answer(w, 200, f.zones[name])
+}
+
+func (f *fakeEntry) listZones(w http.ResponseWriter, _ *http.Request) {
+	answer(w, 200, map[string]any{"zones": []api.AvailabilityZone{f.zones["zone-a"], f.zones["zone-b"]}})
+}
+
+func (f *fakeEntry) postJob(w http.ResponseWriter, r *http.Request) {
+	job := read[api.Job](r)
+	job.IdempotencyKey = r.Header.Get("Idempotency-Key")
+	for _, record := range f.jobs {
+		if record.Job.IdempotencyKey == job.IdempotencyKey {
+			answer(w, 202, record)
+			return
+		}
+	}
+	job.ID = fmt.Sprintf("job-%d", len(f.jobs)+1)
+	job.Submitted = time.Date(2026, 2, 1, 3, 0, 0, 0, time.UTC)
+	record := api.JobRecord{Job: job, State: api.JobQueued}
+	f.jobs = append(f.jobs, record)
+	answer(w, 202, record)
+}
+
+// listJobs returns one job on each page.
+func (f *fakeEntry) listJobs(w http.ResponseWriter, r *http.Request) {
+	after := r.URL.Query().Get("after")
+	for i, record := range f.jobs {
+		if record.Job.ID <= after {
+			continue
+		}
+		page := map[string]any{"jobs": []api.JobRecord{record}}
+		if i+1 < len(f.jobs) {
+			page["next"] = record.Job.ID
+		}
+		answer(w, 200, page)
+		return
+	}
+	answer(w, 200, map[string]any{"jobs": []api.JobRecord{}})
+}
+
+func (f *fakeEntry) getJob(w http.ResponseWriter, r *http.Request) {
+	for i, record := range f.jobs {
+		if record.Job.ID != r.PathValue("id") {
+			continue
+		}
+		f.jobs[i].CancelAsked = record.CancelAsked || r.Method == http.MethodDelete
+		answer(w, 200, f.jobs[i])
+		return
+	}
+	refuse(w, httpx.Problemf(404, "job %q does not exist", r.PathValue("id")))
+}
+
+// finish gives a job its outcome.
+func (f *fakeEntry) finish(id string, outcome api.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.jobs {
+		if f.jobs[i].Job.ID == id {
+			f.jobs[i].State = api.JobFinal
+			f.jobs[i].Outcome = outcome
+			f.jobs[i].Results = []api.TaskResult{{Tasks: 2, Output: json.RawMessage(`{"nights":3}`)}}
+		}
+	}
+}
+
+// postRequest echoes the headers and the body.
+func (f *fakeEntry) postRequest(w http.ResponseWriter, r *http.Request) {
+	body := new(strings.Builder)
+	for _, name := range []string{httpx.HeaderProfile, httpx.HeaderIdempotencyKey, httpx.HeaderIdempotent, httpx.HeaderTimeout} {
+		fmt.Fprintf(body, "%s=%s ", name, r.Header.Get(name))
+	}
+	w.Header().Set(httpx.HeaderOutcome, "done")
+	w.Header().Set("Content-Type", "text/plain")
+	var data [64]byte
+	n, _ := r.Body.Read(data[:])
+	fmt.Fprintf(w, "%s%s: %s", body, r.PathValue("service"), data[:n])
+}
+
+func (f *fakeEntry) getStatus(w http.ResponseWriter, _ *http.Request) {
+	answer(w, 200, api.ConfigStatus{Version: f.version, InForce: f.zones["zone-b"].State != api.ZoneOut, Processes: []api.ProcessConfig{
+		{Process: "e1", Role: "entry", Zone: "zone-a", Version: f.version, AgeMS: 150},
+	}})
+}
--- /dev/null
+++ b/internal/ctl/profiles.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/juju/errors"
+)
+
+func profileCommands(e *env) []*command {
+	return []*command{
+		{
+			name: "list", synopsis: "list all profiles",
+			example: "  coltsfootctl profiles list",
+			run:     func(ctx context.Context, _ []string) error { return e.listProfiles(ctx) },
+		},
+		{
+			name: "get", arguments: "NAME", synopsis: "show one profile", minArgs: 1, maxArgs: 1,
+			example: "  coltsfootctl profiles get reconstruction --json > reconstruction.json",
+			run:     func(ctx context.Context, args []string) error { return e.getProfile(ctx, args[0]) },
+		},
+		setProfileCommand(e),
+		deleteProfileCommand(e),
+	}
+}
+
+func setProfileCommand(e *env) *command {
+	var force bool
+	return &command{
+		name: "set", arguments: "FILE...", minArgs: 1, maxArgs: -1,
+		synopsis: "create or change profiles from JSON files (\"-\" is the standard input); " +
+			"a file with a version changes only that version of the profile",
+		example: "  coltsfootctl profiles get reconstruction --json > r.json\n" +
+			"  vi r.json\n" +
+			"  coltsfootctl profiles set r.json",
+		flags: func(f *flag.FlagSet) {
+			f.BoolVar(&force, "force", false, "replace the profile whatever its version")
+		},
+		run: func(ctx context.Context, args []string) error { return e.setProfiles(ctx, args, force) },
+	}
+}
+
+func deleteProfileCommand(e *env) *command {
+	version := versionFlag(client.AnyVersion)
+	return &command{
+		name: "delete", arguments: "NAME", synopsis: "delete a profile", minArgs: 1, maxArgs: 1,
+		example: "  coltsfootctl profiles delete reconstruction --if-version 12",
+		flags:   version.add,
+		run: func(ctx context.Context, args []string) error {
+			return e.client().DeleteProfile(ctx, args[0], uint64(version))
+		},
+	}
+}
+
+func (e *env) listProfiles(ctx context.Context) error {
+	profiles, err := e.client().Profiles(ctx)
+	if err != nil {
+		return err
+	}
+	return e.printProfiles(profiles)
+}
+
+func (e *env) getProfile(ctx context.Context, name string) error {
+	p, err := e.client().Profile(ctx, name)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(p)
+	}
+	return e.printProfiles([]api.Profile{p})
+}
+
+func (e *env) printProfiles(profiles []api.Profile) error {
+	if e.json {
+		return e.printJSON(profiles)
+	}
+	rows := [][]string{{"PROFILE", "ACCOUNT", "GUARANTEE", "QUOTA", "URGENT", "PREEMPTIBLE", "WEIGHT", "VERSION"}}
+	for _, p := range profiles {
+		rows = append(rows, []string{
+			p.Name, p.ClientAccount, guaranteeText(p.Guarantee), numberText(p.QuotaAccelerators),
+			yesNo(p.Urgent), yesNo(p.Preemptible), numberText(p.Weight), numberText(p.Version),
+		})
+	}
+	return e.printTable(rows)
+}
+
+// setProfiles reads all files before it changes anything.
+func (e *env) setProfiles(ctx context.Context, files []string, force bool) error {
+	profiles := make([]api.Profile, len(files))
+	for i, file := range files {
+		p, err := e.readProfile(file)
+		if err != nil {
+			return err
+		}
+		profiles[i] = p
+	}
+	set := []api.Profile{}
+	for _, p := range profiles {
+		p, err := e.setProfile(ctx, p, force)
+		if err != nil {
+			return errors.Annotatef(err, "profile %q", p.Name)
+		}
+		set = append(set, p)
+	}
+	return e.printProfiles(set)
+}
+
+func (e *env) setProfile(ctx context.Context, p api.Profile, force bool) (api.Profile, error) {
+	version := p.Version
+	if version == 0 || force {
+		version = client.AnyVersion
+	}
+	set, warning, err := e.client().PutProfile(ctx, p, version)
+	if err != nil {
+		return p, err
+	}
+	if warning != "" {
+		fmt.Fprintf(e.stderr, "%s: warning: profile %q: %s\n", programName, p.Name, warning)
+	}
+	return set, nil
+}
+
+func (e *env) readProfile(file string) (api.Profile, error) {
+	var p api.Profile
+	data, err := e.readFile(file)
+	if err != nil {
+		return p, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&p); err != nil {
+		return p, usagef("%s: profile not valid: %v", file, err)
+	}
+	if p.Name == "" {
+		return p, usagef("%s: profile has no name", file)
+	}
+	return p, nil
+}
+
+// readFile reads a file; "-" is the standard input.
+func (e *env) readFile(file string) ([]byte, error) {
+	if file == "-" {
+		data, err := io.ReadAll(e.stdin)
+		return data, errors.Annotate(err, "reading the standard input")
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	return data, nil
+}
+
+// versionFlag is the flag --if-version.
+type versionFlag uint64
+
+func (v *versionFlag) add(f *flag.FlagSet) {
+	f.Var(v, "if-version", "change the item only if it still has this `VERSION`")
+}
+
+// String implements flag.Value.
+func (v *versionFlag) String() string {
+	if v == nil || uint64(*v) == client.AnyVersion || *v == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(*v), 10)
+}
+
+// Set implements flag.Value.
+func (v *versionFlag) Set(text string) error {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return errors.NotValidf("version %q", text)
+	}
+	*v = versionFlag(n)
+	return nil
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "-"
+}
--- /dev/null
+++ b/internal/ctl/request.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+)
+
+const defaultRequestTimeout = 30 * time.Second
+
+type requestFlags struct {
+	request client.Request
+	data    string
+	file    string
+}
+
+func (r *requestFlags) add(f *flag.FlagSet) {
+	f.StringVar(&r.request.Profile, "profile", "", "`NAME` of the profile (required)")
+	f.StringVar(&r.request.Key, "key", "", "idempotency `KEY`; the same key always meets the same execution (default: a new one)")
+	f.BoolVar(&r.request.Idempotent, "idempotent", false, "the request may run more than once")
+	f.DurationVar(&r.request.Timeout, "for", defaultRequestTimeout, "`DURATION` that the request may take")
+	f.StringVar(&r.request.ContentType, "content-type", "application/json", "media `TYPE` of the body")
+	f.StringVar(&r.data, "data", "", "`TEXT` to send as the body")
+	f.StringVar(&r.file, "file", "", "`FILE` to send as the body (\"-\" is the standard input)")
+}
+
+func requestCommand(e *env) *command {
+	flags := &requestFlags{}
+	return &command{
+		env: e, path: "request", name: "request", arguments: "SERVICE", minArgs: 1, maxArgs: 1,
+		synopsis: "send one request to a service and print its complete answer",
+		example: "  coltsfootctl request assessment --profile survey --idempotent --data '{\"tree\": 17}'\n" +
+			"  coltsfootctl request assessment --profile consent --key consent-2031 --file finding.json",
+		flags: flags.add,
+		run: func(ctx context.Context, args []string) error {
+			flags.request.Service = args[0]
+			return e.request(ctx, flags)
+		},
+	}
+}
+
+func (e *env) request(ctx context.Context, flags *requestFlags) error {
+	r := flags.request
+	if r.Profile == "" {
+		return usagef("--profile is required")
+	}
+	body, err := e.body(flags.data, flags.file)
+	if err != nil {
+		return err
+	}
+	r.Body = body
+	if r.Key == "" {
+		r.Key = uuid.NewString()
+	}
+	answer, err := e.client().Request(ctx, r)
+	if err != nil {
+		return errors.Annotatef(err, "request with key %s", r.Key)
+	}
+	if err := e.printAnswer(answer); err != nil {
+		return err
+	}
+	if answer.Outcome == api.OutcomeDone && answer.Status >= http.StatusBadRequest {
+		return errors.Errorf("service answered with status %d", answer.Status)
+	}
+	return checkOutcome("request with key "+r.Key, answer.Outcome, "")
+}
+
+func (e *env) body(data, file string) ([]byte, error) {
+	if data != "" && file != "" {
+		return nil, usagef("--data and --file exclude each other")
+	}
+	if file != "" {
+		return e.readFile(file)
+	}
+	return []byte(data), nil
+}
+
+// answerDocument is the form of an answer for programs.
+type answerDocument struct {
+	Outcome     api.Outcome `json:"outcome"`
+	Status      int         `json:"status"`
+	ContentType string      `json:"content_type"`
+	Body        string      `json:"body"`
+}
+
+func (e *env) printAnswer(a client.Answer) error {
+	if e.json {
+		return e.printJSON(answerDocument{a.Outcome, a.Status, a.ContentType, string(a.Body)})
+	}
+	fmt.Fprintf(e.stderr, "outcome: %s, status %d\n", a.Outcome, a.Status)
+	if _, err := e.stdout.Write(a.Body); err != nil {
+		return errors.Trace(err)
+	}
+	if n := len(a.Body); n > 0 && a.Body[n-1] != '\n' {
+		fmt.Fprintln(e.stdout)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/submit.go
@@ -0,0 +1,133 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+)
+
+// Repeats of a submission that got no answer.
+const (
+	submitAttempts = 5
+	submitPause    = 500 * time.Millisecond
+)
+
+type submitFlags struct {
+	job       client.JobRequest
+	adjacency string
+	declared  time.Duration
+	deadline  string
+	data      string
+	file      string
+	key       string
+	wait      bool
+	bound     time.Duration
+}
+
+func (s *submitFlags) add(f *flag.FlagSet) {
+	f.StringVar(&s.job.Profile, "profile", "", "`NAME` of the profile (required)")
+	f.IntVar(&s.job.Gang.Tasks, "tasks", 1, "`N` tasks, which run together or not at all")
+	f.IntVar(&s.job.Gang.PerTask.Accelerators, "accelerators", 0, "`N` accelerators for each task")
+	f.IntVar(&s.job.Gang.PerTask.MilliCPU, "milli-cpu", 1000, "`N` thousandths of a core for each task")
+	f.IntVar(&s.job.Gang.PerTask.MemoryMB, "memory-mb", 1024, "`N` megabytes for each task")
+	f.StringVar(&s.adjacency, "adjacency", string(api.AdjacentZone), "`PART` of the fleet that holds the whole gang: worker, rack or zone")
+	f.BoolVar(&s.job.Idempotent, "idempotent", false, "the job may run more than once")
+	f.BoolVar(&s.job.Checkpointable, "checkpointable", false, "the job can go on from a checkpoint")
+	f.DurationVar(&s.declared, "declared-run", 0, "`DURATION` that the job is expected to run")
+	f.StringVar(&s.deadline, "deadline", "", "`TIME` in RFC 3339, or a duration from now, after which the job is of no use")
+	f.StringVar(&s.data, "data", "", "`JSON` payload for the tasks")
+	f.StringVar(&s.file, "file", "", "`FILE` with the JSON payload (\"-\" is the standard input)")
+	f.StringVar(&s.key, "key", "", "idempotency `KEY`; the same key always gives the same job (default: a new one)")
+	f.BoolVar(&s.wait, "wait", false, "wait for the end of the job; the exit code tells its outcome")
+	addBound(f, &s.bound)
+}
+
+func submitCommand(e *env) *command {
+	flags := &submitFlags{}
+	return &command{
+		name: "submit", synopsis: "submit a job",
+		example: "  coltsfootctl jobs submit --profile reconstruction --tasks 4 --accelerators 2 \\\n" +
+			"    --adjacency rack --declared-run 40m --checkpointable --data '{\"night\": \"2026-02-01\"}' --wait",
+		flags: flags.add,
+		run:   func(ctx context.Context, _ []string) error { return e.submit(ctx, flags) },
+	}
+}
+
+func (e *env) submit(ctx context.Context, flags *submitFlags) error {
+	job, err := e.buildJob(flags, time.Now())
+	if err != nil {
+		return err
+	}
+	key := flags.key
+	if key == "" {
+		key = uuid.NewString()
+	}
+	record, err := e.submitWithRetries(ctx, job, key)
+	if err != nil {
+		return errors.Annotatef(err, "job with key %s", key)
+	}
+	if flags.wait {
+		return e.waitForJob(ctx, record.Job.ID, flags.bound)
+	}
+	return e.printJob(record)
+}
+
+func (e *env) buildJob(flags *submitFlags, now time.Time) (client.JobRequest, error) {
+	job := flags.job
+	if job.Profile == "" {
+		return job, usagef("--profile is required")
+	}
+	switch a := api.Adjacency(flags.adjacency); a {
+	case api.AdjacentWorker, api.AdjacentRack, api.AdjacentZone:
+		job.Gang.Adjacency = a
+	default:
+		return job, usagef("--adjacency %q is not worker, rack or zone", flags.adjacency)
+	}
+	payload, err := e.body(flags.data, flags.file)
+	if err != nil {
+		return job, err
+	}
+	if len(payload) > 0 && !json.Valid(payload) {
+		return job, usagef("payload is not valid JSON")
+	}
+	job.Payload = payload
+	job.DeclaredRun = api.Duration(flags.declared)
+	job.Deadline, err = parseDeadline(flags.deadline, now)
+	return job, err
+}
+
+func parseDeadline(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if d, err := time.ParseDuration(text); err == nil {
+		return now.Add(d).UTC(), nil
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return time.Time{}, usagef("--deadline %q is neither a time in RFC 3339 nor a duration", text)
+	}
+	return t, nil
+}
+
+// submitWithRetries repeats a submission without an answer. That is safe, as
+// the same key always gives the same job.
+func (e *env) submitWithRetries(ctx context.Context, job client.JobRequest, key string) (api.JobRecord, error) {
+	c := e.client()
+	for attempt := 1; ; attempt++ {
+		record, err := c.SubmitJob(ctx, job, key)
+		noAnswer := errors.Is(err, client.ErrUnreachable) || errors.Is(err, client.ErrNoAnswer)
+		if !noAnswer || attempt == submitAttempts {
+			return record, err
+		}
+		if sleep(ctx, submitPause) != nil {
+			return record, err
+		}
+	}
+}
--- a/internal/httpx/httpx_test.go
+++ b/internal/httpx/httpx_test.go
@@ -42,7 +42,7 @@
 		}
 		WriteJSON(ctx, fasthttp.StatusOK, v)
 	})
-	s := NewServer(ServerOptions{Listen: "127.0.0.1:0", Handler: r.Handler, MaxBodyBytes: testMaxBody})
+	s := NewServer(ServerOptions{Listen: "127.0.0.1:0", Handler: r.Handler, MaxBodyBytes: testMaxBody, Registry: registry})
 	if err := s.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -108,8 +108,11 @@
 			t.Errorf("%s %s: status %d %s, problem %+v", c.method, c.path, resp.StatusCode, resp.Header.Get("Content-Type"), p)
 		}
 	}
-	if resp, _ := do(t, "GET", "http://"+s.Addr()+PathHealth, "", ""); resp.StatusCode != 200 {
-		t.Errorf("status %d of %s after the refusals", resp.StatusCode, PathHealth)
+	_, body := do(t, "GET", "http://"+s.Addr()+PathMetrics, "text/plain", "")
+	for _, line := range []string{"http.4xx 8\n", "http.5xx 2\n", "http.unreadable 1\n"} {
+		if !strings.Contains(body, line) {
+			t.Errorf("no line %q in %s", line, body)
+		}
 	}
 }
 
--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/fasthttp/router"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 )
 
@@ -58,6 +60,9 @@
 	// LameDuck is how long Stop goes on accepting connections, while answers
 	// ask clients to close theirs, before the listener is closed.
 	LameDuck time.Duration
+	// Registry, if not nil, counts answers by class of status ("http.2xx") and
+	// requests that could not be read ("http.unreadable").
+	Registry metrics.Registry
 }
 
 // Server is an HTTP server with the life of a kernel service.
@@ -67,14 +72,25 @@
 	listener net.Listener
 	draining atomic.Bool
 	served   sync.WaitGroup
+
+	classes    [6]metrics.Counter // by the first digit of the status
+	unreadable metrics.Counter
 }
 
+// silentLogger drops the library's line for each broken connection; the
+// counter of unreadable requests stands for them.
+type silentLogger struct{}
+
+func (silentLogger) Printf(string, ...any) {}
+
 // NewServer returns a server that does not listen yet.
 func NewServer(options ServerOptions) *Server {
 	s := &Server{options: options}
+	s.registerCounters(options.Registry)
 	s.server = &fasthttp.Server{
 		Handler:               s.handle,
-		ErrorHandler:          handleError,
+		ErrorHandler:          s.handleError,
+		Logger:                silentLogger{},
 		MaxRequestBodySize:    options.MaxBodyBytes,
 		ReadBufferSize:        maxHeaderBytes,
 		ReadTimeout:           readTimeout,
@@ -86,6 +102,19 @@
 	return s
 }
 
+func (s *Server) registerCounters(registry metrics.Registry) {
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	for class := range s.classes {
+		s.classes[class] = metrics.NilCounter{}
+		if class >= 2 {
+			s.classes[class] = metrics.GetOrRegisterCounter(fmt.Sprintf("http.%dxx", class), registry)
+		}
+	}
+	s.unreadable = metrics.GetOrRegisterCounter("http.unreadable", registry)
+}
+
 // Start listens and serves.
 func (s *Server) Start(context.Context) error {
 	listener, err := net.Listen("tcp", s.options.Listen)
@@ -130,10 +159,14 @@
 		ctx.SetConnectionClose()
 	}
 	s.options.Handler(ctx)
+	if class := ctx.Response.StatusCode() / 100; class < len(s.classes) {
+		s.classes[class].Inc(1)
+	}
 }
 
 // handleError answers requests that could not be read.
-func handleError(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
+	s.unreadable.Inc(1)
 	if conn, ok := ctx.Conn().(*lingerConn); ok {
 		conn.linger.Store(true)
 	}
--- a/internal/settings/findings.go
+++ b/internal/settings/findings.go
@@ -9,11 +9,11 @@
 // Finding is one fault of a settings file. Line and Column are 0 when the
 // fault has no place in the file.
 type Finding struct {
-	File    string
-	Line    int
-	Column  int
-	Key     string
-	Message string
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Key     string `json:"key"`
+	Message string `json:"message"`
 }
 
 // String returns the finding as FILE:LINE: KEY: message.
