--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,7 +20,7 @@
 	// inForceLimit is the bound for a configuration change to be in force everywhere.
 	inForceLimit = 3 * time.Second
 	steadyTime   = 2 * time.Second
-	zoneTaken    = "z2"
+	gangTime     = 6 * time.Second
 )
 
 func main() {
@@ -91,15 +92,15 @@
 func (d *demo) profiles() error {
 	section("Profiles")
 	docs := map[string]string{
-		"survey":         `{"client_account":"county","weight":2}`,
-		"reconstruction": `{"client_account":"clinic","guarantee":{"gangs":1,"shape":{"tasks":2,"per_task":{"accelerators":8,"milli_cpu":8000,"memory_mb":16000},"adjacency":"rack"}}}`,
+		"survey":         `{"name":"survey","client_account":"county","weight":2}`,
+		"reconstruction": `{"name":"reconstruction","client_account":"clinic","guarantee":{"gangs":1,"shape":{"tasks":2,"per_task":{"accelerators":8,"milli_cpu":8000,"memory_mb":16000},"adjacency":"rack"}}}`,
 	}
 	for name, doc := range docs {
 		path := d.topology.fleet.dir + "/profile-" + name + ".json"
 		if err := os.WriteFile(path, []byte(doc), 0o600); err != nil {
 			return errors.Trace(err)
 		}
-		if _, err := d.ctl("profiles", "set", name, path); err != nil {
+		if _, err := d.ctl("profiles", "set", path); err != nil {
 			return err
 		}
 	}
@@ -136,12 +137,12 @@
 	if err := os.WriteFile(path, []byte(`{"tree":"samaan-17","finding":"consent"}`), 0o600); err != nil {
 		return errors.Trace(err)
 	}
-	out, err := d.ctl("request", "--profile", "survey", "--key", "consent-samaan-17", "assessment", path)
+	out, err := d.ctl("request", "--profile", "survey", "--key", "consent-samaan-17", "--file", path, "assessment")
 	if err != nil {
 		return err
 	}
 	fmt.Println("answer:", strings.TrimSpace(out))
-	again, err := d.ctl("request", "--profile", "survey", "--key", "consent-samaan-17", "assessment", path)
+	again, err := d.ctl("request", "--profile", "survey", "--key", "consent-samaan-17", "--file", path, "assessment")
 	if err != nil {
 		return err
 	}
@@ -154,13 +155,7 @@
 
 func (d *demo) gang() error {
 	section("Gang job")
-	path := d.topology.fleet.dir + "/job.json"
-	doc := `{"profile":"reconstruction","gang":{"tasks":2,"per_task":{"accelerators":8,"milli_cpu":8000,"memory_mb":16000},"adjacency":"rack"},
-"payload":{"run_ms":1000,"result":"stages"},"idempotent":true,"checkpointable":true,"declared_run":"1s"}`
-	if err := os.WriteFile(path, []byte(doc), 0o600); err != nil {
-		return errors.Trace(err)
-	}
-	record, err := d.submit("night-1", path)
+	record, err := d.submit("night-1", time.Second)
 	if err != nil {
 		return err
 	}
@@ -184,14 +179,36 @@
 	Results json.RawMessage `json:"results"`
 }
 
-func (d *demo) submit(key, path string) (jobRecord, error) {
-	out, err := d.ctl("--json", "jobs", "submit", "--key", key, path)
+// submit sends a gang of two tasks that fill a worker each.
+func (d *demo) submit(key string, run time.Duration) (jobRecord, error) {
+	out, err := d.ctl("--json", "jobs", "submit", "--key", key, "--profile", "reconstruction",
+		"--tasks", "2", "--accelerators", "8", "--milli-cpu", "8000", "--memory-mb", "16000",
+		"--adjacency", "rack", "--idempotent", "--checkpointable", "--declared-run", run.String(),
+		"--data", fmt.Sprintf(`{"run_ms":%d,"result":"stages of %s"}`, run.Milliseconds(), key))
 	if err != nil {
 		return jobRecord{}, err
 	}
 	return decodeRecord(out)
 }
 
+// results returns the results without white space.
+func (r jobRecord) results() string {
+	var out bytes.Buffer
+	if err := json.Compact(&out, r.Results); err != nil {
+		return err.Error()
+	}
+	return out.String()
+}
+
+// where names the gang's workers.
+func (r jobRecord) where() string {
+	var parts []string
+	for _, p := range r.Placements {
+		parts = append(parts, fmt.Sprintf("%s in %s", p.Worker, p.Zone))
+	}
+	return strings.Join(parts, " and ")
+}
+
 func decodeRecord(text string) (jobRecord, error) {
 	var r jobRecord
 	err := json.Unmarshal([]byte(text), &r)
@@ -207,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("job %s: %s after attempt %d, results %s\n", id, r.Outcome, r.Attempt, r.Results)
+	fmt.Printf("job %s: %s in attempt %d on %s, results %s\n", id, r.Outcome, r.Attempt, r.where(), r.results())
 	if r.Outcome != "done" {
 		return errors.Errorf("job %s: %s %s", id, r.Outcome, r.Detail)
 	}
@@ -227,38 +244,34 @@
 	return r, err
 }
 
-// zoneRound takes a zone out and back in while requests and a gang go on.
+// zoneRound takes the zone of a running gang out and back in while requests go on.
 func (d *demo) zoneRound() error {
-	section("Availability zone %s out and back in, under load", zoneTaken)
+	section("Availability zone out and back in, under load")
+	record, err := d.submit("night-2", gangTime)
+	if err != nil {
+		return err
+	}
+	running, err := d.awaitRunning(record.Job.ID)
+	if err != nil {
+		return err
+	}
+	zone := running.Placements[0].Zone
+	fmt.Printf("job %s runs on %s\n", record.Job.ID, running.where())
 	l := startLoad(d.topology.http)
 	began := time.Now()
 	time.Sleep(steadyTime)
 	fmt.Println("requests done before:", counted(l.since(began, time.Now())))
-	if err := d.zone("out"); err != nil {
-		return err
-	}
-	outFrom := time.Now()
-	time.Sleep(steadyTime)
-	during := l.since(outFrom, time.Now())
-	fmt.Println("requests done while it was out:", counted(during))
-	if during["minion-"+zoneTaken] > 0 {
-		return errors.Errorf("zone %s is out, and its minion answered %d requests", zoneTaken, during["minion-"+zoneTaken])
-	}
-	if err := d.gangDuring(); err != nil {
+	if err := d.takeOut(zone, l); err != nil {
 		return err
 	}
-	if err := d.zone("in"); err != nil {
+	if err := d.awaitDone(record.Job.ID); err != nil {
 		return err
 	}
-	_, err := d.until("zone "+zoneTaken+" takes requests again", 10*time.Second, func() (bool, error) {
-		return l.since(outFrom, time.Now())["minion-"+zoneTaken] > 0, nil
-	})
-	if err != nil {
+	if err := d.bringBack(zone, l); err != nil {
 		return err
 	}
 	l.end()
 	counts, failures := l.outcomes()
-	fmt.Println("requests done after its return:", counted(l.since(outFrom.Add(steadyTime), time.Now())))
 	fmt.Println("all requests of the load:", counted(counts))
 	if len(failures) > 0 || len(counts) != 1 || counts["done"] == 0 {
 		return errors.Errorf("load: %s; failures %v", counted(counts), failures)
@@ -266,28 +279,40 @@
 	return nil
 }
 
-func (d *demo) zone(state string) error {
-	if _, err := d.ctl("zones", state, zoneTaken); err != nil {
+func (d *demo) setZone(zone, state string) error {
+	if _, err := d.ctl("zones", state, zone); err != nil {
 		return err
 	}
-	fmt.Printf("zone %s %s: ", zoneTaken, state)
+	fmt.Printf("zone %s %s: ", zone, state)
 	return d.awaitInForce()
 }
 
-func (d *demo) gangDuring() error {
-	record, err := d.submit("night-2", d.topology.fleet.dir+"/job.json")
-	if err != nil {
+func (d *demo) takeOut(zone string, l *load) error {
+	if err := d.setZone(zone, "out"); err != nil {
 		return err
 	}
-	running, err := d.awaitRunning(record.Job.ID)
-	if err != nil {
+	began := time.Now()
+	time.Sleep(steadyTime)
+	done := l.since(began, time.Now())
+	fmt.Println("requests done while it was out:", counted(done))
+	if n := done["minion-"+zone]; n > 0 {
+		return errors.Errorf("zone %s is out, and its minion answered %d requests", zone, n)
+	}
+	return nil
+}
+
+func (d *demo) bringBack(zone string, l *load) error {
+	if err := d.setZone(zone, "in"); err != nil {
 		return err
 	}
-	for _, p := range running.Placements {
-		if p.Zone == zoneTaken {
-			return errors.Errorf("job %s was placed in zone %s, which is out", record.Job.ID, p.Zone)
-		}
-		fmt.Printf("gang member of %d tasks on %s in %s\n", p.Tasks, p.Worker, p.Zone)
+	began := time.Now()
+	_, err := d.until("zone "+zone+" takes requests again", 10*time.Second, func() (bool, error) {
+		return l.since(began, time.Now())["minion-"+zone] > 0, nil
+	})
+	if err != nil {
+		return err
 	}
-	return d.awaitDone(record.Job.ID)
+	time.Sleep(steadyTime)
+	fmt.Println("requests done after its return:", counted(l.since(began, time.Now())))
+	return nil
 }
