Background loops in one place; a worker's agent leaves whole groups to its successor

A planned stop of a worker's agent waited for the end of its gangs, which run for hours: the drain timeout cut it short with status 3. It now waits until no group is between two states and leaves the running ones under their leases, for the next process of the agent to adopt.

--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -162,7 +162,7 @@
 }
 
 func newRequests(s *settings.Entry, srv *links.Server, config confstate.Store, m *membership.Service, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *requests.Service {
-	cfg := requests.Config{EntryID: string(s.ID), MaxRequests: s.Limits.MaxRequests}
+	cfg := requests.Config{EntryID: string(s.ID), MaxRequests: s.Limits.MaxRequests, MaxQueue: s.Limits.MaxQueue}
 	return requests.New(cfg, srv, config, m, l, objects, registry, log)
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/google/uuid"
@@ -28,12 +29,12 @@
 )
 
 const (
-	tickInterval       = 50 * time.Millisecond
-	heartbeatInterval  = 300 * time.Millisecond
-	healthInterval     = 500 * time.Millisecond
-	healthTimeout      = time.Second
-	idlePollInterval   = 20 * time.Millisecond
-	leaveNoticeTimeout = 500 * time.Millisecond
+	tickInterval      = 50 * time.Millisecond
+	heartbeatInterval = 300 * time.Millisecond
+	healthInterval    = 500 * time.Millisecond
+	healthTimeout     = time.Second
+	idlePollInterval  = 20 * time.Millisecond
+	leaveNoticeTime   = 500 * time.Millisecond
 )
 
 // Config describes one agent and its endpoint.
@@ -65,8 +66,7 @@
 	healthy    bool
 	leaving    bool
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	loops kernel.Loops
 }
 
 // New returns an agent. Minion is used for KindMinion, worker for KindWorker.
@@ -92,17 +92,17 @@
 
 // Start begins to announce the endpoint; it does not wait for an entry.
 func (a *Agent) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
-	a.goLoop(func() { a.links.run(ctx) })
-	a.goLoop(func() { every(ctx, tickInterval, a.tick) })
-	a.goLoop(func() { every(ctx, healthInterval, func() { a.probe(ctx) }) })
+	a.loops.Begin()
+	a.loops.Go(a.links.run)
+	a.loops.Every(tickInterval, func(context.Context) { a.tick() })
+	a.loops.Every(healthInterval, a.probe)
 	return nil
 }
 
-// Stop announces that the endpoint leaves, lets the work in progress finish
-// and its results be acknowledged, and closes the links. It fails when ctx
-// ends first.
+// Stop announces that the endpoint leaves, lets the work in progress settle
+// and closes the links. It fails when ctx ends first. A minion's requests
+// finish and their results are acknowledged; a worker's running gang members
+// go on under their leases, for the next process of this agent to adopt.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.mu.Lock()
 	a.leaving = true
@@ -110,14 +110,10 @@
 	a.log.Info().Msg("leaving")
 	a.host().leave()
 	a.links.heartbeatNow()
-	sleep(ctx, leaveNoticeTimeout)
-	for !a.host().idle() && ctx.Err() == nil {
-		sleep(ctx, idlePollInterval)
-	}
-	idle := a.host().idle()
-	a.cancel()
-	a.done.Wait()
-	if !idle {
+	kernel.Sleep(ctx, leaveNoticeTime)
+	settled := kernel.Until(ctx, idlePollInterval, a.host().settled)
+	a.loops.End()
+	if !settled {
 		return errors.Timeoutf("work in progress on %q did not finish: stop", a.cfg.ID)
 	}
 	return nil
@@ -148,7 +144,7 @@
 	ownerSeen(epoch uint64)
 	reports() []*rpc.GroupReport
 	leave()
-	idle() bool
+	settled() bool
 	slotsInUse() int
 	probe(ctx context.Context) error
 	dump() any
@@ -256,34 +252,3 @@
 		Endpoint      any
 	}{a.cfg.ID, a.incarnation, a.clock().Milliseconds(), p.version, p.zoneOut, a.allowed(), healthy, leaving, a.links.dump(), a.host().dump()}
 }
-
-func (a *Agent) goLoop(fn func()) {
-	a.done.Add(1)
-	go func() {
-		defer a.done.Done()
-		fn()
-	}()
-}
-
-// every calls fn at once and then each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, fn func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		fn()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -72,7 +73,7 @@
 			wait = redialMin
 		}
 		l.agent.log.Debug().Str("address", l.address).Err(err).Msg("link lost")
-		sleep(ctx, wait/2+rand.N(wait))
+		kernel.Sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, redialMax)
 	}
 }
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
@@ -54,7 +55,7 @@
 		if s.up() == 0 {
 			wait = announceRetry
 		}
-		sleep(ctx, wait/2+rand.N(wait))
+		kernel.Sleep(ctx, wait/2+rand.N(wait))
 	}
 }
 
@@ -102,7 +103,7 @@
 		ctx, cancel := context.WithCancel(s.ctx)
 		l := &link{agent: s.agent, address: e.RpcAddress, listed: now, cancel: cancel}
 		s.links[e.RpcAddress] = l
-		s.agent.goLoop(func() { l.run(ctx) })
+		s.agent.loops.Go(func(context.Context) { l.run(ctx) })
 	}
 }
 
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -188,7 +188,8 @@
 func (h *requestHost) leave()                          { h.step(exec.Leave{}) }
 func (h *requestHost) probe(ctx context.Context) error { return h.minion.Healthy(ctx) }
 
-func (h *requestHost) idle() bool {
+// settled reports whether all requests have finished and their results are acknowledged.
+func (h *requestHost) settled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.core.Idle()
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -268,10 +268,12 @@
 func (h *taskHost) leave()                 { h.step(groups.Leave{}) }
 func (h *taskHost) slotsInUse() int        { return 0 }
 
-func (h *taskHost) idle() bool {
+// settled reports whether no group is between two states and no call of the
+// worker waits.
+func (h *taskHost) settled() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.core.Idle()
+	return h.core.Settled() && h.ops.idle()
 }
 
 func (h *taskHost) dump() any {
@@ -298,6 +300,12 @@
 	}
 }
 
+func (q *opQueue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.running
+}
+
 func (q *opQueue) drain() {
 	for {
 		q.mu.Lock()
--- a/internal/entry/jobs/waiters.go
+++ b/internal/entry/jobs/waiters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/juju/errors"
 )
@@ -28,8 +29,7 @@
 	mu      sync.Mutex
 	waiting map[string][]chan api.JobRecord
 	count   int
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	loops   kernel.Loops
 }
 
 // NewWaiters returns a service over the store.
@@ -39,36 +39,17 @@
 
 // Start begins to watch.
 func (w *Waiters) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	w.cancel = cancel
-	w.done.Add(1)
-	go func() {
-		defer w.done.Done()
-		w.loop(ctx)
-	}()
+	w.loops.Begin()
+	w.loops.Every(watchInterval, w.look)
 	return nil
 }
 
 // Stop ends the watch; callers still waiting run into their own timeouts.
 func (w *Waiters) Stop(context.Context) error {
-	w.cancel()
-	w.done.Wait()
+	w.loops.End()
 	return nil
 }
 
-func (w *Waiters) loop(ctx context.Context) {
-	t := time.NewTicker(watchInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			w.look(ctx)
-		}
-	}
-}
-
 func (w *Waiters) look(ctx context.Context) {
 	ids := w.ids()
 	if len(ids) == 0 {
--- a/internal/entry/node/notifier.go
+++ b/internal/entry/node/notifier.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/rcrowley/go-metrics"
@@ -24,9 +24,8 @@
 	local    JobNotices
 	registry metrics.Registry
 
-	queue  chan string
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	queue chan string
+	loops kernel.Loops
 
 	address string
 	conn    *grpc.ClientConn
@@ -40,20 +39,14 @@
 
 // Start begins to send.
 func (n *Notifier) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
-	n.done.Add(1)
-	go func() {
-		defer n.done.Done()
-		n.loop(ctx)
-	}()
+	n.loops.Begin()
+	n.loops.Go(n.loop)
 	return nil
 }
 
 // Stop ends the sending.
 func (n *Notifier) Stop(context.Context) error {
-	n.cancel()
-	n.done.Wait()
+	n.loops.End()
 	n.disconnect()
 	return nil
 }
--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
@@ -218,7 +219,7 @@
 		kept = c.tryKeep(ctx, key, row)
 		if !kept {
 			metrics.GetOrRegisterCounter("claims.record_retries", c.service.registry).Inc(1)
-			sleep(ctx, recordRetry)
+			kernel.Sleep(ctx, recordRetry)
 		}
 	}
 	c.service.mu.Lock()
@@ -294,12 +295,3 @@
 	}
 	return data
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
@@ -34,6 +35,7 @@
 type Config struct {
 	EntryID     string
 	MaxRequests int // in progress at once
+	MaxQueue    int // waiting for a slot in one profile that sets no bound itself
 }
 
 // Call is one caller's request.
@@ -84,15 +86,13 @@
 	started  time.Time
 	prefix   string
 
-	mu       sync.Mutex
-	core     *route.Core
-	waiters  map[string]*waiter
-	serial   uint64
-	result   *rpc.RequestResult // of the event in progress
-	draining bool
+	mu      sync.Mutex
+	core    *route.Core
+	waiters map[string]*waiter
+	serial  uint64
+	result  *rpc.RequestResult // of the event in progress
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	loops kernel.Loops
 }
 
 // New returns the service; it listens to srv from now on.
@@ -106,7 +106,7 @@
 		log:      log,
 		started:  time.Now(),
 		prefix:   cfg.EntryID + "." + uuid.NewString()[:8],
-		core:     route.New(route.Config{}),
+		core:     route.New(route.Config{MaxOpen: cfg.MaxRequests, MaxQueue: cfg.MaxQueue}),
 		waiters:  map[string]*waiter{},
 	}
 	s.claims = newClaims(s, l, objects)
@@ -118,28 +118,16 @@
 
 // Start begins the core's ticks.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.tickLoop(ctx)
-	}()
+	s.loops.Begin()
+	s.loops.Every(route.TickInterval, func(context.Context) { s.tick() })
 	return nil
 }
 
 // Stop refuses new requests and waits until those in progress are answered.
 func (s *Service) Stop(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
 	s.step(route.Drain{})
-	for !s.idle() && ctx.Err() == nil {
-		time.Sleep(idlePollInterval)
-	}
-	idle := s.idle()
-	s.cancel()
-	s.done.Wait()
+	idle := kernel.Until(ctx, idlePollInterval, func() bool { return s.waiting() == 0 })
+	s.loops.End()
 	s.claims.wait(ctx)
 	if !idle {
 		return errors.Timeoutf("%d requests in progress: stop", s.waiting())
@@ -147,25 +135,14 @@
 	return nil
 }
 
-func (s *Service) idle() bool { return s.waiting() == 0 }
-
 func (s *Service) waiting() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.waiters)
 }
 
-func (s *Service) tickLoop(ctx context.Context) {
-	t := time.NewTicker(route.TickInterval)
-	defer t.Stop()
-	for {
-		s.step(s.permit(), route.Peers{Entries: len(s.members.Entries())}, route.Tick{})
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+func (s *Service) tick() {
+	s.step(s.permit(), route.Peers{Entries: len(s.members.Entries())}, route.Tick{})
 }
 
 func (s *Service) permit() route.Permit {
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/jobs"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched"
 	"github.com/juju/errors"
@@ -55,9 +56,8 @@
 	workers map[string]*worker
 	drained bool
 
-	poke   chan string
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	poke  chan string
+	loops kernel.Loops
 }
 
 // worker is a linked worker agent with the newest report of each group.
@@ -86,22 +86,13 @@
 
 // Start begins to watch the ownership of the cell.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.goLoop(func() { s.tickLoop(ctx) })
-	s.goLoop(func() { s.scanLoop(ctx) })
-	s.goLoop(func() { s.pokeLoop(ctx) })
+	s.loops.Begin()
+	s.loops.Every(sched.TickInterval, func(context.Context) { s.tick() })
+	s.loops.Every(scanInterval, s.scan)
+	s.loops.Go(s.pokeLoop)
 	return nil
 }
 
-func (s *Service) goLoop(fn func()) {
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		fn()
-	}()
-}
-
 // Stop starts no more attempts and waits for the writes in progress. Running
 // gangs go on under the next owner.
 func (s *Service) Stop(ctx context.Context) error {
@@ -117,29 +108,15 @@
 	if t != nil {
 		t.waitSaved(ctx)
 	}
-	s.cancel()
-	s.done.Wait()
+	s.loops.End()
 	s.mu.Lock()
 	s.endTerm("planned stop")
 	s.mu.Unlock()
 	return nil
 }
 
-func (s *Service) tickLoop(ctx context.Context) {
-	t := time.NewTicker(sched.TickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.tick(ctx)
-		}
-	}
-}
-
 // tick begins and ends terms and lets time pass in the core.
-func (s *Service) tick(ctx context.Context) {
+func (s *Service) tick() {
 	authority, wait := s.owner.Authority()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,7 +124,7 @@
 		s.endTerm("ownership lost")
 	}
 	if s.term == nil && authority.Owner && !s.drained {
-		s.beginTerm(ctx, authority, wait)
+		s.beginTerm(authority, wait)
 	}
 	if s.term == nil || !s.term.loaded {
 		return
@@ -157,12 +134,12 @@
 }
 
 // beginTerm is called with mu held; the rows are read without it.
-func (s *Service) beginTerm(ctx context.Context, a sched.Authority, wait time.Duration) {
+func (s *Service) beginTerm(a sched.Authority, wait time.Duration) {
 	t := newTerm(s, a.Epoch, wait)
 	s.term = t
 	s.log.Info().Uint64("epoch", a.Epoch).Dur("start_after", wait).Msg("term began")
 	metrics.GetOrRegisterCounter("scheduler.terms", s.registry).Inc(1)
-	s.goLoop(func() { s.loadTerm(ctx, t) })
+	s.loops.Go(func(ctx context.Context) { s.loadTerm(ctx, t) })
 }
 
 func (s *Service) endTerm(reason string) {
@@ -191,7 +168,7 @@
 		}
 		s.mu.Unlock()
 		s.log.Warn().Err(err).Msg("recovery reads failed")
-		sleep(ctx, scanInterval/4)
+		kernel.Sleep(ctx, scanInterval/4)
 	}
 }
 
@@ -243,19 +220,6 @@
 	}
 }
 
-func (s *Service) scanLoop(ctx context.Context) {
-	t := time.NewTicker(scanInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.scan(ctx)
-		}
-	}
-}
-
 func (s *Service) loadedTerm() *term {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -384,15 +348,6 @@
 	}{true, s.term.epoch, s.term.loaded, s.term.core.Dump()}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // isSettled reports whether an error of a save means that trying again cannot help.
 func isSettled(err error) bool {
 	return errors.Is(err, jobs.ErrEpoch) || errors.Is(err, jobs.ErrFinal) || errors.Is(err, jobs.ErrNoJob)
--- a/internal/entry/scheduler/term.go
+++ b/internal/entry/scheduler/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/jobs"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
@@ -289,7 +290,7 @@
 			t.saved(record, true)
 			return
 		}
-		sleep(t.ctx, saveRetry)
+		kernel.Sleep(t.ctx, saveRetry)
 	}
 }
 
