--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/node"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/requests"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/retention"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/scheduler"
 	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
@@ -45,6 +46,7 @@
 	Scheduler  *scheduler.Service
 	Requests   *requests.Service
 	Notifier   *node.Notifier
+	Retention  *retention.Service
 	HTTP       *httpx.Server
 }
 
@@ -62,7 +64,7 @@
 		metrics.NewRegistry,
 		newTable, newObjects, newLedger, newMembership, newConfig, newOwner,
 		newBeat, newLinks, newStore, jobs.NewWaiters, newScheduler, newRequests,
-		newRPC, newNotifier, newStatus, newAPI, newHTTP,
+		newRPC, newNotifier, newOwnership, newRetention, newStatus, newAPI, newHTTP,
 	)
 	if err != nil {
 		return err
@@ -84,6 +86,7 @@
 		{"scheduler", all.Scheduler},
 		{"requests", all.Requests},
 		{"notifier", all.Notifier},
+		{"retention", all.Retention},
 		{"http", all.HTTP},
 	} {
 		if err := k.Register(r.name, r.service); err != nil {
@@ -157,8 +160,16 @@
 	return jobs.NewStore(l, string(s.Cell))
 }
 
-func newScheduler(o *owner.Service, c clock, config confstate.Store, store *jobs.Store, w *jobs.Waiters, srv *links.Server, registry metrics.Registry, log zerolog.Logger) *scheduler.Service {
-	return scheduler.New(node.Ownership{Owner: o, Clock: c}, config, store, w, srv, registry, log)
+func newOwnership(o *owner.Service, c clock) node.Ownership {
+	return node.Ownership{Owner: o, Clock: c}
+}
+
+func newRetention(l ledger.Ledger, o node.Ownership, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *retention.Service {
+	return retention.New(l, o, registry, log, requests.Retention(objects), jobs.Retention())
+}
+
+func newScheduler(o node.Ownership, config confstate.Store, store *jobs.Store, w *jobs.Waiters, srv *links.Server, registry metrics.Registry, log zerolog.Logger) *scheduler.Service {
+	return scheduler.New(o, config, store, w, srv, registry, log)
 }
 
 func newRequests(s *settings.Entry, srv *links.Server, config confstate.Store, m *membership.Service, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *requests.Service {
--- a/internal/entry/node/ownership.go
+++ b/internal/entry/node/ownership.go
@@ -13,6 +13,12 @@
 	Clock func() time.Duration
 }
 
+// Owns reports whether this entry owns the cell and can write.
+func (o Ownership) Owns() bool {
+	a := o.Owner.Current()
+	return a.Owner && !a.StoreDown
+}
+
 // Authority returns the present standing and how long from now the earlier
 // owner's permissions may still be in use.
 func (o Ownership) Authority() (sched.Authority, time.Duration) {
--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	claimPrefix  = "claim/"
 	claimTimeout = 3 * time.Second
 	// recordTimeout bounds how long an answer waits to be recorded; until then
 	// the agent keeps it.
@@ -71,7 +72,7 @@
 // are different.
 func claimKey(account, service, key string) string {
 	sum := sha256.Sum256([]byte(account + "\x00" + service + "\x00" + key))
-	return "claim/" + hex.EncodeToString(sum[:])
+	return claimPrefix + hex.EncodeToString(sum[:])
 }
 
 func (c *claims) spawn(fn func()) bool {
--- /dev/null
+++ b/internal/entry/requests/retention.go
@@ -0,0 +1,37 @@
+package requests
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/retention"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/juju/errors"
+)
+
+// claimKeep is how long an idempotency key of a request is remembered.
+const claimKeep = 24 * time.Hour
+
+// Retention removes claims, with their recorded answers, after claimKeep.
+func Retention(objects platform.Objects) retention.Rule {
+	return retention.Rule{
+		Name:   "claims",
+		Prefix: claimPrefix,
+		Expired: func(data json.RawMessage, now time.Time) bool {
+			var row claimRow
+			return json.Unmarshal(data, &row) == nil && now.Sub(row.Created) > claimKeep
+		},
+		Before: func(ctx context.Context, data json.RawMessage) error {
+			var row claimRow
+			if json.Unmarshal(data, &row) != nil || row.Object == "" {
+				return nil
+			}
+			err := objects.Delete(ctx, row.Object)
+			if errors.Is(err, platform.ErrNotFound) {
+				return nil
+			}
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/retention/retention_test.go
@@ -0,0 +1,61 @@
+package retention
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// rows is a ledger of fixed rows, in order of key, that records deletions.
+type rows struct {
+	ledger.Ledger
+	keys    []string
+	deleted map[string]bool
+}
+
+func (r *rows) Scan(_ context.Context, _ ledger.Cause, _, after string, limit int) ([]ledger.Row, error) {
+	var out []ledger.Row
+	for _, k := range r.keys {
+		if k > after && !r.deleted[k] && len(out) < limit {
+			out = append(out, ledger.Row{Key: k, Version: 1, Data: json.RawMessage(`"` + k + `"`)})
+		}
+	}
+	return out, nil
+}
+
+func (r *rows) Commit(_ context.Context, _ ledger.Cause, writes ...ledger.Write) ([]ledger.Row, error) {
+	for _, w := range writes {
+		r.deleted[w.Key] = true
+	}
+	return nil, nil
+}
+
+func TestPageRemovesOnlyExpiredRowsWhosePartsAreGone(t *testing.T) {
+	l := &rows{keys: []string{"claim/a", "claim/b", "claim/c"}, deleted: map[string]bool{}}
+	rule := Rule{
+		Name:   "claims",
+		Prefix: "claim/",
+		Expired: func(data json.RawMessage, _ time.Time) bool {
+			return string(data) != `"claim/b"`
+		},
+		Before: func(_ context.Context, data json.RawMessage) error {
+			if string(data) == `"claim/c"` {
+				return errors.New("object store down")
+			}
+			return nil
+		},
+	}
+	s := New(l, nil, metrics.NewRegistry(), zerolog.Nop(), rule)
+	if err := s.page(context.Background(), 0, time.Now()); err == nil {
+		t.Fatal("no error although the object of claim/c could not be removed")
+	}
+	if !l.deleted["claim/a"] || l.deleted["claim/b"] || l.deleted["claim/c"] {
+		t.Fatalf("deleted %v, want claim/a only", l.deleted)
+	}
+}
