Prove the ledger's settling of lost answers

Change: a write whose row's tokens are not known reads them first, so that no client breaks the chain; a store that failed is probed by reads, so that unsent commits never come into doubt; ownership, configuration and jobs have lanes of their own. SinceAnswer is new in the Ledger interface: the rule on starts needs to know whether any call was answered, not only reads of the configuration.

--- a/internal/confstate/service.go
+++ b/internal/confstate/service.go
@@ -144,7 +144,6 @@
 	s.base = b
 	applied := s.view.apply(b.config)
 	if confirms {
-		s.view.read(start)
 		s.view.confirm(b.config.Version, start)
 	}
 	s.mu.Unlock()
@@ -154,7 +153,6 @@
 func (s *Service) confirm(version uint64, start time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.read(start)
 	s.view.confirm(version, start)
 }
 
@@ -183,21 +181,18 @@
 	return s.view.current, s.clock() - s.view.confirmed, s.view.known
 }
 
-// StoreFailing reports whether this entry's own reads fail.
+// StoreFailing reports whether the store has answered no call of this entry
+// within FreshLimit.
 func (s *Service) StoreFailing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view.storeFailing(s.clock())
+	ago, ok := s.ledger.SinceAnswer()
+	return !ok || ago > FreshLimit
 }
 
 // StoreDownEverywhere reports whether this entry and all its peers fail to
 // reach the store.
 func (s *Service) StoreDownEverywhere() bool {
 	peers, known := s.peers.Peers()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock()
-	return downEverywhere(now, s.view.storeFailing(now), peers, known)
+	return downEverywhere(s.clock(), s.StoreFailing(), peers, known)
 }
 
 // Permit reports whether work may start now: the configuration was confirmed
--- a/internal/confstate/view.go
+++ b/internal/confstate/view.go
@@ -15,9 +15,6 @@
 	confirmed time.Duration
 	// known is set once any configuration was read or relayed.
 	known bool
-	// lastRead is the start of the last own read that succeeded.
-	lastRead time.Duration
-	everRead bool
 }
 
 func newView() *view {
@@ -45,20 +42,7 @@
 	v.known = true
 }
 
-// read says that an own read that began at a time has succeeded.
-func (v *view) read(at time.Duration) {
-	if !v.everRead || at > v.lastRead {
-		v.lastRead = at
-	}
-	v.everRead = true
-}
-
 // fresh reports whether the configuration was confirmed within FreshLimit.
 func (v *view) fresh(now time.Duration) bool {
 	return v.known && now-v.confirmed <= FreshLimit
 }
-
-// storeFailing reports whether no own read has succeeded within FreshLimit.
-func (v *view) storeFailing(now time.Duration) bool {
-	return !v.everRead || now-v.lastRead > FreshLimit
-}
--- a/internal/ledger/cache.go
+++ b/internal/ledger/cache.go
@@ -7,7 +7,7 @@
 
 // tokenCache remembers the tokens and tombstones of rows that the client has
 // read or written lately, so that a write needs no read to carry on a row's
-// list of tokens. A row that is not in the cache starts a new list.
+// list of tokens.
 type tokenCache struct {
 	mu   sync.Mutex
 	rows map[string]cachedTokens
@@ -50,16 +50,13 @@
 }
 
 // find returns the version in the table and the tokens for a write that
-// expects the given version.
-func (t *tokenCache) find(key string, version uint64) (uint64, []string) {
+// expects the given version; ok is false if the row must be read first.
+func (t *tokenCache) find(key string, version uint64) (have uint64, tokens []string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, ok := t.rows[key]
-	if !ok {
-		return version, nil
+	c, known := t.rows[key]
+	if known && (c.version == version || version == 0 && c.deleted) {
+		return c.version, c.tokens, true
 	}
-	if c.version == version || version == 0 && c.deleted {
-		return c.version, c.tokens
-	}
-	return version, nil
+	return version, nil, version == 0
 }
--- a/internal/ledger/cleanup.go
+++ b/internal/ledger/cleanup.go
@@ -81,20 +81,37 @@
 	if now < c.cfg.TombstoneAge || c.breaker.open() {
 		return
 	}
-	for _, v := range c.graves.takeOlder(now-c.cfg.TombstoneAge, c.cfg.MaxGroupRows) {
-		if err := c.spend(ctx, CauseCleanup, c.meter.writeLimit(CauseCleanup)); err != nil {
-			return
-		}
-		c.remove(ctx, v)
+	old := c.graves.takeOlder(now-c.cfg.TombstoneAge, defaultMaxGroupRows)
+	if len(old) == 0 || c.spend(ctx, CauseCleanup, c.meter.writeLimit(CauseCleanup)) != nil {
+		return
+	}
+	for _, v := range c.remove(ctx, old) {
+		c.graves.add(v.key, v.version, v.since)
 	}
 }
 
-func (c *Client) remove(ctx context.Context, v grave) {
-	txn := platform.Txn{Conds: []platform.Cond{{Key: v.key, Version: v.version}}, Deletes: []string{v.key}}
+// remove deletes rows in one transaction. If some of them have changed, nothing
+// is deleted and the others are returned.
+func (c *Client) remove(ctx context.Context, old []grave) []grave {
+	var txn platform.Txn
+	for _, v := range old {
+		txn.Conds = append(txn.Conds, platform.Cond{Key: v.key, Version: v.version})
+		txn.Deletes = append(txn.Deletes, v.key)
+	}
 	c.meter.count(CauseCleanup, countTxns, 1)
-	// A failure leaves the tombstone to the next scan.
-	_ = c.call(ctx, func(ctx context.Context) error {
-		_, err := c.table.Commit(ctx, txn)
+	var res platform.TxnResult
+	err := c.call(ctx, func(ctx context.Context) (err error) {
+		res, err = c.table.Commit(ctx, txn)
 		return err
 	})
+	if err != nil || res.Committed {
+		return nil
+	}
+	var left []grave
+	for i, r := range res.Rows {
+		if i < len(old) && r.Version == old[i].version {
+			left = append(left, old[i])
+		}
+	}
+	return left
 }
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -23,11 +23,14 @@
 	meter   *meter
 	tokens  *tokenCache
 	graves  *graves
-	control *lane
-	bulk    *lane
+	lanes   map[laneName]*lane
 	reads   chan struct{}
 
-	mu      sync.Mutex
+	// answered is the start of the last call that the store has answered.
+	answered    time.Duration
+	hasAnswered bool
+
+	mu      sync.Mutex // guards answered and what follows
 	cancel  context.CancelFunc
 	stopped bool
 	cleaner sync.WaitGroup
@@ -45,6 +48,7 @@
 		meter:   newMeter(cfg),
 		tokens:  newTokenCache(),
 		graves:  newGraves(),
+		lanes:   map[laneName]*lane{},
 		reads:   make(chan struct{}, cfg.MaxReads),
 	}
 	senders := 1
@@ -52,8 +56,9 @@
 		c.cfg.MaxGroupRows = 1
 		senders = defaultUngrouped
 	}
-	c.control = &lane{client: c, senders: senders}
-	c.bulk = &lane{client: c, senders: senders}
+	for _, name := range laneNames {
+		c.lanes[name] = &lane{client: c, senders: senders}
+	}
 	return c
 }
 
@@ -81,7 +86,7 @@
 		cancel()
 	}
 	c.cleaner.Wait()
-	for !c.control.idle() || !c.bulk.idle() {
+	for !c.idle() {
 		if ctx.Err() != nil {
 			return errors.Annotate(ctx.Err(), "commits are still in progress")
 		}
@@ -93,15 +98,28 @@
 // Down reports whether the breaker is open.
 func (c *Client) Down() bool { return c.breaker.open() }
 
-// lane returns the queue for the cause. Job writes have their own, so that a
-// burst of them does not delay renewals of ownership and configuration.
-func (c *Client) lane(cause Cause) *lane {
-	switch cause {
-	case CauseConfig, CauseOwner, CausePresence:
-		return c.control
-	default:
-		return c.bulk
+// SinceAnswer returns how long ago the last call began that the store has
+// answered; ok is false before the first.
+func (c *Client) SinceAnswer() (ago time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg.Clock() - c.answered, c.hasAnswered
+}
+
+func (c *Client) noteAnswer(start time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = max(c.answered, start)
+	c.hasAnswered = true
+}
+
+func (c *Client) idle() bool {
+	for _, l := range c.lanes {
+		if !l.idle() {
+			return false
+		}
 	}
+	return true
 }
 
 // Commit applies all writes or none.
@@ -110,16 +128,23 @@
 		return nil, err
 	}
 	w := &waiter{part: newPart(c.cfg.Token(), writes), ctx: ctx, cause: cause, done: make(chan struct{})}
-	for i, wr := range writes {
-		w.conds[i], w.tokens[i] = c.tokens.find(wr.Key, wr.Version)
-	}
-	if err := c.lane(cause).add(w); err != nil {
+	c.prepare(w.part)
+	if err := c.lanes[laneOf(cause)].add(w); err != nil {
 		c.meter.count(cause, countRefused, 1)
 		return nil, err
 	}
 	return c.await(w)
 }
 
+// prepare sets the conditions of a part and the tokens to carry on.
+func (c *Client) prepare(p *part) {
+	for i, w := range p.writes {
+		var ok bool
+		p.conds[i], p.tokens[i], ok = c.tokens.find(w.Key, w.Version)
+		p.blind = p.blind || !ok
+	}
+}
+
 func (c *Client) admit(cause Cause, writes []Write) error {
 	if len(writes) == 0 {
 		return errors.NotValidf("commit without writes")
@@ -283,9 +308,11 @@
 func (c *Client) call(ctx context.Context, call func(context.Context) error) error {
 	opCtx, cancel := context.WithTimeout(ctx, c.cfg.OpTimeout)
 	defer cancel()
+	start := c.cfg.Clock()
 	err := call(opCtx)
 	switch {
 	case err == nil:
+		c.noteAnswer(start)
 		if c.breaker.open() {
 			c.cfg.Log.Info().Msg("store answers again")
 		}
--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -3,22 +3,170 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"runtime"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
 )
 
-func TestLostAnswerIsSettled(t *testing.T) {
+func put(key string, version uint64, data string) Write {
+	return Write{Key: key, Version: version, Data: json.RawMessage(data)}
+}
+
+// waitFor polls a condition for a bounded time.
+func waitFor(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("timeout waiting until %s", what)
+}
+
+// TestConcurrentCallersShareTransactions lets commits gather while one
+// transaction is in flight.
+func TestConcurrentCallersShareTransactions(t *testing.T) {
+	const callers = 300
+	table := newFakeTable()
+	c := New(table, Config{Budgets: map[Cause]Budget{}})
+	table.mu.Lock() // holds the first transaction back
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rows, err := c.Commit(context.Background(), CauseJob, put(fmt.Sprintf("k%d", i), 0, `1`))
+			if err != nil || rows[0].Version != 1 {
+				t.Errorf("rows %v, error %v", rows, err)
+			}
+		}()
+	}
+	lane := c.lanes[laneBulk]
+	waitFor(t, "all but the first group wait", func() bool { return lane.len() >= callers-defaultMaxGroupRows })
+	table.mu.Unlock()
+	wg.Wait()
+	if want := 2 + callers/defaultMaxGroupRows; table.commits > want {
+		t.Errorf("%d transactions for %d commits, expected at most %d", table.commits, callers, want)
+	}
+}
+
+// TestStalledStoreIsBounded shows that a store which never answers takes no
+// goroutines besides those of the callers, bounds what waits, and lets every
+// caller end.
+func TestStalledStoreIsBounded(t *testing.T) {
+	const limit, callers = 50, 400
+	table := newFakeTable()
+	table.stall = true
+	registry := metrics.NewRegistry()
+	c := New(table, Config{
+		Budgets:       map[Cause]Budget{},
+		MaxQueue:      limit,
+		MaxQueueBytes: 1 << 20,
+		MaxReads:      4,
+		OpTimeout:     30 * time.Millisecond,
+		Metrics:       registry,
+	})
+	base := runtime.NumGoroutine()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	counts := map[string]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := c.Commit(ctx, CauseJob, put(fmt.Sprintf("k%d", i), 0, `1`))
+			mu.Lock()
+			defer mu.Unlock()
+			counts[errors.Cause(err).Error()]++
+		}()
+	}
+	waitFor(t, "the breaker opens", c.Down)
+	lane := c.lanes[laneBulk]
+	if n := lane.len(); n > limit {
+		t.Errorf("%d commits wait, limit %d", n, limit)
+	}
+	if n := runtime.NumGoroutine(); n > base+callers+len(laneNames) {
+		t.Errorf("%d goroutines for %d callers, %d before", n, callers, base)
+	}
+	if _, err := c.Commit(ctx, CauseJob, put("late", 0, `1`)); err == nil {
+		t.Error("commit succeeded while the store stalls")
+	}
+	cancel()
+	wg.Wait()
+	waitFor(t, "the senders end", c.idle)
+	if counts[ErrOverloaded.Error()] == 0 || counts["<nil>"] != 0 {
+		t.Errorf("outcomes %v", counts)
+	}
+	waitFor(t, "goroutines end", func() bool { return runtime.NumGoroutine() <= base })
+}
+
+// TestReadsAreBounded shows that reads beyond the bound are refused at once.
+func TestReadsAreBounded(t *testing.T) {
+	table := newFakeTable()
+	table.stall = true
+	c := New(table, Config{Budgets: map[Cause]Budget{}, MaxReads: 2, OpTimeout: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if _, err := c.Get(ctx, CauseJob, "a"); err == nil {
+				t.Error("read succeeded while the store stalls")
+			}
+		}()
+	}
+	waitFor(t, "reads are in progress", func() bool { return len(c.reads) == 2 })
+	if _, err := c.Get(ctx, CauseJob, "a"); !errors.Is(err, ErrOverloaded) {
+		t.Errorf("error %v", err)
+	}
+	cancel()
+	wg.Wait()
+}
+
+// TestBudgetRefusesReads shows that one cause's reads cannot use up the store.
+func TestBudgetRefusesReads(t *testing.T) {
+	sim := &simTime{}
+	c := New(newFakeTable(), Config{
+		Budgets: map[Cause]Budget{CauseJob: {Reads: 0.001, Writes: 1, Burst: 2}},
+		Clock:   sim.clock,
+		Sleep:   sim.sleep,
+	})
+	for range 2 {
+		if _, err := c.Get(context.Background(), CauseJob, "a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.Get(context.Background(), CauseJob, "a"); !errors.Is(err, ErrOverloaded) {
+		t.Errorf("error %v", err)
+	}
+	if _, err := c.Get(context.Background(), CauseOwner, "a"); err != nil {
+		t.Errorf("another cause: %v", err)
+	}
+}
+
+// TestStopEndsCommits shows that Stop waits for what is in progress and that
+// nothing is accepted after it.
+func TestStopEndsCommits(t *testing.T) {
 	table := newFakeTable()
 	c := New(table, Config{})
-	ctx := context.Background()
-	table.faults = []fault{faultLost}
-	rows, err := c.Commit(ctx, CauseJob, Write{Key: "a", Data: json.RawMessage(`1`)})
-	if err != nil || rows[0].Version != 1 {
-		t.Fatalf("rows %v, error %v", rows, err)
-	}
-	rows, err = c.Commit(ctx, CauseJob, Write{Key: "a", Data: json.RawMessage(`2`)})
-	if !errors.Is(err, ErrConflict) || string(rows[0].Data) != "1" {
-		t.Fatalf("rows %v, error %v", rows, err)
+	if err := c.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Commit(context.Background(), CauseJob, put("a", 0, `1`)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Commit(context.Background(), CauseJob, put("a", 1, `1`)); !errors.Is(err, ErrDown) {
+		t.Errorf("error %v", err)
 	}
 }
--- a/internal/ledger/config.go
+++ b/internal/ledger/config.go
@@ -15,7 +15,7 @@
 	defaultMaxGroupRows  = 128
 	defaultMaxGroupBytes = 512 << 10
 	defaultMaxQueue      = 4096
-	defaultMaxQueueBytes = 16 << 20
+	defaultMaxQueueBytes = 8 << 20
 	defaultMaxReads      = 64
 	defaultOpTimeout     = time.Second
 	defaultTombstoneAge  = 5 * time.Minute
--- a/internal/ledger/dump.go
+++ b/internal/ledger/dump.go
@@ -9,8 +9,7 @@
 // State is the dump of a client.
 type State struct {
 	Down          bool             `json:"down"`
-	ControlQueue  int              `json:"control_queue"`
-	BulkQueue     int              `json:"bulk_queue"`
+	Queues        map[laneName]int `json:"queues"`
 	ReadsInFlight int              `json:"reads_in_flight"`
 	Tombstones    int              `json:"tombstones"`
 	Counters      map[string]int64 `json:"counters"`
@@ -20,12 +19,14 @@
 func (c *Client) DumpState() any {
 	s := State{
 		Down:          c.Down(),
-		ControlQueue:  c.control.len(),
-		BulkQueue:     c.bulk.len(),
+		Queues:        map[laneName]int{},
 		ReadsInFlight: len(c.reads),
 		Tombstones:    c.graves.len(),
 		Counters:      map[string]int64{},
 	}
+	for name, l := range c.lanes {
+		s.Queues[name] = l.len()
+	}
 	c.cfg.Metrics.Each(func(name string, v any) {
 		if counter, ok := v.(metrics.Counter); ok && strings.HasPrefix(name, "ledger.") {
 			s.Counters[name] = counter.Count()
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -13,7 +13,7 @@
 
 const (
 	stepSend step = iota // send the transaction
-	stepRead             // the answer was lost: read the rows back
+	stepRead             // read the rows, as the answer was lost or tokens are not known
 	stepDone
 )
 
@@ -28,6 +28,8 @@
 	conds []uint64
 	// tokens are the earlier tokens of each row, as far as known.
 	tokens [][]string
+	// blind is set while the tokens of a row are not known.
+	blind bool
 	// doubt is set once an answer that concerns the part was lost.
 	doubt bool
 
@@ -60,10 +62,17 @@
 type group struct {
 	parts []*part
 	next  step
-	sent  bool
 }
 
-func newGroup(parts []*part) *group { return &group{parts: parts} }
+func newGroup(parts []*part) *group {
+	g := &group{parts: parts}
+	for _, p := range parts {
+		if p.blind {
+			g.next = stepRead
+		}
+	}
+	return g
+}
 
 // open returns the parts that have not ended.
 func (g *group) open() []*part {
@@ -95,7 +104,6 @@
 
 // txn returns the transaction to send.
 func (g *group) txn() platform.Txn {
-	g.sent = true
 	var txn platform.Txn
 	for _, p := range g.open() {
 		for i, w := range p.writes {
--- /dev/null
+++ b/internal/ledger/group_machine_test.go
@@ -0,0 +1,251 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+// groupMachine steps the groups of several clients against one table. Answers
+// are lost and transactions arrive late, in any order. The oracle is the
+// table's own history: which part wrote which key, and over which version.
+type groupMachine struct {
+	table  *fakeTable
+	groups []*group
+	all    []*part
+	ids    map[*part]string
+	// wrote holds, for each part and key, the versions that were replaced.
+	wrote map[string][]uint64
+}
+
+func (m *groupMachine) apply(txn platform.Txn) platform.TxnResult {
+	replaced := map[string]uint64{}
+	for _, c := range txn.Conds {
+		replaced[c.Key] = m.visible(c.Key).Version
+	}
+	res := m.table.apply(txn)
+	if !res.Committed {
+		return res
+	}
+	for _, p := range txn.Puts {
+		id := writerOf(p)
+		m.wrote[id+" "+p.Key] = append(m.wrote[id+" "+p.Key], replaced[p.Key])
+	}
+	return res
+}
+
+// writerOf names the part that wrote a row: by its data, or by its token when
+// it is a tombstone.
+func writerOf(r platform.Row) string {
+	var e envelope
+	if err := json.Unmarshal(r.Value, &e); err != nil {
+		panic(err)
+	}
+	if e.Deleted {
+		return e.Tokens[len(e.Tokens)-1]
+	}
+	return string(e.Data)
+}
+
+func (m *groupMachine) visible(key string) Row {
+	s, err := open(m.table.get([]string{key})[0])
+	if err != nil {
+		panic(err)
+	}
+	return s.row()
+}
+
+// newPart draws a commit of one to three rows under versions that are mostly
+// the present ones. It knows the rows' tokens, as after a read.
+func (m *groupMachine) newPart(t *rapid.T, used map[string]bool) *part {
+	var writes []Write
+	var tokens [][]string
+	var conds []uint64
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 1, 3, rapid.ID).Draw(t, "rows") {
+		key := fmt.Sprintf("k%d", i)
+		if used[key] {
+			continue
+		}
+		used[key] = true
+		s, err := open(m.table.get([]string{key})[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := Write{Key: key, Version: s.row().Version, Data: json.RawMessage(strconv.Itoa(len(m.all)))}
+		w.Delete = w.Version > 0 && rapid.IntRange(0, 4).Draw(t, "delete") == 0
+		writes, tokens, conds = append(writes, w), append(tokens, s.Tokens), append(conds, s.version)
+	}
+	if len(writes) == 0 {
+		return nil
+	}
+	p := newPart(strconv.Itoa(len(m.all)), writes)
+	m.ids[p] = p.token
+	p.tokens, p.conds = tokens, conds
+	m.all = append(m.all, p)
+	return p
+}
+
+func (m *groupMachine) open(t *rapid.T) {
+	var parts []*part
+	used := map[string]bool{}
+	for range rapid.IntRange(1, 4).Draw(t, "parts") {
+		if p := m.newPart(t, used); p != nil {
+			parts = append(parts, p)
+		}
+	}
+	if len(parts) > 0 {
+		m.groups = append(m.groups, newGroup(parts))
+	}
+}
+
+func (m *groupMachine) pick(t *rapid.T) *group {
+	if len(m.groups) == 0 {
+		t.Skip("no group")
+	}
+	return m.groups[rapid.IntRange(0, len(m.groups)-1).Draw(t, "group")]
+}
+
+// advance lets a group take its next step, with one of the faults.
+func (m *groupMachine) advance(t *rapid.T) {
+	g := m.pick(t)
+	switch g.step() {
+	case stepSend:
+		m.send(t, g)
+	case stepRead:
+		if rapid.Bool().Draw(t, "read answered") {
+			m.readBack(t, g)
+		}
+	case stepDone:
+		t.Skip("done")
+	}
+}
+
+func (m *groupMachine) send(t *rapid.T, g *group) {
+	txn := g.txn()
+	switch rapid.SampledFrom([]fault{noFault, noFault, faultDown, faultLost, faultLate}).Draw(t, "fault") {
+	case noFault:
+		m.answer(t, g, m.apply(txn))
+	case faultLost:
+		m.apply(txn)
+		g.lost()
+	case faultLate:
+		m.table.late = append(m.table.late, txn)
+		g.lost()
+	case faultDown:
+		g.lost()
+	}
+}
+
+func (m *groupMachine) answer(t *rapid.T, g *group, res platform.TxnResult) {
+	if res.Committed {
+		g.committed(res.Rows)
+		return
+	}
+	m.bring(t, g, res.Rows)
+}
+
+func (m *groupMachine) readBack(t *rapid.T, g *group) {
+	m.bring(t, g, m.table.get(g.keys()))
+}
+
+func (m *groupMachine) bring(t *rapid.T, g *group, rows []platform.Row) {
+	found, err := openAll(rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.current(found)
+}
+
+// arrive applies one late transaction.
+func (m *groupMachine) arrive(t *rapid.T) {
+	if len(m.table.late) == 0 {
+		t.Skip("nothing is late")
+	}
+	i := rapid.IntRange(0, len(m.table.late)-1).Draw(t, "late")
+	txn := m.table.late[i]
+	m.table.late = append(m.table.late[:i:i], m.table.late[i+1:]...)
+	m.apply(txn)
+}
+
+// overwrite lets another client write one row several times.
+func (m *groupMachine) overwrite(t *rapid.T) {
+	key := fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(t, "row"))
+	for range rapid.IntRange(1, maxTokens+1).Draw(t, "times") {
+		s, err := open(m.table.get([]string{key})[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := envelope{Tokens: appendToken(s.Tokens, "other"), Data: json.RawMessage(`"other"`)}
+		value, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.apply(platform.Txn{Puts: []platform.Row{{Key: key, Value: value}}})
+	}
+}
+
+// check compares each outcome with what took effect.
+func (m *groupMachine) check(t *rapid.T) {
+	for _, p := range m.all {
+		for _, w := range p.writes {
+			m.checkWrite(t, p, w)
+		}
+	}
+}
+
+func (m *groupMachine) checkWrite(t *rapid.T, p *part, w Write) {
+	replaced := m.wrote[m.ids[p]+" "+w.Key]
+	n := len(replaced)
+	switch {
+	case n > 1:
+		t.Fatalf("%s took effect %d times on %s", m.ids[p], n, w.Key)
+	case n == 1 && replaced[0] != w.Version:
+		t.Fatalf("%s replaced version %d of %s, expected %d", m.ids[p], replaced[0], w.Key, w.Version)
+	case p.ended && p.err == nil && n != 1:
+		t.Fatalf("%s was acknowledged and took effect %d times on %s", m.ids[p], n, w.Key)
+	case errors.Is(p.err, ErrConflict) && n != 0:
+		t.Fatalf("%s was refused and took effect on %s", m.ids[p], w.Key)
+	}
+}
+
+// finish lets all groups end without faults and then all late transactions
+// arrive.
+func (m *groupMachine) finish(t *rapid.T) {
+	for _, g := range m.groups {
+		for g.step() != stepDone {
+			if g.step() == stepRead {
+				m.readBack(t, g)
+				continue
+			}
+			m.answer(t, g, m.apply(g.txn()))
+		}
+	}
+	m.check(t)
+	for _, txn := range m.table.late {
+		m.apply(txn)
+	}
+	m.check(t)
+}
+
+// TestGroupMachine shows that every acknowledged write takes effect exactly
+// once and every refused one never, whichever answers are lost or late.
+func TestGroupMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &groupMachine{table: newFakeTable(), ids: map[*part]string{}, wrote: map[string][]uint64{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"open":      m.open,
+			"advance":   m.advance,
+			"advance2":  m.advance,
+			"arrive":    m.arrive,
+			"overwrite": m.overwrite,
+			"":          m.check,
+		})
+		m.finish(t)
+	})
+}
--- a/internal/ledger/lane.go
+++ b/internal/ledger/lane.go
@@ -25,6 +25,30 @@
 	done  chan struct{}
 }
 
+// laneName names a queue of commits.
+type laneName string
+
+// The lanes. Ownership has one of its own, so that neither a burst of jobs nor
+// a change of the configuration delays a renewal.
+const (
+	laneOwner  laneName = "owner"
+	laneConfig laneName = "config"
+	laneBulk   laneName = "bulk"
+)
+
+var laneNames = []laneName{laneOwner, laneConfig, laneBulk}
+
+func laneOf(cause Cause) laneName {
+	switch cause {
+	case CauseOwner, CausePresence:
+		return laneOwner
+	case CauseConfig:
+		return laneConfig
+	default:
+		return laneBulk
+	}
+}
+
 // lane is a bounded queue of commits with its senders. It has one sender with
 // group commit: a commit is sent at once when the lane is idle, and those that
 // arrive while a transaction is in flight form the next group.
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -27,8 +27,10 @@
 			c.whileDown(l, g)
 			continue
 		}
-		if next == stepRead {
-			c.readBack(g)
+		// A store that has failed is probed by reading, so that commits which
+		// have not been sent do not come into doubt.
+		if next == stepRead || c.breaker.open() {
+			c.readBack(l, g)
 			continue
 		}
 		c.sendTxn(g, ws)
@@ -157,18 +159,22 @@
 	g.current(found)
 }
 
-// readBack settles a lost answer. The breaker has allowed it.
-func (c *Client) readBack(g *group) {
+// readBack reads the group's rows as they are now, which settles a lost answer.
+// The breaker has allowed it.
+func (c *Client) readBack(l *lane, g *group) {
 	var rows []platform.Row
 	err := c.call(context.Background(), func(ctx context.Context) (err error) {
 		rows, err = c.table.Get(ctx, g.keys()...)
 		return err
 	})
-	if err != nil {
+	switch {
+	case err == nil:
+		c.judge(g, rows)
+	case c.breaker.open():
+		c.whileDown(l, g)
+	default:
 		c.cfg.Sleep(context.Background(), c.breaker.delay(c.cfg.Clock()))
-		return
 	}
-	c.judge(g, rows)
 }
 
 // causesOf returns the causes in a group, each once, in order of appearance.
--- a/internal/ledger/table_test.go
+++ b/internal/ledger/table_test.go
@@ -32,7 +32,8 @@
 	late    []platform.Txn
 	commits int
 	reads   int
-	before  func(txn platform.Txn) // runs before a transaction is applied
+	before  func() // runs before a transaction is applied
+	reading func() // runs before a read
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
@@ -61,6 +62,9 @@
 
 func (t *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	f := t.enter(ctx)
+	if t.reading != nil {
+		t.reading()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
@@ -100,7 +104,7 @@
 func (t *fakeTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	f := t.enter(ctx)
 	if t.before != nil {
-		t.before(txn)
+		t.before()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -62,4 +63,7 @@
 	Commit(ctx context.Context, cause Cause, writes ...Write) ([]Row, error)
 	// Down reports whether the breaker is open.
 	Down() bool
+	// SinceAnswer returns how long ago the last call began that the store has
+	// answered; ok is false before the first.
+	SinceAnswer() (ago time.Duration, ok bool)
 }
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -21,8 +21,11 @@
 
 	// retryInterval is the time until a write is tried again that was refused.
 	retryInterval = 200 * time.Millisecond
-	// watchGap is the longest time between two reads of an unbroken watch.
-	watchGap = 2 * time.Second
+	// watchGap is the longest time between two reads of an unbroken watch. It
+	// is shorter than the time after which this process reports the store as
+	// failing, so that an owner that goes on through an outage hears of the
+	// watch before the row is claimed.
+	watchGap = 1200 * time.Millisecond
 )
 
 // Times configures a core.
