groups: leases of started tasks end with the group's even after a late call

A start that the shell made at the last permitted moment gave the task a lease that ran from the call. It now counts from StartBy. The default WorkerTimeout is the agent's timeout of one worker call. The minion stand-in counts tags.

--- a/internal/agent/groups/config.go
+++ b/internal/agent/groups/config.go
@@ -29,7 +29,7 @@
 // The defaults of a Config.
 const (
 	DefaultAdoptLease     = 10 * time.Second
-	DefaultWorkerTimeout  = time.Second
+	DefaultWorkerTimeout  = 2 * time.Second
 	DefaultStopRetry      = time.Second
 	DefaultReportInterval = time.Second
 	DefaultFinalTTL       = 10 * time.Minute
--- a/internal/agent/groups/holdstart.go
+++ b/internal/agent/groups/holdstart.go
@@ -104,7 +104,8 @@
 	g.leaseBy = e.Stamp + e.Lease
 	g.workerBy = g.leaseBy + c.cfg.WorkerTimeout
 	g.nextReport = c.now + c.cfg.ReportInterval
-	startBy := min(e.Stamp+e.Permit, g.leaseBy)
+	// A start at the last moment must not outlive the lease either.
+	startBy := min(e.Stamp+e.Permit, c.now+(g.leaseBy-c.now)/2)
 	for i := range g.perTask {
 		name := TaskName{Ref: g.ref, First: g.first, Tasks: len(g.perTask), Index: g.first + i}
 		g.tasks = append(g.tasks, task{id: name.String(), state: platform.TaskRunning})
@@ -114,7 +115,7 @@
 			Payload:      e.Payload,
 			Checkpoint:   checkpointKey(e.Checkpoint, name.Index),
 			CheckpointTo: checkpointKey(checkpointName(g.ref), name.Index),
-			LeaseMS:      (g.leaseBy - c.now).Milliseconds(),
+			LeaseMS:      (g.leaseBy - startBy).Milliseconds(),
 		}})
 	}
 	c.emit(g.report())
--- a/internal/agent/groups/types.go
+++ b/internal/agent/groups/types.go
@@ -131,7 +131,8 @@
 type Action interface{ action() }
 
 // StartTask starts one task on the worker. Its ID is a TaskName. The call must
-// not be made after StartBy, which the shell checks once more before the call.
+// not be made after StartBy, which the shell checks once more before the call;
+// the task's own lease is such that even then it does not outlive the group's.
 type StartTask struct {
 	Task    platform.Task
 	StartBy time.Duration
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 
@@ -14,7 +15,9 @@
 
 // MinionCall is the body that controls a minion; any other body is echoed.
 type MinionCall struct {
-	SleepMS int64 `json:"sleep_ms"`
+	// Tag is counted in MinionStats.Tags.
+	Tag     string `json:"tag"`
+	SleepMS int64  `json:"sleep_ms"`
 	// Fail answers with status 500 and this message.
 	Fail string `json:"fail"`
 	// Size pads the answer by this number of bytes.
@@ -39,8 +42,10 @@
 	Minion string `json:"minion"`
 	// Executions counts the started calls of each request.
 	Executions map[string]int `json:"executions"`
-	InUse      int            `json:"in_use"`
-	MaxInUse   int            `json:"max_in_use"`
+	// Tags counts the started calls of each tag.
+	Tags     map[string]int `json:"tags"`
+	InUse    int            `json:"in_use"`
+	MaxInUse int            `json:"max_in_use"`
 	// Waited counts the calls that came while all slots were in use.
 	Waited int `json:"waited"`
 }
@@ -61,7 +66,7 @@
 	return &Minion{
 		id:    id,
 		slots: make(chan struct{}, slots),
-		stats: MinionStats{Minion: id, Executions: map[string]int{}},
+		stats: MinionStats{Minion: id, Executions: map[string]int{}, Tags: map[string]int{}},
 	}
 }
 
@@ -70,20 +75,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	stats := m.stats
-	stats.Executions = make(map[string]int, len(m.stats.Executions))
-	for id, n := range m.stats.Executions {
-		stats.Executions[id] = n
-	}
+	stats.Executions = maps.Clone(m.stats.Executions)
+	stats.Tags = maps.Clone(m.stats.Tags)
 	return stats
 }
 
 func (m *Minion) call(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
-	m.enter(id)
-	defer m.leave()
 	var control MinionCall
 	// A body that is not a MinionCall asks for nothing special.
 	_ = json.Unmarshal(ctx.PostBody(), &control)
+	m.enter(id, control.Tag)
+	defer m.leave()
 	sleepMS(control.SleepMS)
 	if control.Fail != "" {
 		ctx.Error(control.Fail, fasthttp.StatusInternalServerError)
@@ -114,7 +117,7 @@
 }
 
 // enter waits for a slot and counts the execution.
-func (m *Minion) enter(id string) {
+func (m *Minion) enter(id, tag string) {
 	select {
 	case m.slots <- struct{}{}:
 	default:
@@ -126,6 +129,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stats.Executions[id]++
+	if tag != "" {
+		m.stats.Tags[tag]++
+	}
 	m.stats.InUse++
 	m.stats.MaxInUse = max(m.stats.MaxInUse, m.stats.InUse)
 }
