test/procs: process harness, and requests under kill, freeze, silence and restart

The harness starts entries and agents as real processes on free loopback ports, with the platform's stand-ins in the test's process for faults and oracles. All processes are reaped at the end and die with the test process.

--- a/internal/agent/groups/scenario_test.go
+++ b/internal/agent/groups/scenario_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -14,11 +12,6 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	os.Exit(m.Run())
-}
-
 // TestScenarios runs the scripts of testdata. Each command but reports and
 // dump is one event; "at" is the time of the step, other times are its
 // arguments of the same names.
--- /dev/null
+++ b/test/procs/harness/load.go
@@ -0,0 +1,209 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+	"github.com/juju/errors"
+)
+
+// Profile is the profile that SetProfile creates and requests use.
+const Profile = "survey"
+
+const (
+	requestTimeout = 10 * time.Second
+	retryPause     = 50 * time.Millisecond
+)
+
+// SetProfile creates a profile and waits until it is in force everywhere.
+func (h *Harness) SetProfile(p api.Profile) {
+	h.t.Helper()
+	h.Eventually("profile "+p.Name+" accepted", callTimeout, func() bool {
+		_, _, err := h.Client().PutProfile(context.Background(), p, client.AnyVersion)
+		return err == nil
+	})
+	h.WaitInForce(callTimeout)
+}
+
+// WaitInForce waits until all processes that run have the newest configuration
+// and returns how long that took. An entry that has just started may not know
+// all the others yet, so their number is checked too.
+func (h *Harness) WaitInForce(limit time.Duration) time.Duration {
+	h.t.Helper()
+	running := len(h.running())
+	return h.Eventually("configuration in force", limit, func() bool {
+		status, err := h.Client().ConfigStatus(context.Background())
+		return err == nil && status.InForce && len(status.Processes) >= running
+	})
+}
+
+// Request is one request of a caller and how it ended.
+type Request struct {
+	Tag        string
+	Idempotent bool
+	Body       standin.MinionCall
+
+	Outcome api.Outcome
+	Answer  standin.MinionAnswer
+	Calls   int
+	Err     error // of the last call
+	Took    time.Duration
+}
+
+// Do sends the request with its tag as Idempotency-Key, the first time to the
+// first client. A call without an answer is repeated, to the clients in turn.
+func (r *Request) Do(ctx context.Context, clients ...*client.Client) {
+	began := time.Now()
+	defer func() { r.Took = time.Since(began) }()
+	r.Body.Tag = r.Tag
+	body, err := json.Marshal(r.Body)
+	if err != nil {
+		r.Err = err
+		return
+	}
+	for ctx.Err() == nil {
+		c := clients[r.Calls%len(clients)]
+		r.Calls++
+		answer, err := c.Request(ctx, client.Request{
+			Service: Service, Profile: Profile, Key: r.Tag, Idempotent: r.Idempotent,
+			Timeout: requestTimeout, ContentType: httpx.ContentTypeJSON, Body: body,
+		})
+		r.Err = err
+		if !errors.Is(err, client.ErrUnreachable) && !errors.Is(err, client.ErrNoAnswer) {
+			r.finish(answer, body)
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// finish takes in the entry's answer, which must be complete and this request's.
+func (r *Request) finish(answer client.Answer, body []byte) {
+	var problem *client.ProblemError
+	if errors.As(r.Err, &problem) {
+		r.Outcome = problem.Outcome
+		return
+	}
+	r.Outcome = answer.Outcome
+	if r.Outcome != api.OutcomeDone {
+		return
+	}
+	if err := json.Unmarshal(answer.Body, &r.Answer); err != nil {
+		r.Err = errors.Annotatef(err, "answer of %d bytes to %s", len(answer.Body), r.Tag)
+		return
+	}
+	if string(r.Answer.Echo) != string(body) || len(r.Answer.Padding) != r.Body.Size {
+		r.Err = errors.Errorf("%s got the answer to %s, padded by %d bytes", r.Tag, r.Answer.Echo, len(r.Answer.Padding))
+	}
+}
+
+// Load sends requests through the balancer from a number of callers until it
+// is stopped.
+type Load struct {
+	h      *Harness
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	count  atomic.Int64
+
+	mu       sync.Mutex
+	requests []*Request
+}
+
+// StartLoad starts the callers. Every second request is idempotent.
+func (h *Harness) StartLoad(callers int, body standin.MinionCall) *Load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Load{h: h, cancel: cancel}
+	for range callers {
+		l.done.Go(func() { l.call(ctx, body) })
+	}
+	h.t.Cleanup(cancel)
+	return l
+}
+
+func (l *Load) call(ctx context.Context, body standin.MinionCall) {
+	for ctx.Err() == nil {
+		n := l.count.Add(1)
+		r := &Request{Tag: fmt.Sprintf("load-%d", n), Idempotent: n%2 == 0, Body: body}
+		// A request that has begun is brought to its end after the load's.
+		patient, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*requestTimeout)
+		r.Do(patient, l.h.Client())
+		cancel()
+		l.mu.Lock()
+		l.requests = append(l.requests, r)
+		l.mu.Unlock()
+	}
+}
+
+// Count returns the number of requests that have ended.
+func (l *Load) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.requests)
+}
+
+// Stop ends the load and returns all requests.
+func (l *Load) Stop() []*Request {
+	l.cancel()
+	l.done.Wait()
+	return l.requests
+}
+
+// Summary counts requests by outcome.
+func Summary(requests []*Request) string {
+	counts := map[api.Outcome]int{}
+	retried := 0
+	for _, r := range requests {
+		counts[r.Outcome]++
+		if r.Calls > 1 {
+			retried++
+		}
+	}
+	var parts []string
+	for _, o := range []api.Outcome{api.OutcomeDone, api.OutcomeFailed, api.OutcomeNotRun, api.OutcomeUnknown, ""} {
+		if counts[o] > 0 {
+			parts = append(parts, fmt.Sprintf("%d %q", counts[o], o))
+		}
+	}
+	return fmt.Sprintf("%d requests: %s; %d called again", len(requests), strings.Join(parts, ", "), retried)
+}
+
+// CheckTrue fails the test for each request whose answer is not true of what
+// was executed, or that has no answer.
+func (h *Harness) CheckTrue(requests []*Request) {
+	h.t.Helper()
+	executions := h.Executions()
+	for _, r := range requests {
+		n := executions[r.Tag]
+		switch {
+		case r.Outcome == "":
+			h.t.Errorf("%s has no answer after %d calls: %v", r.Tag, r.Calls, r.Err)
+		case r.Outcome == api.OutcomeDone && r.Err != nil:
+			h.t.Errorf("%s: %v", r.Tag, r.Err)
+		case r.Outcome == api.OutcomeDone && n == 0:
+			h.t.Errorf("%s is answered done and was not executed", r.Tag)
+		case r.Outcome == api.OutcomeNotRun && n > 0:
+			h.t.Errorf("%s is answered not-run and was executed %d times: %v", r.Tag, n, r.Err)
+		case !r.Idempotent && n > 1:
+			h.t.Errorf("%s is not idempotent and was executed %d times", r.Tag, n)
+		}
+	}
+}
+
+// CheckAllDone fails the test for each request that was not done.
+func (h *Harness) CheckAllDone(requests []*Request) {
+	h.t.Helper()
+	for _, r := range requests {
+		if r.Outcome != api.OutcomeDone {
+			h.t.Errorf("%s (idempotent %v): %q after %d calls and %v: %v", r.Tag, r.Idempotent, r.Outcome, r.Calls, r.Took, r.Err)
+		}
+	}
+}
--- /dev/null
+++ b/test/procs/harness/process.go
@@ -0,0 +1,153 @@
+package harness
+
+import (
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	stopTimeout  = 30 * time.Second
+	pollInterval = 20 * time.Millisecond
+	tailLines    = 40
+)
+
+// Process is one started binary.
+type Process struct {
+	Name string
+	// HTTP is the address of its pages, such as /readyz.
+	HTTP string
+
+	cmd    *exec.Cmd
+	log    string
+	exited chan struct{}
+	err    error // valid once exited is closed
+}
+
+// starter runs functions on one operating system thread that never ends: a
+// child with a parent-death signal is killed when the thread that started it
+// ends.
+var starter = sync.OnceValue(func() chan<- func() {
+	jobs := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for job := range jobs {
+			job()
+		}
+	}()
+	return jobs
+})
+
+// startProcess runs a binary; its output is appended to a log file in dir. The
+// child does not outlive the test process.
+func startProcess(dir, name, httpAddress, binary string, args ...string) (*Process, error) {
+	p := &Process{Name: name, HTTP: httpAddress, log: filepath.Join(dir, name+".log"), exited: make(chan struct{})}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(binary, args...)
+	p.cmd.Stdout = log
+	p.cmd.Stderr = log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starter() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, errors.Annotatef(err, "starting %s", name)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process unless it has exited.
+func (p *Process) Signal(s syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		// It may exit at this moment.
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Exited reports whether the process has ended.
+func (p *Process) Exited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Freeze stops the process where it is, until Thaw.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Term asks for a planned stop and waits for it. The error tells an exit
+// status other than 0; a process that does not end is killed.
+func (p *Process) Term() error {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+		return errors.Annotatef(p.err, "planned stop of %s", p.Name)
+	case <-time.After(stopTimeout):
+		p.Kill()
+		return errors.Timeoutf("planned stop of %s", p.Name)
+	}
+}
+
+// Tail returns the end of the process's log.
+func (p *Process) Tail() string {
+	data, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return strings.Join(lines[max(0, len(lines)-tailLines):], "\n")
+}
+
+var pages = http.Client{Timeout: time.Second}
+
+// Ready reports whether the process says that it is ready.
+func (p *Process) Ready() bool {
+	resp, err := pages.Get("http://" + p.HTTP + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// waitReady waits until the process is ready or has exited.
+func (p *Process) waitReady() error {
+	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if p.Ready() {
+			return nil
+		}
+		if p.Exited() {
+			return errors.Errorf("%s exited early: %v", p.Name, p.err)
+		}
+	}
+	return errors.Timeoutf("%s: ready", p.Name)
+}
--- /dev/null
+++ b/test/procs/requests_test.go
@@ -0,0 +1,169 @@
+package procs
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+	"github.com/coltsfootlug/coltsfootlug/test/procs/harness"
+)
+
+// requestSystem starts two entries and a minion in each of three zones.
+func requestSystem(t *testing.T) (*harness.Harness, []*harness.Entry, []*harness.Minion) {
+	t.Helper()
+	h := harness.New(t)
+	entries := []*harness.Entry{h.StartEntry("e1", "z1"), h.StartEntry("e2", "z2")}
+	var minions []*harness.Minion
+	for _, zone := range []string{"z1", "z2", "z3"} {
+		minions = append(minions, h.StartMinion("m-"+zone, zone, 4))
+	}
+	h.WaitReady()
+	h.SetProfile(api.Profile{Name: harness.Profile, ClientAccount: "county"})
+	return h, entries, minions
+}
+
+// executing waits until the tag runs on a minion and returns that minion.
+func executing(h *harness.Harness, minions []*harness.Minion, tag string) *harness.Minion {
+	var at *harness.Minion
+	h.Eventually(tag+" is executed", 5*time.Second, func() bool {
+		for _, m := range minions {
+			if m.Stats().Tags[tag] > 0 {
+				at = m
+			}
+		}
+		return at != nil
+	})
+	return at
+}
+
+// start runs a request in the background and returns a channel that is closed
+// at its end.
+func start(t *testing.T, r *harness.Request, h *harness.Harness, entries ...*harness.Entry) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if len(entries) == 2 {
+			r.Do(t.Context(), h.ClientOf(entries[0]), h.ClientOf(entries[1]))
+		} else {
+			r.Do(t.Context(), h.ClientOf(entries[0]))
+		}
+	}()
+	return done
+}
+
+func await(t *testing.T, what string, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(25 * time.Second):
+		t.Fatalf("%s does not end", what)
+	}
+}
+
+// An entry is killed while its request is executed; the caller comes back with
+// the same key through the other entry.
+func TestEntryKilledInMidRequest(t *testing.T) {
+	h, entries, minions := requestSystem(t)
+	r := &harness.Request{Tag: "consent", Body: standin.MinionCall{SleepMS: 1500, Size: 1000}}
+	done := start(t, r, h, entries[0], entries[1])
+	executing(h, minions, r.Tag)
+	entries[0].Kill()
+	await(t, "the request", done)
+	t.Logf("%q after %d calls and %v: %v", r.Outcome, r.Calls, r.Took, r.Err)
+	h.CheckTrue([]*harness.Request{r})
+	h.CheckAllDone([]*harness.Request{r})
+}
+
+// An agent is frozen longer than any permission lasts while it executes a
+// request, and woken.
+func TestAgentFrozenPastItsPermission(t *testing.T) {
+	h, entries, minions := requestSystem(t)
+	running := &harness.Request{Tag: "running", Body: standin.MinionCall{SleepMS: 500}}
+	done := start(t, running, h, entries[0])
+	at := executing(h, minions, running.Tag)
+	at.Agent.Freeze()
+	// These reach the frozen agent at first, or pass it by.
+	var queued []*harness.Request
+	var ends []<-chan struct{}
+	for i := range 12 {
+		r := &harness.Request{Tag: fmt.Sprintf("queued-%d", i), Idempotent: i%2 == 0, Body: standin.MinionCall{SleepMS: 50}}
+		queued = append(queued, r)
+		ends = append(ends, start(t, r, h, entries[i%2]))
+	}
+	time.Sleep(4 * time.Second)
+	at.Agent.Thaw()
+	await(t, "the running request", done)
+	for _, end := range ends {
+		await(t, "a queued request", end)
+	}
+	all := append(queued, running)
+	t.Log(harness.Summary(all))
+	h.CheckTrue(all)
+	for _, r := range all {
+		if r.Idempotent && r.Outcome != api.OutcomeDone {
+			t.Errorf("idempotent %s ended %q: %v", r.Tag, r.Outcome, r.Err)
+		}
+	}
+}
+
+// The connections between the agents and the entries go silent while requests
+// are executed; new connections work.
+func TestSilentConnection(t *testing.T) {
+	h, entries, minions := requestSystem(t)
+	r := &harness.Request{Tag: "silent", Body: standin.MinionCall{SleepMS: 1000, Size: 100}}
+	done := start(t, r, h, entries[0])
+	executing(h, minions, r.Tag)
+	if n := entries[0].Relay.Silence(); n == 0 {
+		t.Fatal("no connection to silence")
+	}
+	await(t, "the request", done)
+	t.Logf("%q after %v: %v", r.Outcome, r.Took, r.Err)
+	h.CheckTrue([]*harness.Request{r})
+	h.CheckAllDone([]*harness.Request{r})
+}
+
+// All entries and agents are restarted one after the other under load.
+func TestRollingRestart(t *testing.T) {
+	h, entries, minions := requestSystem(t)
+	load := h.StartLoad(8, standin.MinionCall{SleepMS: 30, Size: 2000})
+	h.Eventually("load", 5*time.Second, func() bool { return load.Count() > 50 })
+	for i, e := range entries {
+		next := h.StartEntry(fmt.Sprintf("next-%d", i), e.Zone)
+		h.WaitReady()
+		if err := e.Term(); err != nil {
+			t.Error(err)
+		}
+		entries[i] = next
+	}
+	for _, m := range minions {
+		if err := m.Agent.Term(); err != nil {
+			t.Error(err)
+		}
+		h.StartMinionAgent(m)
+		h.WaitReady()
+	}
+	count := load.Count()
+	h.Eventually("load goes on", 5*time.Second, func() bool { return load.Count() > count+50 })
+	requests := load.Stop()
+	t.Log(harness.Summary(requests))
+	h.CheckTrue(requests)
+	h.CheckAllDone(requests)
+}
+
+// Signals reach only what the harness started, and all of it ends.
+func TestHarnessReapsItsProcesses(t *testing.T) {
+	var h *harness.Harness
+	var entry *harness.Entry
+	t.Run("system", func(t *testing.T) {
+		h = harness.New(t)
+		entry = h.StartEntry("e1", "z1")
+		h.WaitReady()
+		entry.Signal(syscall.SIGSTOP)
+	})
+	if !entry.Exited() {
+		t.Fatal("a frozen entry outlived its test")
+	}
+}
