--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,6 +23,8 @@
 	links   map[*link]struct{}
 	delay   time.Duration
 	refuse  bool
+
+	bytes atomic.Int64
 }
 
 // link is one forwarded connection.
@@ -73,6 +76,9 @@
 	r.refuse = refuse
 }
 
+// Bytes returns the number of bytes forwarded so far, both ways together.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // Silence stops forwarding on all open connections without closing them. New
 // connections work.
 func (r *Relay) Silence() int {
@@ -171,6 +177,7 @@
 		default:
 		}
 		if n > 0 {
+			r.bytes.Add(int64(n))
 			r.pause()
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				l.close()
--- /dev/null
+++ b/test/procs/harness/usage.go
@@ -0,0 +1,45 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// clockTick is the unit of processor time in /proc/PID/stat.
+const clockTick = 10 * time.Millisecond
+
+// Usage is what a process has used.
+type Usage struct {
+	CPU      time.Duration // user and system
+	RSSBytes int64
+}
+
+// Usage reads the process's usage so far.
+func (p *Process) Usage() (Usage, error) {
+	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	stat, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		return Usage{}, errors.Trace(err)
+	}
+	// The fields after the command's name, which is in parentheses: utime is
+	// the 12th of them, stime the 13th, rss in pages the 22nd.
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	var values [3]int64
+	for i, n := range []int{11, 12, 21} {
+		if values[i], err = strconv.ParseInt(fields[n], 10, 64); err != nil {
+			return Usage{}, errors.Annotatef(err, "field %d of %sstat", n, dir)
+		}
+	}
+	return Usage{
+		CPU:      time.Duration(values[0]+values[1]) * clockTick,
+		RSSBytes: values[2] * int64(os.Getpagesize()),
+	}, nil
+}
+
+// URL is where the minion itself is called, past its agent.
+func (m *Minion) URL() string { return m.url }
