sched: feasibility check, guarantees without a place, state machine

Guarantees that lost their place are bound to a gang of their profile that runs already, or opened by stopping work outside of guarantees. Bad jobs no longer put workers in quarantine by failing in many places; starts that are lost are repeated.

--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -28,8 +28,8 @@
 }
 
 // plan finds the victims that open the parts for a job with the least work
-// lost. Those that have run for less than minRun are spared.
-func (c *Core) plan(j *job, parts []placement.Part, minRun time.Duration) (claim, bool) {
+// lost.
+func (c *Core) plan(j *job, parts []placement.Part, rule victimRule) (claim, bool) {
 	cl := claim{parts: parts}
 	var candidates []*job
 	for _, p := range parts {
@@ -38,7 +38,7 @@
 			continue
 		}
 		for _, g := range w.groups {
-			if c.isVictim(g, minRun) && !slices.Contains(candidates, g.job) {
+			if rule.allows(g, c.now) && !slices.Contains(candidates, g.job) {
 				candidates = append(candidates, g.job)
 			}
 		}
@@ -64,9 +64,20 @@
 	return cl, true
 }
 
-func (c *Core) isVictim(g *group, minRun time.Duration) bool {
+// victimRule says which work may be stopped for a claim.
+type victimRule struct {
+	// minRun spares work that has run for less.
+	minRun time.Duration
+	// firm takes also work outside of guarantees that is not preemptible.
+	firm bool
+}
+
+func (rule victimRule) allows(g *group, now time.Duration) bool {
 	j := g.job
-	if g.ending || g.detached || !j.preemptible() {
+	if g.ending || g.detached || g.fixed {
+		return false
+	}
+	if !j.preemptible() && !(rule.firm && j.firm) {
 		return false
 	}
 	switch j.phase {
@@ -75,7 +86,7 @@
 	case phaseSaving:
 		return !j.aborted
 	case phaseRunning:
-		return c.now-j.startedAt >= minRun
+		return now-j.startedAt >= rule.minRun
 	}
 	return false
 }
@@ -242,19 +253,23 @@
 // tryEvict starts a job where preemptible work outside of reservations makes
 // room with the least loss.
 func (c *Core) tryEvict(j *job, graceTime time.Duration) bool {
-	var best claim
-	found := false
+	best, ok := c.cheapest(j, c.request(j, fleet.Evictable), victimRule{})
+	if ok {
+		c.claim(j, best, graceTime)
+	}
+	return ok
+}
+
+// cheapest compares the places for a gang by the work that would be lost there.
+func (c *Core) cheapest(j *job, q placement.Request, rule victimRule) (best claim, found bool) {
 	plans := 0
-	placement.Each(c.fleet, c.request(j, fleet.Evictable), func(parts []placement.Part) bool {
-		cl, ok := c.plan(j, parts, 0)
+	placement.Each(c.fleet, q, func(parts []placement.Part) bool {
+		cl, ok := c.plan(j, parts, rule)
 		if ok && (!found || cl.loss < best.loss) {
 			best, found = cl, true
 		}
 		plans++
 		return plans < maxEvictionPlans && !(found && best.loss == 0)
 	})
-	if found {
-		c.claim(j, best, graceTime)
-	}
-	return found
+	return best, found
 }
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -46,9 +46,10 @@
 	slots      []*reservation
 	slotsOf    map[string][]*reservation
 	slotsDirty bool
-	plannedAt  time.Duration
+	repackedAt time.Duration
 	plannedGen uint64
-	missing    int // guarantees without a place
+	unbound    []*job // run outside of their profile's guarantee
+	missing    int    // guarantees without a place
 	waiting    []*reservation
 }
 
--- /dev/null
+++ b/internal/sched/feasibility/feasibility.go
@@ -0,0 +1,146 @@
+// Package feasibility checks that all guaranteed shapes of a configuration
+// find room together in the racks that are in service.
+package feasibility
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
+)
+
+// Worker is one worker of the fleet to be checked.
+type Worker struct {
+	Name     string
+	Zone     string
+	Rack     string
+	Capacity api.Resources
+}
+
+// Severity tells whether a finding forbids a configuration.
+type Severity string
+
+// The severities.
+const (
+	Error   Severity = "error"
+	Warning Severity = "warning"
+)
+
+// Finding names guaranteed gangs of a profile that find no room.
+type Finding struct {
+	Severity Severity  `json:"severity"`
+	Profile  string    `json:"profile"`
+	Shape    api.Shape `json:"shape"`
+	Missing  int       `json:"missing"`
+	// Zone is the zone whose loss causes a warning.
+	Zone   string `json:"zone,omitempty"`
+	Detail string `json:"detail"`
+}
+
+// Check returns an error for each profile whose guarantee does not fit into the
+// zones that are in and, if there is none, a warning for each guarantee that
+// does not fit without one of these zones.
+func Check(config *api.Config, workers []Worker) []Finding {
+	var findings []Finding
+	for _, m := range missing(config, workers, "") {
+		m.Severity = Error
+		m.Detail = fmt.Sprintf("guarantee of profile %q: no room for %d of %s in the racks in service", m.Profile, m.Missing, describe(m.Shape))
+		findings = append(findings, m)
+	}
+	if len(findings) > 0 {
+		return findings
+	}
+	for _, zone := range zonesIn(config, workers) {
+		for _, m := range missing(config, workers, zone) {
+			m.Severity = Warning
+			m.Zone = zone
+			m.Detail = fmt.Sprintf("guarantee of profile %q: no room for %d of %s while zone %q is out", m.Profile, m.Missing, describe(m.Shape), zone)
+			findings = append(findings, m)
+		}
+	}
+	return findings
+}
+
+func describe(s api.Shape) string {
+	return fmt.Sprintf("%d tasks of %d accelerators, %d mCPU and %d MB in one %s",
+		s.Tasks, s.PerTask.Accelerators, s.PerTask.MilliCPU, s.PerTask.MemoryMB, s.Adjacency)
+}
+
+func zonesIn(config *api.Config, workers []Worker) []string {
+	var zones []string
+	for _, w := range workers {
+		if !config.ZoneOut(w.Zone) && !slices.Contains(zones, w.Zone) {
+			zones = append(zones, w.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// missing packs all guarantees, the largest gangs first, and returns those
+// left over. The zone without is taken as out.
+func missing(config *api.Config, workers []Worker, without string) []Finding {
+	f := build(config, workers, without)
+	var out []Finding
+	for _, p := range byNeed(config) {
+		left := p.Guarantee.Gangs
+		for left > 0 && pack(f, p.Guarantee.Shape) {
+			left--
+		}
+		if left > 0 {
+			out = append(out, Finding{Profile: p.Name, Shape: p.Guarantee.Shape, Missing: left})
+		}
+	}
+	return out
+}
+
+func build(config *api.Config, workers []Worker, without string) *fleet.Fleet {
+	f := fleet.New()
+	for _, w := range workers {
+		out := config.ZoneOut(w.Zone) || w.Zone == without
+		added := f.Add(w.Name, w.Zone, w.Rack)
+		f.Update(added, func(fw *fleet.Worker) {
+			fw.Capacity = w.Capacity
+			fw.Linked = true
+			fw.ZoneOut = out
+		})
+	}
+	return f
+}
+
+func pack(f *fleet.Fleet, shape api.Shape) bool {
+	parts := placement.Find(f, placement.Request{Gang: shape, View: fleet.Evictable})
+	for _, p := range parts {
+		f.Update(p.Worker, func(w *fleet.Worker) {
+			w.Reserved = w.Reserved.Add(shape.PerTask.Times(p.Tasks))
+		})
+	}
+	return parts != nil
+}
+
+// byNeed returns the profiles with a guarantee, those with the largest gangs first.
+func byNeed(config *api.Config) []api.Profile {
+	var out []api.Profile
+	for _, p := range config.Profiles {
+		if p.Guarantee != nil {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b api.Profile) int {
+		return cmp.Or(Compare(a.Guarantee.Shape, b.Guarantee.Shape), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// Compare orders shapes by the difficulty to place them, the hardest first.
+func Compare(a, b api.Shape) int {
+	x, y := a.PerTask.Times(a.Tasks), b.PerTask.Times(b.Tasks)
+	return cmp.Or(
+		cmp.Compare(y.Accelerators, x.Accelerators),
+		cmp.Compare(b.PerTask.Accelerators, a.PerTask.Accelerators),
+		cmp.Compare(y.MilliCPU, x.MilliCPU),
+		cmp.Compare(y.MemoryMB, x.MemoryMB))
+}
--- a/internal/sched/fits.go
+++ b/internal/sched/fits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/feasibility"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
 )
@@ -41,3 +42,16 @@
 	return fmt.Sprintf("no single %s has room for %d tasks of %d accelerators, %d mCPU and %d MB",
 		gang.Adjacency, gang.Tasks, gang.PerTask.Accelerators, gang.PerTask.MilliCPU, gang.PerTask.MemoryMB), true
 }
+
+// Feasible checks the guarantees of a configuration against the workers that
+// have announced themselves; those that are gone for now count as well.
+func (c *Core) Feasible(config *api.Config) []feasibility.Finding {
+	workers := make([]feasibility.Worker, 0, len(c.ordered))
+	for _, w := range c.ordered {
+		if w.Capacity == (api.Resources{}) {
+			continue
+		}
+		workers = append(workers, feasibility.Worker{Name: w.Name, Zone: w.Zone, Rack: w.Rack.Label, Capacity: w.Capacity})
+	}
+	return feasibility.Check(config, workers)
+}
--- a/internal/sched/fleet/fleet.go
+++ b/internal/sched/fleet/fleet.go
@@ -25,6 +25,9 @@
 	// Evictable is capacity outside of reservations that is free or used by
 	// preemptible work.
 	Evictable
+	// Movable is capacity outside of reservations that is free or used by work
+	// that may be stopped and run again elsewhere.
+	Movable
 	// Whole is the capacity of the empty worker, whether it is in service or not.
 	Whole
 	viewCount
@@ -41,6 +44,8 @@
 	// Firm is the part of Used by work that must not be preempted and that
 	// runs outside of reservations.
 	Firm api.Resources
+	// Fixed is the part of Firm that must not be stopped at all.
+	Fixed api.Resources
 	// Reserved belongs to guarantees and to reservations of waiting gangs.
 	Reserved api.Resources
 	// Earmarked is free, or about to be, and waits for a chosen gang.
@@ -67,6 +72,8 @@
 
 // Rack is a set of adjacent workers in one zone.
 type Rack struct {
+	// Label is the name as announced; Name has the zone before it.
+	Label   string
 	Name    string
 	Zone    string
 	Workers []*Worker
@@ -172,7 +179,7 @@
 	if r != nil {
 		return r
 	}
-	r = &Rack{Name: name, Zone: zone}
+	r = &Rack{Label: rack, Name: name, Zone: zone}
 	r.recent = f.recent.PushBack(r)
 	f.racks[name] = r
 	if f.zoneOf[zone] == nil {
@@ -292,11 +299,8 @@
 	switch v {
 	case Whole:
 		return w.Capacity
-	case Evictable:
-		if !w.InService() || w.Probation {
-			return api.Resources{}
-		}
-		return positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm))
+	case Evictable, Movable:
+		return w.reclaimable(v)
 	}
 	if !w.Open() {
 		return api.Resources{}
@@ -308,6 +312,17 @@
 	return least(free, positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm)))
 }
 
+func (w *Worker) reclaimable(v View) api.Resources {
+	if !w.InService() || w.Probation {
+		return api.Resources{}
+	}
+	kept := w.Firm
+	if v == Movable {
+		kept = w.Fixed
+	}
+	return positive(w.Capacity.Sub(w.Reserved).Sub(kept))
+}
+
 func positive(r api.Resources) api.Resources {
 	return api.Resources{
 		Accelerators: max(r.Accelerators, 0),
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
 )
 
 const (
@@ -11,8 +12,12 @@
 	strikeWindow = 30 * time.Minute
 	// quarantineJobs is how many jobs must fail on a worker for its quarantine.
 	quarantineJobs = 3
-	probeAfter     = time.Minute
-	probeAfterMax  = time.Hour
+	// maxRetries bounds the failures of a job anywhere.
+	maxRetries    = 8
+	probeAfter    = time.Minute
+	probeAfterMax = time.Hour
+	// probationTime ends a probation in which no work came.
+	probationTime = 10 * time.Minute
 )
 
 // strike is the failure of one job on a worker.
@@ -22,10 +27,16 @@
 }
 
 // strike counts a failure against a worker; several jobs put it in quarantine.
+// A job that has failed on another worker, too, counts against none of them
+// unless the agent says that the worker is at fault.
 func (c *Core) strike(w *worker, j *job, workerFault bool) {
 	if w.Quarantined {
 		return
 	}
+	if len(j.avoid) > 1 && !workerFault {
+		c.clearStrikes(j)
+		return
+	}
 	var recent []strike
 	for _, s := range w.strikes {
 		if s.jobID != j.id() && s.at > c.now-strikeWindow {
@@ -61,9 +72,29 @@
 			f.Quarantined = false
 			f.Probation = true
 		})
+		c.after(probationTime, func() { c.endProbation(w) })
 	})
 }
 
+func (c *Core) endProbation(w *worker) {
+	if !w.Probation || len(w.groups) > 0 {
+		return
+	}
+	c.slotsDirty = true
+	c.update(w, func(f *fleet.Worker) { f.Probation = false })
+}
+
+// forgiveWorkers lets a job try the workers again on which it failed, once it
+// has no other place.
+func (c *Core) forgiveWorkers(j *job) {
+	if len(j.avoid) == 0 || placement.Find(c.fleet, c.request(j, fleet.Whole)) != nil {
+		return
+	}
+	c.queue.remove(j)
+	j.avoid = nil
+	c.queue.add(j)
+}
+
 func (c *Core) workerSucceeded(w *worker) {
 	w.strikes = nil
 	if !w.Probation {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -56,6 +56,7 @@
 	startedAt  time.Duration
 	ranFor     time.Duration
 	holdFails  int
+	failures   int
 	failedOn   []string
 	avoid      []string
 	deadlineOn bool
@@ -89,6 +90,7 @@
 	ending   bool
 	detached bool
 	firm     bool
+	fixed    bool
 	share    *share
 
 	leaseUntil time.Duration
--- /dev/null
+++ b/internal/sched/machine_test.go
@@ -0,0 +1,400 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/feasibility"
+)
+
+const (
+	machineZones   = 3
+	machineWorkers = 3 // per zone, in one rack
+	// settleTime is long enough for all leases, probes and retries.
+	settleTime = 40 * time.Minute
+	// claimBound is within which a guaranteed gang must run on a fleet
+	// without faults: grace, lease, hold and save with retries.
+	claimBound = CheckpointGrace + GroupLease + 10*time.Second
+)
+
+// machine is the rapid state machine with the oracle.
+type machine struct {
+	*rig
+	core     *Core
+	rnd      *rand.Rand
+	lossy    bool
+	next     int
+	accepted []string
+	attempts map[string]map[uint32]bool // attempts that an agent has started
+	calmAt   time.Duration              // time of the last fault
+	since    map[string]time.Duration   // start of the wait of guaranteed jobs
+	events   []recorded
+}
+
+type recorded struct {
+	at   time.Duration
+	ev   Event
+	acts string
+}
+
+func describeActions(acts []Action) string {
+	if len(acts) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%+v", acts)
+}
+
+func machineConfig() *api.Config {
+	shape := api.Shape{Tasks: 8, PerTask: api.Resources{Accelerators: 1, MilliCPU: 1000}, Adjacency: api.AdjacentRack}
+	return &api.Config{Version: 1, Zones: map[string]api.AvailabilityZone{}, Profiles: map[string]api.Profile{
+		"clinic": {Name: "clinic", ClientAccount: "clinic", Guarantee: &api.Guarantee{Gangs: 1, Shape: shape}},
+		"night":  {Name: "night", ClientAccount: "institute", Preemptible: true, Weight: 2},
+		"plain":  {Name: "plain", ClientAccount: "office", QuotaAccelerators: 24},
+		"urgent": {Name: "urgent", ClientAccount: "office", Urgent: true},
+	}}
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{rig: newRig(), attempts: map[string]map[uint32]bool{}, since: map[string]time.Duration{}}
+	m.fail = t.Fatalf
+	m.rnd = rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
+	m.lost = func() bool { return m.lossy && m.rnd.Intn(5) == 0 }
+	m.config = machineConfig()
+	m.onAct = func(a Action) { m.checkAction(t, a) }
+	m.onRun = func(g *agent, f *fakeGroup) { m.checkRun(t, g, f) }
+	m.onEv = func(at time.Duration, ev Event, acts []Action) {
+		m.events = append(m.events, recorded{at, ev, describeActions(acts)})
+	}
+	for z := range machineZones {
+		for w := range machineWorkers {
+			zone := fmt.Sprintf("z%d", z)
+			g := m.addAgent(fmt.Sprintf("%s-w%d", zone, w), zone, "r", api.Resources{Accelerators: 4, MilliCPU: 16000, MemoryMB: 64000})
+			g.linked = true
+		}
+	}
+	m.replace(0)
+	return m
+}
+
+func (m *machine) replace(startAfter time.Duration) {
+	m.core = New(Config{TermStart: time.Unix(0, 0)})
+	m.events = nil
+	m.takeOver(m.core, startAfter)
+	m.tick()
+}
+
+// checkAction checks what a decision must never do.
+func (m *machine) checkAction(t *rapid.T, a Action) {
+	s, ok := a.(Start)
+	if !ok {
+		return
+	}
+	row := m.rows[s.JobID]
+	if row.State != api.JobRunning || row.Attempt != s.Attempt {
+		t.Fatalf("start of %s/%d without its row: %s/%d", s.JobID, s.Attempt, row.State, row.Attempt)
+	}
+	if m.config.ZoneOut(m.agents[s.Worker].zone) {
+		t.Fatalf("start of %s on %s, whose zone is out", s.JobID, s.Worker)
+	}
+	ref := GroupRef{s.JobID, s.Attempt}
+	for _, p := range row.Placements {
+		if !m.heldBy[ref][p.Worker] {
+			t.Fatalf("partial start of %v: never held by %s", ref, p.Worker)
+		}
+	}
+	if m.stopped[ref] {
+		t.Fatalf("partial start of %v: a member has been stopped", ref)
+	}
+}
+
+// checkRun checks each start that an agent carries out.
+func (m *machine) checkRun(t *rapid.T, g *agent, f *fakeGroup) {
+	id := f.ref.JobID
+	if m.attempts[id] == nil {
+		m.attempts[id] = map[uint32]bool{}
+	}
+	m.attempts[id][f.ref.Attempt] = true
+	if !m.rows[id].Job.Idempotent && len(m.attempts[id]) > 1 {
+		t.Fatalf("%s is not idempotent and started in attempts %v", id, m.attempts[id])
+	}
+	for _, name := range m.names {
+		for _, o := range m.agents[name].groups {
+			if o.ref.JobID == id && o.ref.Attempt != f.ref.Attempt && o.state == GroupRunning {
+				t.Fatalf("%s runs in attempts %d (on %s) and %d at once", id, o.ref.Attempt, name, f.ref.Attempt)
+			}
+		}
+	}
+}
+
+// check is run after each step of the machine.
+func (m *machine) check(t *rapid.T) {
+	for _, id := range m.accepted {
+		if m.rows[id].State != api.JobFinal && m.core.jobs[id] == nil {
+			t.Fatalf("%s is forgotten", id)
+		}
+	}
+	for _, w := range m.core.ordered {
+		m.checkWorker(t, w)
+	}
+	m.checkAnswers(t)
+	m.checkReclaim(t)
+}
+
+func (m *machine) checkWorker(t *rapid.T, w *worker) {
+	var used, firm, claimed, certain api.Resources
+	for _, g := range w.groups {
+		if g.state == groupClaimed {
+			claimed = claimed.Add(g.amount)
+		} else {
+			used = used.Add(g.amount)
+		}
+		// A row that was taken over may name workers that its gang has left.
+		if g.state != groupUnknown && g.state != groupClaimed {
+			certain = certain.Add(g.amount)
+		}
+		if g.firm && !g.ending {
+			firm = firm.Add(g.amount)
+		}
+	}
+	if used != w.Used || claimed != w.Earmarked {
+		t.Fatalf("%s: books differ from groups: %+v", w.Name, *w.Worker)
+	}
+	if w.InService() && !certain.Fits(w.Capacity) {
+		t.Fatalf("%s: %+v used of %+v", w.Name, certain, w.Capacity)
+	}
+	var reserved api.Resources
+	for _, r := range m.core.slots {
+		if s := r.shareOn(w); s != nil {
+			reserved = reserved.Add(s.amount)
+		}
+	}
+	if w.InService() && w.Capacity != (api.Resources{}) && !reserved.Add(firm).Fits(w.Capacity) && reserved != (api.Resources{}) {
+		t.Fatalf("%s: guarantees %+v are blocked by %+v", w.Name, reserved, firm)
+	}
+}
+
+func (m *machine) checkAnswers(t *rapid.T) {
+	for _, id := range m.accepted {
+		row := m.rows[id]
+		if row.State != api.JobFinal {
+			continue
+		}
+		if row.Outcome == api.OutcomeNotRun && len(m.attempts[id]) > 0 {
+			t.Fatalf("%s answered not-run, but ran", id)
+		}
+		if row.Outcome == api.OutcomeDone && len(row.Results) == 0 {
+			t.Fatalf("%s answered done without results", id)
+		}
+	}
+}
+
+// checkReclaim checks that a guaranteed gang runs within its bound when the
+// guarantee is not in use and nothing has failed for that long.
+func (m *machine) checkReclaim(t *rapid.T) {
+	active := 0
+	for _, id := range m.accepted {
+		j := m.core.jobs[id]
+		if j == nil || j.rec.Job.Profile != "clinic" {
+			continue
+		}
+		switch j.phase {
+		case phaseQueued, phaseClaiming, phaseHolding, phaseBackoff:
+		default:
+			active++
+		}
+	}
+	for _, id := range m.accepted {
+		j := m.core.jobs[id]
+		waits := j != nil && j.rec.Job.Profile == "clinic" && active == 0 && (j.phase == phaseQueued || j.phase == phaseClaiming)
+		if !waits || m.storeDown || !m.feasible() {
+			delete(m.since, id)
+			continue
+		}
+		if _, ok := m.since[id]; !ok {
+			m.since[id] = m.now
+		}
+		if from := max(m.since[id], m.calmAt); m.now-from > claimBound {
+			t.Fatalf("%s waits for its guarantee since %v (now %v): %s", id, from, m.now, j.phase)
+		}
+	}
+}
+
+// feasible reports whether the workers that may run work could hold the
+// guarantee if all work were stopped that may be.
+func (m *machine) feasible() bool {
+	var in []feasibility.Worker
+	for _, w := range m.core.ordered {
+		if !w.InService() || w.Probation || w.Paused {
+			continue
+		}
+		left := w.Capacity
+		for _, g := range w.groups {
+			if !g.job.movable() || g.ending {
+				left = left.Sub(g.amount)
+			}
+		}
+		in = append(in, feasibility.Worker{Name: w.Name, Zone: w.Zone, Rack: w.Rack.Label, Capacity: left})
+	}
+	for _, f := range feasibility.Check(m.config, in) {
+		if f.Severity == feasibility.Error {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *machine) fault() { m.calmAt = m.now }
+
+func (m *machine) randomJob(t *rapid.T) api.Job {
+	m.next++
+	job := api.Job{
+		ID:             fmt.Sprintf("j%03d", m.next),
+		Profile:        rapid.SampledFrom([]string{"clinic", "clinic", "night", "night", "night", "plain", "plain", "urgent"}).Draw(t, "profile"),
+		Idempotent:     rapid.IntRange(0, 3).Draw(t, "idempotent") > 0,
+		Checkpointable: rapid.Bool().Draw(t, "checkpointable"),
+		DeclaredRun:    api.Duration(time.Minute),
+		Submitted:      time.Unix(0, 0).Add(m.now),
+	}
+	job.Gang = api.Shape{
+		Tasks:     rapid.IntRange(1, 10).Draw(t, "tasks"),
+		PerTask:   api.Resources{Accelerators: rapid.IntRange(0, 2).Draw(t, "accelerators"), MilliCPU: 1000},
+		Adjacency: rapid.SampledFrom([]api.Adjacency{api.AdjacentWorker, api.AdjacentRack, api.AdjacentZone}).Draw(t, "adjacency"),
+	}
+	if job.Profile == "clinic" {
+		job.Gang = m.config.Profiles["clinic"].Guarantee.Shape
+	}
+	if rapid.IntRange(0, 9).Draw(t, "deadline") == 0 {
+		job.Deadline = job.Submitted.Add(time.Minute)
+	}
+	return job
+}
+
+func (m *machine) submitRandom(t *rapid.T) {
+	job := m.randomJob(t)
+	m.run[job.ID] = time.Duration(rapid.IntRange(1, 300).Draw(t, "run")) * time.Second
+	m.bad[job.ID] = rapid.IntRange(0, 19).Draw(t, "bad") == 0
+	m.accepted = append(m.accepted, job.ID)
+	m.submit(job)
+}
+
+func (m *machine) anyAgent(t *rapid.T) *agent {
+	return m.agents[rapid.SampledFrom(m.names).Draw(t, "worker")]
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"submit": m.submitRandom,
+		"burst": func(t *rapid.T) {
+			for range rapid.IntRange(2, 8).Draw(t, "jobs") {
+				m.submitRandom(t)
+			}
+		},
+		"cancel": func(t *rapid.T) {
+			if len(m.accepted) == 0 {
+				t.Skip("no job")
+			}
+			id := rapid.SampledFrom(m.accepted).Draw(t, "job")
+			row := m.rows[id]
+			row.CancelAsked = true
+			if row.State != api.JobFinal {
+				m.rows[id] = row
+				m.step(Cancel{id})
+			}
+		},
+		"pass": func(t *rapid.T) {
+			m.runUntil(m.now + time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms"))*time.Millisecond)
+		},
+		"pass long": func(t *rapid.T) { m.runUntil(m.now + 2*claimBound) },
+		"link": func(t *rapid.T) {
+			m.fault()
+			if g := m.anyAgent(t); g.linked {
+				g.down()
+			} else {
+				g.up()
+			}
+		},
+		"crash":  func(t *rapid.T) { m.fault(); m.anyAgent(t).crash() },
+		"faulty": func(t *rapid.T) { m.fault(); g := m.anyAgent(t); g.faulty = !g.faulty },
+		"lossy":  func(t *rapid.T) { m.fault(); m.lossy = !m.lossy },
+		"store":  func(t *rapid.T) { m.fault(); m.storeDown = !m.storeDown },
+		"leaving": func(t *rapid.T) {
+			m.fault()
+			g := m.anyAgent(t)
+			if g.linked {
+				m.step(WorkerStatus{Worker: g.name, Healthy: true, Leaving: !m.core.workers[g.name].Leaving})
+			}
+		},
+		"zone": func(t *rapid.T) {
+			m.fault()
+			zone := fmt.Sprintf("z%d", rapid.IntRange(0, machineZones-1).Draw(t, "zone"))
+			state := api.ZoneOut
+			if m.config.ZoneOut(zone) {
+				state = api.ZoneIn
+			}
+			m.setZone(zone, state)
+		},
+		"take over": func(t *rapid.T) {
+			m.fault()
+			m.replay(t)
+			m.replace(HoldLease + DefaultMargin)
+		},
+		"": m.check,
+	}
+}
+
+// replay gives the same events to a new core and compares the actions.
+func (m *machine) replay(t *rapid.T) {
+	again := New(Config{TermStart: time.Unix(0, 0)})
+	for i, e := range m.events {
+		if acts := describeActions(again.Step(e.at, e.ev)); acts != e.acts {
+			t.Fatalf("event %d (%T%+v) is decided differently:\n%s\n%s", i, e.ev, e.ev, e.acts, acts)
+		}
+	}
+}
+
+// heal ends all faults and expects an answer to every job.
+func (m *machine) heal(t *rapid.T) {
+	m.fault()
+	m.lossy, m.storeDown, m.tickEvery = false, false, time.Second
+	for z := range machineZones {
+		if zone := fmt.Sprintf("z%d", z); m.config.ZoneOut(zone) {
+			m.setZone(zone, api.ZoneIn)
+		}
+	}
+	for _, name := range m.names {
+		g := m.agents[name]
+		g.faulty = false
+		if !g.linked {
+			g.up()
+		}
+		m.step(WorkerStatus{Worker: name, Healthy: true})
+	}
+	for range settleTime / time.Minute {
+		m.runUntil(m.now + time.Minute)
+		m.check(t)
+	}
+	for _, id := range m.accepted {
+		if m.rows[id].State != api.JobFinal {
+			t.Fatalf("%s is not answered: %+v\n%+v", id, *m.core.jobs[id], m.core.Dump())
+		}
+	}
+	for _, w := range m.core.ordered {
+		if len(w.groups) > 0 {
+			t.Fatalf("%s still has %d groups", w.Name, len(w.groups))
+		}
+	}
+}
+
+func TestSchedMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(m.actions())
+		m.heal(t)
+		m.replay(t)
+	})
+}
--- a/internal/sched/reports.go
+++ b/internal/sched/reports.go
@@ -119,12 +119,15 @@
 		return
 	}
 	c.notice(j, g.worker.Name, ReasonTaskFailed, r.Detail)
-	c.strike(g.worker, j, r.WorkerFault)
 	j.avoid = appendNew(j.avoid, g.worker.Name)
+	c.strike(g.worker, j, r.WorkerFault)
+	if !r.WorkerFault {
+		j.failures++
+	}
 	if !r.WorkerFault && !g.worker.Quarantined {
 		j.failedOn = appendNew(j.failedOn, g.worker.Name)
 	}
-	if !j.movable() || len(j.failedOn) >= maxFailures {
+	if !j.movable() || len(j.failedOn) >= maxFailures || j.failures >= maxRetries {
 		j.verdict = api.OutcomeFailed
 		j.verdictDetail = r.Detail
 		c.clearStrikes(j)
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -1,11 +1,11 @@
 package sched
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/feasibility"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
 )
@@ -89,16 +89,69 @@
 func (c *Core) orphan(g *group) {
 	g.share = nil
 	g.account.surplus = g.account.surplus.Add(g.amount)
-	if g.firm {
-		return
-	}
 	g.firm = true
-	g.job.firm = true
-	c.update(g.worker, func(f *fleet.Worker) { f.Firm = f.Firm.Add(g.amount) })
+	g.fixed = true
+	c.update(g.worker, func(f *fleet.Worker) {
+		f.Firm = f.Firm.Add(g.amount)
+		f.Fixed = f.Fixed.Add(g.amount)
+	})
+	if j := g.job; !g.detached && j.reserved != nil {
+		j.reserved = nil
+		j.firm = true
+		c.unbound = append(c.unbound, j)
+	}
 }
 
-// replanInterval bounds how often places for missing guarantees are looked for.
-const replanInterval = time.Second
+// bind gives a guarantee without a place the one where a gang of its profile
+// runs already, as after a takeover.
+func (c *Core) bind(r *reservation) bool {
+	for _, j := range c.unbound {
+		if j.rec.Job.Profile == r.profile && c.bindable(j, r) {
+			c.bindTo(j, r)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) bindable(j *job, r *reservation) bool {
+	if j.phase != phaseRunning || !j.firm || j.rec.Job.Gang.Tasks != r.gang.Tasks || !j.perTask.Fits(r.gang.PerTask) {
+		return false
+	}
+	for _, g := range j.groups {
+		more := r.gang.PerTask.Times(g.tasks).Sub(g.amount)
+		if !g.live() || !g.worker.InService() || !more.Fits(g.worker.Avail(fleet.Evictable)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) bindTo(j *job, r *reservation) {
+	parts := make([]placement.Part, 0, len(j.groups))
+	for _, g := range j.groups {
+		parts = append(parts, placement.Part{Worker: g.worker.Worker, Tasks: g.tasks})
+	}
+	c.place(r, parts)
+	j.firm = false
+	j.reserved = r
+	for _, g := range j.groups {
+		g.share = r.shareOn(g.worker)
+		g.share.used = g.share.used.Add(g.amount)
+		g.account.surplus = g.account.surplus.Sub(g.amount)
+		c.update(g.worker, func(f *fleet.Worker) {
+			f.Firm = f.Firm.Sub(g.amount)
+			if g.fixed {
+				f.Fixed = f.Fixed.Sub(g.amount)
+			}
+		})
+		g.firm = false
+		g.fixed = false
+	}
+}
+
+// repackInterval bounds how often all guarantees are packed anew for a missing one.
+const repackInterval = 5 * time.Second
 
 // planSlots keeps a place for each gang that is guaranteed.
 func (c *Core) planSlots() {
@@ -107,11 +160,7 @@
 	if !c.slotsDirty && !retry {
 		return
 	}
-	if c.missing > 0 && c.now < c.plannedAt+replanInterval {
-		return
-	}
 	c.slotsDirty = false
-	c.plannedAt = c.now
 	for _, r := range c.slots {
 		if r.placed() && !r.whole() {
 			c.lift(r)
@@ -122,7 +171,8 @@
 		c.dropAllWaiting()
 		c.placeSlots()
 	}
-	if c.missing > 0 {
+	if c.missing > 0 && c.now >= c.repackedAt+repackInterval {
+		c.repackedAt = c.now
 		c.repack()
 	}
 	c.plannedGen = c.fleet.Gen()
@@ -131,8 +181,9 @@
 // placeSlots looks for a place for each guarantee without one, the largest first.
 func (c *Core) placeSlots() {
 	c.missing = 0
+	c.unbound = slices.DeleteFunc(c.unbound, func(j *job) bool { return j.phase != phaseRunning || j.reserved != nil })
 	for _, r := range c.bySize() {
-		if r.placed() {
+		if r.placed() || c.bind(r) {
 			continue
 		}
 		parts := placement.Find(c.fleet, placement.Request{Gang: r.gang, View: fleet.Evictable})
@@ -188,11 +239,7 @@
 func (c *Core) bySize() []*reservation {
 	out := slices.Clone(c.slots)
 	slices.SortStableFunc(out, func(a, b *reservation) int {
-		x, y := a.gang.PerTask.Times(a.gang.Tasks), b.gang.PerTask.Times(b.gang.Tasks)
-		return cmp.Or(
-			cmp.Compare(y.Accelerators, x.Accelerators),
-			cmp.Compare(b.gang.PerTask.Accelerators, a.gang.PerTask.Accelerators),
-			cmp.Compare(y.MilliCPU, x.MilliCPU))
+		return feasibility.Compare(a.gang, b.gang)
 	})
 	return out
 }
@@ -265,7 +312,7 @@
 		}
 	}
 	if best.res == nil {
-		return false
+		return c.reclaimFirm(j)
 	}
 	if len(best.victims) > 0 && best.res.unused() {
 		if cl, ok := c.moveSlot(best.res, j); ok {
@@ -284,11 +331,47 @@
 	if parts == nil {
 		return claim{}, false
 	}
-	cl, ok := c.plan(j, parts, 0)
+	cl, ok := c.plan(j, parts, victimRule{})
 	cl.res = r
 	return cl, ok
 }
 
+// reclaimFirm makes room for a guarantee that has lost its place, as with a
+// zone out, by work outside of all guarantees.
+func (c *Core) reclaimFirm(j *job) bool {
+	r := c.missingSlot(j)
+	if r == nil {
+		return false
+	}
+	q := c.request(j, fleet.Movable)
+	q.Gang = r.gang
+	whole := &job{rec: j.rec, perTask: r.gang.PerTask}
+	best, ok := c.cheapest(whole, q, victimRule{firm: true})
+	if !ok {
+		return false
+	}
+	c.place(r, best.parts)
+	for _, v := range best.victims {
+		c.notice(v, "", ReasonReclaim, j.id())
+		c.preempt(v, min(c.claimGrace(j), grace(v)), ReasonReclaim)
+	}
+	cl, ok := c.claimIn(r, j)
+	if ok {
+		c.claim(j, cl, c.claimGrace(j))
+	}
+	return ok
+}
+
+func (c *Core) missingSlot(j *job) *reservation {
+	for _, r := range c.slotsOf[j.rec.Job.Profile] {
+		fits := j.rec.Job.Gang.Tasks <= r.gang.Tasks && j.perTask.Fits(r.gang.PerTask)
+		if !r.placed() && fits {
+			return r
+		}
+	}
+	return nil
+}
+
 // moveSlot moves an unused guarantee to free capacity, so that nothing has to
 // be stopped for it.
 func (c *Core) moveSlot(r *reservation, j *job) (claim, bool) {
--- a/internal/sched/takeover.go
+++ b/internal/sched/takeover.go
@@ -31,6 +31,10 @@
 		}
 		c.watchAdoption(g, until)
 	}
+	if j.firm && len(c.slotsOf[j.rec.Job.Profile]) > 0 {
+		c.unbound = append(c.unbound, j)
+		c.slotsDirty = true
+	}
 	if j.rec.CancelAsked {
 		c.end(j, 0, ReasonCancelled)
 	}
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -50,6 +50,7 @@
 		c.refuseQueued(j, ReasonNeverFits, why)
 		return
 	}
+	c.forgiveWorkers(j)
 	if j.waiting != nil && !j.waiting.whole() {
 		c.dropWaiting(j)
 	}
@@ -175,11 +176,11 @@
 			return false
 		}
 	}
-	minRun := time.Duration(0)
+	rule := victimRule{}
 	if c.lent(j) {
-		minRun = minRunBeforeEviction
+		rule.minRun = minRunBeforeEviction
 	}
-	cl, ok := c.plan(j, r.parts(), minRun)
+	cl, ok := c.plan(j, r.parts(), rule)
 	if !ok {
 		return false
 	}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -11,6 +11,9 @@
 // for a checkpoint within their leases.
 const disconnectPatience = 4 * time.Second
 
+// startResend is how long a start may stay without a report.
+const startResend = time.Second
+
 // worker is a worker of the fleet with the groups that use it.
 type worker struct {
 	*fleet.Worker
@@ -135,6 +138,7 @@
 	if g.share != nil {
 		g.share.used = g.share.used.Add(g.amount)
 	}
+	g.fixed = g.fixed || (g.firm && !g.job.movable())
 	c.update(w, func(f *fleet.Worker) {
 		if g.state == groupClaimed {
 			f.Earmarked = f.Earmarked.Add(g.amount)
@@ -144,6 +148,9 @@
 		if g.firm {
 			f.Firm = f.Firm.Add(g.amount)
 		}
+		if g.fixed {
+			f.Fixed = f.Fixed.Add(g.amount)
+		}
 	})
 }
 
@@ -174,6 +181,9 @@
 		if g.firm {
 			f.Firm = f.Firm.Sub(g.amount)
 		}
+		if g.fixed {
+			f.Fixed = f.Fixed.Sub(g.amount)
+		}
 	})
 	if g.share != nil {
 		g.share.used = g.share.used.Sub(g.amount)
@@ -218,6 +228,7 @@
 			continue
 		}
 		g.leaseUntil = c.now + GroupLease + c.cfg.Margin
+		c.startAgain(g)
 		refs = append(refs, GroupRef{g.job.id(), g.attempt})
 	}
 	if len(refs) > 0 {
@@ -225,6 +236,19 @@
 	}
 }
 
+// startAgain repeats a start that has not been confirmed.
+func (c *Core) startAgain(g *group) {
+	j := g.job
+	if g.state != groupStarting || c.now < j.startedAt+startResend {
+		return
+	}
+	if g.worker.ZoneOut {
+		c.broken(g, ReasonZoneOut)
+		return
+	}
+	c.startGroup(g)
+}
+
 // renewable reports whether a group's lease may be extended: those of a gang
 // are for all members or for none.
 func renewable(g *group) bool {
