--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/membership"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
 	"github.com/juju/errors"
@@ -128,7 +129,12 @@
 
 func newOwner(l ledger.Ledger, s *settings.Entry, m *membership.Service, config *confstate.Service, c clock, registry metrics.Registry, log zerolog.Logger) *owner.Service {
 	self := owner.Self{ID: string(s.ID), Addr: advertised(s)}
-	o := owner.New(l, string(s.Cell), self, c, owner.Config{Peers: ownerPeers{config, m}, Metrics: registry, Log: log})
+	o := owner.New(l, string(s.Cell), self, c, owner.Config{
+		Times:   ownerTimes(),
+		Peers:   ownerPeers{config, m},
+		Metrics: registry,
+		Log:     log,
+	})
 	m.Bind(config, func(state *rpc.PeerState) {
 		a := o.Current()
 		state.OwnerEpoch = a.Epoch
@@ -137,6 +143,18 @@
 	return o
 }
 
+// ownerTimes lets a takeover after a kill end within the time in which urgent
+// work has to start: lease, margin and permission follow one another.
+func ownerTimes() owner.Times {
+	return owner.Times{
+		Lease:     1500 * time.Millisecond,
+		Renew:     400 * time.Millisecond,
+		Margin:    200 * time.Millisecond,
+		Poll:      200 * time.Millisecond,
+		PermitTTL: route.PermitTTL,
+	}
+}
+
 // ownerPeers joins what ownership asks of the other entries.
 type ownerPeers struct {
 	config     *confstate.Service
--- a/internal/entry/httpapi/config.go
+++ b/internal/entry/httpapi/config.go
@@ -72,7 +72,7 @@
 		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
 		return
 	}
-	warning, err := a.Scheduler.CheckGuarantees(withProfile(a.Config.Current(), p))
+	warning, err := a.Scheduler.CheckGuarantees(withProfile(a.Config.Current(), p), name)
 	if err != nil {
 		problem(ctx, fasthttp.StatusUnprocessableEntity, "%v", err)
 		return
--- a/internal/entry/scheduler/guarantees.go
+++ b/internal/entry/scheduler/guarantees.go
@@ -1,10 +1,55 @@
 package scheduler
 
-import "github.com/coltsfootlug/coltsfootlug/internal/api"
+import (
+	"strings"
 
-// CheckGuarantees judges an edited configuration against the workers that are
-// linked: an error names the guaranteed shapes that do not fit, a warning
-// tells that they fit only while all zones are in.
-func (s *Service) CheckGuarantees(*api.Config) (warning string, err error) {
-	return "", nil
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/feasibility"
+	"github.com/juju/errors"
+)
+
+// ErrNotFeasible says that guaranteed shapes do not fit on the workers.
+const ErrNotFeasible = errors.ConstError("guarantees do not fit")
+
+// CheckGuarantees judges a configuration with an edited profile against the
+// workers that are linked. An error names the guaranteed shapes that do not
+// fit; a warning tells that they fit only while all zones are in. An edit that
+// leaves the profile's guarantee as it was is never refused, so that profiles
+// stay editable while workers are missing.
+func (s *Service) CheckGuarantees(edited *api.Config, name string) (warning string, err error) {
+	workers := s.linkedWorkers()
+	if len(workers) == 0 {
+		return "guarantees were not checked: no worker is linked", nil
+	}
+	var errorsFound, warnings []string
+	for _, f := range feasibility.Check(edited, workers) {
+		if f.Severity == feasibility.Error {
+			errorsFound = append(errorsFound, f.Detail)
+			continue
+		}
+		warnings = append(warnings, f.Detail)
+	}
+	changed := !sameGuarantee(s.config.Current().Profiles[name].Guarantee, edited.Profiles[name].Guarantee)
+	if len(errorsFound) > 0 && changed {
+		return "", errors.Annotate(ErrNotFeasible, strings.Join(errorsFound, "; "))
+	}
+	return strings.Join(append(errorsFound, warnings...), "; "), nil
+}
+
+func sameGuarantee(a, b *api.Guarantee) bool {
+	if a == nil || b == nil {
+		return b == nil
+	}
+	return *a == *b
+}
+
+func (s *Service) linkedWorkers() []feasibility.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []feasibility.Worker
+	for _, id := range sortedKeys(s.workers) {
+		a := s.workers[id].agent
+		out = append(out, feasibility.Worker{Name: a.ID, Zone: a.Zone, Rack: a.Rack, Capacity: a.Capacity})
+	}
+	return out
 }
--- a/internal/entry/scheduler/term.go
+++ b/internal/entry/scheduler/term.go
@@ -160,9 +160,9 @@
 func (t *term) apply(act sched.Action) {
 	switch act := act.(type) {
 	case sched.Hold:
-		t.send(act.Worker, func(stamp int64) *rpc.EntryMessage { return t.holdMessage(act, stamp) })
+		t.sendAsOwner(act.Worker, func(stamp int64) *rpc.EntryMessage { return t.holdMessage(act, stamp) })
 	case sched.Start:
-		t.send(act.Worker, func(stamp int64) *rpc.EntryMessage { return t.startMessage(act, stamp) })
+		t.sendAsOwner(act.Worker, func(stamp int64) *rpc.EntryMessage { return t.startMessage(act, stamp) })
 	case sched.Stop:
 		t.send(act.Worker, func(int64) *rpc.EntryMessage { return t.stopMessage(act) })
 	case sched.Renew:
@@ -174,6 +174,17 @@
 	}
 }
 
+// sendAsOwner asks for the ownership at this very moment: the process may have
+// been paused since the core last heard of it.
+func (t *term) sendAsOwner(worker string, build func(int64) *rpc.EntryMessage) {
+	a, _ := t.service.owner.Authority()
+	if !a.Owner || a.Epoch != t.epoch {
+		metrics.GetOrRegisterCounter("scheduler.withheld", t.service.registry).Inc(1)
+		return
+	}
+	t.send(worker, build)
+}
+
 // send drops messages for workers that are not linked; the core's timeouts
 // and the workers' reports settle what becomes of them.
 func (t *term) send(worker string, build func(int64) *rpc.EntryMessage) {
