--- a/internal/route/agent.go
+++ b/internal/route/agent.go
@@ -168,7 +168,7 @@
 		delete(c.agents, a.name)
 		return
 	}
-	heard := max(a.statusAt, a.changed)
+	heard := max(a.statusAt, a.changed, c.resumed)
 	if a.up && !a.suspect && c.now-heard > suspicionTime {
 		a.suspect = true
 		c.loseIdempotent(a)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -205,8 +205,8 @@
 
 // finishUnknown ends a non-idempotent request whose execution may have run.
 func (c *Core) finishUnknown(r *request, h ClaimHolder, detail string) {
-	c.finish(r, Answer{ID: r.ID, Outcome: api.OutcomeUnknown, Reason: ReasonAgentLost, Detail: detail})
 	c.record(r, h, api.OutcomeUnknown)
+	c.finish(r, Answer{ID: r.ID, Outcome: api.OutcomeUnknown, Reason: ReasonAgentLost, Detail: detail})
 }
 
 // record stores the final outcome of a claimed key.
@@ -317,6 +317,7 @@
 
 // deliver answers a request with the result of an execution.
 func (c *Core) deliver(r *request, h ClaimHolder, e Result) {
+	c.record(r, h, e.Outcome)
 	c.finish(r, Answer{
 		ID:            r.ID,
 		Outcome:       e.Outcome,
@@ -326,7 +327,6 @@
 		ResultID:      e.ID,
 		ResultAttempt: e.Attempt,
 	})
-	c.record(r, h, e.Outcome)
 }
 
 // notRun goes on with a request after an attempt that is certain not to have run.
@@ -354,6 +354,6 @@
 		c.retry(r)
 		return
 	}
-	c.finish(r, Answer{ID: r.ID, Outcome: api.OutcomeUnknown, Reason: ReasonResult, Detail: e.Detail})
 	c.record(r, at.holder(), api.OutcomeUnknown)
+	c.finish(r, Answer{ID: r.ID, Outcome: api.OutcomeUnknown, Reason: ReasonResult, Detail: e.Detail})
 }
--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -10,7 +10,6 @@
 // follow is the wait of a request for the execution that holds its key.
 type follow struct {
 	holder   ClaimHolder
-	fallback api.Outcome // recorded answer without its body, or ""
 	since    time.Duration
 	next     time.Duration
 	interval time.Duration
@@ -57,9 +56,8 @@
 func (c *Core) claimWon(r *request) {
 	at := r.claiming
 	h := at.holder()
-	r.held = &h
 	r.from = &h
-	if !r.gone && c.fresh && at.reachable() && c.usable(at.agent) && c.now < r.since+PermitTTL {
+	if !r.gone && c.fresh() && at.reachable() && c.usable(at.agent) && c.now < r.since+PermitTTL {
 		r.claiming = nil
 		c.send(r, at)
 		return
@@ -70,25 +68,18 @@
 
 func (c *Core) claimLost(r *request, e ClaimReply) {
 	c.cancelClaim(r)
-	r.held = nil
 	holder := e.Holder
-	own := holder.RequestID == r.ID
 	switch {
-	case own || e.Final == api.OutcomeNotRun:
+	case e.Final != "":
+		c.finish(r, Answer{ID: r.ID, Outcome: e.Final, Reason: ReasonResult, Detail: "the recorded outcome of the idempotency key"})
+	case holder.RequestID == r.ID:
 		r.from = &holder
 		c.requeue(r)
-	case e.Final != "" && !c.holderLinked(holder):
-		c.finish(r, recorded(r, e.Final))
 	default:
-		c.startFollow(r, holder, e.Final)
+		c.startFollow(r, holder)
 	}
 }
 
-// recorded is the answer of a key whose body is no longer at hand.
-func recorded(r *request, outcome api.Outcome) Answer {
-	return Answer{ID: r.ID, Outcome: outcome, Reason: ReasonResult, Detail: "the recorded outcome of the idempotency key"}
-}
-
 func (c *Core) holderLinked(h ClaimHolder) bool {
 	a := c.agents[h.Agent]
 	return a != nil && a.up && a.incarnation == h.Incarnation
@@ -97,13 +88,8 @@
 // startFollow waits for the result of another execution. The agent is asked
 // once the permission of that execution has lapsed, since the question ends an
 // execution that has not started.
-func (c *Core) startFollow(r *request, h ClaimHolder, fallback api.Outcome) {
-	f := &follow{holder: h, fallback: fallback, since: c.now, interval: probeDelay}
-	f.next = c.now
-	if fallback == "" {
-		f.next += c.permitLeft(h)
-	}
-	r.follow = f
+func (c *Core) startFollow(r *request, h ClaimHolder) {
+	r.follow = &follow{holder: h, since: c.now, next: c.now + c.permitLeft(h), interval: probeDelay}
 	c.followers[h.ref()] = append(c.followers[h.ref()], r)
 	c.setPhase(r, phaseFollowing)
 }
@@ -164,10 +150,6 @@
 // whether it has ended the request.
 func (c *Core) lookForHolder(r *request) bool {
 	f := r.follow
-	if f.fallback != "" && c.now >= f.since+finalFetchTimeout {
-		c.finish(r, recorded(r, f.fallback))
-		return true
-	}
 	if c.now < f.next {
 		return false
 	}
@@ -175,14 +157,10 @@
 		c.emitVoid(f.holder)
 		f.next = c.now + f.interval
 		f.interval = min(2*f.interval, maxProbeInterval)
-		if f.fallback != "" {
-			f.next = f.since + finalFetchTimeout
-		}
 		return false
 	}
 	a := c.agents[f.holder.Agent]
 	if a != nil && a.up && c.now >= f.since+newIncarnationPatience && a.statusAt > f.since {
-		c.unfollow(r)
 		c.finish(r, Answer{
 			ID:      r.ID,
 			Outcome: api.OutcomeUnknown,
@@ -204,14 +182,12 @@
 	switch {
 	case e.Outcome == api.OutcomeDone || e.Outcome == api.OutcomeFailed:
 		c.deliver(r, h, e)
-	case f.fallback != "":
-		c.finish(r, recorded(r, f.fallback))
 	case e.Outcome == api.OutcomeNotRun:
 		c.unfollow(r)
 		r.from = &h
 		c.requeue(r)
 	default:
-		c.finish(r, Answer{ID: r.ID, Outcome: api.OutcomeUnknown, Reason: ReasonResult, Detail: e.Detail})
 		c.record(r, h, api.OutcomeUnknown)
+		c.finish(r, Answer{ID: r.ID, Outcome: api.OutcomeUnknown, Reason: ReasonResult, Detail: e.Detail})
 	}
 }
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -50,6 +50,8 @@
 	refusalPatience = time.Second
 	// startPatience is refusalPatience for an entry that has just started.
 	startPatience = 2 * time.Second
+	// pauseGap is a time between two Steps that shows a pause of the entry.
+	pauseGap = 500 * time.Millisecond
 	// claimTimeout is how long a claim may take.
 	claimTimeout = 2 * time.Second
 	// probeDelay is the time after an Execute at which the agent is asked for
@@ -75,8 +77,6 @@
 	// minRetryAfter and maxRetryAfter bound the advice to callers.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
-	// finalFetchTimeout bounds the search for the body of a recorded answer.
-	finalFetchTimeout = time.Second
 	// newIncarnationPatience is how long the holder of a key may be absent
 	// while its agent is linked under another incarnation.
 	newIncarnationPatience = 2 * time.Second
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -11,14 +11,16 @@
 // timers go with their deadline, agents some time after their last link, and a
 // result that nobody waits for any more is acknowledged and not remembered.
 type Core struct {
-	cfg      Config
-	now      time.Duration
-	out      []Action
-	entries  int
-	draining bool
-	fresh    bool
-	freshAt  time.Duration // when the configuration was last fresh
-	zonesOut map[string]bool
+	cfg       Config
+	now       time.Duration
+	out       []Action
+	entries   int
+	resumed   time.Duration // end of the entry's last pause
+	draining  bool
+	permitted bool          // the last Permit said fresh
+	permitAt  time.Duration // time of the last Permit
+	freshAt   time.Duration // when the configuration was last fresh
+	zonesOut  map[string]bool
 
 	requests    map[string]*request
 	attempts    map[ref]*attempt
@@ -51,11 +53,9 @@
 // Step handles one event at the given time since the entry's start and returns
 // the actions to carry out, in order.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.notePause(now)
 	c.now = max(c.now, now)
 	c.out = nil
-	if c.fresh {
-		c.freshAt = c.now
-	}
 	c.handle(ev)
 	for t := c.timers.next(c.now); t != nil; t = c.timers.next(c.now) {
 		t.run()
@@ -67,6 +67,14 @@
 	return c.out
 }
 
+// notePause finds that the entry itself has been paused, so that the agents
+// are not taken for silent before their heartbeats are read.
+func (c *Core) notePause(now time.Duration) {
+	if now-c.now > pauseGap {
+		c.resumed = now
+	}
+}
+
 // Idle reports whether no request is queued or under way.
 func (c *Core) Idle() bool { return len(c.requests) == 0 }
 
@@ -98,9 +106,10 @@
 }
 
 func (c *Core) permit(e Permit) {
-	c.fresh = e.Fresh
+	c.permitted = e.Fresh
+	c.permitAt = c.now
 	c.zonesOut = e.ZonesOut
-	if c.fresh {
+	if e.Fresh {
 		c.freshAt = c.now
 	}
 	for _, s := range c.serviceList {
@@ -108,6 +117,10 @@
 	}
 }
 
+// fresh reports whether the configuration is fresh enough to start work. After
+// a pause of the process it is not, until the next Permit.
+func (c *Core) fresh() bool { return c.permitted && c.now-c.permitAt <= PermitMaxAge }
+
 func (c *Core) tick() {
 	c.checkAgents()
 	for _, s := range c.serviceList {
@@ -145,7 +158,7 @@
 // unservable returns why nothing of the service can start, or "".
 func (c *Core) unservable(s *service) Reason {
 	switch {
-	case !c.fresh && c.now-c.freshAt > refusalPatience:
+	case !c.fresh() && c.now-c.freshAt > refusalPatience:
 		return ReasonStale
 	case c.now-s.usableAt > refusalPatience:
 		return ReasonNoEndpoint
--- a/internal/route/dump.go
+++ b/internal/route/dump.go
@@ -74,7 +74,7 @@
 // Dump returns the state of the core.
 func (c *Core) Dump() any {
 	d := Dump{
-		Fresh:       c.fresh,
+		Fresh:       c.fresh(),
 		Draining:    c.draining,
 		Entries:     c.entries,
 		Open:        len(c.requests),
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -40,8 +40,6 @@
 
 	attempts []*attempt
 	claiming *attempt
-	// held is the holder that this request has put into the table.
-	held *ClaimHolder
 	// from is the holder that the next claim replaces.
 	from   *ClaimHolder
 	follow *follow
@@ -198,11 +196,7 @@
 		a.Outcome = api.OutcomeUnknown
 		a.RetryAfter = 0
 	}
-	held := r.held
 	c.finish(r, a)
-	if a.Outcome == api.OutcomeNotRun && held != nil {
-		c.emit(Record{ID: r.ID, Key: r.Key, Holder: *held, Outcome: api.OutcomeNotRun})
-	}
 }
 
 // finish answers a request, once. Attempts that may still run keep their slot
--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -25,6 +25,7 @@
 	core *Core
 	now  time.Duration
 	beat map[string]AgentStatus
+	last Permit
 }
 
 func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
@@ -62,6 +63,7 @@
 				out.WriteString(s.step(st))
 			}
 		}
+		out.WriteString(s.step(s.last))
 		out.WriteString(s.step(Tick{}))
 	}
 	return out.String()
@@ -72,7 +74,8 @@
 	id := a.text("id", "r1")
 	switch a.d.Cmd {
 	case "permit":
-		return Permit{Fresh: a.flag("fresh", true), ZonesOut: map[string]bool{a.text("out", ""): true}}
+		s.last = Permit{Fresh: a.flag("fresh", true), ZonesOut: map[string]bool{a.text("out", ""): true}}
+		return s.last
 	case "up":
 		s.beat[agent] = AgentStatus{Agent: agent, Healthy: true}
 		return AgentUp{agent, a.text("inc", "i1"), "svc", a.text("zone", "z1"), a.number("slots", 2)}
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -101,7 +101,7 @@
 
 // dispatch starts waiting requests while agents are free.
 func (c *Core) dispatch(s *service) {
-	if !c.fresh {
+	if !c.fresh() {
 		return
 	}
 	for r := s.queue.first(); r != nil; r = s.queue.first() {
--- a/internal/route/types.go
+++ b/internal/route/types.go
@@ -89,7 +89,8 @@
 }
 
 // Permit tells whether the entry's configuration is fresh enough to start
-// work, and which zones are out.
+// work, and which zones are out. It lapses after PermitMaxAge, so the shell
+// repeats it.
 type Permit struct {
 	Fresh    bool
 	ZonesOut map[string]bool
@@ -119,6 +120,9 @@
 // TickInterval is the time between two Ticks.
 const TickInterval = 20 * time.Millisecond
 
+// PermitMaxAge is how long a Permit holds, on the entry's clock.
+const PermitMaxAge = 500 * time.Millisecond
+
 // PermitTTL is how long an agent may start an execution after the clock stamp
 // that the execution carries.
 const PermitTTL = 1200 * time.Millisecond
@@ -179,8 +183,9 @@
 }
 
 // Record stores the final outcome of a claimed key. It applies only while the
-// row still names Holder. OutcomeNotRun is not final: it releases the key, so
-// that the next Claim wins or is told OutcomeNotRun as Final.
+// row still names Holder. It comes before the request's Answer. A request that
+// is refused after its claim leaves the row: the next caller with the key asks
+// the holder's agent, learns that the attempt has not run, and replaces it.
 type Record struct {
 	ID      string
 	Key     string
