--- a/internal/route/agent.go
+++ b/internal/route/agent.go
@@ -9,7 +9,6 @@
 // agent is what the entry knows of one agent and its endpoint.
 type agent struct {
 	name        string
-	hash        uint64
 	incarnation string
 	service     *service
 	zone        string
@@ -82,7 +81,7 @@
 		if len(c.agents) >= c.cfg.MaxAgents {
 			return
 		}
-		a = &agent{name: e.Agent, hash: hashString(e.Agent), open: map[ref]*attempt{}}
+		a = &agent{name: e.Agent, open: map[ref]*attempt{}}
 		c.agents[e.Agent] = a
 	}
 	fresh := a.incarnation != e.Incarnation
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -65,13 +65,19 @@
 	}
 }
 
-// pick returns the least loaded agent that takes one more attempt, or nil.
-// Equal loads are spread by a hash of the request. The agent that refused the
-// request last is taken only when there is no other.
+// pick returns the least loaded agent that takes one more attempt, or nil. The
+// search begins at a place given by the request's hash, which spreads equal
+// loads. The agent that refused the request last is taken only when there is
+// no other.
 func (c *Core) pick(s *service, r *request) *agent {
 	var best *agent
 	var second *agent
-	for _, a := range s.agents {
+	n := len(s.agents)
+	for i, at := 0, s.first(r); i < n; i++ {
+		a := s.agents[at]
+		if at++; at == n {
+			at = 0
+		}
 		if !c.free(a) {
 			continue
 		}
@@ -79,9 +85,12 @@
 			second = a
 			continue
 		}
-		if best == nil || a.before(best, r.hash) {
+		if best == nil || a.lessLoaded(best) {
 			best = a
 		}
+		if best.load() == 0 {
+			break
+		}
 	}
 	if best == nil {
 		return second
@@ -89,16 +98,18 @@
 	return best
 }
 
-// before reports whether a is less loaded than b, or comes first for the hash.
-func (a *agent) before(b *agent, hash uint64) bool {
-	left := (len(a.open) + a.others) * b.slots
-	right := (len(b.open) + b.others) * a.slots
-	if left != right {
-		return left < right
+// first returns the index of the agent that a request is offered first.
+func (s *service) first(r *request) int {
+	if len(s.agents) == 0 {
+		return 0
 	}
-	return mix(a.hash^hash) < mix(b.hash^hash)
+	return int(mix(r.hash) % uint64(len(s.agents)))
 }
 
+func (a *agent) load() int { return len(a.open) + a.others }
+
+func (a *agent) lessLoaded(b *agent) bool { return a.load()*b.slots < b.load()*a.slots }
+
 // dispatch starts waiting requests while agents are free.
 func (c *Core) dispatch(s *service) {
 	if !c.fresh() {
