--- a/test/procs/harness/topology.go
+++ b/test/procs/harness/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
@@ -10,11 +11,21 @@
 // Service is the service that all minions of a harness run.
 const Service = "assessment"
 
-// Entry is an entry process. Agents and other entries reach it through Relay.
+// Entry is an entry process. Agents and other entries reach it through Relay,
+// and it reaches the table through TableRelay.
 type Entry struct {
 	*Process
-	Zone  string
-	Relay *standin.Relay
+	Zone       string
+	Relay      *standin.Relay
+	TableRelay *standin.Relay
+}
+
+// CutTable cuts the entry, and no other, from the table, or lets it through again.
+func (e *Entry) CutTable(cut bool) {
+	e.TableRelay.Refuse(cut)
+	if cut {
+		e.TableRelay.Cut()
+	}
 }
 
 // Minion is a stand-in minion with its agent.
@@ -41,7 +52,7 @@
 // StartEntry starts an entry on new addresses.
 func (h *Harness) StartEntry(id, zone string) *Entry {
 	h.t.Helper()
-	e := &Entry{Zone: zone, Relay: h.Relay()}
+	e := &Entry{Zone: zone, Relay: h.Relay(), TableRelay: h.Relay(strings.TrimPrefix(h.tableURL, "http://"))}
 	p, err := h.start(id, "coltsfoot-entry", 2, func(addresses []string) string {
 		e.Relay.SetTargets(addresses[1])
 		return fmt.Sprintf(`role = "entry"
@@ -61,7 +72,7 @@
 
 [drain]
 timeout = "20s"
-`, id, zone, addresses[0], addresses[1], e.Relay.Address(), h.tableURL, h.objectsURL)
+`, id, zone, addresses[0], addresses[1], e.Relay.Address(), "http://"+e.TableRelay.Address(), h.objectsURL)
 	})
 	if err != nil {
 		h.t.Fatal(err)
