--- a/internal/agent/exec/core.go
+++ b/internal/agent/exec/core.go
@@ -182,22 +182,23 @@
 }
 
 // refuseLapsed answers queued executions that may not start any more.
-func (c *Core) refuseLapsed() {
-	kept := c.queue[:0]
-	for _, r := range c.queue {
-		if reason := c.refusal(r); reason != "" {
-			c.refuse(r, reason)
-			continue
+func (c *Core) refuseLapsed() { c.filterQueue(c.refusal) }
+
+// refuseQueued refuses the queued executions that match.
+func (c *Core) refuseQueued(reason string, match func(*record) bool) {
+	c.filterQueue(func(r *record) string {
+		if match(r) {
+			return reason
 		}
-		kept = append(kept, r)
-	}
-	c.queue = kept
+		return ""
+	})
 }
 
-func (c *Core) refuseQueued(reason string, match func(*record) bool) {
+// filterQueue refuses the queued executions for which check gives a reason.
+func (c *Core) filterQueue(check func(*record) string) {
 	kept := c.queue[:0]
 	for _, r := range c.queue {
-		if match(r) {
+		if reason := check(r); reason != "" {
 			c.refuse(r, reason)
 			continue
 		}
@@ -217,7 +218,9 @@
 		return
 	}
 	if r.state == stateQueued {
+		r.await(e.Entry)
 		c.refuseQueued("withdrawn before its start", func(q *record) bool { return q == r })
+		return
 	}
 	c.tell(r, e.Entry)
 }
--- /dev/null
+++ b/internal/agent/exec/scenario_test.go
@@ -0,0 +1,127 @@
+package exec
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+)
+
+// TestScenarios runs the scripts in testdata. Each command is one event at the
+// time of its "at" argument; ticks fill the time between. The output is the
+// list of actions.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &scenario{}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+type scenario struct {
+	t    *testing.T
+	d    *datadriven.TestData
+	core *Core
+	now  time.Duration
+}
+
+func (s *scenario) text(key, missing string) string {
+	s.d.MaybeScanArgs(s.t, key, &missing)
+	return missing
+}
+
+func (s *scenario) number(key string, missing int) int {
+	s.d.MaybeScanArgs(s.t, key, &missing)
+	return missing
+}
+
+func (s *scenario) flag(key string, missing bool) bool {
+	v, err := strconv.ParseBool(s.text(key, strconv.FormatBool(missing)))
+	if err != nil {
+		s.d.Fatalf(s.t, "argument %q: %v", key, err)
+	}
+	return v
+}
+
+func (s *scenario) duration(key string, missing time.Duration) time.Duration {
+	v, err := time.ParseDuration(s.text(key, missing.String()))
+	if err != nil {
+		s.d.Fatalf(s.t, "argument %q: %v", key, err)
+	}
+	return v
+}
+
+func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
+	s.t, s.d = t, d
+	if d.Cmd == "new" {
+		s.now = 0
+		s.core = New(Config{
+			Incarnation: "i1", Slots: s.number("slots", 1), Queue: s.number("queue", 0), Keep: s.duration("keep", time.Minute),
+			MaxResults: s.number("max-results", 0), MaxBytes: int64(s.number("max-bytes", 0)),
+		})
+		return s.step(Permission{Allowed: true}) + s.step(LinkUp{"e1"}) + s.step(LinkUp{"e2"})
+	}
+	var out strings.Builder
+	for at := s.duration("at", s.now); s.now < at; {
+		s.now = min(at, s.now+100*time.Millisecond)
+		out.WriteString(s.step(Tick{}))
+	}
+	if e := s.event(); e != nil {
+		out.WriteString(s.step(e))
+	}
+	if d.HasArg("state") {
+		fmt.Fprintf(&out, "in-use=%d idle=%t known=%d bytes=%d\n", s.core.InUse(), s.core.Idle(), len(s.core.records), s.core.bytes)
+	}
+	return out.String()
+}
+
+func (s *scenario) event() Event {
+	entry := s.text("entry", "e1")
+	ref := Ref{s.text("id", "r1"), uint32(s.number("attempt", 1))}
+	inc := s.text("inc", "i1")
+	switch s.d.Cmd {
+	case "execute":
+		return Execute{
+			Entry: entry, Ref: ref, Incarnation: inc, Stamp: s.duration("stamp", s.now),
+			Permit: s.duration("permit", 1200*time.Millisecond), Timeout: s.duration("timeout", time.Minute),
+			Idempotent: s.flag("idempotent", false), Corrupt: s.flag("corrupt", false),
+		}
+	case "void":
+		return Void{entry, ref, inc, s.duration("stamp", s.now)}
+	case "ack":
+		return Ack{entry, ref}
+	case "called":
+		return Called{Ref: ref, Outcome: api.Outcome(s.text("outcome", "done")), Size: int64(s.number("size", 10))}
+	case "link-up":
+		return LinkUp{entry}
+	case "link-down":
+		return LinkDown{entry}
+	case "permission":
+		return Permission{s.flag("allowed", true)}
+	case "leave":
+		return Leave{}
+	case "run":
+		return Tick{}
+	}
+	s.d.Fatalf(s.t, "unknown command %q", s.d.Cmd)
+	return nil
+}
+
+func (s *scenario) step(e Event) string {
+	var out strings.Builder
+	for _, action := range s.core.Step(s.now, e) {
+		switch a := action.(type) {
+		case Call:
+			fmt.Fprintf(&out, "%v call %s/%d timeout=%v\n", s.now, a.Ref.ID, a.Ref.Attempt, a.Timeout)
+		case Send:
+			fmt.Fprintf(&out, "%v send %s/%d %s to %s body=%t %s\n", s.now, a.Ref.ID, a.Ref.Attempt, a.Outcome, a.Entry, a.FromEndpoint, a.Detail)
+		case Forget:
+			fmt.Fprintf(&out, "%v forget %s/%d\n", s.now, a.Ref.ID, a.Ref.Attempt)
+		}
+	}
+	return out.String()
+}
