--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -165,10 +165,28 @@
 }
 
 // askOutcomes asks an agent, whose link is open again, for every attempt.
+// Retries of them that have not started yet are called off.
 func (c *Core) askOutcomes(a *agent) {
 	for _, at := range a.attempts() {
 		c.ask(at)
+		if at.state == attemptLost {
+			c.recover(at)
+		}
+	}
+}
+
+// recover makes a lost attempt count again.
+func (c *Core) recover(at *attempt) {
+	at.state = attemptSent
+	r := at.req
+	if r == nil || r.phase != phaseQueued && r.phase != phaseLost {
+		return
 	}
+	if r.phase == phaseQueued {
+		c.budget.refund()
+		r.service.queue.remove(r)
+	}
+	c.setPhase(r, phaseSent)
 }
 
 // loseIdempotent retries the idempotent requests of an agent gone silent.
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -14,6 +14,8 @@
 
 func (b *retryBudget) earn() { b.tokens = min(b.burst, b.tokens+b.fraction) }
 
+func (b *retryBudget) refund() { b.tokens = min(b.burst, b.tokens+1) }
+
 func (b *retryBudget) take() bool {
 	if b.tokens < 1 {
 		return false
--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -22,31 +25,64 @@
 }
 
 type scenario struct {
+	t    *testing.T
+	d    *datadriven.TestData
 	core *Core
 	now  time.Duration
 	beat map[string]AgentStatus
 	last Permit
+
+	serial int // makes ids for commands that are repeated
+}
+
+func (s *scenario) text(key, missing string) string {
+	s.d.MaybeScanArgs(s.t, key, &missing)
+	return missing
+}
+
+func (s *scenario) number(key string, missing int) int {
+	s.d.MaybeScanArgs(s.t, key, &missing)
+	return missing
+}
+
+func (s *scenario) flag(key string, missing bool) bool {
+	v, err := strconv.ParseBool(s.text(key, strconv.FormatBool(missing)))
+	s.check(key, err)
+	return v
+}
+
+func (s *scenario) duration(key string, missing time.Duration) time.Duration {
+	v, err := time.ParseDuration(s.text(key, missing.String()))
+	s.check(key, err)
+	return v
+}
+
+func (s *scenario) check(key string, err error) {
+	if err != nil {
+		s.d.Fatalf(s.t, "argument %q: %v", key, err)
+	}
 }
 
 func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
-	a := args{t, d}
-	at := a.duration("at", s.now)
+	s.t, s.d = t, d
+	at := s.duration("at", s.now)
 	switch d.Cmd {
 	case "new":
-		*s = scenario{core: New(Config{
-			Entries:     a.number("entries", 1),
-			RetryBurst:  float64(a.number("retries", 0)),
-			MaxAttempts: a.number("max-attempts", 0),
-		}), beat: map[string]AgentStatus{}}
-		return ""
-	case "run":
-		return s.pass(at)
+		*s = scenario{t: t, d: d, beat: map[string]AgentStatus{}, core: New(Config{
+			Entries:     s.number("entries", 1),
+			RetryBurst:  float64(s.number("retries", 0)),
+			MaxAttempts: s.number("max-attempts", 0),
+		})}
+		s.last = Permit{Fresh: true}
+		return s.step(s.last)
 	case "agents":
 		return s.agents()
 	}
 	out := s.pass(at)
-	if e := s.event(a); e != nil {
-		out += s.step(e)
+	for range s.number("times", 1) {
+		if e := s.event(); e != nil {
+			out += s.step(e)
+		}
 	}
 	return out
 }
@@ -57,7 +93,7 @@
 	for s.now < until {
 		s.now = min(until, s.now+TickInterval)
 		if s.now%(200*time.Millisecond) == 0 {
-			for _, name := range sortedKeys(s.beat) {
+			for _, name := range slices.Sorted(maps.Keys(s.beat)) {
 				st := s.beat[name]
 				st.ClockMS = s.now.Milliseconds()
 				out.WriteString(s.step(st))
@@ -69,46 +105,54 @@
 	return out.String()
 }
 
-func (s *scenario) event(a args) Event {
-	agent := a.text("agent", "a1")
-	id := a.text("id", "r1")
-	switch a.d.Cmd {
+func (s *scenario) event() Event {
+	agent := s.text("agent", "a1")
+	id := s.text("id", "r1")
+	if s.d.HasArg("times") {
+		s.serial++
+		id = fmt.Sprint(id, ".", s.serial)
+	}
+	switch s.d.Cmd {
 	case "permit":
-		s.last = Permit{Fresh: a.flag("fresh", true), ZonesOut: map[string]bool{a.text("out", ""): true}}
+		s.last = Permit{Fresh: s.flag("fresh", true), ZonesOut: map[string]bool{s.text("out", ""): true}}
 		return s.last
 	case "up":
 		s.beat[agent] = AgentStatus{Agent: agent, Healthy: true}
-		return AgentUp{agent, a.text("inc", "i1"), "svc", a.text("zone", "z1"), a.number("slots", 2)}
+		return AgentUp{agent, s.text("inc", "i1"), "svc", s.text("zone", "z1"), s.number("slots", 2)}
 	case "down":
 		delete(s.beat, agent)
 		return AgentDown{agent}
 	case "silent":
 		delete(s.beat, agent)
 		return nil
+	case "run":
+		return nil
 	case "status":
-		st := AgentStatus{agent, s.now.Milliseconds(), a.number("in-use", 0), a.flag("leaving", false), a.flag("healthy", true)}
+		st := AgentStatus{agent, s.now.Milliseconds(), s.number("in-use", 0), s.flag("leaving", false), s.flag("healthy", true)}
 		s.beat[agent] = st
 		return st
 	case "submit":
 		return Submit{Request{
-			ID: id, Service: "svc", Profile: a.text("profile", "p1"), Account: a.text("account", "acc"),
-			Weight: a.number("weight", 1), MaxQueue: a.number("max-queue", 0), Key: a.text("key", ""),
-			Idempotent: a.flag("idempotent", false), Deadline: s.now + a.duration("timeout", 10*time.Second),
+			ID: id, Service: "svc", Profile: s.text("profile", "p1"), Account: s.text("account", "acc"),
+			Weight: s.number("weight", 1), MaxQueue: s.number("max-queue", 0), Key: s.text("key", ""),
+			Idempotent: s.flag("idempotent", false), Deadline: s.now + s.duration("timeout", 10*time.Second),
 		}}
 	case "result":
-		return Result{agent, id, uint32(a.number("attempt", 1)), api.Outcome(a.text("outcome", "done")), ""}
+		return Result{agent, id, uint32(s.number("attempt", 1)), api.Outcome(s.text("outcome", "done")), ""}
 	case "claim":
 		h := ClaimHolder{}
-		if holder := a.text("holder", ""); holder != "" {
-			h = ClaimHolder{holder, a.text("inc", "i1"), a.text("run", "other"), uint32(a.number("attempt", 1)), int64(a.number("stamp", 1))}
+		if holder := s.text("holder", ""); holder != "" {
+			h = ClaimHolder{holder, s.text("inc", "i1"), s.text("run", "other"), uint32(s.number("attempt", 1)), int64(s.number("stamp", 1))}
 		}
-		return ClaimReply{id, a.flag("won", false), a.flag("failed", false), api.Outcome(a.text("final", "")), h}
+		return ClaimReply{id, s.flag("won", false), s.flag("failed", false), api.Outcome(s.text("final", "")), h}
 	case "gone":
 		return Gone{id}
+	case "peers":
+		return Peers{s.number("entries", 2)}
 	case "drain":
 		return Drain{}
 	}
-	a.t.Fatalf("unknown command %q", a.d.Cmd)
+	s.d.Fatalf(s.t, "unknown command %q", s.d.Cmd)
 	return nil
 }
 
@@ -148,7 +192,7 @@
 
 func (s *scenario) agents() string {
 	var out strings.Builder
-	for _, name := range sortedKeys(s.core.agents) {
+	for _, name := range slices.Sorted(maps.Keys(s.core.agents)) {
 		a := s.core.agents[name]
 		fmt.Fprintf(&out, "%s usable=%t limit=%d open=%d others=%d\n", name, s.core.usable(a), s.core.limit(a), len(a.open), a.others)
 	}
