route: admission counts the spread of service times

A request was started up to the mean service time before its deadline, so that under overload a third of the started ones ended after it: unknown for the non-idempotent ones. The limit is now the mean and twice the mean deviation.

--- a/internal/route/admit.go
+++ b/internal/route/admit.go
@@ -27,7 +27,8 @@
 	case len(c.requests) >= c.cfg.MaxOpen:
 		return refuse(q, ReasonQueueFull, "the entry has too many open requests", wait)
 	}
-	end := c.now + wait + c.learnedTime(f, s)
+	t := times(f, s)
+	end := c.now + wait + t.upper()
 	if wait > 0 && end > q.Deadline {
 		detail := fmt.Sprintf("the queue of profile %q implies a wait of %v", q.Profile, wait.Round(time.Millisecond))
 		return refuse(q, ReasonWontMeet, detail, end-q.Deadline)
@@ -61,13 +62,13 @@
 		return 0
 	}
 	own := float64(before + 1)
-	ahead := own * float64(c.learnedTime(f, s))
+	ahead := own * float64(times(f, s).mean)
 	for _, o := range s.queue.active {
 		if o == f {
 			continue
 		}
 		turns := min(float64(o.items.Len()), own*o.weight/f.weight)
-		ahead += turns * float64(c.learnedTime(o, s))
+		ahead += turns * float64(times(o, s).mean)
 	}
 	return time.Duration(ahead / float64(s.capacity))
 }
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -326,8 +326,8 @@
 		return
 	}
 	took := c.now - at.sent
-	learn(&r.flow.mean, took)
-	learn(&r.service.mean, took)
+	r.flow.times.learn(took)
+	r.service.times.learn(took)
 	if at.ref.attempt == 1 {
 		c.budget.earn()
 	}
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -82,8 +82,10 @@
 	newIncarnationPatience = 2 * time.Second
 	// unknownServiceTime is the cost of a request before any time is learned.
 	unknownServiceTime = 10 * time.Millisecond
-	// learnRate is the weight of the newest service time in the mean.
+	// learnRate is the weight of the newest service time in the averages.
 	learnRate = 0.1
+	// deviations is how far above the mean a request is expected to end at most.
+	deviations = 2
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/route/dump.go
+++ b/internal/route/dump.go
@@ -100,13 +100,13 @@
 		Queued:      s.queue.length,
 		Capacity:    s.capacity,
 		Busy:        s.busy,
-		ServiceTime: api.Duration(s.mean),
+		ServiceTime: api.Duration(s.times.mean),
 	}
 	for _, a := range s.agents {
 		d.Agents = append(d.Agents, c.dumpAgent(a))
 	}
 	for _, f := range s.queue.flows {
-		d.Flows = append(d.Flows, FlowDump{f.key.account, f.key.profile, f.weight, f.items.Len(), api.Duration(f.mean)})
+		d.Flows = append(d.Flows, FlowDump{f.key.account, f.key.profile, f.weight, f.items.Len(), api.Duration(f.times.mean)})
 	}
 	slices.SortFunc(d.Flows, func(a, b FlowDump) int {
 		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Profile, b.Profile))
--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -24,7 +24,7 @@
 	start  float64 // virtual start time of the first item
 	finish float64 // virtual finish time of the last item charged
 	index  int     // position in the heap, or -1
-	mean   time.Duration
+	times  serviceTimes
 	used   time.Duration
 }
 
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -122,7 +122,7 @@
 		if r.doubtful() {
 			return r.Deadline
 		}
-		return max(c.latestStart(r), c.now+TickInterval)
+		return max(latestStart(r), c.now+TickInterval)
 	case phaseClaiming:
 		return r.since + claimTimeout
 	case phaseFollowing:
@@ -135,16 +135,9 @@
 }
 
 // latestStart is when a waiting request has to start to meet its deadline.
-func (c *Core) latestStart(r *request) time.Duration {
-	return r.Deadline - c.learnedTime(r.flow, r.service)
-}
-
-// learnedTime is the service time of a flow, or 0 when none is learned.
-func (c *Core) learnedTime(f *flow, s *service) time.Duration {
-	if f.mean > 0 {
-		return f.mean
-	}
-	return s.mean
+func latestStart(r *request) time.Duration {
+	t := times(r.flow, r.service)
+	return r.Deadline - t.upper()
 }
 
 func (c *Core) wake(r *request) {
@@ -154,7 +147,7 @@
 	}
 	switch r.phase {
 	case phaseQueued:
-		if !r.doubtful() && c.now >= c.latestStart(r) {
+		if !r.doubtful() && c.now >= latestStart(r) {
 			c.giveUp(r, ReasonWontMeet, "the request cannot end before its deadline any more", c.retryAfter(r))
 			return
 		}
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -11,8 +11,8 @@
 	name     string
 	agents   []*agent // by name
 	queue    fairQueue
-	open     int           // requests that are queued or under way
-	mean     time.Duration // learned service time
+	open     int // requests that are queued or under way
+	times    serviceTimes
 	capacity int           // slots that this entry may use
 	busy     int           // attempts that may hold one of them
 	usableAt time.Duration // when an agent was last usable
@@ -120,31 +120,11 @@
 		if a == nil {
 			return
 		}
-		s.queue.serve(c.serviceTime(r.flow, s))
+		s.queue.serve(cost(r.flow, s))
 		c.start(r, a)
 	}
 }
 
-// serviceTime is the learned time of a flow's requests.
-func (c *Core) serviceTime(f *flow, s *service) time.Duration {
-	switch {
-	case f.mean > 0:
-		return f.mean
-	case s.mean > 0:
-		return s.mean
-	default:
-		return unknownServiceTime
-	}
-}
-
-func learn(mean *time.Duration, sample time.Duration) {
-	if *mean == 0 {
-		*mean = sample
-		return
-	}
-	*mean += time.Duration(learnRate * float64(sample-*mean))
-}
-
 func hashString(s string) uint64 {
 	const offset, prime = 14695981039346656037, 1099511628211
 	h := uint64(offset)
--- /dev/null
+++ b/internal/route/times.go
@@ -0,0 +1,42 @@
+package route
+
+import "time"
+
+// serviceTimes is what has been learned of the service times of requests, as
+// moving averages.
+type serviceTimes struct {
+	mean      time.Duration
+	deviation time.Duration // mean absolute deviation
+}
+
+// learn takes in the time of one request.
+func (t *serviceTimes) learn(sample time.Duration) {
+	if t.mean == 0 {
+		t.mean = sample
+		t.deviation = sample / 2
+		return
+	}
+	off := sample - t.mean
+	t.mean += time.Duration(learnRate * float64(off))
+	t.deviation += time.Duration(learnRate * float64(off.Abs()-t.deviation))
+}
+
+// upper is a time in which most requests end.
+func (t *serviceTimes) upper() time.Duration { return t.mean + deviations*t.deviation }
+
+// times returns what is learned of a flow, or else of its service.
+func times(f *flow, s *service) serviceTimes {
+	if f.times.mean > 0 {
+		return f.times
+	}
+	return s.times
+}
+
+// cost is the slot time that a request is charged for.
+func cost(f *flow, s *service) time.Duration {
+	t := times(f, s)
+	if t.mean == 0 {
+		return unknownServiceTime
+	}
+	return t.mean
+}
