--- a/internal/route/agent.go
+++ b/internal/route/agent.go
@@ -16,7 +16,6 @@
 
 	up       bool
 	changed  time.Duration // time of the last AgentUp or AgentDown
-	firstUp  time.Duration // first AgentUp of this incarnation
 	statusAt time.Duration
 	clockMS  int64
 	hasClock bool
@@ -26,7 +25,10 @@
 	others   int // slots in use by other entries
 
 	open         map[ref]*attempt // attempts that may hold a slot
-	successes    int
+	wasUsable    bool
+	usableAt     time.Duration // when the agent was last usable
+	rampFrom     time.Duration // start of the slow start
+	successes    int           // since rampFrom
 	refusals     int
 	blockedUntil time.Duration
 }
@@ -49,9 +51,9 @@
 	return min(a.slots, max(a.slots-a.others, equal))
 }
 
-// limit is the share, held back while the agent is new.
+// limit is the share, held back during the slow start.
 func (c *Core) limit(a *agent) int {
-	ramp := rampStart + a.successes + int((c.now-a.firstUp)/rampInterval)
+	ramp := rampStart + a.successes + int((c.now-a.rampFrom)/rampInterval)
 	return min(c.share(a), ramp)
 }
 
@@ -104,13 +106,31 @@
 }
 
 func (a *agent) resetLoad(now time.Duration) {
-	a.firstUp = now
-	a.successes = 0
+	a.startRamp(now)
 	a.refusals = 0
 	a.blockedUntil = 0
 	a.others = 0
 }
 
+func (a *agent) startRamp(now time.Duration) {
+	a.rampFrom = now
+	a.successes = 0
+}
+
+// noteUsable reports whether the agent is usable. One that was not for some
+// time, such as after its zone was out, starts slowly again.
+func (c *Core) noteUsable(a *agent) bool {
+	usable := c.usable(a)
+	if usable && !a.wasUsable && c.now-a.usableAt > rampAfter {
+		a.startRamp(c.now)
+	}
+	a.wasUsable = usable
+	if usable {
+		a.usableAt = c.now
+	}
+	return usable
+}
+
 func (c *Core) moveAgent(a *agent, s *service) {
 	if a.service == s {
 		return
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -66,9 +66,11 @@
 	attemptGrace = 2 * time.Second
 	// agentKeep is how long an agent without a link is remembered.
 	agentKeep = 10 * time.Minute
-	// rampInterval is the time in which a new agent's limit grows by one.
+	// rampInterval is the time in which a starting agent's limit grows by one.
 	rampInterval = 250 * time.Millisecond
-	// rampStart is the limit of a new agent.
+	// rampAfter is the time without new work after which an agent starts slowly.
+	rampAfter = 2 * time.Second
+	// rampStart is the limit of an agent that starts.
 	rampStart = 2
 	// refusalBackoff is the pause after an agent's first refusal; it doubles
 	// with each further one up to maxRefusalBackoff.
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -54,7 +54,7 @@
 	s.capacity = 0
 	s.busy = 0
 	for _, a := range s.agents {
-		if !c.usable(a) {
+		if !c.noteUsable(a) {
 			continue
 		}
 		s.capacity += c.share(a)
