--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -66,9 +66,11 @@
 	attemptGrace = 2 * time.Second
 	// agentKeep is how long an agent without a link is remembered.
 	agentKeep = 10 * time.Minute
-	// rampInterval is the time in which a new agent's limit grows by one.
+	// rampInterval is the time in which a starting agent's limit grows by one.
 	rampInterval = 250 * time.Millisecond
-	// rampStart is the limit of a new agent.
+	// rampAfter is the time without new work after which an agent starts slowly.
+	rampAfter = 2 * time.Second
+	// rampStart is the limit of an agent that starts.
 	rampStart = 2
 	// refusalBackoff is the pause after an agent's first refusal; it doubles
 	// with each further one up to maxRefusalBackoff.
@@ -82,8 +84,10 @@
 	newIncarnationPatience = 2 * time.Second
 	// unknownServiceTime is the cost of a request before any time is learned.
 	unknownServiceTime = 10 * time.Millisecond
-	// learnRate is the weight of the newest service time in the mean.
+	// learnRate is the weight of the newest service time in the averages.
 	learnRate = 0.1
+	// deviations is how far above the mean a request is expected to end at most.
+	deviations = 2
 )
 
 func (c Config) withDefaults() Config {
