--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -266,7 +266,7 @@
 	if g.worker.Linked {
 		c.emit(Stop{Worker: g.worker.Name, JobID: g.job.id(), Attempt: g.attempt, Grace: grace, Reason: why})
 	}
-	c.after(max(grace, stopResend), func() { c.sendStop(g, 0, why) })
+	c.after(grace+stopResend, func() { c.sendStop(g, 0, why) })
 }
 
 // watchLapse ends a group that is not renewed any more at the end of its lease.
--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -12,7 +12,7 @@
 
 const (
 	// urgentGrace is the time for a checkpoint when urgent work waits.
-	urgentGrace = time.Second
+	urgentGrace = 1500 * time.Millisecond
 	// claimTimeout is how long a gang waits for its victims to end.
 	claimTimeout = 30 * time.Second
 	// maxEvictionPlans bounds how many places are compared for an eviction.
@@ -68,6 +68,8 @@
 type victimRule struct {
 	// minRun spares work that has run for less.
 	minRun time.Duration
+	// below spares gangs of that many accelerators and more, if it is set.
+	below int
 	// firm takes also work outside of guarantees that is not preemptible.
 	firm bool
 }
@@ -77,6 +79,9 @@
 	if g.ending || g.detached || g.fixed {
 		return false
 	}
+	if rule.below > 0 && j.total().Accelerators >= rule.below {
+		return false
+	}
 	if !j.preemptible() && !(rule.firm && j.firm) {
 		return false
 	}
@@ -143,6 +148,10 @@
 // when all of the place is free.
 func (c *Core) claim(j *job, cl claim, graceTime time.Duration) {
 	c.dropWaiting(j)
+	why := ReasonMadeRoom
+	if cl.res != nil {
+		why = ReasonReclaim
+	}
 	j.reserved = cl.res
 	c.takeParts(j, cl, !c.lent(j) && cl.res == nil, groupClaimed)
 	j.phase = phaseClaiming
@@ -150,8 +159,8 @@
 		g.worker.claims = append(g.worker.claims, j)
 	}
 	for _, v := range cl.victims {
-		c.notice(v, "", ReasonReclaim, j.id())
-		c.preempt(v, min(graceTime, grace(v)), ReasonReclaim)
+		c.notice(v, "", why, j.id())
+		c.preempt(v, min(graceTime, grace(v)), why)
 	}
 	attempt := j.attempt
 	c.after(claimTimeout, func() {
@@ -252,8 +261,8 @@
 
 // tryEvict starts a job where preemptible work outside of reservations makes
 // room with the least loss.
-func (c *Core) tryEvict(j *job, graceTime time.Duration) bool {
-	best, ok := c.cheapest(j, c.request(j, fleet.Evictable), victimRule{})
+func (c *Core) tryEvict(j *job, rule victimRule, graceTime time.Duration) bool {
+	best, ok := c.cheapest(j, c.request(j, fleet.Evictable), rule)
 	if ok {
 		c.claim(j, best, graceTime)
 	}
--- a/internal/sched/fleet/fleet.go
+++ b/internal/sched/fleet/fleet.go
@@ -99,6 +99,7 @@
 	byFree  *btree.BTreeG[*Worker]
 	byRack  *btree.BTreeG[*Rack]
 	service api.Resources
+	largest api.Resources
 }
 
 // New returns a fleet without workers.
@@ -140,6 +141,9 @@
 // Service is the capacity of all workers in service.
 func (f *Fleet) Service() api.Resources { return f.service }
 
+// Largest is the largest capacity of any worker, by dimension.
+func (f *Fleet) Largest() api.Resources { return f.largest }
+
 // Workers returns all workers in order of their first announcement.
 func (f *Fleet) Workers() []*Worker { return f.ordered }
 
@@ -228,6 +232,7 @@
 		f.service = f.service.Sub(w.Capacity)
 	}
 	change(w)
+	f.largest = most(f.largest, w.Capacity)
 	if w.InService() {
 		f.service = f.service.Add(w.Capacity)
 	}
@@ -331,6 +336,14 @@
 	}
 }
 
+func most(a, b api.Resources) api.Resources {
+	return api.Resources{
+		Accelerators: max(a.Accelerators, b.Accelerators),
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
+	}
+}
+
 func least(a, b api.Resources) api.Resources {
 	return api.Resources{
 		Accelerators: min(a.Accelerators, b.Accelerators),
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -54,6 +54,7 @@
 	waiting    *reservation // the reservation made for the waiting gang
 	queuedAt   time.Duration
 	startedAt  time.Duration
+	reviewedAt time.Duration
 	ranFor     time.Duration
 	holdFails  int
 	failures   int
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,7 +21,10 @@
 	if c.tryGuaranteed(j) || c.tryWaiting(j) || c.tryFree(j) {
 		return true
 	}
-	return p.Urgent && c.tryEvict(j, urgentGrace)
+	if p.Urgent {
+		return c.tryEvict(j, victimRule{}, urgentGrace)
+	}
+	return c.tryLarge(j)
 }
 
 func withinQuota(j *job, p api.Profile) bool {
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -213,6 +213,7 @@
 	ReasonOutgrown      Reason = "outgrew-declaration"
 	ReasonHoldRefused   Reason = "hold-refused"
 	ReasonHoldTimeout   Reason = "hold-timeout"
+	ReasonMadeRoom      Reason = "made-room-for-waiting-work"
 	ReasonReserved      Reason = "capacity-reserved"
 	ReasonMigrated      Reason = "migrated"
 	ReasonDeadline      Reason = "deadline-passed"
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -18,6 +18,10 @@
 	maxWaitingReservations = 8
 	// minRunBeforeEviction protects preemptible work from preemptible gangs.
 	minRunBeforeEviction = 10 * time.Minute
+	// lentReview is the time between two attempts to evict for a preemptible gang.
+	lentReview = 30 * time.Second
+	// unplaceableTime is how long a job waits for workers that the fleet lacks.
+	unplaceableTime = 6 * time.Hour
 	// restartCost is the time that a moved gang loses besides its checkpoint.
 	restartCost = 30 * time.Second
 	// defaultRun is expected of a job that declares no run time.
@@ -46,23 +50,62 @@
 		c.missingProfile(j)
 		return
 	}
-	if why, never := c.neverFits(j); never && c.now-j.queuedAt >= fleetSettle {
-		c.refuseQueued(j, ReasonNeverFits, why)
+	if c.now-j.queuedAt >= unplaceableTime && c.refuseUnplaceable(j) {
 		return
 	}
 	c.forgiveWorkers(j)
 	if j.waiting != nil && !j.waiting.whole() {
 		c.dropWaiting(j)
 	}
-	if j.waiting != nil && c.lent(j) {
-		// Victims may have run for long enough by now.
-		j.class.failed = false
+	if c.now-j.queuedAt < reserveAfter || !withinQuota(j, p) || !c.large(j) {
+		return
 	}
-	if j.waiting == nil && c.now-j.queuedAt >= reserveAfter && withinQuota(j, p) {
+	if c.lent(j) {
+		c.reviewLent(j)
+	} else if j.waiting == nil {
 		c.reserve(j)
 	}
 }
 
+// refuseUnplaceable answers a job that the fleet as it has become can not hold.
+func (c *Core) refuseUnplaceable(j *job) bool {
+	why, never := c.neverFits(j)
+	if never {
+		c.refuseQueued(j, ReasonNeverFits, why)
+	}
+	return never
+}
+
+// large reports whether a gang needs more than half of the largest worker, so
+// that smaller work could keep it waiting for ever.
+func (c *Core) large(j *job) bool {
+	need, largest := j.total(), c.fleet.Largest()
+	if need.Accelerators > 0 {
+		return need.Accelerators*2 > largest.Accelerators
+	}
+	return need.MilliCPU*2 > largest.MilliCPU
+}
+
+// reviewLent tries a preemptible gang again: work that may make room for it
+// may have run for long enough by now.
+func (c *Core) reviewLent(j *job) {
+	if c.now < j.reviewedAt+lentReview {
+		return
+	}
+	j.reviewedAt = c.now
+	j.class.failed = false
+}
+
+// tryLarge starts a large preemptible gang that has waited in the place of
+// smaller preemptible work. Gangs of like size do not evict each other.
+func (c *Core) tryLarge(j *job) bool {
+	if !c.lent(j) || c.now-j.queuedAt < reserveAfter || !c.large(j) {
+		return false
+	}
+	rule := victimRule{minRun: minRunBeforeEviction, below: (j.total().Accelerators + 1) / 2}
+	return c.tryEvict(j, rule, CheckpointGrace)
+}
+
 // reserve sets the place aside that is expected to be free first. Preemptible
 // work may go on using it.
 func (c *Core) reserve(j *job) {
@@ -144,17 +187,42 @@
 	return nil, 0
 }
 
-// firmWait is the time until all work that must not be preempted is expected to end.
+// firmWait is the time until all work that must not be preempted is expected
+// to have ended or to have been moved.
 func (c *Core) firmWait(w *worker) time.Duration {
 	var wait time.Duration
 	for _, g := range w.groups {
 		if g.firm && !g.ending {
-			wait = max(wait, c.remaining(g.job))
+			wait = max(wait, c.clearTime(g))
 		}
 	}
 	return wait
 }
 
+func (c *Core) clearTime(g *group) time.Duration {
+	j := g.job
+	left := c.remaining(j)
+	move := moveCost(j)
+	if move >= left || !c.migratable(g) {
+		return left
+	}
+	away := placement.Request{Gang: j.gang(), View: fleet.Firm, Avoid: func(w *fleet.Worker) bool { return w == g.worker.Worker }}
+	if placement.Find(c.fleet, away) == nil {
+		return left
+	}
+	return move
+}
+
+// moveCost is the accelerator time that a migration loses.
+func moveCost(j *job) time.Duration {
+	return (CheckpointGrace + restartCost) * time.Duration(max(1, j.total().Accelerators))
+}
+
+func (c *Core) migratable(g *group) bool {
+	j := g.job
+	return g.firm && !g.fixed && !g.detached && j.phase == phaseRunning && j.movable() && j.rec.Job.Checkpointable
+}
+
 func (c *Core) remaining(j *job) time.Duration {
 	ran := j.ranFor
 	if j.started {
@@ -176,11 +244,7 @@
 			return false
 		}
 	}
-	rule := victimRule{}
-	if c.lent(j) {
-		rule.minRun = minRunBeforeEviction
-	}
-	cl, ok := c.plan(j, r.parts(), rule)
+	cl, ok := c.plan(j, r.parts(), victimRule{})
 	if !ok {
 		return false
 	}
@@ -228,12 +292,11 @@
 
 func (c *Core) repays(g *group, r *reservation) bool {
 	j := g.job
-	if !g.firm || g.detached || j.phase != phaseRunning || !j.movable() || !j.rec.Job.Checkpointable {
+	if !c.migratable(g) {
 		return false
 	}
 	gain := c.remaining(j) * time.Duration(max(1, r.job.total().Accelerators))
-	cost := (CheckpointGrace + restartCost) * time.Duration(max(1, j.total().Accelerators))
-	if gain <= cost {
+	if gain <= moveCost(j) {
 		return false
 	}
 	elsewhere := placement.Request{Gang: j.gang(), View: fleet.Firm, Avoid: func(w *fleet.Worker) bool {
