sched: reports of queued jobs after a takeover; workers with unknown holds are paused

TestSchedMachine with delays of 20 ms (messages) and 150 ms (store) found a hold on capacity that a former owner's hold still used: reports were kept for jobs that run only, and the start came before they were resolved.

--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -75,7 +75,7 @@
 	for _, g := range j.groups {
 		if g.state == groupHolding {
 			c.notice(j, g.worker.Name, ReasonHoldTimeout, "")
-			c.pause(g.worker)
+			c.pause(g.worker, workerPause)
 		}
 	}
 	c.holdFailed(j, "hold timeout")
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
@@ -87,7 +88,13 @@
 // forgiveWorkers lets a job try the workers again on which it failed, once it
 // has no other place.
 func (c *Core) forgiveWorkers(j *job) {
-	if len(j.avoid) == 0 || placement.Find(c.fleet, c.request(j, fleet.Whole)) != nil {
+	if len(j.avoid) == 0 {
+		return
+	}
+	elsewhere := placement.Request{Gang: j.gang(), View: fleet.Whole, Avoid: func(w *fleet.Worker) bool {
+		return slices.Contains(j.avoid, w.Name)
+	}}
+	if placement.Find(c.fleet, elsewhere) != nil {
 		return
 	}
 	c.queue.remove(j)
--- a/internal/sched/jobs.go
+++ b/internal/sched/jobs.go
@@ -23,6 +23,7 @@
 	j.everStarted = rec.Attempt > 0
 	c.jobs[id] = j
 	j.account = c.accountOf(j)
+	defer c.replayEarly(j)
 	if rec.State == api.JobRunning {
 		c.adopt(j)
 		return
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -65,6 +65,8 @@
 	m.rnd = rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))
 	m.lost = func() bool { return m.lossy && m.rnd.Intn(5) == 0 }
 	m.config = machineConfig()
+	// Slow enough for faults to come between the phases of an attempt.
+	m.latency, m.storeLatency = 20*time.Millisecond, 150*time.Millisecond
 	m.onAct = func(a Action) { m.checkAction(t, a) }
 	m.onRun = func(g *agent, f *fakeGroup) { m.checkRun(t, g, f) }
 	m.onEv = func(at time.Duration, ev Event, acts []Action) {
@@ -312,6 +314,9 @@
 		"pass": func(t *rapid.T) {
 			m.runUntil(m.now + time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms"))*time.Millisecond)
 		},
+		"pass short": func(t *rapid.T) {
+			m.runUntil(m.now + time.Duration(rapid.IntRange(1, 300).Draw(t, "ms"))*time.Millisecond)
+		},
 		"pass long": func(t *rapid.T) { m.runUntil(m.now + 2*claimBound) },
 		"link": func(t *rapid.T) {
 			m.fault()
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -62,7 +62,7 @@
 // failed and, unless it may run twice, those that need a probe.
 func (c *Core) avoids(j *job) func(*fleet.Worker) bool {
 	probe := excludesProbes(j)
-	return func(w *fleet.Worker) bool { return probe(w) || slices.Contains(j.avoid, w.Name) }
+	return func(w *fleet.Worker) bool { return w.Paused || probe(w) || slices.Contains(j.avoid, w.Name) }
 }
 
 func excludesProbes(j *job) func(*fleet.Worker) bool {
--- a/internal/sched/reports.go
+++ b/internal/sched/reports.go
@@ -39,6 +39,10 @@
 	if j := c.jobs[r.JobID]; j != nil {
 		j.attempt = max(j.attempt, r.Attempt)
 	}
+	if r.State == GroupHeld || r.State == GroupRunning {
+		// Its capacity is not in the books.
+		c.pause(c.workers[r.Worker], workerPause)
+	}
 	if r.State == GroupHeld || r.State == GroupRunning || r.State == GroupDone {
 		c.emit(Stop{Worker: r.Worker, JobID: r.JobID, Attempt: r.Attempt, Reason: "not the job's attempt"})
 	}
@@ -61,7 +65,7 @@
 	why := ReasonHoldRefused
 	if g.state == groupHolding {
 		c.notice(g.job, g.worker.Name, why, r.Detail)
-		c.pause(g.worker)
+		c.pause(g.worker, workerPause)
 	}
 	c.gone(g, groupGone)
 	c.broken(g, why)
--- a/internal/sched/takeover.go
+++ b/internal/sched/takeover.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // earlyReportTime is how long after the start of its permissions an owner
 // keeps reports of jobs that it has not been given yet.
@@ -38,7 +41,6 @@
 	if j.rec.CancelAsked {
 		c.end(j, 0, ReasonCancelled)
 	}
-	c.replayEarly(j)
 }
 
 // watchAdoption gives up a member that nobody has reported in time.
@@ -100,6 +102,8 @@
 		return false
 	}
 	c.early = append(c.early, r)
+	// What the group uses is not in the books yet.
+	c.pause(c.workers[r.Worker], max(0, c.authority.StartAfter-c.now)+earlyReportTime)
 	return true
 }
 
@@ -119,10 +123,17 @@
 	}
 	c.early = rest
 	for _, r := range own {
+		if !hasReportOf(rest, r.Worker) {
+			c.unpause(c.workers[r.Worker])
+		}
 		c.report(r)
 	}
 }
 
+func hasReportOf(reports []GroupReport, workerName string) bool {
+	return slices.ContainsFunc(reports, func(r GroupReport) bool { return r.Worker == workerName })
+}
+
 // dropEarly stops the groups whose jobs turned out to have no row.
 func (c *Core) dropEarly() {
 	if len(c.early) == 0 || !c.rowsComplete() {
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -23,6 +23,8 @@
 	strikes  []strike
 	probes   int
 	downTime time.Duration
+	// pausedUntil is when the worker may be chosen again after a refusal.
+	pausedUntil time.Duration
 }
 
 func (c *Core) worker(name, zone, rack string) *worker {
@@ -121,10 +123,27 @@
 	}
 }
 
-// pause keeps a worker from being chosen again at once.
-func (c *Core) pause(w *worker) {
+// pause keeps a worker from being chosen for a while.
+func (c *Core) pause(w *worker, d time.Duration) {
+	w.pausedUntil = max(w.pausedUntil, c.now+d)
+	if w.Paused {
+		return
+	}
 	c.update(w, func(f *fleet.Worker) { f.Paused = true })
-	c.after(workerPause, func() {
+	c.watchPause(w)
+}
+
+func (c *Core) unpause(w *worker) {
+	w.pausedUntil = 0
+	c.update(w, func(f *fleet.Worker) { f.Paused = false })
+}
+
+func (c *Core) watchPause(w *worker) {
+	c.timers.add(w.pausedUntil, func() {
+		if c.now < w.pausedUntil {
+			c.watchPause(w)
+			return
+		}
 		c.update(w, func(f *fleet.Worker) { f.Paused = false })
 	})
 }
