--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -21,7 +21,10 @@
 	if c.tryGuaranteed(j) || c.tryWaiting(j) || c.tryFree(j) {
 		return true
 	}
-	return p.Urgent && c.tryEvict(j, urgentGrace)
+	if p.Urgent {
+		return c.tryEvict(j, victimRule{}, urgentGrace)
+	}
+	return c.tryLarge(j)
 }
 
 func withinQuota(j *job, p api.Profile) bool {
@@ -59,7 +62,7 @@
 // failed and, unless it may run twice, those that need a probe.
 func (c *Core) avoids(j *job) func(*fleet.Worker) bool {
 	probe := excludesProbes(j)
-	return func(w *fleet.Worker) bool { return probe(w) || slices.Contains(j.avoid, w.Name) }
+	return func(w *fleet.Worker) bool { return w.Paused || probe(w) || slices.Contains(j.avoid, w.Name) }
 }
 
 func excludesProbes(j *job) func(*fleet.Worker) bool {
