--- /dev/null
+++ b/internal/ctl/input.go
@@ -0,0 +1,49 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+// readDocument reads a JSON file. Unknown fields are refused.
+func readDocument[T any](e *env, file string) (T, error) {
+	var v T
+	data, err := e.readFile(file)
+	if err != nil {
+		return v, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&v); err != nil {
+		return v, usagef("%s: not valid: %v", file, err)
+	}
+	return v, nil
+}
+
+// readFile reads a file; "-" is the standard input.
+func (e *env) readFile(file string) ([]byte, error) {
+	if file == "-" {
+		data, err := io.ReadAll(e.stdin)
+		return data, errors.Annotate(err, "reading the standard input")
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	return data, nil
+}
+
+// body returns the text or the content of the file; only one may be given.
+func (e *env) body(data, file string) ([]byte, error) {
+	if data != "" && file != "" {
+		return nil, usagef("--data and --file exclude each other")
+	}
+	if file != "" {
+		return e.readFile(file)
+	}
+	return []byte(data), nil
+}
--- a/internal/ctl/profiles.go
+++ b/internal/ctl/profiles.go
@@ -1,13 +1,9 @@
 package ctl
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
-	"os"
 	"strconv"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
@@ -130,33 +126,11 @@
 }
 
 func (e *env) readProfile(file string) (api.Profile, error) {
-	var p api.Profile
-	data, err := e.readFile(file)
-	if err != nil {
-		return p, err
-	}
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&p); err != nil {
-		return p, usagef("%s: profile not valid: %v", file, err)
-	}
-	if p.Name == "" {
+	p, err := readDocument[api.Profile](e, file)
+	if err == nil && p.Name == "" {
 		return p, usagef("%s: profile has no name", file)
 	}
-	return p, nil
-}
-
-// readFile reads a file; "-" is the standard input.
-func (e *env) readFile(file string) ([]byte, error) {
-	if file == "-" {
-		data, err := io.ReadAll(e.stdin)
-		return data, errors.Annotate(err, "reading the standard input")
-	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, usagef("%v", err)
-	}
-	return data, nil
+	return p, err
 }
 
 // versionFlag is the flag --if-version.
--- a/internal/ctl/request.go
+++ b/internal/ctl/request.go
@@ -72,16 +72,6 @@
 	return checkOutcome("request with key "+r.Key, answer.Outcome, "")
 }
 
-func (e *env) body(data, file string) ([]byte, error) {
-	if data != "" && file != "" {
-		return nil, usagef("--data and --file exclude each other")
-	}
-	if file != "" {
-		return e.readFile(file)
-	}
-	return []byte(data), nil
-}
-
 // answerDocument is the form of an answer for programs.
 type answerDocument struct {
 	Outcome     api.Outcome `json:"outcome"`
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -28,9 +28,12 @@
 	key       string
 	wait      bool
 	bound     time.Duration
+	// set is the flag set that the flags were added to.
+	set *flag.FlagSet
 }
 
 func (s *submitFlags) add(f *flag.FlagSet) {
+	s.set = f
 	f.StringVar(&s.job.Profile, "profile", "", "`NAME` of the profile (required)")
 	f.IntVar(&s.job.Gang.Tasks, "tasks", 1, "`N` tasks, which run together or not at all")
 	f.IntVar(&s.job.Gang.PerTask.Accelerators, "accelerators", 0, "`N` accelerators for each task")
@@ -51,16 +54,18 @@
 func submitCommand(e *env) *command {
 	flags := &submitFlags{}
 	return &command{
-		name: "submit", synopsis: "submit a job",
+		name: "submit", arguments: "[JOB-FILE]", maxArgs: 1,
+		synopsis: "submit a job, described by flags or by a JSON file (\"-\" is the standard input)",
 		example: "  coltsfootctl jobs submit --profile reconstruction --tasks 4 --accelerators 2 \\\n" +
-			"    --adjacency rack --declared-run 40m --checkpointable --data '{\"night\": \"2026-02-01\"}' --wait",
+			"    --adjacency rack --declared-run 40m --checkpointable --data '{\"night\": \"2026-02-01\"}' --wait\n" +
+			"  coltsfootctl jobs submit --key night-2026-02-01 job.json",
 		flags: flags.add,
-		run:   func(ctx context.Context, _ []string) error { return e.submit(ctx, flags) },
+		run:   func(ctx context.Context, args []string) error { return e.submit(ctx, flags, args) },
 	}
 }
 
-func (e *env) submit(ctx context.Context, flags *submitFlags) error {
-	job, err := e.buildJob(flags, time.Now())
+func (e *env) submit(ctx context.Context, flags *submitFlags, files []string) error {
+	job, err := e.jobToSubmit(flags, files)
 	if err != nil {
 		return err
 	}
@@ -78,6 +83,29 @@
 	return e.printJob(record)
 }
 
+func (e *env) jobToSubmit(flags *submitFlags, files []string) (client.JobRequest, error) {
+	if len(files) == 0 {
+		return e.buildJob(flags, time.Now())
+	}
+	if flags.describesJob() {
+		return client.JobRequest{}, usagef("a job file and flags that describe the job exclude each other")
+	}
+	return readDocument[client.JobRequest](e, files[0])
+}
+
+// describesJob reports whether a flag was given that a job file has a field for.
+func (s *submitFlags) describesJob() bool {
+	found := false
+	s.set.Visit(func(f *flag.Flag) {
+		switch f.Name {
+		case "entry", "json", "timeout", "key", "wait", "for":
+		default:
+			found = true
+		}
+	})
+	return found
+}
+
 func (e *env) buildJob(flags *submitFlags, now time.Time) (client.JobRequest, error) {
 	job := flags.job
 	if job.Profile == "" {
