Settings: only keys that have an effect; stand-ins from a settings file

The agents' [limits] and some keys of the stand-ins had no reader, and an entry refused a body limit above the protocol's only when it started.

--- a/cmd/coltsfoot-standin/main.go
+++ b/cmd/coltsfoot-standin/main.go
@@ -1,5 +1,6 @@
 // Command coltsfoot-standin serves stand-ins for the platform's services, for
-// tests and the demo. Each flag may be given several times:
+// tests and the demo. They are named in a settings file (-settings FILE) or by
+// flags, each of which may be given several times:
 //
 //	coltsfoot-standin -table 127.0.0.1:7001 -objects 127.0.0.1:7002 \
 //	  -worker 127.0.0.1:7003,id=w1,accelerators=8,milli_cpu=64000,memory_mb=250000 \
@@ -20,9 +21,16 @@
 func main() {
 	var specs standin.Specs
 	flags := flag.NewFlagSet("coltsfoot-standin", flag.ExitOnError)
+	path := flags.String("settings", "", "`FILE` with stand-ins in TOML, in addition to those of the flags")
 	specs.Register(flags)
 	// ExitOnError: Parse does not return an error.
 	_ = flags.Parse(os.Args[1:])
+	if *path != "" {
+		if err := addSettings(&specs, *path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
 	group, err := specs.Serve()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "coltsfoot-standin:", err)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 )
@@ -16,7 +17,7 @@
 var durationType = reflect.TypeFor[api.Duration]()
 
 // decodeTable copies a table into a struct. Fields are named by their toml
-// tag; the option "required" asks for presence, the tag min for a least value.
+// tag; the option "required" asks for presence, the tags min and max for a range.
 func (d *document) decodeTable(t *table, path string, at *node, out reflect.Value) {
 	known := map[string]bool{}
 	for i := range out.NumField() {
@@ -34,7 +35,7 @@
 		before := len(d.findings)
 		d.decodeValue(n, key, out.Field(i))
 		if len(d.findings) == before {
-			d.checkMinimum(n, key, field.Tag.Get("min"), out.Field(i))
+			d.checkRange(n, key, field.Tag, out.Field(i))
 		}
 	}
 	d.addUnknown(t, path, known)
@@ -128,21 +129,33 @@
 	}
 }
 
-func (d *document) checkMinimum(n *node, key, minimum string, out reflect.Value) {
-	if minimum == "" {
-		return
+// checkRange applies the tags min and max, which hold a duration or an integer.
+func (d *document) checkRange(n *node, key string, tag reflect.StructTag, out reflect.Value) {
+	if least := tag.Get("min"); least != "" && out.Int() < limit(least) {
+		d.add(n.line, n.column, key, "%v is below the minimum of %s", printable(out), least)
 	}
-	if out.Type() == durationType {
-		var least api.Duration
-		if err := least.UnmarshalText([]byte(minimum)); err == nil && out.Int() < int64(least) {
-			d.add(n.line, n.column, key, "%v is below the minimum of %s", out.Interface().(api.Duration).D(), minimum)
-		}
-		return
+	if most := tag.Get("max"); most != "" && out.Int() > limit(most) {
+		d.add(n.line, n.column, key, "%v is above the maximum of %s", printable(out), most)
 	}
-	least, err := strconv.ParseInt(minimum, 10, 64)
-	if err == nil && out.Int() < least {
-		d.add(n.line, n.column, key, "%d is below the minimum of %s", out.Int(), minimum)
+}
+
+// limit reads a limit from a tag. A malformed tag is a fault of this package.
+func limit(text string) int64 {
+	if d, err := time.ParseDuration(text); err == nil {
+		return int64(d)
+	}
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func printable(v reflect.Value) any {
+	if d, ok := v.Interface().(api.Duration); ok {
+		return d.D()
 	}
+	return v.Int()
 }
 
 func (d *document) addWrongType(n *node, key, want string) {
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -28,11 +28,12 @@
 
 // Limits is the [limits] table.
 type Limits struct {
-	// MaxBodyBytes bounds the body of one request or answer. Default 8 MiB.
-	MaxBodyBytes int `toml:"max_body_bytes" min:"1024"`
-	// MaxRequests bounds the requests in progress at one process. Default 4096.
+	// MaxBodyBytes bounds the body of one request. Default and maximum 8 MiB.
+	MaxBodyBytes int `toml:"max_body_bytes" min:"1024" max:"8388608"`
+	// MaxRequests bounds the requests that wait or are in progress. Default 4096.
 	MaxRequests int `toml:"max_requests" min:"1"`
-	// MaxQueue bounds the requests that wait for a slot, over all profiles. Default 1024.
+	// MaxQueue bounds the requests that wait for a slot in a profile that has
+	// no max_queue of its own. Default 1024.
 	MaxQueue int `toml:"max_queue" min:"1"`
 }
 
@@ -86,7 +87,6 @@
 	Balancer Address `toml:"balancer,required"`
 	// HTTPListen is where health, metrics and the state dump are served.
 	HTTPListen Address `toml:"http_listen,required"`
-	Limits     Limits  `toml:"limits"`
 	Log        Log     `toml:"log"`
 	Drain      Drain   `toml:"drain"`
 }
@@ -100,23 +100,24 @@
 type StandinWorker struct {
 	ID           Name    `toml:"id,required"`
 	Listen       Address `toml:"listen,required"`
-	Accelerators int     `toml:"accelerators,required" min:"0"`
+	Accelerators int     `toml:"accelerators,required" min:"1"`
 	MilliCPU     int     `toml:"milli_cpu,required" min:"1"`
 	MemoryMB     int     `toml:"memory_mb,required" min:"1"`
 }
 
 // StandinMinion is the place and size of a stand-in minion.
 type StandinMinion struct {
-	ID      Name    `toml:"id,required"`
-	Listen  Address `toml:"listen,required"`
-	Service Name    `toml:"service,required"`
+	ID     Name    `toml:"id,required"`
+	Listen Address `toml:"listen,required"`
 	// Slots is how many requests it runs at once.
 	Slots int `toml:"slots,required" min:"1"`
 }
 
 // StandinBalancer is a relay of TCP connections to targets in turn.
 type StandinBalancer struct {
-	Listen  Address   `toml:"listen,required"`
+	Listen Address `toml:"listen,required"`
+	// Control is where its faults are set. None when it is empty.
+	Control Address   `toml:"control"`
 	Targets []Address `toml:"targets,required"`
 }
 
@@ -124,8 +125,6 @@
 type Standin struct {
 	// Role is "standin".
 	Role Role `toml:"role,required"`
-	// HTTPListen is where health, metrics and the state dump are served.
-	HTTPListen Address `toml:"http_listen"`
 	// Table is the table service. None when Listen is empty.
 	Table Listener `toml:"table"`
 	// Objects is the object store. None when Listen is empty.
@@ -133,8 +132,6 @@
 	Workers   []StandinWorker   `toml:"worker"`
 	Minions   []StandinMinion   `toml:"minion"`
 	Balancers []StandinBalancer `toml:"balancer"`
-	Log       Log               `toml:"log"`
-	Drain     Drain             `toml:"drain"`
 }
 
 // Defaults of the settings.
@@ -154,31 +151,19 @@
 		Cell:    defaultCell,
 		Table:   service,
 		Objects: service,
-		Limits:  defaultLimits(),
-		Log:     Log{defaultLevel},
-		Drain:   Drain{api.Duration(defaultDrainTimeout)},
+		Limits: Limits{
+			MaxBodyBytes: defaultMaxBodyBytes,
+			MaxRequests:  defaultMaxRequests,
+			MaxQueue:     defaultMaxQueue,
+		},
+		Log:   Log{defaultLevel},
+		Drain: Drain{api.Duration(defaultDrainTimeout)},
 	}
 }
 
 func defaultAgent() *Agent {
 	return &Agent{
-		Limits: defaultLimits(),
-		Log:    Log{defaultLevel},
-		Drain:  Drain{api.Duration(defaultDrainTimeout)},
-	}
-}
-
-func defaultStandin() *Standin {
-	return &Standin{
 		Log:   Log{defaultLevel},
 		Drain: Drain{api.Duration(defaultDrainTimeout)},
 	}
 }
-
-func defaultLimits() Limits {
-	return Limits{
-		MaxBodyBytes: defaultMaxBodyBytes,
-		MaxRequests:  defaultMaxRequests,
-		MaxQueue:     defaultMaxQueue,
-	}
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,7 +36,7 @@
 
 // LoadStandin reads the settings of a process of stand-ins.
 func LoadStandin(path string) (*Standin, error) {
-	s := defaultStandin()
+	s := &Standin{}
 	if err := load(path, RoleStandin, s, s.checkTogether); err != nil {
 		return nil, err
 	}
@@ -62,7 +62,7 @@
 		s := defaultAgent()
 		return d.decode(RoleAgent, s, s.checkTogether)
 	case RoleStandin:
-		s := defaultStandin()
+		s := &Standin{}
 		return d.decode(RoleStandin, s, s.checkTogether)
 	}
 	return d.decode("", &struct {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
 
 // TestFindings runs scripts whose input is a settings file and whose output
@@ -25,3 +27,12 @@
 		})
 	})
 }
+
+// TestBodyLimitFitsProtocol ties the limit of the settings to the one between
+// the processes.
+func TestBodyLimitFitsProtocol(t *testing.T) {
+	field, _ := reflect.TypeFor[Limits]().FieldByName("MaxBodyBytes")
+	if most := limit(field.Tag.Get("max")); most != rpc.MaxBodyBytes || defaultMaxBodyBytes > most {
+		t.Errorf("maximum %d and default %d, want %d", most, defaultMaxBodyBytes, rpc.MaxBodyBytes)
+	}
+}
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -46,7 +46,6 @@
 // checkTogether finds values that clash with each other.
 func (s *Standin) checkTogether(d *document) {
 	listen := listenSet{d: d, seen: map[Address]string{}}
-	listen.add(s.HTTPListen, "http_listen")
 	listen.add(s.Table.Listen, "table", "listen")
 	listen.add(s.Objects.Listen, "objects", "listen")
 	ids := map[Name]string{}
@@ -63,6 +62,7 @@
 	for i, b := range s.Balancers {
 		s.checkBalancer(d, i, b)
 		listen.addAt(d.element("balancer", i), indexKey("balancer", i)+".listen", b.Listen)
+		listen.addAt(d.element("balancer", i), indexKey("balancer", i)+".control", b.Control)
 	}
 	if len(listen.seen) == 0 && len(d.findings) == 0 {
 		d.add(1, 1, "", "names no stand-in: [table], [objects], [[worker]], [[minion]] or [[balancer]]")
