--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -87,14 +87,10 @@
 
 func (h *requestHost) call(act exec.Call, x *execution, decided time.Duration) {
 	defer h.running.Done()
-	if h.agent.clock()-decided > pauseLimit {
-		metrics.GetOrRegisterCounter("requests.paused", h.agent.registry).Inc(1)
-		h.step(exec.Called{Ref: act.Ref, Outcome: api.OutcomeNotRun, Detail: "agent was paused before the call"})
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), act.Timeout)
 	defer cancel()
-	reply, err := h.minion.Call(ctx, x.request)
+	startBy := h.agent.started.Add(decided + pauseLimit)
+	reply, err := h.minion.Call(platform.WithStartBy(ctx, startBy), x.request)
 	outcome, detail := callOutcome(reply, err)
 	if err == nil {
 		h.mu.Lock()
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched"
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -74,13 +75,13 @@
 // process may have been paused after the decision.
 func (h *taskHost) startTask(act groups.StartTask) {
 	task := act.Task
-	if h.agent.clock() > act.StartBy {
-		h.step(groups.TaskLost{ID: task.ID, Detail: "agent was paused before the start", NotSent: true})
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
-	status, err := h.worker.Start(ctx, task)
+	status, err := h.worker.Start(platform.WithStartBy(ctx, h.agent.started.Add(act.StartBy)), task)
+	if errors.Is(err, platform.ErrNotSent) {
+		h.step(groups.TaskLost{ID: task.ID, Detail: err.Error(), NotSent: true})
+		return
+	}
 	if err != nil {
 		h.step(groups.TaskLost{ID: task.ID, Detail: err.Error()})
 		return
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -33,6 +33,7 @@
 	base    string
 	timeout time.Duration
 	http    *fasthttp.HostClient
+	guarded *guardedLanes
 }
 
 func newClient(service, url string, timeout time.Duration) *client {
@@ -41,15 +42,20 @@
 		service: service,
 		base:    "http://" + address,
 		timeout: timeout,
-		http: &fasthttp.HostClient{
-			Addr:                      address,
-			Dial:                      dial,
-			MaxConns:                  maxConnsPerClient,
-			MaxIdleConnDuration:       maxIdleConnDuration,
-			MaxResponseBodySize:       maxResponseBytes,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-		},
+		http:    newHostClient(address, maxConnsPerClient),
+		guarded: &guardedLanes{address: address},
+	}
+}
+
+func newHostClient(address string, maxConns int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		Dial:                      dial,
+		MaxConns:                  maxConns,
+		MaxIdleConnDuration:       maxIdleConnDuration,
+		MaxResponseBodySize:       maxResponseBytes,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                neverRetry,
 	}
 }
 
@@ -65,8 +71,22 @@
 	return conn, nil
 }
 
-// do sends req before the earlier of ctx's deadline and the client's timeout.
-func (c *client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+// do sends req and reads the head of its answer, at least, before the earlier
+// of ctx's deadline and the client's timeout. The caller calls done when it has
+// read the body of resp.
+func (c *client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (done func(), err error) {
+	startBy, ok := ctx.Value(startByKey{}).(time.Time)
+	if !ok {
+		return func() {}, c.doWith(ctx, c.http, req, resp)
+	}
+	lane, err := c.guarded.acquire(startBy)
+	if err != nil {
+		return func() {}, err
+	}
+	return func() { c.guarded.release(lane) }, c.doWith(ctx, lane.http, req, resp)
+}
+
+func (c *client) doWith(ctx context.Context, host *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) error {
 	if err := ctx.Err(); err != nil {
 		return &notSentError{err}
 	}
@@ -74,7 +94,7 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	err := c.http.DoDeadline(req, resp, deadline)
+	err := host.DoDeadline(req, resp, deadline)
 	if err == fasthttp.ErrNoFreeConns {
 		return &notSentError{err}
 	}
@@ -91,7 +111,9 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI(c.base + path)
 	req.SetBodyRaw(body)
-	if err := c.do(ctx, req, resp); err != nil {
+	done, err := c.do(ctx, req, resp)
+	defer done()
+	if err != nil {
 		return nil, errors.WithType(errors.Annotatef(err, "%s: %s %s", c.service, method, path), ErrUnavailable)
 	}
 	switch status := resp.StatusCode(); {
--- a/internal/platform/minion.go
+++ b/internal/platform/minion.go
@@ -19,6 +19,7 @@
 	// A streamed body keeps the announced length, which tells a complete
 	// answer from one that was cut short.
 	c.http.StreamResponseBody = true
+	c.guarded.stream = true
 	return minionClient{c}
 }
 
@@ -31,14 +32,16 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(c.base + PathMinionCall)
 	req.Header.SetContentType(call.ContentType)
 	req.Header.Set(HeaderRequestID, call.RequestID)
 	req.Header.Set(HeaderAttempt, strconv.FormatUint(uint64(call.Attempt), 10))
 	req.SetBodyRaw(call.Body)
-	if err := c.do(ctx, req, resp); err != nil {
+	done, err := c.do(ctx, req, resp)
+	defer done()
+	defer fasthttp.ReleaseResponse(resp) // before done: it frees the connection
+	if err != nil {
 		return MinionReply{}, callError(err)
 	}
 	body, err := completeBody(resp)
