--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,12 +29,14 @@
 )
 
 const (
-	tickInterval      = 50 * time.Millisecond
-	heartbeatInterval = 300 * time.Millisecond
-	healthInterval    = 500 * time.Millisecond
-	healthTimeout     = time.Second
-	idlePollInterval  = 20 * time.Millisecond
-	leaveNoticeTime   = 500 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+	// A minion's load changes quickly; a worker's agent is one of thousands.
+	minionHeartbeat  = 300 * time.Millisecond
+	workerHeartbeat  = 500 * time.Millisecond
+	healthInterval   = 500 * time.Millisecond
+	healthTimeout    = time.Second
+	idlePollInterval = 20 * time.Millisecond
+	leaveNoticeTime  = 500 * time.Millisecond
 )
 
 // Config describes one agent and its endpoint.
@@ -87,6 +89,13 @@
 	return a
 }
 
+func (a *Agent) heartbeatInterval() time.Duration {
+	if a.cfg.Kind == KindMinion {
+		return minionHeartbeat
+	}
+	return workerHeartbeat
+}
+
 // clock is the agent's monotonic clock.
 func (a *Agent) clock() time.Duration { return time.Since(a.started) }
 
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -117,7 +117,7 @@
 	if err := stream.Send(heartbeatMessage(l.agent)); err != nil {
 		return
 	}
-	beat := time.NewTicker(heartbeatInterval)
+	beat := time.NewTicker(l.agent.heartbeatInterval())
 	defer beat.Stop()
 	for {
 		var m *rpc.AgentMessage
--- /dev/null
+++ b/test/bench/slope_test.go
@@ -0,0 +1,39 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/test/procs/harness"
+)
+
+// BenchmarkEntrySlope measures an entry's processor time and memory at rest
+// with a growing number of linked agents.
+func BenchmarkEntrySlope(b *testing.B) {
+	if !once(b) {
+		return
+	}
+	h := harness.New(b)
+	entry := h.StartEntry("e1", "z1")
+	h.StartEntry("e2", "z2")
+	started := 0
+	for _, agents := range []int{0, 40, 80, 160} {
+		for ; started < agents; started++ {
+			h.StartWorker(fmt.Sprintf("w%d", started), "z1", fmt.Sprintf("r%d", started/9), 8)
+		}
+		h.WaitReady()
+		before, err := entry.Usage()
+		if err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(idleTime)
+		after, err := entry.Usage()
+		if err != nil {
+			b.Fatal(err)
+		}
+		name := fmt.Sprintf("agents%d", agents)
+		b.ReportMetric((after.CPU-before.CPU).Seconds()/idleTime.Seconds()*100, name+"-entry-core%")
+		b.ReportMetric(float64(after.RSSBytes)/1e6, name+"-entry-MB")
+	}
+}
