--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/fasthttp/router"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -164,9 +166,10 @@
 	}
 }
 
-// handleError answers requests that could not be read.
+// handleError answers requests that could not be read, and so have not run.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
 	s.unreadable.Inc(1)
+	ctx.Response.Header.Set(HeaderOutcome, string(api.OutcomeNotRun))
 	if conn, ok := ctx.Conn().(*lingerConn); ok {
 		conn.linger.Store(true)
 	}
@@ -180,7 +183,9 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		WriteProblem(ctx, Problemf(fasthttp.StatusRequestTimeout, "request was not complete within %v", readTimeout))
 	default:
-		WriteProblem(ctx, Problemf(fasthttp.StatusBadRequest, "request not valid: %v", err))
+		// The library's text ends with the content of its buffer.
+		text, _, _ := strings.Cut(err.Error(), ": buffer size=")
+		WriteProblem(ctx, Problemf(fasthttp.StatusBadRequest, "request not valid: %s", text))
 	}
 }
 
