--- a/test/procs/owner_test.go
+++ b/test/procs/owner_test.go
@@ -63,49 +63,62 @@
 	return false
 }
 
+// startStep is a step of a gang's start. The table's answers may be delayed, so
+// that what it has stored lies apart from what the owner knows.
+type startStep struct {
+	name    string
+	table   standin.FaultSettings
+	reached func(h *harness.Harness, jobID string) bool
+}
+
+var startSteps = []startStep{
+	{"accepted", standin.FaultSettings{}, func(*harness.Harness, string) bool { return true }},
+	{"held", standin.FaultSettings{}, func(h *harness.Harness, _ string) bool { return h.AgentGroups("held") > 0 }},
+	{"all-held", standin.FaultSettings{}, func(h *harness.Harness, _ string) bool { return h.AgentGroups("held") == 2 }},
+	{"durable", standin.FaultSettings{AnswerDelayMS: 250}, func(h *harness.Harness, id string) bool {
+		return rowContains(h, id, `"state":"running"`)
+	}},
+	{"started", standin.FaultSettings{}, func(h *harness.Harness, _ string) bool { return len(h.Tasks()) > 0 }},
+	{"running", standin.FaultSettings{}, func(h *harness.Harness, _ string) bool { return len(h.Tasks()) == 2 }},
+}
+
 // The owner is killed at each step of a gang's start. The messages to the
 // agents are delayed, so that the steps lie apart.
 func TestOwnerKilledDuringGangStart(t *testing.T) {
-	var none standin.FaultSettings
-	slow := standin.FaultSettings{AnswerDelayMS: 250}
-	steps := []struct {
-		name    string
-		table   standin.FaultSettings
-		reached func(h *harness.Harness, jobID string) bool
-	}{
-		{"accepted", none, func(*harness.Harness, string) bool { return true }},
-		{"held", none, func(h *harness.Harness, _ string) bool { return h.AgentGroups("held") > 0 }},
-		{"all-held", none, func(h *harness.Harness, _ string) bool { return h.AgentGroups("held") == 2 }},
-		{"durable", slow, func(h *harness.Harness, id string) bool { return rowContains(h, id, `"state":"running"`) }},
-		{"started", none, func(h *harness.Harness, _ string) bool { return len(h.Tasks()) > 0 }},
+	t.Parallel()
+	for _, step := range startSteps {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s-%v", step.name, idempotent), func(t *testing.T) {
+				t.Parallel()
+				killOwnerAt(t, step, idempotent)
+			})
+		}
 	}
-	for i, step := range steps {
-		t.Run(step.name, func(t *testing.T) {
-			t.Parallel()
-			h := gangSystem(t)
-			owner := h.Owner()
-			other := h.Other(owner)
-			owner.Relay.SetDelay(60 * time.Millisecond)
-			h.Table.Set(step.table)
-			id := submit(t, h, step.name, harness.Gang(2, accelerators, 2*time.Second, i%2 == 0), other)
-			h.Eventually("step "+step.name, 10*time.Second, func() bool { return step.reached(h, id) })
-			owner.Kill()
-			killed := time.Now()
-			h.Table.Set(none)
-			h.StartEntry("e3", "z1")
-			record := h.AwaitJob(id, jobLimit)
-			t.Logf("%q at attempt %d, %v after the kill", record.Outcome, record.Attempt, time.Since(killed).Round(10*time.Millisecond))
-			h.CheckJob(record)
-			if record.Job.Idempotent && record.Outcome != api.OutcomeDone {
-				t.Errorf("idempotent job ended %q: %s", record.Outcome, record.Detail)
-			}
-		})
+}
+
+func killOwnerAt(t *testing.T, step startStep, idempotent bool) {
+	h := gangSystem(t)
+	owner := h.Owner()
+	owner.Relay.SetDelay(60 * time.Millisecond)
+	h.Table.Set(step.table)
+	id := submit(t, h, step.name, harness.Gang(2, accelerators, 2*time.Second, idempotent), h.Other(owner))
+	h.Eventually("step "+step.name, 10*time.Second, func() bool { return step.reached(h, id) })
+	owner.Kill()
+	killed := time.Now()
+	h.Table.Set(standin.FaultSettings{})
+	h.StartEntry("e3", "z1")
+	record := h.AwaitJob(id, jobLimit)
+	t.Logf("%q at attempt %d, %v after the kill", record.Outcome, record.Attempt, time.Since(killed).Round(10*time.Millisecond))
+	h.CheckJob(record)
+	if record.Outcome != api.OutcomeDone && (idempotent || step.name == "running") {
+		t.Errorf("job ended %q: %s", record.Outcome, record.Detail)
 	}
 }
 
 // The owner is frozen past its lease while it starts one gang and another
 // runs, and woken after the next owner has gone on with both.
 func TestOwnerFrozenPastItsLease(t *testing.T) {
+	t.Parallel()
 	h := gangSystem(t)
 	owner := h.Owner()
 	other := h.Other(owner)
@@ -134,6 +147,7 @@
 // Every entry is killed at once and replaced on new addresses, while a gang
 // runs, another waits and a zone is out.
 func TestEveryEntryReplacedAtOnce(t *testing.T) {
+	t.Parallel()
 	h := gangSystem(t)
 	entry := h.Owner()
 	if _, err := h.ClientOf(entry).PutZone(t.Context(), "z2", api.ZoneOut, client.AnyVersion); err != nil {
@@ -173,3 +187,27 @@
 		}
 	}
 }
+
+// The store goes down, and then the owner dies. Whether the running gang lasts
+// depends on what the entries that are left can know; its answer must be true.
+func TestOwnerKilledWhileStoreDown(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	owner := h.Owner()
+	id := submit(t, h, "running", harness.Gang(2, 4, outage+4*time.Second, false), owner)
+	h.Eventually("the gang runs", 10*time.Second, func() bool { return len(h.Tasks()) == 2 })
+	h.Table.Set(standin.FaultSettings{Down: true})
+	time.Sleep(time.Second)
+	owner.Kill()
+	time.Sleep(outage)
+	h.Table.Set(standin.FaultSettings{})
+	later := submit(t, h, "later", harness.Gang(2, 8, 100*time.Millisecond, true), h.Owner())
+	for _, id := range []string{id, later} {
+		record := h.AwaitJob(id, jobLimit)
+		t.Logf("%s: %q at attempt %d", record.Job.IdempotencyKey, record.Outcome, record.Attempt)
+		h.CheckJob(record)
+		if id == later && record.Outcome != api.OutcomeDone {
+			t.Errorf("idempotent job ended %q: %s", record.Outcome, record.Detail)
+		}
+	}
+}
--- a/test/procs/requests_test.go
+++ b/test/procs/requests_test.go
@@ -66,6 +66,7 @@
 // An entry is killed while its request is executed; the caller comes back with
 // the same key through the other entry.
 func TestEntryKilledInMidRequest(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
 	r := &harness.Request{Tag: "consent", Body: standin.MinionCall{SleepMS: 1500, Size: 1000}}
 	done := start(t, r, h, entries[0], entries[1])
@@ -80,6 +81,7 @@
 // An agent is frozen longer than any permission lasts while it executes a
 // request, and woken.
 func TestAgentFrozenPastItsPermission(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
 	running := &harness.Request{Tag: "running", Body: standin.MinionCall{SleepMS: 500}}
 	done := start(t, running, h, entries[0])
@@ -112,6 +114,7 @@
 // The connections between the agents and the entries go silent while requests
 // are executed; new connections work.
 func TestSilentConnection(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
 	r := &harness.Request{Tag: "silent", Body: standin.MinionCall{SleepMS: 1000, Size: 100}}
 	done := start(t, r, h, entries[0])
@@ -127,6 +130,7 @@
 
 // All entries and agents are restarted one after the other under load.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
 	load := h.StartLoad(8, standin.MinionCall{SleepMS: 30, Size: 2000})
 	h.Eventually("load", 5*time.Second, func() bool { return load.Count() > 50 })
--- a/test/procs/store_test.go
+++ b/test/procs/store_test.go
@@ -77,6 +77,7 @@
 // The store is down for longer than any lease, then slow, then back, under a
 // load of requests and jobs.
 func TestStoreDownUnderLoad(t *testing.T) {
+	t.Parallel()
 	h := gangSystem(t)
 	for _, zone := range []string{"z1", "z2"} {
 		h.StartMinion("m-"+zone, zone, 4)
@@ -128,6 +129,7 @@
 // Two operators take one zone out and in, each through another entry and each
 // on the version that it has read.
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	const changes = 100
 	h := harness.New(t)
 	entries := []*harness.Entry{h.StartEntry("e1", "z1"), h.StartEntry("e2", "z2")}
@@ -143,7 +145,14 @@
 	}
 	done.Wait()
 	var last *operator
+	replaced := map[uint64]bool{}
 	for _, o := range operators {
+		for _, version := range o.replaced {
+			if replaced[version] {
+				t.Errorf("version %d was replaced twice", version)
+			}
+			replaced[version] = true
+		}
 		t.Logf("%s: %d changes, %d lost races", o.state, o.won, o.lost)
 		if o.err != nil || o.won != changes {
 			t.Errorf("%s: %d of %d changes: %v", o.state, o.won, changes, o.err)
@@ -164,12 +173,14 @@
 
 // operator sets a zone to one state again and again.
 type operator struct {
-	client  *client.Client
-	state   api.ZoneState
-	won     int
-	lost    int
-	version uint64 // of its last change
-	err     error
+	client *client.Client
+	state  api.ZoneState
+	won    int
+	lost   int
+	// replaced holds the versions that its changes replaced.
+	replaced []uint64
+	version  uint64 // of its last change
+	err      error
 }
 
 func (o *operator) change(ctx context.Context, changes int) {
@@ -184,6 +195,7 @@
 		switch {
 		case err == nil:
 			o.won++
+			o.replaced = append(o.replaced, zone.Version)
 			o.version = changed.Version
 		case errors.As(err, &problem) && problem.Problem.Status == 412:
 			o.lost++
