Entry: ready only with its configuration read and with as many agents as its peers

Cause: a new entry said that it was ready before any agent was linked and, for its first moments, before its configuration had been read.

An entry now tells its peers how many agents it has; a starting one waits for as many, for 5 s at the most, and for a first one for 1.5 s. Once ready, it stays so as far as agents are concerned.

--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -65,11 +65,14 @@
 		metrics.NewRegistry,
 		newTable, newObjects, newLedger, newMembership, newConfig, newOwner,
 		newBeat, newLinks, newStore, jobs.NewWaiters, newScheduler, newRequests,
-		newRPC, newNotifier, newOwnership, newRetention, newStatus, newAPI, newHTTP,
+		newRPC, newNotifier, newOwnership, newRetention, newStatus, newReadiness, newAPI, newHTTP,
 	)
 	if err != nil {
 		return err
 	}
+	if err := k.Invoke(bindMembership); err != nil {
+		return err
+	}
 	return k.Invoke(func(all services) error { return register(k, all) })
 }
 
@@ -135,12 +138,17 @@
 		Metrics: registry,
 		Log:     log,
 	})
+	return o
+}
+
+// bindMembership sets what this entry tells its peers.
+func bindMembership(m *membership.Service, config *confstate.Service, o *owner.Service, srv *links.Server) {
 	m.Bind(config, func(state *rpc.PeerState) {
 		a := o.Current()
 		state.OwnerEpoch = a.Epoch
 		state.OwnerId = a.OwnerID
+		state.Agents = int32(len(srv.Agents()))
 	})
-	return o
 }
 
 // ownerTimes lets a takeover after a kill end within the time in which urgent
@@ -207,6 +215,10 @@
 	return &node.Status{EntryID: string(s.ID), Zone: string(s.Zone), Config: config, Members: m, Links: srv}
 }
 
+func newReadiness(status *node.Status, c clock) *node.Readiness {
+	return &node.Readiness{Status: status, Clock: c}
+}
+
 func newAPI(config confstate.Store, r *requests.Service, store *jobs.Store, w *jobs.Waiters, sch *scheduler.Service, n *node.Notifier, status *node.Status, registry metrics.Registry) *httpapi.API {
 	return &httpapi.API{
 		Config:    config,
@@ -220,7 +232,7 @@
 	}
 }
 
-func newHTTP(k *kernel.Kernel, s *settings.Entry, a *httpapi.API, config *confstate.Service, registry metrics.Registry, log zerolog.Logger) *httpx.Server {
+func newHTTP(k *kernel.Kernel, s *settings.Entry, a *httpapi.API, ready *node.Readiness, registry metrics.Registry, log zerolog.Logger) *httpx.Server {
 	r := httpx.NewRouter(func(path string, value any) {
 		metrics.GetOrRegisterCounter("http.panics", registry).Inc(1)
 		log.Error().Str("path", path).Interface("panic", value).Msg("handler panicked")
@@ -232,7 +244,7 @@
 			if server.Draining() {
 				return errors.New("stopping")
 			}
-			return node.Ready(config)
+			return ready.Check()
 		},
 		Registry: registry,
 		Dump:     func() any { return k.DumpState() },
--- /dev/null
+++ b/internal/entry/node/readiness.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// firstAgentGrace is how long a starting entry waits for the first agent.
+	firstAgentGrace = 1500 * time.Millisecond
+	// agentsGrace is how long it waits for as many agents as its peers have.
+	agentsGrace = 5 * time.Second
+)
+
+// Readiness tells whether an entry can serve callers. One that has just
+// started is not ready before agents are linked: it would refuse requests that
+// other entries can serve. Once ready, an entry stays so as far as agents are
+// concerned, so that their failures don't take all entries out.
+type Readiness struct {
+	Status *Status
+	Clock  func() time.Duration
+
+	mu     sync.Mutex
+	since  time.Duration // of the first check
+	linked bool
+}
+
+// Check returns nil when the entry is ready, or the reason why it is not.
+func (r *Readiness) Check() error {
+	if err := r.configured(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since == 0 {
+		r.since = r.Clock()
+	}
+	have, want := len(r.Status.Links.Agents()), r.peerAgents()
+	r.linked = r.linked || enoughAgents(r.Clock()-r.since, have, want)
+	if !r.linked {
+		return errors.Errorf("%d agents are linked; other entries have %d", have, want)
+	}
+	return nil
+}
+
+// enoughAgents reports whether the number of linked agents will do after the
+// given time of waiting, when the peers have want.
+func enoughAgents(waited time.Duration, have, want int) bool {
+	switch {
+	case waited >= agentsGrace:
+		return true
+	case have == 0 && want == 0:
+		return waited >= firstAgentGrace
+	}
+	return have >= want
+}
+
+func (r *Readiness) configured() error {
+	config := r.Status.Config
+	current, _, known := config.Snapshot()
+	switch {
+	case current.Version == 0 && config.StoreFailing():
+		return errors.New("no configuration: the platform's table cannot be read and no other entry has one")
+	case !known:
+		return errors.New("configuration has not been read yet")
+	}
+	return nil
+}
+
+// peerAgents returns the most agents that any other entry has linked.
+func (r *Readiness) peerAgents() int {
+	most := 0
+	for _, report := range r.Status.Members.Reports() {
+		most = max(most, int(report.State.GetAgents()))
+	}
+	return most
+}
--- a/internal/entry/node/status.go
+++ b/internal/entry/node/status.go
@@ -7,7 +7,6 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
 	"github.com/coltsfootlug/coltsfootlug/internal/membership"
-	"github.com/juju/errors"
 )
 
 // Status tells which process has which configuration in force. Each agent is
@@ -47,14 +46,6 @@
 	return out
 }
 
-// Ready reports whether the entry has a configuration to work with.
-func Ready(config *confstate.Service) error {
-	if config.Current().Version == 0 && config.StoreFailing() {
-		return errors.New("no configuration: the platform's table cannot be read and no other entry has one")
-	}
-	return nil
-}
-
 func peerLine(r membership.PeerReport) api.ProcessConfig {
 	return api.ProcessConfig{
 		Process: r.State.GetEntryId(),
