test/procs: wait for a given configuration version in force

An entry that has not heard of the newest version says that an older one is in force everywhere. WaitInForce now takes the version that the change returned; TestOperatorsRace failed once in 4 runs by asking too early, and BenchmarkInForce could measure too short a time.

--- a/test/bench/control_test.go
+++ b/test/bench/control_test.go
@@ -36,10 +36,11 @@
 	l := newLatencies()
 	states := []api.ZoneState{api.ZoneOut, api.ZoneIn}
 	for n := range zoneChanges {
-		if _, err := h.Client().PutZone(context.Background(), "z2", states[n%2], client.AnyVersion); err != nil {
+		zone, err := h.Client().PutZone(context.Background(), "z2", states[n%2], client.AnyVersion)
+		if err != nil {
 			b.Fatal(err)
 		}
-		l.add(h.WaitInForce(2 * inForceTarget))
+		l.add(h.WaitInForce(zone.Version, 2*inForceTarget))
 	}
 	l.report(b, "in-force")
 }
--- a/test/procs/harness/load.go
+++ b/test/procs/harness/load.go
@@ -28,21 +28,22 @@
 func (h *Harness) SetProfile(p api.Profile) {
 	h.t.Helper()
 	h.Eventually("profile "+p.Name+" accepted", callTimeout, func() bool {
-		_, _, err := h.Client().PutProfile(context.Background(), p, client.AnyVersion)
+		accepted, _, err := h.Client().PutProfile(context.Background(), p, client.AnyVersion)
+		p.Version = accepted.Version
 		return err == nil
 	})
-	h.WaitInForce(callTimeout)
+	h.WaitInForce(p.Version, callTimeout)
 }
 
-// WaitInForce waits until all processes that run have the newest configuration
-// and returns how long that took. An entry that has just started may not know
-// all the others yet, so their number is checked too.
-func (h *Harness) WaitInForce(limit time.Duration) time.Duration {
+// WaitInForce waits until all processes that run have the configuration of the
+// version or a newer one, and returns how long that took. The entry that is
+// asked may not know the version or all the others yet, so both are checked.
+func (h *Harness) WaitInForce(version uint64, limit time.Duration) time.Duration {
 	h.t.Helper()
 	running := len(h.running())
 	return h.Eventually("configuration in force", limit, func() bool {
 		status, err := h.Client().ConfigStatus(context.Background())
-		return err == nil && status.InForce && len(status.Processes) >= running
+		return err == nil && status.InForce && status.Version >= version && len(status.Processes) >= running
 	})
 }
 
--- a/test/procs/owner_test.go
+++ b/test/procs/owner_test.go
@@ -150,17 +150,14 @@
 	t.Parallel()
 	h := gangSystem(t)
 	entry := h.Owner()
-	if _, err := h.ClientOf(entry).PutZone(t.Context(), "z2", api.ZoneOut, client.AnyVersion); err != nil {
+	zone, err := h.ClientOf(entry).PutZone(t.Context(), "z2", api.ZoneOut, client.AnyVersion)
+	if err != nil {
 		t.Fatal(err)
 	}
-	h.WaitInForce(5 * time.Second)
+	h.WaitInForce(zone.Version, 5*time.Second)
 	running := submit(t, h, "running", harness.Gang(2, accelerators, 6*time.Second, false), entry)
 	h.Eventually("the gang runs", 10*time.Second, func() bool { return len(h.Tasks()) == 2 })
 	waiting := submit(t, h, "waiting", harness.Gang(2, accelerators, 200*time.Millisecond, true), entry)
-	before, err := h.ClientOf(entry).ConfigStatus(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
 	h.Other(entry).Kill()
 	entry.Kill()
 	killed := time.Now()
@@ -176,10 +173,10 @@
 			t.Errorf("%s ended %q: %s", record.Job.IdempotencyKey, record.Outcome, record.Detail)
 		}
 	}
-	h.WaitInForce(5 * time.Second)
+	h.WaitInForce(zone.Version, 5*time.Second)
 	after, err := h.Client().ConfigStatus(t.Context())
-	if err != nil || after.Version != before.Version {
-		t.Errorf("configuration version %d became %d: %v", before.Version, after.Version, err)
+	if err != nil || after.Version != zone.Version {
+		t.Errorf("configuration version %d became %d: %v", zone.Version, after.Version, err)
 	}
 	for _, task := range h.Tasks() {
 		if strings.HasPrefix(task.Worker, "w-z2") {
--- a/test/procs/store_test.go
+++ b/test/procs/store_test.go
@@ -161,7 +161,7 @@
 			last = o
 		}
 	}
-	took := h.WaitInForce(5 * time.Second)
+	took := h.WaitInForce(last.version, 5*time.Second)
 	t.Logf("in force after %v", took.Round(10*time.Millisecond))
 	for _, e := range entries {
 		zone, err := zoneAt(t.Context(), h.ClientOf(e), "z1")
