test/procs: each harness has a loopback address of its own

A port that a killed entry had left free was taken by another test that ran at the same time; the first test's agents and peers then linked with the second one's entries, and five tests failed in one of two runs.

--- a/test/procs/harness/harness.go
+++ b/test/procs/harness/harness.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 	t   testing.TB
 	dir string
 	bin string
+	ip  string
 
 	Table   *standin.Table
 	Objects *standin.Objects
@@ -61,6 +63,7 @@
 		t:       t,
 		dir:     t.TempDir(),
 		bin:     bin,
+		ip:      loopback(),
 		Table:   standin.NewTable(),
 		Objects: standin.NewObjects(),
 		stopped: make(chan struct{}),
@@ -74,6 +77,19 @@
 	return h
 }
 
+var harnesses atomic.Int32
+
+// loopback returns an address of the loopback network that no other harness of
+// this process uses, nor most likely one of another process: a port that a
+// killed process has left free must not become part of another system, to which
+// those that are left would then connect.
+func loopback() string {
+	const networks, hosts = 200, 250
+	pid := os.Getpid()
+	n := int(harnesses.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 20+pid%networks, pid/networks%hosts, 1+n%hosts)
+}
+
 // buildBinaries builds the binaries once for each test process; the build is
 // a no-op when they are up to date.
 var buildBinaries = sync.OnceValues(func() (string, error) {
@@ -110,7 +126,7 @@
 // Relay starts a TCP relay to the targets.
 func (h *Harness) Relay(targets ...string) *standin.Relay {
 	h.t.Helper()
-	relay, err := standin.NewRelay("127.0.0.1:0", targets...)
+	relay, err := standin.NewRelay(h.ip+":0", targets...)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -121,7 +137,7 @@
 // serve starts a stand-in and returns its URL.
 func (h *Harness) serve(s standin.Service) string {
 	h.t.Helper()
-	server, err := standin.Serve("127.0.0.1:0", s)
+	server, err := standin.Serve(h.ip+":0", s)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -141,7 +157,7 @@
 // choice and its use; then others are tried.
 func (h *Harness) start(name, binary string, n int, settings func(addresses []string) string) (*Process, error) {
 	for attempt := 1; ; attempt++ {
-		addresses, err := freeAddresses(n)
+		addresses, err := freeAddresses(h.ip, n)
 		if err != nil {
 			return nil, err
 		}
@@ -174,11 +190,11 @@
 	}
 }
 
-// freeAddresses returns n loopback addresses that are free at this moment.
-func freeAddresses(n int) ([]string, error) {
+// freeAddresses returns n addresses with the IP that are free at this moment.
+func freeAddresses(ip string, n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/test/procs/zones_test.go
+++ b/test/procs/zones_test.go
@@ -17,11 +17,14 @@
 // leaveLimit is the bound after which a leaving endpoint gets nothing new.
 const leaveLimit = 2 * time.Second
 
-func putZone(t *testing.T, e *harness.Entry, h *harness.Harness, state api.ZoneState) {
+// putZone changes zone z3 and returns its new version.
+func putZone(t *testing.T, e *harness.Entry, h *harness.Harness, state api.ZoneState) uint64 {
 	t.Helper()
-	if _, err := h.ClientOf(e).PutZone(context.Background(), "z3", state, client.AnyVersion); err != nil {
+	zone, err := h.ClientOf(e).PutZone(context.Background(), "z3", state, client.AnyVersion)
+	if err != nil {
 		t.Fatal(err)
 	}
+	return zone.Version
 }
 
 // executed returns how many calls a minion has started.
@@ -46,6 +49,7 @@
 // A zone is taken out through one entry while the other is cut from the table;
 // load goes through both.
 func TestZoneOutWhileAnEntryIsCutFromTheTable(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
 	load := h.StartLoad(8, standin.MinionCall{SleepMS: 5})
 	h.Eventually("work in z3", 10*time.Second, func() bool { return executed(minions[2]) > 0 })
@@ -70,9 +74,9 @@
 // what starts again runs nothing without a configuration, and the zone is
 // still out when the table is back.
 func TestZoneStaysOutOverARestartOfEverything(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
-	putZone(t, entries[0], h, api.ZoneOut)
-	h.WaitInForce(inForceLimit)
+	h.WaitInForce(putZone(t, entries[0], h, api.ZoneOut), inForceLimit)
 	h.Table.Set(standin.FaultSettings{Down: true})
 	for _, p := range h.Running() {
 		p.Kill()
@@ -112,6 +116,7 @@
 // The process that applied the change is frozen over it: it wakes with the old
 // version and a full queue, and starts nothing in the zone.
 func TestAgentFrozenOverAZoneChange(t *testing.T) {
+	t.Parallel()
 	h, entries, minions := requestSystem(t)
 	load := h.StartLoad(8, standin.MinionCall{SleepMS: 5})
 	h.Eventually("work in z3", 10*time.Second, func() bool { return executed(minions[2]) > 0 })
@@ -132,6 +137,7 @@
 // A minion's agent is told to stop under load: it gets nothing new after the
 // bound and cuts nothing off.
 func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	h, _, minions := requestSystem(t)
 	load := h.StartLoad(12, standin.MinionCall{SleepMS: 200})
 	h.Eventually("work in z3", 10*time.Second, func() bool { return executed(minions[2]) > 0 })
