--- a/internal/entry/node/readiness.go
+++ b/internal/entry/node/readiness.go
@@ -65,6 +65,8 @@
 		return errors.New("no configuration: the platform's table cannot be read and no other entry has one")
 	case !known:
 		return errors.New("configuration has not been read yet")
+	case config.StoreFailing() && !config.StoreDownEverywhere():
+		return errors.New("the platform's table cannot be read from here; other entries may reach it")
 	}
 	return nil
 }
