--- a/test/http/http_test.go
+++ b/test/http/http_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	callTimeout  = 20 * time.Second
+	callTimeout = 20 * time.Second
 )
 
 // TestScripts runs scripts of raw HTTP calls against one entry with one
--- /dev/null
+++ b/test/procs/gangs_test.go
@@ -0,0 +1,134 @@
+package procs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/coltsfootlug/coltsfootlug/test/procs/harness"
+)
+
+// urgentLimit is the bound within which urgent and reclaimed capacity starts.
+const urgentLimit = 3600 * time.Millisecond
+
+// runningOn waits until the job's tasks run and returns its record.
+func runningOn(t *testing.T, h *harness.Harness, id string, tasks int) api.JobRecord {
+	t.Helper()
+	var record api.JobRecord
+	h.Eventually("job "+id+" runs", 15*time.Second, func() bool {
+		var err error
+		record, err = h.Client().Job(context.Background(), id, 0)
+		return err == nil && record.State == api.JobRunning && h.RunningTasks(id) == tasks
+	})
+	return record
+}
+
+// The agents of all workers are stopped or killed, one after the other, and
+// started again while a gang runs: the tasks go on in the same attempt.
+func TestWorkerAgentsRestartedUnderAGang(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	id := submit(t, h, "long", harness.Gang(2, accelerators, 9*time.Second, false), h.Owner())
+	before := runningOn(t, h, id, 2)
+	for i, w := range h.Workers() {
+		if i%2 == 0 {
+			w.Agent.Kill()
+		} else if err := w.Agent.Term(); err != nil {
+			t.Errorf("stopped agent: %v", err)
+		}
+		h.StartWorkerAgent(w)
+		h.WaitReady()
+	}
+	record := h.AwaitJob(id, jobLimit)
+	h.CheckJob(record)
+	if record.Outcome != api.OutcomeDone || record.Attempt != before.Attempt {
+		t.Errorf("job ended %q in attempt %d, it ran in attempt %d: %s", record.Outcome, record.Attempt, before.Attempt, record.Detail)
+	}
+}
+
+// The agent of a gang's member is frozen past the gang's lease: the gang runs
+// again elsewhere, never both at a time, and the agent starts nothing when it
+// wakes.
+func TestWorkerAgentFrozenPastTheGangsLease(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	id := submit(t, h, "moved", harness.Gang(2, accelerators, 14*time.Second, true), h.Owner())
+	before := runningOn(t, h, id, 2)
+	frozen := h.Worker(before.Placements[0].Worker)
+	frozen.Agent.Freeze()
+	h.Eventually("another attempt", 30*time.Second, func() bool {
+		record, err := h.Client().Job(context.Background(), id, 0)
+		return err == nil && record.State == api.JobRunning && record.Attempt > before.Attempt
+	})
+	frozen.Agent.Thaw()
+	record := h.AwaitJob(id, jobLimit)
+	h.CheckJob(record)
+	if record.Outcome != api.OutcomeDone {
+		t.Errorf("job ended %q: %s", record.Outcome, record.Detail)
+	}
+}
+
+// Preemptible work fills all accelerators; the account with the guarantee
+// claims its shape, again and again.
+func TestGuaranteedShapeIsReclaimedInTime(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	shape := harness.Gang(2, accelerators, 300*time.Millisecond, true)
+	h.SetProfile(api.Profile{Name: "lent", ClientAccount: "other", Preemptible: true})
+	h.SetProfile(api.Profile{
+		Name: "guaranteed", ClientAccount: "clinic", Urgent: true,
+		Guarantee: &api.Guarantee{Gangs: 1, Shape: shape.Gang},
+	})
+	for n := range 32 {
+		filler := harness.Gang(1, 1, time.Hour, true)
+		filler.Profile, filler.Checkpointable = "lent", true
+		submit(t, h, fmt.Sprintf("fill-%d", n), filler, h.Owner())
+	}
+	h.Eventually("all accelerators in use", 15*time.Second, func() bool { return h.AllRunningTasks() == 32 })
+	shape.Profile = "guaranteed"
+	for n := range 5 {
+		began := time.Now()
+		id := submit(t, h, fmt.Sprintf("claim-%d", n), shape, h.Owner())
+		h.Eventually("the guaranteed gang runs", urgentLimit, func() bool { return h.RunningTasks(id) == 2 })
+		t.Logf("claim %d runs after %v", n, time.Since(began).Round(time.Millisecond))
+		record := h.AwaitJob(id, jobLimit)
+		h.CheckJob(record)
+		if record.Outcome != api.OutcomeDone {
+			t.Errorf("claim %d ended %q: %s", n, record.Outcome, record.Detail)
+		}
+		h.Eventually("lent again", 15*time.Second, func() bool { return h.AllRunningTasks() == 32 })
+	}
+}
+
+// A zone is taken out while gangs run in it and wait for it: no task starts
+// there after the bound, and its gangs go on elsewhere.
+func TestZoneOutMovesGangs(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	first := harness.Gang(2, 4, 4*time.Second, true)
+	first.Checkpointable = true
+	var ids []string
+	for n := range 6 {
+		ids = append(ids, submit(t, h, fmt.Sprintf("gang-%d", n), first, h.Owner()))
+	}
+	h.Eventually("work in both zones", 15*time.Second, func() bool { return h.AllRunningTasks() == 8 })
+	if _, err := h.Client().PutZone(context.Background(), "z2", api.ZoneOut, client.AnyVersion); err != nil {
+		t.Fatal(err)
+	}
+	out := time.Now()
+	for _, id := range ids {
+		record := h.AwaitJob(id, jobLimit)
+		h.CheckJob(record)
+		if record.Outcome != api.OutcomeDone {
+			t.Errorf("job %s ended %q: %s", id, record.Outcome, record.Detail)
+		}
+	}
+	for _, task := range h.Tasks() {
+		if h.Worker(task.Worker).Zone == "z2" && task.Started.After(out.Add(inForceLimit)) {
+			t.Errorf("task %s started in z2 %v after it was taken out", task.ID, task.Started.Sub(out))
+		}
+	}
+}
--- /dev/null
+++ b/test/procs/harness/tasks.go
@@ -0,0 +1,46 @@
+package harness
+
+import (
+	"github.com/coltsfootlug/coltsfootlug/internal/agent/groups"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+// Workers returns the started workers.
+func (h *Harness) Workers() []*Worker {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]*Worker(nil), h.workers...)
+}
+
+// Worker returns the worker with the id, which must exist.
+func (h *Harness) Worker(id string) *Worker {
+	h.t.Helper()
+	for _, w := range h.Workers() {
+		if w.ID == id {
+			return w
+		}
+	}
+	h.t.Fatalf("worker %q does not exist", id)
+	return nil
+}
+
+// RunningTasks returns how many tasks of a job run.
+func (h *Harness) RunningTasks(jobID string) int {
+	return h.countRunning(func(name groups.TaskName) bool { return name.Ref.JobID == jobID })
+}
+
+// AllRunningTasks returns how many tasks run.
+func (h *Harness) AllRunningTasks() int {
+	return h.countRunning(func(groups.TaskName) bool { return true })
+}
+
+func (h *Harness) countRunning(counts func(groups.TaskName) bool) int {
+	n := 0
+	for _, task := range h.Tasks() {
+		name, ok := groups.ParseTask(task.ID)
+		if ok && task.State == platform.TaskRunning && counts(name) {
+			n++
+		}
+	}
+	return n
+}
