exec: results without an acknowledgement are sent again over open links

Results are repeated after 2 s, then at doubled intervals up to 1 min. The check also found that the model named a dead entry's successor in a delayed LinkDown; mended there. The dump shows the links and for whom results wait.

--- a/internal/agent/exec/config.go
+++ b/internal/agent/exec/config.go
@@ -44,6 +44,11 @@
 	// linkGrace is how long a leaving agent waits for the link of an entry
 	// that has a result to receive.
 	linkGrace = 5 * time.Second
+	// resendInterval is the time after which a result without an
+	// acknowledgement is sent again over an open link; it doubles each time up
+	// to maxResendInterval.
+	resendInterval    = 2 * time.Second
+	maxResendInterval = time.Minute
 	// maxWaiters bounds the entries that one result is sent to.
 	maxWaiters = 16
 )
--- a/internal/agent/exec/core.go
+++ b/internal/agent/exec/core.go
@@ -52,6 +52,7 @@
 	if c.now-c.lastSweep >= sweepInterval {
 		c.lastSweep = c.now
 		c.sweep(false)
+		c.resendUnacked()
 	}
 	return c.out
 }
@@ -314,12 +315,33 @@
 		s.Detail = "the execution has ended; its answer was delivered and is no longer kept"
 	}
 	c.out = append(c.out, s)
+	r.interval = max(r.interval, resendInterval)
+	r.resendAt = c.now + r.interval
 }
 
 func (c *Core) sendUnknown(entry string, ref Ref, detail string) {
 	c.out = append(c.out, Send{Entry: entry, Ref: ref, Outcome: api.OutcomeUnknown, Detail: detail})
 }
 
+// resendUnacked repeats results that linked entries have not acknowledged for
+// some time.
+func (c *Core) resendUnacked() {
+	due := c.sorted(func(r *record) bool { return r.over() && c.now >= r.resendAt && c.awaited(r) })
+	for _, r := range due {
+		r.interval = min(2*r.interval, maxResendInterval)
+		for _, w := range r.waiters {
+			if !w.acked && c.links[w.entry] {
+				c.send(r, w.entry)
+			}
+		}
+	}
+}
+
+// awaited reports whether a linked entry has not acknowledged the result.
+func (c *Core) awaited(r *record) bool {
+	return slices.ContainsFunc(r.waiters, func(w waiter) bool { return !w.acked && c.links[w.entry] })
+}
+
 // resend repeats the results that an entry has not acknowledged, oldest first.
 func (c *Core) resend(entry string) {
 	for _, r := range c.sorted(func(r *record) bool { return r.over() && r.waiting(entry) }) {
--- a/internal/agent/exec/dump.go
+++ b/internal/agent/exec/dump.go
@@ -1,5 +1,10 @@
 package exec
 
+import (
+	"maps"
+	"slices"
+)
+
 // Dump is the state of a Core for operators.
 type Dump struct {
 	Incarnation string         `json:"incarnation"`
@@ -9,7 +14,8 @@
 	Running     int            `json:"running"`
 	Queued      int            `json:"queued"`
 	Remembered  map[string]int `json:"remembered"`
-	Unacked     int            `json:"unacked"`
+	Links       []string       `json:"links"`
+	Unacked     map[string]int `json:"unacked"` // results, by entry
 	BodyBytes   int64          `json:"body_bytes"`
 	Executing   []Execution    `json:"executing"`
 }
@@ -31,13 +37,17 @@
 		Slots:       c.cfg.Slots,
 		Running:     c.running,
 		Queued:      len(c.queue),
+		Links:       slices.Sorted(maps.Keys(c.links)),
 		Remembered:  map[string]int{},
+		Unacked:     map[string]int{},
 		BodyBytes:   c.bytes,
 	}
 	for _, r := range c.records {
 		d.Remembered[string(r.state)]++
-		if r.over() && !r.acked() {
-			d.Unacked++
+		for _, w := range r.waiters {
+			if r.over() && !w.acked {
+				d.Unacked[w.entry]++
+			}
 		}
 	}
 	for _, r := range c.sorted(func(r *record) bool { return !r.over() }) {
--- a/internal/agent/exec/record.go
+++ b/internal/agent/exec/record.go
@@ -40,6 +40,10 @@
 	// listed is set while the attempt is in Core.ackedBodies.
 	listed  bool
 	waiters []waiter
+	// resendAt is when the result is sent again to waiters that have not
+	// acknowledged it; interval is the time until the next one after that.
+	resendAt time.Duration
+	interval time.Duration
 }
 
 // over reports whether the attempt has a final outcome.
--- a/internal/route/machine_test.go
+++ b/internal/route/machine_test.go
@@ -218,6 +218,22 @@
 	for _, s := range w.oracle.open() {
 		w.oracle.fail("%v: %s has no answer: %+v", w.now, s.id, s.entry.core.Dump())
 	}
+	w.checkEmpty()
+}
+
+// checkEmpty checks that nothing is left of the requests some time later.
+func (w *world) checkEmpty() {
+	w.pass(maxTimeout + 5*time.Second)
+	for _, e := range w.entries {
+		if d := e.core.Dump().(route.Dump); !e.core.Idle() || d.Attempts > 0 || d.Services[0].Busy > 0 {
+			w.oracle.fail("%v: %s is not idle: %+v", w.now, e.name, d)
+		}
+	}
+	for _, a := range w.agents {
+		if !a.core.Idle() || a.core.InUse() > 0 {
+			w.oracle.fail("%v: %s is not idle: %+v", w.now, a.name, a.core.Dump())
+		}
+	}
 }
 
 // TestRouteMachine runs two route cores and three exec cores under drawn
--- a/internal/route/sim_test.go
+++ b/internal/route/sim_test.go
@@ -240,8 +240,8 @@
 		return
 	}
 	l.entryUp, l.agentUp = false, false
-	e.reach(e.gen, func() { w.stepEntry(e, route.AgentDown{Agent: a.name}) })
-	a.reach(a.gen, func() { w.stepAgent(a, exec.LinkDown{Entry: e.name}) })
+	w.stepAgentDown(e, a.name)
+	w.stepAgentLinkDown(a, e.name)
 }
 
 func (a *agentSim) incarnation() string { return fmt.Sprintf("%s.%d", a.name, a.gen) }
@@ -254,7 +254,7 @@
 		if l.agentUp && w.now-l.agHeard > silence {
 			l.agentUp, l.entryUp = false, false
 			w.stepAgent(a, exec.LinkDown{Entry: e.name})
-			w.after(0, func() { e.reach(e.gen, func() { w.stepEntry(e, route.AgentDown{Agent: a.name}) }) })
+			w.stepAgentDown(e, a.name)
 		}
 		if l.agentUp && w.now%beatInterval == 0 {
 			w.beat(e, a, l)
@@ -464,6 +464,10 @@
 	a.reach(a.gen, func() { w.stepAgent(a, exec.LinkDown{Entry: entry}) })
 }
 
+func (w *world) stepAgentDown(e *entrySim, agent string) {
+	e.reach(e.gen, func() { w.stepEntry(e, route.AgentDown{Agent: agent}) })
+}
+
 // restartAgent replaces an agent by a new incarnation.
 func (w *world) restartAgent(a *agentSim) {
 	*a = agentSim{proc: proc{gen: a.gen + 1}, name: a.name, zone: a.zone, born: w.now, bodies: map[exec.Ref]int{}}
@@ -472,7 +476,7 @@
 		l := w.link(e, a)
 		if l.entryUp {
 			l.entryUp, l.agentUp = false, false
-			w.after(0, func() { e.reach(e.gen, func() { w.stepEntry(e, route.AgentDown{Agent: a.name}) }) })
+			w.stepAgentDown(e, a.name)
 		}
 	}
 }
