sched: gangs beside idle guarantees, stray groups, repacking; mutations of the guards

TestSchedMachine found, and this mends: - a gang waited for ever because idle guarantees lay in two racks: unused guarantees are packed anew for it; a gang with no room beside the guarantees on an empty fleet is refused as never fitting; - a hold of a former owner whose stop was lost was not in the books: stray groups are stopped until they have ended and keep their worker closed; - a guarantee without a place was not retried when repacking was put off.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -43,14 +43,17 @@
 	reviewed  time.Duration
 
 	// slots are the places of the guarantees; slotsOf holds them by profile.
-	slots      []*reservation
-	slotsOf    map[string][]*reservation
-	slotsDirty bool
-	repackedAt time.Duration
-	plannedGen uint64
-	unbound    []*job // run outside of their profile's guarantee
-	missing    int    // guarantees without a place
-	waiting    []*reservation
+	slots       []*reservation
+	slotsOf     map[string][]*reservation
+	slotsDirty  bool
+	repackedAt  time.Duration
+	compactedAt time.Duration
+	repackOwed  bool // a guarantee lacks a place and repackInterval had not passed
+	plannedGen  uint64
+	unbound     []*job // run outside of their profile's guarantee
+	missing     int    // guarantees without a place
+	waiting     []*reservation
+	beside      besideGuarantees
 }
 
 // New returns a core without workers and jobs. It starts nothing before it has
--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -26,6 +26,7 @@
 	Rack        string        `json:"rack"`
 	InService   bool          `json:"in_service"`
 	Quarantined bool          `json:"quarantined,omitempty"`
+	Probation   bool          `json:"probation,omitempty"`
 	Capacity    api.Resources `json:"capacity"`
 	Used        api.Resources `json:"used"`
 	Reserved    api.Resources `json:"reserved"`
@@ -60,7 +61,7 @@
 	}
 	for _, w := range c.ordered {
 		d.Workers = append(d.Workers, WorkerDump{
-			Name: w.Name, Zone: w.Zone, Rack: w.Rack.Name, InService: w.InService(), Quarantined: w.Quarantined,
+			Name: w.Name, Zone: w.Zone, Rack: w.Rack.Name, InService: w.InService(), Quarantined: w.Quarantined, Probation: w.Probation,
 			Capacity: w.Capacity, Used: w.Used, Reserved: w.Reserved, Groups: len(w.groups),
 		})
 	}
--- a/internal/sched/feasibility/feasibility.go
+++ b/internal/sched/feasibility/feasibility.go
@@ -83,7 +83,18 @@
 // missing packs all guarantees, the largest gangs first, and returns those
 // left over. The zone without is taken as out.
 func missing(config *api.Config, workers []Worker, without string) []Finding {
-	f := build(config, workers, without)
+	return packAll(build(config, workers, without), config)
+}
+
+// Beside returns the fleet with all guarantees packed, as if all its zones
+// were in. What its workers have left is open to other work.
+func Beside(config *api.Config, workers []Worker) *fleet.Fleet {
+	f := build(&api.Config{}, workers, "")
+	packAll(f, config)
+	return f
+}
+
+func packAll(f *fleet.Fleet, config *api.Config) []Finding {
 	var out []Finding
 	for _, p := range byNeed(config) {
 		left := p.Guarantee.Gangs
@@ -100,7 +111,7 @@
 func build(config *api.Config, workers []Worker, without string) *fleet.Fleet {
 	f := fleet.New()
 	for _, w := range workers {
-		out := config.ZoneOut(w.Zone) || w.Zone == without
+		out := config.ZoneOut(w.Zone) || (without != "" && w.Zone == without)
 		added := f.Add(w.Name, w.Zone, w.Rack)
 		f.Update(added, func(fw *fleet.Worker) {
 			fw.Capacity = w.Capacity
--- a/internal/sched/fits.go
+++ b/internal/sched/fits.go
@@ -32,7 +32,7 @@
 			j.total().Accelerators, name, p.QuotaAccelerators), true
 	}
 	if placement.Find(c.fleet, placement.Request{Gang: gang, View: fleet.Whole}) != nil {
-		return "", false
+		return c.blockedForever(j)
 	}
 	one := api.Shape{Tasks: 1, PerTask: gang.PerTask, Adjacency: api.AdjacentWorker}
 	if placement.Find(c.fleet, placement.Request{Gang: one, View: fleet.Whole}) == nil {
@@ -43,9 +43,43 @@
 		gang.Adjacency, gang.Tasks, gang.PerTask.Accelerators, gang.PerTask.MilliCPU, gang.PerTask.MemoryMB), true
 }
 
+// besideGuarantees is the fleet with all guarantees packed, at one version of
+// the configuration and one number of workers.
+type besideGuarantees struct {
+	version uint64
+	workers int
+	fleet   *fleet.Fleet
+}
+
+// blockedForever reports whether a gang that must not be preempted has no room
+// beside the guarantees, even on an empty fleet.
+func (c *Core) blockedForever(j *job) (string, bool) {
+	if c.lent(j) || !c.large(j) || c.withinGuarantee(j) {
+		return "", false
+	}
+	workers := c.known()
+	if b := c.beside; b.fleet == nil || b.version != c.config.Version || b.workers != len(workers) {
+		c.beside = besideGuarantees{c.config.Version, len(workers), feasibility.Beside(c.config, workers)}
+	}
+	if placement.Find(c.beside.fleet, placement.Request{Gang: j.gang(), View: fleet.Evictable}) != nil {
+		return "", false
+	}
+	return fmt.Sprintf("no %s has room for %d tasks of %d accelerators beside the guaranteed capacity, and profile %q is not preemptible",
+		j.gang().Adjacency, j.rec.Job.Gang.Tasks, j.perTask.Accelerators, j.rec.Job.Profile), true
+}
+
+func (c *Core) withinGuarantee(j *job) bool {
+	g := c.config.Profiles[j.rec.Job.Profile].Guarantee
+	return g != nil && j.rec.Job.Gang.Tasks <= g.Shape.Tasks && j.perTask.Fits(g.Shape.PerTask)
+}
+
 // Feasible checks the guarantees of a configuration against the workers that
 // have announced themselves; those that are gone for now count as well.
 func (c *Core) Feasible(config *api.Config) []feasibility.Finding {
+	return feasibility.Check(config, c.known())
+}
+
+func (c *Core) known() []feasibility.Worker {
 	workers := make([]feasibility.Worker, 0, len(c.ordered))
 	for _, w := range c.ordered {
 		if w.Capacity == (api.Resources{}) {
@@ -53,5 +87,5 @@
 		}
 		workers = append(workers, feasibility.Worker{Name: w.Name, Zone: w.Zone, Rack: w.Rack.Label, Capacity: w.Capacity})
 	}
-	return feasibility.Check(config, workers)
+	return workers
 }
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -51,8 +51,10 @@
 
 func machineConfig() *api.Config {
 	shape := api.Shape{Tasks: 8, PerTask: api.Resources{Accelerators: 1, MilliCPU: 1000}, Adjacency: api.AdjacentRack}
+	pair := api.Shape{Tasks: 2, PerTask: api.Resources{Accelerators: 1, MilliCPU: 1000}, Adjacency: api.AdjacentWorker}
 	return &api.Config{Version: 1, Zones: map[string]api.AvailabilityZone{}, Profiles: map[string]api.Profile{
 		"clinic": {Name: "clinic", ClientAccount: "clinic", Guarantee: &api.Guarantee{Gangs: 1, Shape: shape}},
+		"ward":   {Name: "ward", ClientAccount: "ward", Guarantee: &api.Guarantee{Gangs: 2, Shape: pair}},
 		"night":  {Name: "night", ClientAccount: "institute", Preemptible: true, Weight: 2},
 		"plain":  {Name: "plain", ClientAccount: "office", QuotaAccelerators: 24},
 		"urgent": {Name: "urgent", ClientAccount: "office", Urgent: true},
@@ -144,7 +146,8 @@
 		m.checkWorker(t, w)
 	}
 	m.checkAnswers(t)
-	m.checkReclaim(t)
+	m.checkReclaim(t, "clinic")
+	m.checkReclaim(t, "ward")
 }
 
 func (m *machine) checkWorker(t *rapid.T, w *worker) {
@@ -197,11 +200,11 @@
 
 // checkReclaim checks that a guaranteed gang runs within its bound when the
 // guarantee is not in use and nothing has failed for that long.
-func (m *machine) checkReclaim(t *rapid.T) {
+func (m *machine) checkReclaim(t *rapid.T, profile string) {
 	active := 0
 	for _, id := range m.accepted {
 		j := m.core.jobs[id]
-		if j == nil || j.rec.Job.Profile != "clinic" {
+		if j == nil || j.rec.Job.Profile != profile {
 			continue
 		}
 		switch j.phase {
@@ -212,7 +215,10 @@
 	}
 	for _, id := range m.accepted {
 		j := m.core.jobs[id]
-		waits := j != nil && j.rec.Job.Profile == "clinic" && active == 0 && (j.phase == phaseQueued || j.phase == phaseClaiming)
+		if m.rows[id].Job.Profile != profile {
+			continue
+		}
+		waits := j != nil && active == 0 && (j.phase == phaseQueued || j.phase == phaseClaiming)
 		if !waits || m.storeDown || m.lossy || !m.feasible() {
 			delete(m.since, id)
 			continue
@@ -256,7 +262,7 @@
 	m.next++
 	job := api.Job{
 		ID:             fmt.Sprintf("j%03d", m.next),
-		Profile:        rapid.SampledFrom([]string{"clinic", "clinic", "night", "night", "night", "plain", "plain", "urgent"}).Draw(t, "profile"),
+		Profile:        rapid.SampledFrom([]string{"clinic", "clinic", "ward", "night", "night", "night", "plain", "plain", "urgent"}).Draw(t, "profile"),
 		Idempotent:     rapid.IntRange(0, 3).Draw(t, "idempotent") > 0,
 		Checkpointable: rapid.Bool().Draw(t, "checkpointable"),
 		DeclaredRun:    api.Duration(time.Minute),
@@ -267,8 +273,8 @@
 		PerTask:   api.Resources{Accelerators: rapid.IntRange(0, 2).Draw(t, "accelerators"), MilliCPU: 1000},
 		Adjacency: rapid.SampledFrom([]api.Adjacency{api.AdjacentWorker, api.AdjacentRack, api.AdjacentZone}).Draw(t, "adjacency"),
 	}
-	if job.Profile == "clinic" {
-		job.Gang = m.config.Profiles["clinic"].Guarantee.Shape
+	if g := m.config.Profiles[job.Profile].Guarantee; g != nil {
+		job.Gang = g.Shape
 	}
 	if rapid.IntRange(0, 9).Draw(t, "deadline") == 0 {
 		job.Deadline = job.Submitted.Add(time.Minute)
--- a/internal/sched/reports.go
+++ b/internal/sched/reports.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
@@ -39,12 +40,56 @@
 	if j := c.jobs[r.JobID]; j != nil {
 		j.attempt = max(j.attempt, r.Attempt)
 	}
-	if r.State == GroupHeld || r.State == GroupRunning {
-		// Its capacity is not in the books.
-		c.pause(c.workers[r.Worker], workerPause)
+	w, ref := c.workers[r.Worker], GroupRef{r.JobID, r.Attempt}
+	switch r.State {
+	case GroupHeld, GroupRunning:
+		c.stopStray(w, ref)
+	case GroupDone:
+		c.emitStrayStop(w, ref)
+	default:
+		c.strayEnded(w, ref)
 	}
-	if r.State == GroupHeld || r.State == GroupRunning || r.State == GroupDone {
-		c.emit(Stop{Worker: r.Worker, JobID: r.JobID, Attempt: r.Attempt, Reason: "not the job's attempt"})
+}
+
+// stray is a group of no attempt that the core knows. What it uses is not in
+// the books, so its worker is not chosen while it lives.
+type stray struct {
+	ref   GroupRef
+	until time.Duration
+}
+
+func (c *Core) stopStray(w *worker, ref GroupRef) {
+	if !slices.ContainsFunc(w.strays, func(s stray) bool { return s.ref == ref }) {
+		w.strays = append(w.strays, stray{ref, c.now + GroupLease + c.cfg.Margin})
+		c.after(stopResend, func() { c.resendStrays(w) })
+	}
+	c.pause(w, workerPause)
+	c.emitStrayStop(w, ref)
+}
+
+func (c *Core) emitStrayStop(w *worker, ref GroupRef) {
+	c.emit(Stop{Worker: w.Name, JobID: ref.JobID, Attempt: ref.Attempt, Reason: "not the job's attempt"})
+}
+
+func (c *Core) resendStrays(w *worker) {
+	w.strays = slices.DeleteFunc(w.strays, func(s stray) bool { return s.until <= c.now })
+	if len(w.strays) == 0 {
+		return
+	}
+	c.pause(w, workerPause)
+	for _, s := range w.strays {
+		if w.Linked {
+			c.emitStrayStop(w, s.ref)
+		}
+	}
+	c.after(stopResend, func() { c.resendStrays(w) })
+}
+
+func (c *Core) strayEnded(w *worker, ref GroupRef) {
+	before := len(w.strays)
+	w.strays = slices.DeleteFunc(w.strays, func(s stray) bool { return s.ref == ref })
+	if before > 0 && len(w.strays) == 0 {
+		c.unpause(w)
 	}
 }
 
--- a/internal/sched/rig_test.go
+++ b/internal/sched/rig_test.go
@@ -292,7 +292,7 @@
 	}
 	f := &fakeGroup{ref: ref, tasks: a.Tasks, amount: a.PerTask.Times(a.Tasks), state: GroupHeld}
 	if !f.amount.Fits(free) {
-		g.r.fail("capacity of %s used twice by %v", g.name, ref)
+		g.r.fail("capacity of %s used twice by %v: %s", g.name, ref, g.describe())
 	}
 	if g.dead[ref] || g.find(ref) != nil {
 		g.tell(GroupReport{JobID: ref.JobID, Attempt: ref.Attempt, State: GroupRefused})
@@ -307,6 +307,14 @@
 	g.tell(g.reportOf(f))
 }
 
+func (g *agent) describe() string {
+	var out []string
+	for _, f := range g.groups {
+		out = append(out, fmt.Sprintf("%+v", *f))
+	}
+	return strings.Join(out, " ")
+}
+
 func (g *agent) lease(f *fakeGroup, d time.Duration) {
 	if g.r.noLeases {
 		return
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -153,11 +153,15 @@
 // repackInterval bounds how often all guarantees are packed anew for a missing one.
 const repackInterval = 5 * time.Second
 
+// compactInterval bounds how often that is done for a waiting gang.
+const compactInterval = 30 * time.Second
+
 // planSlots keeps a place for each gang that is guaranteed.
 func (c *Core) planSlots() {
 	// Capacity that became free may hold a guarantee that has no place.
 	retry := c.missing > 0 && c.fleet.Gen() > c.plannedGen
-	if !c.slotsDirty && !retry {
+	repackDue := c.repackOwed && c.now >= c.repackedAt+repackInterval
+	if !c.slotsDirty && !retry && !repackDue {
 		return
 	}
 	c.slotsDirty = false
@@ -171,7 +175,9 @@
 		c.dropAllWaiting()
 		c.placeSlots()
 	}
-	if c.missing > 0 && c.now >= c.repackedAt+repackInterval {
+	c.repackOwed = c.missing > 0
+	if c.repackOwed && c.now >= c.repackedAt+repackInterval {
+		c.repackOwed = false
 		c.repackedAt = c.now
 		c.repack()
 	}
@@ -197,6 +203,27 @@
 
 // repack moves all unused guarantees if that makes room for a missing one.
 func (c *Core) repack() {
+	before := c.missing
+	c.rearrange(func() bool { return c.missing < before })
+}
+
+// compact packs the unused guarantees anew if that opens a place for a gang.
+func (c *Core) compact(j *job) []placement.Part {
+	if c.now < c.compactedAt+compactInterval {
+		return nil
+	}
+	c.compactedAt = c.now
+	var parts []placement.Part
+	before := c.missing
+	c.rearrange(func() bool {
+		parts = c.soonestPlace(j)
+		return parts != nil && c.missing <= before
+	})
+	return parts
+}
+
+// rearrange places all unused guarantees anew and undoes that unless it helps.
+func (c *Core) rearrange(helps func() bool) {
 	type kept struct {
 		r     *reservation
 		parts []placement.Part
@@ -210,7 +237,7 @@
 		}
 	}
 	c.placeSlots()
-	if c.missing < before {
+	if helps() {
 		return
 	}
 	for _, k := range old {
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -113,6 +113,9 @@
 		return
 	}
 	parts := c.soonestPlace(j)
+	if parts == nil {
+		parts = c.compact(j)
+	}
 	if parts == nil {
 		return
 	}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -20,6 +20,7 @@
 	index    int
 	groups   []*group
 	claims   []*job
+	strays   []stray
 	strikes  []strike
 	probes   int
 	downTime time.Duration
