Settings: what TOML forbids to define again is a finding

The walk over the syntax tree accepted a [header] for a table of dotted keys and [[header]] for an array literal.

--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -14,18 +14,28 @@
 	line   int
 	column int
 	value  any
+	// literal is true for a value behind "=", which nothing may add to.
+	literal bool
 }
 
 // unsupported is a value of a TOML type that no setting has.
 type unsupported string
 
+// origin tells what has defined a table, and so what may add to it.
+type origin int
+
+const (
+	originPath   origin = iota // part of the path of a [header]
+	originHeader               // a [header] or [[header]] of its own
+	originDotted               // a dotted key, or an inline table
+)
+
 type table struct {
-	nodes map[string]*node
-	// header is true once the table has a [header] or is an inline table.
-	header bool
+	nodes  map[string]*node
+	origin origin
 }
 
-func newTable() *table { return &table{nodes: map[string]*node{}} }
+func newTable(o origin) *table { return &table{nodes: map[string]*node{}, origin: o} }
 
 // document is a parsed TOML file. Unlike the library's decoder it goes on
 // after a duplicate key or a wrong type, so that all faults are found.
@@ -38,7 +48,7 @@
 }
 
 func parseDocument(file string, data []byte) *document {
-	d := &document{file: file, root: newTable()}
+	d := &document{file: file, root: newTable(originHeader)}
 	p := &unstable.Parser{}
 	p.Reset(data)
 	current, prefix := d.root, ""
@@ -80,6 +90,10 @@
 	column int
 }
 
+func (k keyPart) node(value any) *node {
+	return &node{line: k.line, column: k.column, value: value}
+}
+
 func keyParts(p *unstable.Parser, n *unstable.Node) []keyPart {
 	var parts []keyPart
 	for it := n.Key(); it.Next(); {
@@ -93,7 +107,7 @@
 func (d *document) openTable(p *unstable.Parser, expr *unstable.Node) (*table, string) {
 	parts := keyParts(p, expr)
 	last := len(parts) - 1
-	parent, prefix := d.descend(d.root, "", parts[:last])
+	parent, prefix := d.descend(d.root, "", parts[:last], originPath)
 	part := parts[last]
 	path := joinKey(prefix, part.name)
 	if expr.Kind == unstable.ArrayTable {
@@ -101,74 +115,77 @@
 	}
 	existing := parent.nodes[part.name]
 	if existing == nil {
-		t := newTable()
-		t.header = true
-		parent.nodes[part.name] = &node{part.line, part.column, t}
+		t := newTable(originHeader)
+		parent.nodes[part.name] = part.node(t)
 		return t, path
 	}
 	t, ok := existing.value.(*table)
-	if !ok || t.header {
+	if !ok || t.origin != originPath {
 		d.addDuplicate(part, path, existing)
-		return newTable(), path
+		return newTable(originHeader), path
 	}
-	t.header = true
+	t.origin = originHeader
 	return t, path
 }
 
 func (d *document) appendTable(parent *table, path string, part keyPart) (*table, string) {
-	t := newTable()
-	t.header = true
+	t := newTable(originHeader)
 	n := parent.nodes[part.name]
 	if n == nil {
-		n = &node{part.line, part.column, []*node{}}
+		n = part.node([]*node{})
 		parent.nodes[part.name] = n
 	}
 	elements, ok := n.value.([]*node)
-	if !ok {
+	if !ok || n.literal {
 		d.addDuplicate(part, path, n)
 		return t, path
 	}
-	n.value = append(elements, &node{part.line, part.column, t})
+	n.value = append(elements, part.node(t))
 	return t, indexKey(path, len(elements))
 }
 
-// descend walks down the tables that parts name and creates missing ones.
-func (d *document) descend(t *table, prefix string, parts []keyPart) (*table, string) {
+// descend walks down the tables that parts name and creates missing ones. The
+// origin is that of the new ones: originPath or originDotted.
+func (d *document) descend(t *table, prefix string, parts []keyPart, o origin) (*table, string) {
 	for _, part := range parts {
 		path := joinKey(prefix, part.name)
 		n := t.nodes[part.name]
 		if n == nil {
-			n = &node{part.line, part.column, newTable()}
+			n = part.node(newTable(o))
 			t.nodes[part.name] = n
 		}
 		prefix = path
-		switch v := n.value.(type) {
-		case *table:
-			t = v
-		case []*node:
-			t = lastTable(v)
-			prefix = indexKey(path, len(v)-1)
-		default:
+		t = openFor(n, o)
+		if t == nil {
 			d.addDuplicate(part, path, n)
-			t = newTable()
+			t = newTable(o)
+		}
+		if elements, ok := n.value.([]*node); ok {
+			prefix = indexKey(path, len(elements)-1)
 		}
 	}
 	return t, prefix
 }
 
-func lastTable(elements []*node) *table {
-	if len(elements) > 0 {
-		if t, ok := elements[len(elements)-1].value.(*table); ok {
-			return t
-		}
+// openFor returns the table that a path goes on in, or nil when the node is
+// closed to it: a dotted key adds only to tables of dotted keys, and a path of
+// a header to all but literals.
+func openFor(n *node, o origin) *table {
+	value := n.value
+	if elements, ok := value.([]*node); ok && o == originPath && len(elements) > 0 {
+		value = elements[len(elements)-1].value
 	}
-	return newTable()
+	t, ok := value.(*table)
+	if !ok || n.literal || (o == originDotted && t.origin != originDotted) {
+		return nil
+	}
+	return t
 }
 
 func (d *document) addKeyValue(p *unstable.Parser, t *table, prefix string, expr *unstable.Node) {
 	parts := keyParts(p, expr)
 	last := len(parts) - 1
-	t, prefix = d.descend(t, prefix, parts[:last])
+	t, prefix = d.descend(t, prefix, parts[:last], originDotted)
 	part := parts[last]
 	path := joinKey(prefix, part.name)
 	if existing := t.nodes[part.name]; existing != nil {
@@ -176,7 +193,8 @@
 		return
 	}
 	value := d.value(p, path, part, expr.Value())
-	t.nodes[part.name] = &node{part.line, part.column, value}
+	t.nodes[part.name] = part.node(value)
+	t.nodes[part.name].literal = true
 }
 
 func (d *document) addDuplicate(part keyPart, path string, first *node) {
@@ -224,14 +242,13 @@
 			place.line, place.column = at.Line, at.Column
 		}
 		value := d.value(p, indexKey(path, len(elements)), place, child)
-		elements = append(elements, &node{place.line, place.column, value})
+		elements = append(elements, place.node(value))
 	}
 	return elements
 }
 
 func (d *document) inlineTable(p *unstable.Parser, path string, n *unstable.Node) any {
-	t := newTable()
-	t.header = true
+	t := newTable(originDotted)
 	for it := n.Children(); it.Next(); {
 		if it.Node().Kind == unstable.KeyValue {
 			d.addKeyValue(p, t, path, it.Node())
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
 )
 
 // TestFindings runs scripts whose input is a settings file and whose output
@@ -36,3 +39,44 @@
 		t.Errorf("maximum %d and default %d, want %d", most, defaultMaxBodyBytes, rpc.MaxBodyBytes)
 	}
 }
+
+// FuzzCheck asks of any input that it is judged without a panic, that each
+// finding has a place within the file, and that a file without findings is
+// TOML for the library's decoder too.
+func FuzzCheck(f *testing.F) {
+	f.Add("role = \"standin\"\n[[worker]]\nid = 1\n[worker.x]\n")
+	f.Add("role = \"entry\"\ntable.url = 1\n[table]\n[[table]]\nlimits = {max_queue = 0x1}\n")
+	f.Add("role = \"agent\"\nslots = [1, {a = 2}]\n[[slots]]\nkind.x = nan\n")
+	f.Add("role = \"standin\"\ntable.listen = \"127.0.0.1:9000\"\n[[worker]]\nid = \"w\"\n" +
+		"listen = \"127.0.0.1:9001\"\naccelerators = 8\nmilli_cpu = 1\nmemory_mb = 1\n" +
+		"[[minion]]\nid = \"m\"\nlisten = \"127.0.0.1:9002\"\nslots = 8\n")
+	for _, rest := range []string{
+		"table.listen = \"127.0.0.1:9000\"\n[table]\n",
+		"table = {listen = \"127.0.0.1:9000\"}\n[table]\n",
+		"table = {listen = \"127.0.0.1:9000\"}\ntable.x = 1\n",
+		"[table]\nlisten = \"127.0.0.1:9000\"\n[[table]]\n",
+		"worker = [{id = \"w\", listen = \"127.0.0.1:9001\", accelerators = 8, milli_cpu = 1, memory_mb = 1}]\n" +
+			"[[worker]]\nid = \"v\"\nlisten = \"127.0.0.1:9003\"\naccelerators = 8\nmilli_cpu = 1\nmemory_mb = 1\n",
+	} {
+		f.Add("role = \"standin\"\n" + rest)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		err := checkData("f.toml", []byte(text))
+		if err == nil {
+			var v map[string]any
+			if err := toml.Unmarshal([]byte(text), &v); err != nil {
+				t.Errorf("accepted, but is not TOML: %v", err)
+			}
+		}
+		var findings Findings
+		if !errors.As(err, &findings) {
+			return
+		}
+		lines := strings.Count(text, "\n") + 1
+		for _, finding := range findings {
+			if finding.Message == "" || finding.Line < 0 || finding.Line > lines {
+				t.Errorf("finding %+v in %d lines", finding, lines)
+			}
+		}
+	})
+}
