--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -1,7 +1,9 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"strings"
@@ -121,7 +123,7 @@
 		rows = append(rows, []string{"finished", r.Finished.Format(time.RFC3339)})
 	}
 	for _, result := range r.Results {
-		rows = append(rows, []string{"output of tasks " + taskRange(result.FirstTask, result.Tasks), string(result.Output)})
+		rows = append(rows, []string{"output of " + taskRange(result.FirstTask, result.Tasks), compact(result.Output)})
 	}
 	return e.printTable(rows)
 }
@@ -129,16 +131,25 @@
 func placementText(placements []api.Placement) string {
 	parts := make([]string, len(placements))
 	for i, p := range placements {
-		parts[i] = fmt.Sprintf("tasks %s on %s (%s)", taskRange(p.FirstTask, p.Tasks), p.Worker, p.Zone)
+		parts[i] = fmt.Sprintf("%s on %s (%s)", taskRange(p.FirstTask, p.Tasks), p.Worker, p.Zone)
 	}
 	return orDash(strings.Join(parts, ", "))
 }
 
 func taskRange(first, n int) string {
 	if n <= 1 {
-		return fmt.Sprint(first)
+		return fmt.Sprintf("task %d", first)
 	}
-	return fmt.Sprintf("%d-%d", first, first+n-1)
+	return fmt.Sprintf("tasks %d-%d", first, first+n-1)
+}
+
+// compact returns a JSON document on one line.
+func compact(document json.RawMessage) string {
+	var b bytes.Buffer
+	if err := json.Compact(&b, document); err != nil {
+		return string(document)
+	}
+	return b.String()
 }
 
 // Times of waiting for a job.
