--- a/internal/procmain/procmain.go
+++ b/internal/procmain/procmain.go
@@ -93,12 +93,15 @@
 func (p Process) run(signals <-chan os.Signal) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := p.Kernel.Start(ctx); err != nil {
+	if err := p.start(ctx, cancel, signals); err != nil {
 		p.Log.Error().Err(err).Msg("start failed")
 		return ExitFailed
 	}
-	p.Log.Info().Msg("started")
-	err := p.serve(signals)
+	var err error
+	if ctx.Err() == nil {
+		p.Log.Info().Msg("started")
+		err = p.serve(signals)
+	}
 	code := p.stop(signals)
 	if err != nil {
 		return ExitFailed
@@ -106,6 +109,27 @@
 	return code
 }
 
+// start starts the kernel; a signal that asks for the stop cancels it. Further
+// signals are left to the stop.
+func (p Process) start(ctx context.Context, cancel func(), signals <-chan os.Signal) error {
+	done := make(chan error, 1)
+	go func() { done <- p.Kernel.Start(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				p.dump()
+				continue
+			}
+			p.Log.Info().Stringer("signal", s).Msg("stopping")
+			cancel()
+			signals = nil
+		}
+	}
+}
+
 // serve returns nil when a signal asks for the stop, or the failure of a service.
 func (p Process) serve(signals <-chan os.Signal) error {
 	for {
--- a/internal/procmain/procmain_test.go
+++ b/internal/procmain/procmain_test.go
@@ -20,12 +20,17 @@
 type service struct {
 	work  chan struct{}
 	fails bool
+	// endless lets Start wait for the end of its context, and then succeed.
+	endless bool
 }
 
-func (s *service) Start(context.Context) error {
+func (s *service) Start(ctx context.Context) error {
 	if s.fails {
 		return errors.New("port in use")
 	}
+	if s.endless {
+		<-ctx.Done()
+	}
 	return nil
 }
 
@@ -90,6 +95,15 @@
 			t.Errorf("exit code %d", got)
 		}
 	})
+	t.Run("signal during the start", func(t *testing.T) {
+		signals := make(chan os.Signal, 1)
+		signals <- syscall.SIGTERM
+		s := &service{work: make(chan struct{}), endless: true}
+		close(s.work)
+		if got := process(t, s, time.Hour).run(signals); got != ExitOK {
+			t.Errorf("exit code %d", got)
+		}
+	})
 	t.Run("service fails", func(t *testing.T) {
 		failed := make(chan error, 1)
 		failed <- errors.New("lost")
