--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -10,27 +10,32 @@
 	"github.com/juju/errors"
 )
 
+// maxListedProcesses is up to how many processes the status lists all.
+const maxListedProcesses = 40
+
 // statusInterval is the time between two looks at the configuration status.
 const statusInterval = 200 * time.Millisecond
 
 func configCommands(e *env) []*command {
 	var wait time.Duration
+	var all bool
 	return []*command{{
 		name: "status", synopsis: "show which process has which configuration version in force",
 		example: "  coltsfootctl config status --wait 10s",
 		flags: func(f *flag.FlagSet) {
 			f.DurationVar(&wait, "wait", 0, "wait up to `DURATION` until the newest version is in force everywhere")
+			f.BoolVar(&all, "all", false, "list all processes, however many; otherwise only those that lag")
 		},
-		run: func(ctx context.Context, _ []string) error { return e.configStatus(ctx, wait) },
+		run: func(ctx context.Context, _ []string) error { return e.configStatus(ctx, wait, all) },
 	}}
 }
 
-func (e *env) configStatus(ctx context.Context, wait time.Duration) error {
+func (e *env) configStatus(ctx context.Context, wait time.Duration, all bool) error {
 	status, err := e.awaitInForce(ctx, wait)
 	if err != nil {
 		return err
 	}
-	if err := e.printStatus(status); err != nil {
+	if err := e.printStatus(status, all); err != nil {
 		return err
 	}
 	if wait > 0 && !status.InForce {
@@ -52,7 +57,7 @@
 	}
 }
 
-func (e *env) printStatus(status api.ConfigStatus) error {
+func (e *env) printStatus(status api.ConfigStatus, all bool) error {
 	if e.json {
 		return e.printJSON(status)
 	}
@@ -60,15 +65,31 @@
 	if status.InForce {
 		state = "in force everywhere"
 	}
-	fmt.Fprintf(e.stdout, "version %d, %s\n", status.Version, state)
+	lagging := laggingProcesses(status)
+	fmt.Fprintf(e.stdout, "version %d, %s; %d processes, %d lag\n", status.Version, state, len(status.Processes), len(lagging))
+	listed := status.Processes
+	if !all && len(listed) > maxListedProcesses {
+		listed = lagging
+	}
 	rows := [][]string{{"PROCESS", "ROLE", "ZONE", "VERSION", "AGE"}}
-	for _, p := range status.Processes {
+	for _, p := range listed {
 		age := (time.Duration(p.AgeMS) * time.Millisecond).String()
 		rows = append(rows, []string{p.Process, p.Role, p.Zone, fmt.Sprint(p.Version), age})
 	}
 	return e.printTable(rows)
 }
 
+// laggingProcesses returns the processes that do not have the newest version.
+func laggingProcesses(status api.ConfigStatus) []api.ProcessConfig {
+	var lagging []api.ProcessConfig
+	for _, p := range status.Processes {
+		if p.Version != status.Version {
+			lagging = append(lagging, p)
+		}
+	}
+	return lagging
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -208,8 +208,16 @@
 	fmt.Fprintf(w, "%s%s: %s", body, r.PathValue("service"), data[:n])
 }
 
+// getStatus reports many agents, one of them behind, while zone-b is out.
 func (f *fakeEntry) getStatus(w http.ResponseWriter, _ *http.Request) {
-	answer(w, 200, api.ConfigStatus{Version: f.version, InForce: f.zones["zone-b"].State != api.ZoneOut, Processes: []api.ProcessConfig{
-		{Process: "e1", Role: "entry", Zone: "zone-a", Version: f.version, AgeMS: 150},
-	}})
+	status := api.ConfigStatus{Version: f.version, InForce: f.zones["zone-b"].State != api.ZoneOut}
+	status.Processes = []api.ProcessConfig{{Process: "e1", Role: "entry", Zone: "zone-a", Version: f.version, AgeMS: 150}}
+	if !status.InForce {
+		for i := range maxListedProcesses {
+			p := api.ProcessConfig{Process: fmt.Sprintf("w%d", i), Role: "agent", Zone: "zone-a", Version: f.version}
+			status.Processes = append(status.Processes, p)
+		}
+		status.Processes[7].Version--
+	}
+	answer(w, 200, status)
 }
