--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -66,7 +66,7 @@
 		state = "in force everywhere"
 	}
 	lagging := laggingProcesses(status)
-	fmt.Fprintf(e.stdout, "version %d, %s; %d processes, %d lag\n", status.Version, state, len(status.Processes), len(lagging))
+	fmt.Fprintf(e.stdout, "version %d, %s; processes: %d, behind: %d\n", status.Version, state, len(status.Processes), len(lagging))
 	listed := status.Processes
 	if !all && len(listed) > maxListedProcesses {
 		listed = lagging
