A new owner knows its standing before it adopts attempts

Cause: the rows and the agents' reports were given to the scheduling core before its authority. An attempt that was held everywhere and durable, but not started yet, was ended at once as broken (reason zone-out, with no zone out); a job that is not idempotent was answered unknown although no task had run. The standing now comes first, and a core without it leaves held attempts alone.

--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -156,13 +156,15 @@
 func (s *Service) loadTerm(ctx context.Context, t *term) {
 	for ctx.Err() == nil {
 		rows, err := s.readActive(ctx, t, ledger.CauseRecovery)
+		authority, _ := s.owner.Authority()
+		authority.StartAfter = t.startAfter
 		s.mu.Lock()
-		if s.term != t {
+		if s.term != t || authority.Epoch != t.epoch {
 			s.mu.Unlock()
 			return
 		}
 		if err == nil {
-			s.replay(t, rows)
+			s.replay(t, authority, rows)
 			s.mu.Unlock()
 			return
 		}
@@ -198,10 +200,11 @@
 	return out, nil
 }
 
-// replay is called with mu held. Jobs come before the workers' reports, so
-// that no report names a job that the core does not know.
-func (s *Service) replay(t *term, rows []jobs.Row) {
-	t.step(sched.Configured{Config: s.config.Current()})
+// replay is called with mu held. The standing comes first, since it decides
+// what becomes of the attempts that are found. Jobs come before the workers'
+// reports, so that no report names a job that the core does not know.
+func (s *Service) replay(t *term, authority sched.Authority, rows []jobs.Row) {
+	t.step(authority, sched.Configured{Config: s.config.Current()})
 	for _, row := range rows {
 		t.submit(row.Record)
 	}
--- a/internal/sched/takeover.go
+++ b/internal/sched/takeover.go
@@ -74,20 +74,21 @@
 }
 
 // startAdopted starts the members of an adopted attempt that are held only, as
-// soon as the previous owner's permissions have ended.
+// soon as this process may start work and the previous owner's permissions have
+// ended. Until then the attempt waits; its holds end by themselves.
 func (c *Core) startAdopted(j *job) {
 	if j.phase != phaseRunning {
 		return
 	}
-	if c.now < c.authority.StartAfter {
-		c.timers.add(c.authority.StartAfter, func() { c.startAdopted(j) })
+	if !c.authority.Owner || c.now < c.authority.StartAfter {
+		c.timers.add(max(c.authority.StartAfter, c.now+TickInterval), func() { c.startAdopted(j) })
 		return
 	}
 	for _, g := range j.groups {
 		if g.state != groupHeld {
 			continue
 		}
-		if !c.authority.Owner || g.worker.ZoneOut || j.lost > 0 {
+		if g.worker.ZoneOut || j.lost > 0 {
 			c.broken(g, ReasonZoneOut)
 			return
 		}
--- a/test/procs/owner_test.go
+++ b/test/procs/owner_test.go
@@ -96,7 +96,23 @@
 	}
 }
 
-func killOwnerAt(t *testing.T, step startStep, idempotent bool) {
+// The owner is killed between the attempt's row and the start. All agents live
+// and know that they have started nothing, so the answer is not unknown.
+func TestAttemptThatNeverStartedIsNotUnknown(t *testing.T) {
+	t.Parallel()
+	for _, step := range startSteps {
+		if step.name != "durable" {
+			continue
+		}
+		h, record := killOwnerAt(t, step, false)
+		if record.Outcome == api.OutcomeUnknown && len(h.Tasks()) == 0 {
+			t.Errorf("job that no worker has run ended %q: %s", record.Outcome, record.Detail)
+		}
+	}
+}
+
+func killOwnerAt(t *testing.T, step startStep, idempotent bool) (*harness.Harness, api.JobRecord) {
+	t.Helper()
 	h := gangSystem(t)
 	owner := h.Owner()
 	owner.Relay.SetDelay(60 * time.Millisecond)
@@ -113,6 +129,7 @@
 	if record.Outcome != api.OutcomeDone && (idempotent || step.name == "running") {
 		t.Errorf("job ended %q: %s", record.Outcome, record.Detail)
 	}
+	return h, record
 }
 
 // The owner is frozen past its lease while it starts one gang and another
