--- a/test/procs/harness/jobs.go
+++ b/test/procs/harness/jobs.go
@@ -238,3 +238,17 @@
 	}
 	return n
 }
+
+// WorkerOf returns the worker that has run a task.
+func (h *Harness) WorkerOf(task standin.Execution) *Worker {
+	h.t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range h.workers {
+		if w.ID == task.Worker {
+			return w
+		}
+	}
+	h.t.Fatalf("worker %q of task %s does not exist", task.Worker, task.ID)
+	return nil
+}
--- a/test/procs/owner_test.go
+++ b/test/procs/owner_test.go
@@ -225,3 +225,21 @@
 		}
 	}
 }
+
+// A worker's agent is killed while its gang runs, and replaced: the next
+// process adopts the tasks before their leases lapse.
+func TestWorkerAgentKilledAndReplaced(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	id := submit(t, h, "running", harness.Gang(2, accelerators, 12*time.Second, false), h.Owner())
+	h.Eventually("the gang runs", 10*time.Second, func() bool { return len(h.Tasks()) == 2 })
+	w := h.WorkerOf(h.Tasks()[0])
+	w.Agent.Kill()
+	h.StartWorkerAgent(w)
+	record := h.AwaitJob(id, jobLimit)
+	t.Logf("%q at attempt %d", record.Outcome, record.Attempt)
+	h.CheckJob(record)
+	if record.Outcome != api.OutcomeDone {
+		t.Errorf("job ended %q: %s", record.Outcome, record.Detail)
+	}
+}
--- a/test/procs/requests_test.go
+++ b/test/procs/requests_test.go
@@ -159,6 +159,27 @@
 	h.CheckAllDone(requests)
 }
 
+// One minion loses a third of its answers after it has run the calls, and the
+// connections between agents and entries are cut again and again.
+func TestLostAnswersAndCutLinks(t *testing.T) {
+	t.Parallel()
+	h, entries, minions := requestSystem(t)
+	minions[0].Set(standin.FaultSettings{LoseShare: 0.3})
+	load := h.StartLoad(6, standin.MinionCall{SleepMS: 40, Size: 5000})
+	for i := range 8 {
+		time.Sleep(400 * time.Millisecond)
+		entries[i%2].Relay.Cut()
+	}
+	requests := load.Stop()
+	t.Log(harness.Summary(requests))
+	h.CheckTrue(requests)
+	for _, r := range requests {
+		if r.Idempotent && r.Outcome != api.OutcomeDone {
+			t.Errorf("idempotent %s ended %q after %v: %v", r.Tag, r.Outcome, r.Took, r.Err)
+		}
+	}
+}
+
 // Signals reach only what the harness started, and all of it ends.
 func TestHarnessReapsItsProcesses(t *testing.T) {
 	var h *harness.Harness
