--- a/test/procs/requests_test.go
+++ b/test/procs/requests_test.go
@@ -128,12 +128,14 @@
 	h.CheckAllDone([]*harness.Request{r})
 }
 
-// All entries and agents are restarted one after the other under load.
+// All entries and agents are restarted one after the other under a load of
+// short requests and of such that take longer than any notice of a stop.
 func TestRollingRestart(t *testing.T) {
 	t.Parallel()
 	h, entries, minions := requestSystem(t)
-	load := h.StartLoad(8, standin.MinionCall{SleepMS: 30, Size: 2000})
-	h.Eventually("load", 5*time.Second, func() bool { return load.Count() > 50 })
+	load := h.StartLoad(5, standin.MinionCall{SleepMS: 30, Size: 2000})
+	long := h.StartLoad(5, standin.MinionCall{SleepMS: 1500, Size: 2000})
+	h.Eventually("load", 5*time.Second, func() bool { return load.Count() > 50 && long.Count() > 0 })
 	for i, e := range entries {
 		next := h.StartEntry(fmt.Sprintf("next-%d", i), e.Zone)
 		h.WaitReady()
@@ -151,12 +153,33 @@
 	}
 	count := load.Count()
 	h.Eventually("load goes on", 5*time.Second, func() bool { return load.Count() > count+50 })
-	requests := load.Stop()
+	requests := append(load.Stop(), long.Stop()...)
 	t.Log(harness.Summary(requests))
 	h.CheckTrue(requests)
 	h.CheckAllDone(requests)
 }
 
+// One minion loses a third of its answers after it has run the calls, and the
+// connections between agents and entries are cut again and again.
+func TestLostAnswersAndCutLinks(t *testing.T) {
+	t.Parallel()
+	h, entries, minions := requestSystem(t)
+	minions[0].Set(standin.FaultSettings{LoseShare: 0.3})
+	load := h.StartLoad(6, standin.MinionCall{SleepMS: 40, Size: 5000})
+	for i := range 8 {
+		time.Sleep(400 * time.Millisecond)
+		entries[i%2].Relay.Cut()
+	}
+	requests := load.Stop()
+	t.Log(harness.Summary(requests))
+	h.CheckTrue(requests)
+	for _, r := range requests {
+		if r.Idempotent && r.Outcome != api.OutcomeDone {
+			t.Errorf("idempotent %s ended %q after %v: %v", r.Tag, r.Outcome, r.Took, r.Err)
+		}
+	}
+}
+
 // Signals reach only what the harness started, and all of it ends.
 func TestHarnessReapsItsProcesses(t *testing.T) {
 	var h *harness.Harness
