A refusal is true of the key: its row is read before the call is admitted

Found while reading the paths that answer not-run: a caller that comes back with the key of a request that has run was told not-run when the table was down or the entry's queue full. The price is a read for each non-idempotent call with a key, grouped. Likewise a job that was accepted earlier is no longer refused as never fitting when its workers are away.

--- a/internal/entry/httpapi/config.go
+++ b/internal/entry/httpapi/config.go
@@ -67,11 +67,6 @@
 		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
 		return
 	}
-	expect, err := expected(ctx)
-	if err != nil {
-		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
-		return
-	}
 	warning, err := a.Scheduler.CheckGuarantees(withProfile(a.Config.Current(), p), name)
 	if err != nil {
 		problem(ctx, fasthttp.StatusUnprocessableEntity, "%v", err)
@@ -80,14 +75,13 @@
 	if warning != "" {
 		ctx.Response.Header.Set(httpx.HeaderWarning, warning)
 	}
-	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	config, err := a.Config.PutProfile(c, p, expect)
-	if a.refusedChange(ctx, config, err, config.ProfileVersion(name)) {
-		return
+	version := func(config *api.Config) uint64 { return config.ProfileVersion(name) }
+	config, ok := a.change(ctx, version, func(c context.Context, expect uint64) (*api.Config, error) {
+		return a.Config.PutProfile(c, p, expect)
+	})
+	if ok {
+		httpx.WriteJSON(ctx, fasthttp.StatusOK, config.Profiles[name])
 	}
-	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(config.ProfileVersion(name)))
-	httpx.WriteJSON(ctx, fasthttp.StatusOK, config.Profiles[name])
 }
 
 func withProfile(c *api.Config, p api.Profile) *api.Config {
@@ -124,25 +118,38 @@
 		problem(ctx, fasthttp.StatusNotFound, "profile %q does not exist", name)
 		return
 	}
+	version := func(config *api.Config) uint64 { return config.ProfileVersion(name) }
+	_, ok := a.change(ctx, version, func(c context.Context, expect uint64) (*api.Config, error) {
+		return a.Config.DeleteProfile(c, name, expect)
+	})
+	if ok {
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	}
+}
+
+// change makes a change of one item, whose version in a configuration is given
+// by version. It answers a change that was not made and then returns false;
+// after one that was made it sets the item's new tag.
+func (a *API) change(ctx *fasthttp.RequestCtx, version func(*api.Config) uint64, edit func(c context.Context, expect uint64) (*api.Config, error)) (*api.Config, bool) {
 	expect, err := expected(ctx)
 	if err != nil {
 		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
-		return
+		return nil, false
 	}
 	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	config, err := a.Config.DeleteProfile(c, name, expect)
-	if a.refusedChange(ctx, config, err, config.ProfileVersion(name)) {
-		return
+	config, err := edit(c, expect)
+	if err != nil {
+		refuseChange(ctx, err, version(config))
+		return nil, false
 	}
-	ctx.SetStatusCode(fasthttp.StatusNoContent)
+	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(version(config)))
+	return config, true
 }
 
-// refusedChange answers a change that was not made, and reports whether it did.
-func (a *API) refusedChange(ctx *fasthttp.RequestCtx, config *api.Config, err error, version uint64) bool {
+// refuseChange answers a change that was not made.
+func refuseChange(ctx *fasthttp.RequestCtx, err error, version uint64) {
 	switch {
-	case err == nil:
-		return false
 	case errors.Is(err, confstate.ErrLostRace):
 		p := httpx.Problemf(fasthttp.StatusPreconditionFailed, "%v; the current version is %d", err, version)
 		p.Version = version
@@ -151,7 +158,6 @@
 	default:
 		storeProblem(ctx, err)
 	}
-	return true
 }
 
 func (a *API) listZones(ctx *fasthttp.RequestCtx) {
@@ -194,20 +200,13 @@
 		problem(ctx, fasthttp.StatusBadRequest, "zone name %q is not valid", name)
 		return
 	}
-	expect, err := expected(ctx)
-	if err != nil {
-		problem(ctx, fasthttp.StatusBadRequest, "%v", err)
-		return
-	}
-	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	config, err := a.Config.PutZone(c, name, body.State, expect)
-	if a.refusedChange(ctx, config, err, config.Zone(name).Version) {
-		return
+	version := func(config *api.Config) uint64 { return config.Zone(name).Version }
+	config, ok := a.change(ctx, version, func(c context.Context, expect uint64) (*api.Config, error) {
+		return a.Config.PutZone(c, name, body.State, expect)
+	})
+	if ok {
+		httpx.WriteJSON(ctx, fasthttp.StatusOK, config.Zone(name))
 	}
-	z := config.Zone(name)
-	ctx.Response.Header.Set(fasthttp.HeaderETag, httpx.ETag(z.Version))
-	httpx.WriteJSON(ctx, fasthttp.StatusOK, z)
 }
 
 func (a *API) configStatus(ctx *fasthttp.RequestCtx) {
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -51,12 +51,12 @@
 		return
 	}
 	job.ID = jobs.JobID(profile.ClientAccount, job.IdempotencyKey)
+	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
 	if reason, never := a.Scheduler.NeverFits(job); never {
-		notRun(ctx, fasthttp.StatusUnprocessableEntity, 0, "job can never run: %s", reason)
+		a.refuseNeverFits(ctx, c, job.ID, reason)
 		return
 	}
-	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
 	record, created, err := a.Jobs.Create(c, job)
 	switch {
 	case errors.Is(err, jobs.ErrKeyReused):
@@ -75,6 +75,21 @@
 	httpx.WriteJSON(ctx, fasthttp.StatusAccepted, record)
 }
 
+// refuseNeverFits refuses a job that no worker can hold. A job that an earlier
+// call with the same key has brought is answered as it stands, since workers
+// may have gone away meanwhile.
+func (a *API) refuseNeverFits(ctx *fasthttp.RequestCtx, c context.Context, id, reason string) {
+	record, err := a.Jobs.One(c, id)
+	switch {
+	case errors.Is(err, jobs.ErrNoJob):
+		notRun(ctx, fasthttp.StatusUnprocessableEntity, 0, "job can never run: %s", reason)
+	case err != nil:
+		storeProblem(ctx, err)
+	default:
+		httpx.WriteJSON(ctx, fasthttp.StatusAccepted, record)
+	}
+}
+
 // announce tells the owner of the cell; its scan finds the job in any case.
 func (a *API) announce(record api.JobRecord) {
 	if !a.Scheduler.Submitted(record) {
--- a/internal/entry/httpapi/requests.go
+++ b/internal/entry/httpapi/requests.go
@@ -90,6 +90,9 @@
 	case api.OutcomeFailed:
 		return fasthttp.StatusBadGateway
 	case api.OutcomeUnknown, api.OutcomeDone:
+		if reply.RetryAfter > 0 {
+			return fasthttp.StatusServiceUnavailable
+		}
 		return fasthttp.StatusGatewayTimeout
 	}
 	switch reply.Reason {
--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -27,6 +27,8 @@
 	recordRetry   = 500 * time.Millisecond
 	maxClaimOps   = 1024 // at once
 	maxClaimTries = 4
+	// keyRetryAfter is when to come back with a key whose row cannot be read.
+	keyRetryAfter = 2 * time.Second
 	// maxInlineBody is the largest answer kept in the table's row itself.
 	maxInlineBody = 4 << 10
 )
@@ -50,6 +52,7 @@
 	service *Service
 	ledger  ledger.Ledger
 	objects platform.Objects
+	lookups lookups
 	slots   chan struct{}
 	running sync.WaitGroup
 
@@ -63,6 +66,7 @@
 		service:   s,
 		ledger:    l,
 		objects:   objects,
+		lookups:   lookups{ledger: l},
 		slots:     make(chan struct{}, maxClaimOps),
 		recording: map[route.ClaimHolder][]route.Ack{},
 	}
@@ -75,6 +79,37 @@
 	return claimPrefix + hex.EncodeToString(sum[:])
 }
 
+// standing tells what is known of a call's key before the call is admitted.
+type standing struct {
+	reply *Reply // the call's answer, when there is one already
+	// mayHaveRun is set when an earlier call with the key may have run; a
+	// refusal of this one must not say not-run then.
+	mayHaveRun bool
+}
+
+// standing reads the row of a key. Invariant: a call with a key is refused as
+// not-run only after its row was read and named no execution, so that the
+// refusal is true of all earlier calls with the key.
+func (c *claims) standing(call Call) standing {
+	row, err := c.lookups.get(claimKey(call.Profile.ClientAccount, call.Service, call.Key))
+	if err != nil {
+		return standing{reply: &Reply{
+			Outcome:    api.OutcomeUnknown,
+			Reason:     route.ReasonStoreDown,
+			Detail:     "this call has not run; whether an earlier one with the same key has cannot be read now; repeat it with the same key",
+			RetryAfter: keyRetryAfter,
+		}}
+	}
+	if row.Version == 0 {
+		return standing{}
+	}
+	var claimed claimRow
+	if err := json.Unmarshal(row.Data, &claimed); err != nil {
+		return standing{mayHaveRun: true}
+	}
+	return standing{mayHaveRun: claimed.Outcome != api.OutcomeNotRun}
+}
+
 func (c *claims) spawn(fn func()) bool {
 	select {
 	case c.slots <- struct{}{}:
--- /dev/null
+++ b/internal/entry/requests/lookup.go
@@ -0,0 +1,97 @@
+package requests
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/juju/errors"
+)
+
+const (
+	lookupTimeout = 1500 * time.Millisecond
+	lookupBatch   = 200 // keys in one read
+	// maxLookups bounds the calls that wait for a read.
+	maxLookups = 8192
+)
+
+// errTooManyLookups says that too many calls wait for the table.
+const errTooManyLookups = errors.ConstError("too many calls wait for the table")
+
+// lookups reads rows for many callers with one read at a time: what comes
+// while a read is in progress goes into the next one.
+type lookups struct {
+	ledger ledger.Ledger
+
+	mu      sync.Mutex
+	waiting []lookup
+	busy    bool
+}
+
+type lookup struct {
+	key    string
+	result chan lookupResult
+}
+
+type lookupResult struct {
+	row ledger.Row
+	err error
+}
+
+// get returns the row of a key.
+func (l *lookups) get(key string) (ledger.Row, error) {
+	one := lookup{key, make(chan lookupResult, 1)}
+	l.mu.Lock()
+	if len(l.waiting) >= maxLookups {
+		l.mu.Unlock()
+		return ledger.Row{}, errors.Trace(errTooManyLookups)
+	}
+	l.waiting = append(l.waiting, one)
+	if !l.busy {
+		l.busy = true
+		go l.run()
+	}
+	l.mu.Unlock()
+	r := <-one.result
+	return r.row, r.err
+}
+
+func (l *lookups) run() {
+	for {
+		batch := l.next()
+		if len(batch) == 0 {
+			return
+		}
+		l.read(batch)
+	}
+}
+
+// next takes the lookups of the next read; without any, no read is in
+// progress from then on.
+func (l *lookups) next() []lookup {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := min(len(l.waiting), lookupBatch)
+	batch := l.waiting[:n:n]
+	l.waiting = l.waiting[n:]
+	l.busy = n > 0
+	return batch
+}
+
+func (l *lookups) read(batch []lookup) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+	defer cancel()
+	keys := make([]string, len(batch))
+	for i, one := range batch {
+		keys[i] = one.key
+	}
+	rows, err := l.ledger.Get(ctx, ledger.CauseClaim, keys...)
+	for i, one := range batch {
+		if err != nil {
+			one.result <- lookupResult{err: err}
+			continue
+		}
+		one.result <- lookupResult{row: rows[i]}
+	}
+}
--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -157,6 +157,32 @@
 
 // Do carries out a call and returns its final answer.
 func (s *Service) Do(call Call) (Reply, error) {
+	if call.Key == "" || call.Idempotent {
+		return s.submit(call)
+	}
+	known := s.claims.standing(call)
+	if known.reply != nil {
+		return *known.reply, nil
+	}
+	reply, err := s.submit(call)
+	if known.mayHaveRun && (err != nil || reply.Outcome == api.OutcomeNotRun && reply.Reason != route.ReasonResult) {
+		reply = refusedAgain(reply, err)
+		err = nil
+	}
+	return reply, err
+}
+
+// refusedAgain is the answer to a refused call whose key an earlier call has used.
+func refusedAgain(reply Reply, err error) Reply {
+	if err != nil {
+		reply = Reply{RetryAfter: keyRetryAfter, Detail: err.Error()}
+	}
+	reply.Outcome = api.OutcomeUnknown
+	reply.Detail = "this call has not run, an earlier one with the same key may have; repeat it with the same key: " + reply.Detail
+	return reply
+}
+
+func (s *Service) submit(call Call) (Reply, error) {
 	w := &waiter{call: call, reply: make(chan Reply, 1)}
 	s.mu.Lock()
 	if len(s.waiters) >= s.cfg.MaxRequests {
