route: a lost link has a short time to be opened again before retries

A connection that was replaced or reset made every idempotent request of the agent run twice when another agent was free. Retries now start 300 ms after the loss; an agent that is back before is asked for the outcomes.

--- a/internal/route/agent.go
+++ b/internal/route/agent.go
@@ -150,7 +150,6 @@
 	a.up = false
 	a.changed = c.now
 	a.service.stale = true
-	c.loseIdempotent(a)
 }
 
 func (c *Core) agentStatus(e AgentStatus) {
@@ -187,9 +186,17 @@
 		delete(c.agents, a.name)
 		return
 	}
-	heard := max(a.statusAt, a.changed, c.resumed)
-	if a.up && !a.suspect && c.now-heard > suspicionTime {
+	if !a.suspect && c.silent(a) {
 		a.suspect = true
 		c.loseIdempotent(a)
 	}
 }
+
+// silent reports whether the agent has been silent, or without a link, for too
+// long.
+func (c *Core) silent(a *agent) bool {
+	if !a.up {
+		return c.now-a.changed > downGrace
+	}
+	return c.now-max(a.statusAt, a.changed, c.resumed) > suspicionTime
+}
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -50,6 +50,9 @@
 	refusalPatience = time.Second
 	// startPatience is refusalPatience for an entry that has just started.
 	startPatience = 2 * time.Second
+	// downGrace is the time for an agent to open a lost link again, before its
+	// idempotent requests are retried elsewhere.
+	downGrace = 300 * time.Millisecond
 	// pauseGap is a time between two Steps that shows a pause of the entry.
 	pauseGap = 500 * time.Millisecond
 	// claimTimeout is how long a claim may take.
