route: claims stop while the table does not answer

A claim holds a slot while it is under way. With a slow table a few keyed calls a second would have kept all slots from the idempotent ones, so after three failed claims in a row keyed calls are refused at once, but for one claim each second; a claim may take as long as its stamp holds, 1.2 s in place of 2 s.

--- a/internal/route/admit.go
+++ b/internal/route/admit.go
@@ -7,6 +7,8 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 )
 
+const claimsFailing = "the key cannot be looked up: the table has not answered the last claims"
+
 // admit returns the refusal of a new request, or nil.
 func (c *Core) admit(q *Request, s *service, f *flow) *Answer {
 	queued := f.items.Len()
@@ -22,6 +24,8 @@
 		return refuse(q, ReasonDeadline, "the deadline has passed", 0)
 	case reason != "":
 		return refuse(q, reason, unservableDetail(reason, s.name), refusalPatience)
+	case q.claims() && c.breaker.open(c.now):
+		return refuse(q, ReasonStoreDown, claimsFailing, breakerPause)
 	case queued >= limit:
 		return refuse(q, ReasonQueueFull, fmt.Sprintf("the queue of profile %q is full", q.Profile), wait)
 	case len(c.requests) >= c.cfg.MaxOpen:
--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -44,8 +44,14 @@
 		return
 	}
 	switch {
+	case !e.Failed:
+		c.breaker.answered()
+	case !r.gone:
+		c.breaker.failed(c.now)
+	}
+	switch {
 	case e.Failed:
-		c.giveUp(r, ReasonStoreDown, "the table does not answer", refusalPatience)
+		c.giveUp(r, ReasonStoreDown, "the key cannot be looked up: the table does not answer", refusalPatience)
 	case e.Won:
 		c.claimWon(r)
 	default:
@@ -57,7 +63,7 @@
 	at := r.claiming
 	h := at.holder()
 	r.from = &h
-	if !r.gone && c.fresh() && at.reachable() && c.usable(at.agent) && c.now < r.since+PermitTTL {
+	if !r.gone && c.fresh() && at.reachable() && c.usable(at.agent) && c.now < r.since+claimTimeout {
 		r.claiming = nil
 		c.send(r, at)
 		return
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -55,8 +55,13 @@
 	downGrace = 300 * time.Millisecond
 	// pauseGap is a time between two Steps that shows a pause of the entry.
 	pauseGap = 500 * time.Millisecond
-	// claimTimeout is how long a claim may take.
-	claimTimeout = 2 * time.Second
+	// claimTimeout is how long a claim may take; one that is won later carries
+	// a stamp that has lapsed.
+	claimTimeout = PermitTTL
+	// breakerFailures is the number of failed claims in a row after which keys
+	// are refused, but for one claim each breakerPause.
+	breakerFailures = 3
+	breakerPause    = time.Second
 	// probeDelay is the time after an Execute at which the agent is asked for
 	// the outcome; the permission to start has lapsed by then.
 	probeDelay = PermitTTL + 500*time.Millisecond
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -30,6 +30,7 @@
 	serviceList []*service // by name
 	timers      timers
 	budget      retryBudget
+	breaker     breaker
 	seq         uint64
 }
 
--- a/internal/route/dump.go
+++ b/internal/route/dump.go
@@ -13,15 +13,16 @@
 
 // Dump is the state of a Core for operators.
 type Dump struct {
-	Fresh       bool          `json:"fresh"`
-	ZonesOut    []string      `json:"zones_out"`
-	Draining    bool          `json:"draining"`
-	Entries     int           `json:"entries"`
-	Open        int           `json:"open"`
-	Attempts    int           `json:"attempts"`
-	RetryTokens float64       `json:"retry_tokens"`
-	Services    []ServiceDump `json:"services"`
-	Requests    []RequestDump `json:"requests"`
+	Fresh         bool          `json:"fresh"`
+	ZonesOut      []string      `json:"zones_out"`
+	Draining      bool          `json:"draining"`
+	Entries       int           `json:"entries"`
+	Open          int           `json:"open"`
+	Attempts      int           `json:"attempts"`
+	RetryTokens   float64       `json:"retry_tokens"`
+	ClaimsRefused bool          `json:"claims_refused"`
+	Services      []ServiceDump `json:"services"`
+	Requests      []RequestDump `json:"requests"`
 }
 
 // ServiceDump is one service in a Dump.
@@ -74,13 +75,14 @@
 // Dump returns the state of the core.
 func (c *Core) Dump() any {
 	d := Dump{
-		Fresh:       c.fresh(),
-		Draining:    c.draining,
-		Entries:     c.entries,
-		Open:        len(c.requests),
-		Attempts:    len(c.attempts),
-		RetryTokens: c.budget.tokens,
-		Requests:    c.dumpRequests(),
+		Fresh:         c.fresh(),
+		Draining:      c.draining,
+		Entries:       c.entries,
+		Open:          len(c.requests),
+		Attempts:      len(c.attempts),
+		RetryTokens:   c.budget.tokens,
+		ClaimsRefused: c.breaker.open(c.now),
+		Requests:      c.dumpRequests(),
 	}
 	for zone, out := range c.zonesOut {
 		if out {
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -46,7 +46,7 @@
 }
 
 // claims reports whether an execution has to be claimed in the table first.
-func (r *request) claims() bool { return r.Key != "" && !r.Idempotent }
+func (r *Request) claims() bool { return r.Key != "" && !r.Idempotent }
 
 // doubtful reports whether some attempt may have run or may run yet.
 func (r *request) doubtful() bool {
@@ -153,7 +153,8 @@
 		}
 	case phaseClaiming:
 		if c.now >= r.since+claimTimeout {
-			c.giveUp(r, ReasonStoreDown, "the table has not answered the claim", refusalPatience)
+			c.breaker.failed(c.now)
+			c.giveUp(r, ReasonStoreDown, "the key cannot be looked up: the table has not answered the claim", refusalPatience)
 			return
 		}
 	case phaseFollowing:
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -120,6 +120,10 @@
 		if a == nil {
 			return
 		}
+		if r.claims() && !c.breaker.allow(c.now) {
+			c.giveUp(r, ReasonStoreDown, claimsFailing, breakerPause)
+			continue
+		}
 		s.queue.serve(cost(r.flow, s))
 		c.start(r, a)
 	}
