--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -50,10 +50,18 @@
 	refusalPatience = time.Second
 	// startPatience is refusalPatience for an entry that has just started.
 	startPatience = 2 * time.Second
+	// downGrace is the time for an agent to open a lost link again, before its
+	// idempotent requests are retried elsewhere.
+	downGrace = 300 * time.Millisecond
 	// pauseGap is a time between two Steps that shows a pause of the entry.
 	pauseGap = 500 * time.Millisecond
-	// claimTimeout is how long a claim may take.
-	claimTimeout = 2 * time.Second
+	// claimTimeout is how long a claim may take; one that is won later carries
+	// a stamp that has lapsed.
+	claimTimeout = PermitTTL
+	// breakerFailures is the number of failed claims in a row after which keys
+	// are refused, but for one claim each breakerPause.
+	breakerFailures = 3
+	breakerPause    = time.Second
 	// probeDelay is the time after an Execute at which the agent is asked for
 	// the outcome; the permission to start has lapsed by then.
 	probeDelay = PermitTTL + 500*time.Millisecond
