--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -55,6 +55,7 @@
 	queuedAt   time.Duration
 	startedAt  time.Duration
 	reviewedAt time.Duration
+	mayEvict   bool // a large preemptible gang that has waited may try to evict once
 	ranFor     time.Duration
 	holdFails  int
 	failures   int
--- a/internal/sched/placement/placement.go
+++ b/internal/sched/placement/placement.go
@@ -211,6 +211,9 @@
 	var racks []rackRoom
 	total := 0
 	for _, r := range f.Racks(zone) {
+		if !q.Gang.PerTask.Fits(r.Total[q.View]) {
+			continue
+		}
 		rs := rooms(r.Workers, &q)
 		n := 0
 		for _, room := range rs {
@@ -331,6 +334,9 @@
 	need := q.Gang.PerTask.Times(q.Gang.Tasks)
 	if q.Gang.Adjacency == api.AdjacentZone {
 		for _, z := range f.Zones() {
+			if !need.Fits(zoneTotal(f, z, q.View)) {
+				continue
+			}
 			parts := packZone(f, z, q)
 			if parts != nil && !visit(parts) {
 				return
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -93,15 +93,17 @@
 		return
 	}
 	j.reviewedAt = c.now
+	j.mayEvict = true
 	j.class.failed = false
 }
 
 // tryLarge starts a large preemptible gang that has waited in the place of
 // smaller preemptible work. Gangs of like size do not evict each other.
 func (c *Core) tryLarge(j *job) bool {
-	if !c.lent(j) || c.now-j.queuedAt < reserveAfter || !c.large(j) {
+	if !j.mayEvict || !c.lent(j) {
 		return false
 	}
+	j.mayEvict = false
 	rule := victimRule{minRun: minRunBeforeEviction, below: (j.total().Accelerators + 1) / 2}
 	return c.tryEvict(j, rule, CheckpointGrace)
 }
