coltsfootctl says "not run" only on the entry's word

A 503 without an outcome, such as a write to the table that was not settled, gave exit code 3. It is 6 now, unless the call was a read; a submission is repeated under its key.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -29,8 +29,10 @@
 // ProblemError is a refusal by the entry.
 type ProblemError struct {
 	Problem api.Problem
-	// Outcome is what the entry says about the request, or empty.
+	// Outcome is what the entry says about the call, or empty.
 	Outcome api.Outcome
+	// Change is true for a call that asked for a change or for work.
+	Change bool
 }
 
 // Error returns the problem's title and detail.
@@ -128,7 +130,7 @@
 		return a, err
 	}
 	if a.status >= http.StatusBadRequest {
-		return a, problemError(a)
+		return a, problemError(call.method, a)
 	}
 	if out == nil || len(a.body) == 0 {
 		return a, nil
@@ -139,8 +141,8 @@
 	return a, nil
 }
 
-func problemError(a answer) error {
-	e := &ProblemError{Outcome: api.Outcome(a.header.Get(httpx.HeaderOutcome))}
+func problemError(method string, a answer) error {
+	e := &ProblemError{Outcome: api.Outcome(a.header.Get(httpx.HeaderOutcome)), Change: method != http.MethodGet}
 	if err := json.Unmarshal(a.body, &e.Problem); err != nil || e.Problem.Title == "" {
 		e.Problem = api.Problem{Title: http.StatusText(a.status), Detail: string(bytes.TrimSpace(a.body))}
 	}
--- a/internal/client/work.go
+++ b/internal/client/work.go
@@ -125,7 +125,7 @@
 	outcome := api.Outcome(a.header.Get(httpx.HeaderOutcome))
 	contentType := a.header.Get("Content-Type")
 	if contentType == httpx.ContentTypeProblem && outcome != api.OutcomeDone {
-		return Answer{}, problemError(a)
+		return Answer{}, problemError(http.MethodPost, a)
 	}
 	if outcome == "" {
 		return Answer{}, errors.Annotatef(ErrNoAnswer, "answer with status %d names no outcome", a.status)
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -126,20 +126,23 @@
 }
 
 // problemCode follows the outcome where the entry names one, and otherwise
-// the status.
+// the status. "Not run" needs the entry's word, unless the call was a read.
 func problemCode(e *client.ProblemError) int {
 	status := e.Problem.Status
+	later := e.Problem.RetryAfter > 0 || status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
 	switch {
 	case status == http.StatusPreconditionFailed:
 		return ExitLostRace
-	case e.Outcome != "" && e.Outcome != api.OutcomeNotRun:
-		return outcomeCode(e.Outcome)
-	case e.Problem.RetryAfter > 0 || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		return ExitNotRun
-	case e.Outcome == api.OutcomeNotRun && status >= http.StatusInternalServerError:
+	case e.Outcome == api.OutcomeNotRun && later:
 		return ExitNotRun
-	case status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+	case e.Outcome == api.OutcomeNotRun:
+		return ExitFailed
+	case e.Outcome != "":
+		return outcomeCode(e.Outcome)
+	case later && e.Change:
 		return ExitUnknown
+	case later:
+		return ExitNotRun
 	}
 	return ExitFailed
 }
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -144,14 +144,16 @@
 	return t, nil
 }
 
-// submitWithRetries repeats a submission without an answer. That is safe, as
-// the same key always gives the same job.
+// submitWithRetries repeats a submission that was not received or may or may
+// not have taken effect. That is safe, as the same key always gives the same job.
 func (e *env) submitWithRetries(ctx context.Context, job client.JobRequest, key string) (api.JobRecord, error) {
 	c := e.client()
 	for attempt := 1; ; attempt++ {
 		record, err := c.SubmitJob(ctx, job, key)
-		noAnswer := errors.Is(err, client.ErrUnreachable) || errors.Is(err, client.ErrNoAnswer)
-		if !noAnswer || attempt == submitAttempts {
+		if err == nil || attempt == submitAttempts {
+			return record, err
+		}
+		if code := exitCode(err); code != ExitUnreachable && code != ExitUnknown {
 			return record, err
 		}
 		if sleep(ctx, submitPause) != nil {
