--- a/internal/ctl/examples_test.go
+++ b/internal/ctl/examples_test.go
@@ -1,9 +1,14 @@
 package ctl
 
 import (
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched/feasibility"
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
 )
 
 // TestExamplesLoad checks all example settings, and sets all example profiles.
@@ -26,3 +31,47 @@
 		t.Errorf("%d profiles set, want 8", len(entry.profiles))
 	}
 }
+
+// TestExampleGuaranteesFit checks that the example guarantees of each site fit
+// on its workers, without a warning for the loss of any one zone.
+func TestExampleGuaranteesFit(t *testing.T) {
+	for _, site := range []string{"maraval", "institute"} {
+		dir := filepath.Join("..", "..", "examples", site)
+		standin, err := settings.LoadStandin(filepath.Join(dir, "standin.toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files, err := filepath.Glob(filepath.Join(dir, "profiles", "*.json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		config := &api.Config{Version: 1, Profiles: map[string]api.Profile{}}
+		for _, file := range files {
+			p, err := (&env{}).readProfile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			config.Profiles[p.Name] = p
+		}
+		for _, finding := range feasibility.Check(config, exampleWorkers(standin)) {
+			t.Errorf("%s: %+v", site, finding)
+		}
+	}
+}
+
+// exampleWorkers puts three workers of a zone into each rack; a worker's id is
+// worker-ZONE-NUMBER.
+func exampleWorkers(s *settings.Standin) []feasibility.Worker {
+	const workersPerRack = 3
+	var workers []feasibility.Worker
+	inZone := map[string]int{}
+	for _, w := range s.Workers {
+		id := string(w.ID)
+		zone := strings.TrimPrefix(id[:strings.LastIndex(id, "-")], "worker-")
+		rack := fmt.Sprintf("%s-r%d", zone, inZone[zone]/workersPerRack+1)
+		inZone[zone]++
+		capacity := api.Resources{Accelerators: w.Accelerators, MilliCPU: w.MilliCPU, MemoryMB: w.MemoryMB}
+		workers = append(workers, feasibility.Worker{Name: id, Zone: zone, Rack: rack, Capacity: capacity})
+	}
+	return workers
+}
