--- /dev/null
+++ b/test/docs/docs_test.go
@@ -0,0 +1,106 @@
+// Package docs_test checks the operators' page against the source.
+package docs_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+)
+
+const root = "../.."
+
+var (
+	logMessage = regexp.MustCompile(`\.Msg\("([^"]+)"\)`)
+	metricName = regexp.MustCompile(`(?:GetOrRegister(?:Counter|Gauge|GaugeFloat64|Timer|Meter|Histogram)|\.count)\("([a-z_0-9.]+)"`)
+)
+
+// TestOperationsNamesLogLinesAndMetrics looks up each log message and metric
+// of the processes in docs/OPERATIONS.md.
+func TestOperationsNamesLogLinesAndMetrics(t *testing.T) {
+	page := operations(t)
+	for _, dir := range []string{"internal", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			for _, m := range logMessage.FindAllStringSubmatch(string(source), -1) {
+				if !strings.Contains(page, "`"+m[1]+"`") {
+					t.Errorf("%s: log message %q is not explained", path, m[1])
+				}
+			}
+			for _, m := range metricName.FindAllStringSubmatch(string(source), -1) {
+				if !namesMetric(page, m[1]) {
+					t.Errorf("%s: metric %q is not explained", path, m[1])
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// namesMetric looks for `group.name`, or for `.name` on a line of the group.
+// A name that ends with a dot is completed at run time.
+func namesMetric(page, name string) bool {
+	if strings.Contains(page, "`"+name) {
+		return true
+	}
+	group, last, _ := strings.Cut(name, ".")
+	for _, line := range strings.Split(page, "\n") {
+		if strings.Contains(line, "`"+group+".") && strings.Contains(line, "`."+last+"`") {
+			return true
+		}
+	}
+	return false
+}
+
+// TestOperationsNamesSettings looks up each key of the settings.
+func TestOperationsNamesSettings(t *testing.T) {
+	page := operations(t)
+	for _, s := range []reflect.Type{reflect.TypeFor[settings.Entry](), reflect.TypeFor[settings.Agent](), reflect.TypeFor[settings.Standin]()} {
+		for _, key := range settingKeys(s) {
+			if !regexp.MustCompile("[`.\\[, ]" + key + "[`,\\]. ]").MatchString(page) {
+				t.Errorf("%v: key %q is not explained", s, key)
+			}
+		}
+	}
+}
+
+// settingKeys returns the names of all keys of a struct, without their paths.
+func settingKeys(s reflect.Type) []string {
+	var keys []string
+	for i := range s.NumField() {
+		field := s.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("toml"), ",")
+		keys = append(keys, name)
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			keys = append(keys, settingKeys(inner)...)
+		}
+	}
+	return keys
+}
+
+func operations(t *testing.T) string {
+	t.Helper()
+	page, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(page)
+}
