--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -31,6 +31,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/profiles/{name}", f.getProfile)
 	mux.HandleFunc("PUT /v1/profiles/{name}", f.putProfile)
+	mux.HandleFunc("DELETE /v1/profiles/{name}", f.deleteProfile)
 	mux.HandleFunc("PUT /v1/zones/{name}", f.putZone)
 	mux.HandleFunc("GET /v1/zones", f.listZones)
 	mux.HandleFunc("POST /v1/jobs", f.postJob)
@@ -123,6 +124,15 @@
 	answer(w, 200, p)
 }
 
+func (f *fakeEntry) deleteProfile(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	if lostRace(w, r, f.profiles[name].Version) {
+		return
+	}
+	delete(f.profiles, name)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (f *fakeEntry) putZone(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
 	if lostRace(w, r, f.zones[name].Version) {
--- a/internal/ctl/profiles.go
+++ b/internal/ctl/profiles.go
@@ -51,7 +51,11 @@
 		example: "  coltsfootctl profiles delete reconstruction --if-version 12",
 		flags:   version.add,
 		run: func(ctx context.Context, args []string) error {
-			return e.client().DeleteProfile(ctx, args[0], uint64(version))
+			if err := e.client().DeleteProfile(ctx, args[0], uint64(version)); err != nil {
+				return err
+			}
+			fmt.Fprintf(e.stderr, "profile %q deleted\n", args[0])
+			return nil
 		},
 	}
 }
@@ -89,7 +93,8 @@
 	return e.printTable(rows)
 }
 
-// setProfiles reads all files before it changes anything.
+// setProfiles reads all files before it changes anything. After a refusal it
+// prints the profiles that were set before.
 func (e *env) setProfiles(ctx context.Context, files []string, force bool) error {
 	profiles := make([]api.Profile, len(files))
 	for i, file := range files {
@@ -101,15 +106,26 @@
 	}
 	set := []api.Profile{}
 	for _, p := range profiles {
-		p, err := e.setProfile(ctx, p, force)
+		done, err := e.setProfile(ctx, p, force)
 		if err != nil {
-			return errors.Annotatef(err, "profile %q", p.Name)
+			return e.reportPartlySet(set, errors.Annotatef(err, "profile %q", p.Name))
 		}
-		set = append(set, p)
+		set = append(set, done)
 	}
 	return e.printProfiles(set)
 }
 
+// reportPartlySet prints the profiles that were set before the refusal.
+func (e *env) reportPartlySet(set []api.Profile, refusal error) error {
+	if len(set) == 0 {
+		return refusal
+	}
+	if err := e.printProfiles(set); err != nil {
+		return err
+	}
+	return refusal
+}
+
 func (e *env) setProfile(ctx context.Context, p api.Profile, force bool) (api.Profile, error) {
 	version := p.Version
 	if version == 0 || force {
