An attempt that certainly never started is tried again, whatever its job is

Cause: a hold that lapsed or was stopped was reported absent, which an agent that has forgotten everything says too. After a takeover that took longer than the hold's lease, a job that is not idempotent ended unknown although no agent had started anything. Such a group is now reported refused, for good; a gang of which all members are, has not run. A new owner also renews adopted holds at once, so that they last until it may start them.

--- a/internal/agent/groups/ended.go
+++ b/internal/agent/groups/ended.go
@@ -11,7 +11,7 @@
 	cfg        Config
 	finals     map[Ref]*final
 	finalOrder []Ref // oldest first
-	tombstones map[Ref]struct{}
+	tombstones map[Ref]State
 	tombOrder  []Ref // oldest first
 }
 
@@ -25,7 +25,7 @@
 	return endedGroups{
 		cfg:        cfg,
 		finals:     map[Ref]*final{},
-		tombstones: map[Ref]struct{}{},
+		tombstones: map[Ref]State{},
 	}
 }
 
@@ -35,8 +35,8 @@
 		f.asked = now
 		return f.report, true
 	}
-	_, buried := e.tombstones[ref]
-	return Report{Ref: ref, State: Absent}, buried
+	state, buried := e.tombstones[ref]
+	return Report{Ref: ref, State: state}, buried
 }
 
 // keep remembers a final report. Beyond the bound the oldest one goes.
@@ -52,15 +52,17 @@
 // forget keeps only the ref of a final report.
 func (e *endedGroups) forget(ref Ref) {
 	delete(e.finals, ref)
-	e.bury(ref)
+	e.bury(ref, Absent)
 }
 
-// bury remembers a ref as refused. Beyond the bound the oldest one goes.
-func (e *endedGroups) bury(ref Ref) {
+// bury remembers a ref that never starts from now on: as Refused when it has
+// certainly not started before either, as Absent otherwise. Beyond the bound
+// the oldest one goes.
+func (e *endedGroups) bury(ref Ref, state State) {
 	if _, known := e.tombstones[ref]; known {
 		return
 	}
-	e.tombstones[ref] = struct{}{}
+	e.tombstones[ref] = state
 	e.tombOrder = append(e.tombOrder, ref)
 	if len(e.tombOrder) > e.cfg.MaxTombstones {
 		delete(e.tombstones, e.tombOrder[0])
--- a/internal/agent/groups/holdstart.go
+++ b/internal/agent/groups/holdstart.go
@@ -89,8 +89,7 @@
 	}
 	if reason != "" {
 		c.counters.StartsRefused++
-		c.release(g)
-		c.emit(Report{Ref: e.Ref, State: Refused, Tasks: len(g.perTask), Detail: reason})
+		c.release(g, reason)
 		return
 	}
 	c.run(g, e)
@@ -127,12 +126,13 @@
 	if c.reportKnown(ref) {
 		return
 	}
-	c.ended.bury(ref)
+	c.ended.bury(ref, Absent)
 	c.emit(Report{Ref: ref, State: Absent})
 }
 
-// release gives up a held group, which is refused from then on.
-func (c *Core) release(g *group) {
+// release gives up a held group, which never starts from then on.
+func (c *Core) release(g *group, detail string) {
 	delete(c.groups, g.ref)
-	c.ended.bury(g.ref)
+	c.ended.bury(g.ref, Refused)
+	c.emit(Report{Ref: g.ref, State: Refused, Tasks: len(g.perTask), Detail: detail})
 }
--- a/internal/agent/groups/lease.go
+++ b/internal/agent/groups/lease.go
@@ -11,8 +11,7 @@
 		switch g.phase {
 		case phaseHeld:
 			c.counters.HoldsLapsed++
-			c.release(g)
-			c.emit(Report{Ref: g.ref, State: Absent, Detail: "hold has lapsed"})
+			c.release(g, "hold has lapsed")
 		case phaseRunning:
 			c.counters.LeasesLapsed++
 			c.end(g, causeLapsed, "lease has lapsed")
--- a/internal/agent/groups/machine_test.go
+++ b/internal/agent/groups/machine_test.go
@@ -36,6 +36,7 @@
 	leaseBy  time.Duration
 	stopSent map[string]bool
 	final    State
+	never    bool // refused for good
 }
 
 // groupsMachine drives a core, a worker that is reached with delays, losses
@@ -365,7 +366,7 @@
 	name, _ := ParseTask(a.Task.ID)
 	g := m.group(e.Ref)
 	first := name.Index == name.First
-	if name.Ref != e.Ref || (first && (!g.held || g.started)) {
+	if name.Ref != e.Ref || g.never || (first && (!g.held || g.started)) {
 		t.Fatalf("%s started without a hold of its own, or again", a.Task.ID)
 	}
 	if !m.allowed || m.leaving || e.Stamp > m.now || m.now >= e.Stamp+e.Permit {
@@ -396,6 +397,12 @@
 			g.held, g.tasks, g.leaseBy = true, r.Tasks, e.Stamp+e.Lease
 		}
 	case Refused:
+		if g.started {
+			t.Fatalf("%v is refused after its start", r.Ref)
+		}
+		if _, hold := ev.(Hold); !hold {
+			g.never = true
+		}
 		g.held = false
 	case Running:
 	default:
--- a/internal/agent/groups/stop.go
+++ b/internal/agent/groups/stop.go
@@ -17,8 +17,7 @@
 	}
 	switch {
 	case g.phase == phaseHeld:
-		c.release(g)
-		c.emit(Report{Ref: e.Ref, State: Absent, Detail: e.Reason})
+		c.release(g, e.Reason)
 	case g.phase == phaseEnding:
 		if e.Grace <= 0 {
 			c.abandonCheckpoint(g)
--- a/internal/agent/groups/types.go
+++ b/internal/agent/groups/types.go
@@ -46,7 +46,8 @@
 }
 
 // Stop ends a group; with Grace a checkpoint is tried first. A group that is
-// not known is answered absent and refused from then on.
+// held only is answered refused, one that is not known absent, and both never
+// start from then on.
 type Stop struct {
 	Epoch  uint64
 	Ref    Ref
@@ -115,7 +116,10 @@
 // State is the state of a group, as reported to entries.
 type State string
 
-// The states of a group.
+// The states of a group. Refused and Absent both say that the agent holds
+// nothing of the attempt; Refused, unlike Absent, that it has not started any
+// task of it either. A hold that is refused may be asked for again, any other
+// group that is reported like this never starts.
 const (
 	Held         State = "held"
 	Refused      State = "refused"
--- a/internal/sched/attempt.go
+++ b/internal/sched/attempt.go
@@ -236,7 +236,7 @@
 		c.finish(j, api.OutcomeCancelled, "cancelled while running")
 	case j.verdict != "":
 		c.finish(j, j.verdict, j.verdictDetail)
-	case j.started && !j.movable():
+	case j.started && !j.movable() && !j.unstarted():
 		c.notice(j, "", ReasonMayHaveRun, string(j.moves))
 		c.finish(j, api.OutcomeUnknown, "the job may have run and is not idempotent: "+string(j.moves))
 	default:
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -90,6 +90,9 @@
 	// ending is set once a Stop is sent; detached once the job has left the attempt.
 	ending   bool
 	detached bool
+	// unstarted is set when the agent says that it has started no task of the
+	// group and never will.
+	unstarted bool
 	firm     bool
 	fixed    bool
 	share    *share
@@ -103,6 +106,12 @@
 
 func (g *group) live() bool { return g.state != groupDone && g.state != groupGone }
 
+// unstarted reports whether the agents of all members have said that they have
+// started nothing of the attempt.
+func (j *job) unstarted() bool {
+	return len(j.groups) > 0 && !slices.ContainsFunc(j.groups, func(g *group) bool { return !g.unstarted })
+}
+
 func (j *job) id() string { return j.rec.Job.ID }
 
 func (j *job) gang() api.Shape {
--- a/internal/sched/reports.go
+++ b/internal/sched/reports.go
@@ -100,6 +100,7 @@
 		c.groupHeld(g)
 	case g.state == groupUnknown:
 		g.state = groupHeld
+		c.renewHeld(g)
 		c.adopted(g.job)
 	case g.state == groupStarting && c.authority.Owner && !g.worker.ZoneOut:
 		c.startGroup(g)
@@ -107,8 +108,9 @@
 }
 
 func (c *Core) reportRefused(g *group, r GroupReport) {
+	g.unstarted = true
 	why := ReasonHoldRefused
-	if g.state == groupHolding {
+	if g.state == groupHolding && !g.ending {
 		c.notice(g.job, g.worker.Name, why, r.Detail)
 		c.pause(g.worker, workerPause)
 	}
--- a/internal/sched/takeover.go
+++ b/internal/sched/takeover.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// renewHeld extends the hold of an adopted member at once: it may lapse before
+// this owner is permitted to start the attempt.
+func (c *Core) renewHeld(g *group) {
+	if c.authority.Owner && renewable(g) {
+		c.emit(Renew{Worker: g.worker.Name, Groups: []GroupRef{{g.job.id(), g.attempt}}})
+	}
+}
+
 // keepEarly keeps the report of a job that may still be read from the table.
 // It returns false once all rows have been given to the core.
 func (c *Core) keepEarly(r GroupReport) bool {
--- a/test/procs/owner_test.go
+++ b/test/procs/owner_test.go
@@ -90,46 +90,72 @@
 		for _, idempotent := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s-%v", step.name, idempotent), func(t *testing.T) {
 				t.Parallel()
-				killOwnerAt(t, step, idempotent)
+				checkKilledOwner(t, step, idempotent)
 			})
 		}
 	}
 }
 
+func checkKilledOwner(t *testing.T, step startStep, idempotent bool) {
+	h := gangSystem(t)
+	id := killOwnerAt(t, h, step, idempotent)
+	killed := time.Now()
+	h.StartEntry("e3", "z1")
+	record := h.AwaitJob(id, jobLimit)
+	t.Logf("%q at attempt %d, %v after the kill", record.Outcome, record.Attempt, time.Since(killed).Round(10*time.Millisecond))
+	h.CheckJob(record)
+	if record.Outcome != api.OutcomeDone && (idempotent || step.name == "running") {
+		t.Errorf("job ended %q: %s", record.Outcome, record.Detail)
+	}
+}
+
 // The owner is killed between the attempt's row and the start. All agents live
-// and know that they have started nothing, so the answer is not unknown.
+// and know that they have started nothing, so the answer is not unknown, also
+// when their holds have lapsed before there is another owner.
 func TestAttemptThatNeverStartedIsNotUnknown(t *testing.T) {
-	t.Parallel()
+	for name, pause := range map[string]time.Duration{"hold-lives": 0, "hold-lapses": 3500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := gangSystem(t)
+			id := killOwnerAt(t, h, startStepNamed(t, "durable"), false)
+			if pause > 0 {
+				h.Other(nil).Kill()
+				time.Sleep(pause)
+			}
+			h.StartEntry("e3", "z1")
+			record := h.AwaitJob(id, jobLimit)
+			t.Logf("%q at attempt %d", record.Outcome, record.Attempt)
+			h.CheckJob(record)
+			if record.Outcome == api.OutcomeUnknown && len(h.Tasks()) == 0 {
+				t.Errorf("job that no worker has run ended %q: %s", record.Outcome, record.Detail)
+			}
+		})
+	}
+}
+
+func startStepNamed(t *testing.T, name string) startStep {
+	t.Helper()
 	for _, step := range startSteps {
-		if step.name != "durable" {
-			continue
-		}
-		h, record := killOwnerAt(t, step, false)
-		if record.Outcome == api.OutcomeUnknown && len(h.Tasks()) == 0 {
-			t.Errorf("job that no worker has run ended %q: %s", record.Outcome, record.Detail)
+		if step.name == name {
+			return step
 		}
 	}
+	t.Fatalf("step %q does not exist", name)
+	return startStep{}
 }
 
-func killOwnerAt(t *testing.T, step startStep, idempotent bool) (*harness.Harness, api.JobRecord) {
+// killOwnerAt submits a job, kills the owner once the step is reached and
+// returns the job's ID.
+func killOwnerAt(t *testing.T, h *harness.Harness, step startStep, idempotent bool) string {
 	t.Helper()
-	h := gangSystem(t)
 	owner := h.Owner()
 	owner.Relay.SetDelay(60 * time.Millisecond)
 	h.Table.Set(step.table)
 	id := submit(t, h, step.name, harness.Gang(2, accelerators, 2*time.Second, idempotent), h.Other(owner))
 	h.Eventually("step "+step.name, 10*time.Second, func() bool { return step.reached(h, id) })
 	owner.Kill()
-	killed := time.Now()
 	h.Table.Set(standin.FaultSettings{})
-	h.StartEntry("e3", "z1")
-	record := h.AwaitJob(id, jobLimit)
-	t.Logf("%q at attempt %d, %v after the kill", record.Outcome, record.Attempt, time.Since(killed).Round(10*time.Millisecond))
-	h.CheckJob(record)
-	if record.Outcome != api.OutcomeDone && (idempotent || step.name == "running") {
-		t.Errorf("job ended %q: %s", record.Outcome, record.Detail)
-	}
-	return h, record
+	return id
 }
 
 // The owner is frozen past its lease while it starts one gang and another
