--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -94,9 +94,9 @@
 	// unstarted is set when the agent says that it has started no task of the
 	// group and never will.
 	unstarted bool
-	firm     bool
-	fixed    bool
-	share    *share
+	firm      bool
+	fixed     bool
+	share     *share
 
 	leaseUntil time.Duration
 	progress   time.Duration
