A link that was up is opened again at once; grouping test without a race

TestConcurrentCallersShareTransactions assumed that the first transaction takes a full group and failed when callers came late; it now waits until all callers wait behind a first one.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -66,10 +66,9 @@
 func (l *link) run(ctx context.Context) {
 	wait := redialMin
 	for ctx.Err() == nil {
-		began := time.Now()
-		err := l.serve(ctx)
+		wasUp, err := l.serve(ctx)
 		metrics.GetOrRegisterCounter("links.lost", l.agent.registry).Inc(1)
-		if time.Since(began) > 2*silenceLimit {
+		if wasUp {
 			wait = redialMin
 		}
 		l.agent.log.Debug().Str("address", l.address).Err(err).Msg("link lost")
@@ -78,11 +77,12 @@
 	}
 }
 
-// serve runs one session until it is lost, silent or ctx ends.
-func (l *link) serve(ctx context.Context) error {
+// serve runs one session until it is lost, silent or ctx ends. It reports
+// whether the entry has answered on it.
+func (l *link) serve(ctx context.Context) (wasUp bool, err error) {
 	conn, err := dial(l.address)
 	if err != nil {
-		return errors.Annotatef(err, "dialling entry at %q", l.address)
+		return false, errors.Annotatef(err, "dialling entry at %q", l.address)
 	}
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
@@ -91,7 +91,7 @@
 	defer watchdog.Stop()
 	stream, err := rpc.NewLinkClient(conn).Open(ctx)
 	if err != nil {
-		return errors.Annotatef(err, "opening link to %q", l.address)
+		return false, errors.Annotatef(err, "opening link to %q", l.address)
 	}
 	s := &session{address: l.address, out: make(chan *rpc.AgentMessage, sessionQueue), cancel: cancel}
 	sender := make(chan struct{})
@@ -106,7 +106,7 @@
 		l.setSession(nil)
 		l.agent.host().linkDown(s.entry)
 	}
-	return err
+	return s.entry != "", err
 }
 
 func (l *link) sendLoop(ctx context.Context, stream rpc.Link_OpenClient, s *session) {
--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -36,18 +36,25 @@
 	c := New(table, Config{Budgets: map[Cause]Budget{}})
 	table.mu.Lock() // holds the first transaction back
 	var wg sync.WaitGroup
-	for i := range callers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			rows, err := c.Commit(context.Background(), CauseJob, put(fmt.Sprintf("k%d", i), 0, `1`))
+	commit := func(key string) {
+		wg.Go(func() {
+			rows, err := c.Commit(context.Background(), CauseJob, put(key, 0, `1`))
 			if err != nil || rows[0].Version != 1 {
 				t.Errorf("rows %v, error %v", rows, err)
 			}
-		}()
+		})
 	}
 	lane := c.lanes[laneBulk]
-	waitFor(t, "all but the first group wait", func() bool { return lane.len() >= callers-defaultMaxGroupRows })
+	commit("first")
+	waitFor(t, "the first transaction is in flight", func() bool {
+		lane.mu.Lock()
+		defer lane.mu.Unlock()
+		return lane.running > 0 && len(lane.queue) == 0
+	})
+	for i := range callers {
+		commit(fmt.Sprintf("k%d", i))
+	}
+	waitFor(t, "all others wait", func() bool { return lane.len() == callers })
 	table.mu.Unlock()
 	wg.Wait()
 	if want := 2 + callers/defaultMaxGroupRows; table.commits > want {
