--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -19,6 +19,8 @@
 	// lostAfter is the number of lists in a row in which a started task is
 	// missing before it counts as lost.
 	lostAfter = 2
+	// renewals is the queue of lease renewals; no task has this id.
+	renewals = "renewals"
 )
 
 // taskHost runs the groups core beside a worker.
@@ -30,7 +32,7 @@
 	core    *groups.Core
 	started map[string]int // task id to the number of lists in a row that lack it
 	adopted bool           // the worker's tasks at the agent's start were taken in
-	ops     opQueue
+	ops     opQueues
 }
 
 func newTaskHost(a *Agent, worker platform.Worker) *taskHost {
@@ -52,19 +54,19 @@
 	}
 }
 
-// apply carries out one action. Calls of the worker are queued, so that those
-// for one task keep their order and none blocks the core.
+// apply carries out one action. Calls of the worker are queued for each task,
+// so that they keep their order and none blocks the core or another task.
 func (h *taskHost) apply(act groups.Action) {
 	switch act := act.(type) {
 	case groups.StartTask:
 		metrics.GetOrRegisterCounter("tasks.started", h.agent.registry).Inc(1)
-		h.ops.push(func() { h.startTask(act) })
+		h.ops.push(act.Task.ID, func() { h.startTask(act) })
 	case groups.StopTask:
-		h.ops.push(func() { h.endTask(act.ID, h.worker.Stop) })
+		h.ops.push(act.ID, func() { h.endTask(act.ID, h.worker.Stop) })
 	case groups.CheckpointTask:
-		h.ops.push(func() { h.endTask(act.ID, h.worker.Checkpoint) })
+		h.ops.push(act.ID, func() { h.endTask(act.ID, h.worker.Checkpoint) })
 	case groups.RenewTasks:
-		h.ops.push(func() { h.renew(act) })
+		h.ops.push(renewals, func() { h.renew(act) })
 	case groups.Report:
 		report := reportMessage(act)
 		h.agent.links.broadcast(&rpc.AgentMessage{Body: &rpc.AgentMessage_Group{Group: report}})
@@ -282,42 +284,3 @@
 	defer h.mu.Unlock()
 	return h.core.Dump()
 }
-
-// opQueue runs functions one after the other in a goroutine that lives while
-// there are any.
-type opQueue struct {
-	mu      sync.Mutex
-	pending []func()
-	running bool
-}
-
-func (q *opQueue) push(fn func()) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.pending = append(q.pending, fn)
-	if !q.running {
-		q.running = true
-		go q.drain()
-	}
-}
-
-func (q *opQueue) idle() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return !q.running
-}
-
-func (q *opQueue) drain() {
-	for {
-		q.mu.Lock()
-		if len(q.pending) == 0 {
-			q.running = false
-			q.mu.Unlock()
-			return
-		}
-		fn := q.pending[0]
-		q.pending = q.pending[1:]
-		q.mu.Unlock()
-		fn()
-	}
-}
