--- a/internal/route/agent.go
+++ b/internal/route/agent.go
@@ -165,6 +165,7 @@
 	a.leaving = e.Leaving
 	a.suspect = false
 	a.others = max(0, e.InUse-len(a.open))
+	a.service.full = false
 	if c.usable(a) != before {
 		a.service.stale = true
 	}
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -103,6 +103,7 @@
 	}
 	delete(at.agent.open, at.ref)
 	at.agent.service.busy--
+	at.agent.service.full = false
 }
 
 // drop forgets an attempt; a later word on it is acknowledged only.
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -99,6 +100,7 @@
 		c.permit(e)
 	case Peers:
 		c.entries = max(1, e.Entries)
+		c.changed()
 	case Tick:
 		c.tick()
 	case Drain:
@@ -107,12 +109,20 @@
 }
 
 func (c *Core) permit(e Permit) {
+	same := maps.Equal(c.zonesOut, e.ZonesOut)
 	c.permitted = e.Fresh
 	c.permitAt = c.now
 	c.zonesOut = e.ZonesOut
 	if e.Fresh {
 		c.freshAt = c.now
 	}
+	if !same {
+		c.changed()
+	}
+}
+
+// changed notes a change that concerns the agents of all services.
+func (c *Core) changed() {
 	for _, s := range c.serviceList {
 		s.stale = true
 	}
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -17,6 +17,7 @@
 	busy     int           // attempts that may hold one of them
 	usableAt time.Duration // when an agent was last usable
 	stale    bool          // the figures above have to be worked out again
+	full     bool          // no agent was free, and none has changed since
 }
 
 func (c *Core) service(name string) *service {
@@ -51,6 +52,7 @@
 		return
 	}
 	s.stale = false
+	s.full = false
 	s.capacity = 0
 	s.busy = 0
 	for _, a := range s.agents {
@@ -112,12 +114,13 @@
 
 // dispatch starts waiting requests while agents are free.
 func (c *Core) dispatch(s *service) {
-	if !c.fresh() {
+	if !c.fresh() || s.full {
 		return
 	}
 	for r := s.queue.first(); r != nil; r = s.queue.first() {
 		a := c.pick(s, r)
 		if a == nil {
+			s.full = true
 			return
 		}
 		if r.claims() && !c.breaker.allow(c.now) {
