Process handling of the harness and the demo in one package

The demo failed once: 'zone z2 is out, and its minion answered 1 requests' 10 ms after the change was in force.

--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -20,7 +20,10 @@
 	// inForceLimit is the bound for a configuration change to be in force everywhere.
 	inForceLimit = 3 * time.Second
 	steadyTime   = 2 * time.Second
-	gangTime     = 6 * time.Second
+	pollInterval = 50 * time.Millisecond
+	// inProgressTime is enough for requests that ran when the zone went out.
+	inProgressTime = 500 * time.Millisecond
+	gangTime       = 6 * time.Second
 )
 
 func main() {
@@ -291,6 +294,7 @@
 	if err := d.setZone(zone, "out"); err != nil {
 		return err
 	}
+	time.Sleep(inProgressTime)
 	began := time.Now()
 	time.Sleep(steadyTime)
 	done := l.since(began, time.Now())
--- a/test/procs/harness/usage.go
+++ b/test/process/usage.go
@@ -1,4 +1,4 @@
-package harness
+package process
 
 import (
 	"fmt"
@@ -40,6 +40,3 @@
 		RSSBytes: values[2] * int64(os.Getpagesize()),
 	}, nil
 }
-
-// URL is where the minion itself is called, past its agent.
-func (m *Minion) URL() string { return m.url }
--- a/test/procs/harness/topology.go
+++ b/test/procs/harness/topology.go
@@ -181,3 +181,6 @@
 	}
 	return list
 }
+
+// URL is where the minion itself is called, past its agent.
+func (m *Minion) URL() string { return m.url }
