--- a/internal/route/agent.go
+++ b/internal/route/agent.go
@@ -25,6 +25,7 @@
 	others   int // slots in use by other entries
 
 	open         map[ref]*attempt // attempts that may hold a slot
+	held         int              // number of open
 	wasUsable    bool
 	usableAt     time.Duration // when the agent was last usable
 	rampFrom     time.Duration // start of the slow start
@@ -41,7 +42,7 @@
 
 // free reports whether the agent takes one more attempt now.
 func (c *Core) free(a *agent) bool {
-	return c.now >= a.blockedUntil && len(a.open) < c.limit(a) && c.usable(a)
+	return a.held < a.slots && c.now >= a.blockedUntil && a.held < c.limit(a) && c.usable(a)
 }
 
 // share is the part of the agent's slots that this entry may use: what the
@@ -69,7 +70,7 @@
 
 // attempts returns the open attempts in the order of their making.
 func (a *agent) attempts() []*attempt {
-	out := make([]*attempt, 0, len(a.open))
+	out := make([]*attempt, 0, a.held)
 	for _, at := range a.open {
 		out = append(out, at)
 	}
@@ -164,7 +165,7 @@
 	a.healthy = e.Healthy
 	a.leaving = e.Leaving
 	a.suspect = false
-	a.others = max(0, e.InUse-len(a.open))
+	a.others = max(0, e.InUse-a.held)
 	a.service.full = false
 	if c.usable(a) != before {
 		a.service.stale = true
@@ -182,7 +183,7 @@
 }
 
 func (c *Core) checkAgent(a *agent) {
-	if !a.up && len(a.open) == 0 && c.now-a.changed > agentKeep {
+	if !a.up && a.held == 0 && c.now-a.changed > agentKeep {
 		a.service.removeAgent(a)
 		delete(c.agents, a.name)
 		return
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -93,6 +93,7 @@
 
 func (c *Core) hold(at *attempt) {
 	at.agent.open[at.ref] = at
+	at.agent.held++
 	at.agent.service.busy++
 }
 
@@ -102,6 +103,7 @@
 		return
 	}
 	delete(at.agent.open, at.ref)
+	at.agent.held--
 	at.agent.service.busy--
 	at.agent.service.full = false
 }
--- a/internal/route/dump.go
+++ b/internal/route/dump.go
@@ -128,7 +128,7 @@
 		Silence:     api.Duration(c.now - max(a.statusAt, a.changed)),
 		Slots:       a.slots,
 		Limit:       c.limit(a),
-		Open:        len(a.open),
+		Open:        a.held,
 		Others:      a.others,
 	}
 }
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		s.capacity += c.share(a)
-		s.busy += len(a.open)
+		s.busy += a.held
 	}
 	if s.capacity > 0 {
 		s.usableAt = c.now
@@ -108,7 +108,7 @@
 	return int(mix(r.hash) % uint64(len(s.agents)))
 }
 
-func (a *agent) load() int { return len(a.open) + a.others }
+func (a *agent) load() int { return a.held + a.others }
 
 func (a *agent) lessLoaded(b *agent) bool { return a.load()*b.slots < b.load()*a.slots }
 
