--- a/internal/sched/claim.go
+++ b/internal/sched/claim.go
@@ -25,16 +25,17 @@
 	parts   []placement.Part
 	victims []*job
 	loss    time.Duration
+	rule    victimRule
 }
 
 // plan finds the victims that open the parts for a job with the least work
 // lost.
 func (c *Core) plan(j *job, parts []placement.Part, rule victimRule) (claim, bool) {
-	cl := claim{parts: parts}
+	cl := claim{parts: parts, rule: rule}
 	var candidates []*job
 	for _, p := range parts {
 		w := c.workers[p.Worker.Name]
-		if j.perTask.Times(p.Tasks).Fits(c.opening(w, nil)) {
+		if j.perTask.Times(p.Tasks).Fits(c.opening(w, &cl)) {
 			continue
 		}
 		for _, g := range w.groups {
@@ -97,21 +98,30 @@
 }
 
 // opening is the capacity of a worker that is free, or will be once the groups
-// that are ending and the victims have ended.
-func (c *Core) opening(w *worker, victims []*job) api.Resources {
+// that are ending and the victims have ended. For a claim that may stop work
+// which is not preemptible, other reservations are left out.
+func (c *Core) opening(w *worker, cl *claim) api.Resources {
 	open := w.FreeNow().Sub(w.Earmarked)
+	unreserved := w.Capacity.Sub(w.Reserved).Sub(w.Firm)
 	for _, g := range w.groups {
-		victim := !g.detached && slices.Contains(victims, g.job)
-		if g.ending || victim {
-			open = open.Add(g.amount)
+		victim := !g.detached && slices.Contains(cl.victims, g.job)
+		if !g.ending && !victim {
+			continue
+		}
+		open = open.Add(g.amount)
+		if g.firm {
+			unreserved = unreserved.Add(g.amount)
 		}
 	}
+	if cl.rule.firm {
+		return fleet.Least(open, unreserved)
+	}
 	return open
 }
 
 func (c *Core) opens(j *job, cl *claim) bool {
 	for _, p := range cl.parts {
-		if !j.perTask.Times(p.Tasks).Fits(c.opening(c.workers[p.Worker.Name], cl.victims)) {
+		if !j.perTask.Times(p.Tasks).Fits(c.opening(c.workers[p.Worker.Name], cl)) {
 			return false
 		}
 	}
@@ -122,7 +132,7 @@
 func (c *Core) helps(j, victim *job, cl *claim) bool {
 	for _, p := range cl.parts {
 		w := c.workers[p.Worker.Name]
-		if j.perTask.Times(p.Tasks).Fits(c.opening(w, cl.victims)) {
+		if j.perTask.Times(p.Tasks).Fits(c.opening(w, cl)) {
 			continue
 		}
 		for _, g := range victim.groups {
@@ -137,7 +147,7 @@
 // spare drops victims that are not needed, those with the largest loss first.
 func (c *Core) spare(j *job, cl *claim) {
 	for i := len(cl.victims) - 1; i >= 0; i-- {
-		fewer := claim{parts: cl.parts, victims: slices.Delete(slices.Clone(cl.victims), i, i+1)}
+		fewer := claim{parts: cl.parts, rule: cl.rule, victims: slices.Delete(slices.Clone(cl.victims), i, i+1)}
 		if c.opens(j, &fewer) {
 			cl.victims = fewer.victims
 		}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -41,6 +41,7 @@
 	counts    map[Reason]int
 	renewed   int64
 	reviewed  time.Duration
+	forgotAt  time.Duration
 
 	// slots are the places of the guarantees; slotsOf holds them by profile.
 	slots       []*reservation
--- a/internal/sched/fleet/fleet.go
+++ b/internal/sched/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/google/btree"
 
@@ -200,14 +201,8 @@
 }
 
 func insertSorted(names []string, name string) []string {
-	i := 0
-	for i < len(names) && names[i] < name {
-		i++
-	}
-	names = append(names, "")
-	copy(names[i+1:], names[i:])
-	names[i] = name
-	return names
+	i, _ := slices.BinarySearch(names, name)
+	return slices.Insert(names, i, name)
 }
 
 func (f *Fleet) detach(w *Worker) {
@@ -220,16 +215,24 @@
 		f.addTotal(old, w.avail, [viewCount]api.Resources{})
 	})
 	w.avail = [viewCount]api.Resources{}
-	for i, o := range old.Workers {
-		if o == w {
-			old.Workers = append(old.Workers[:i], old.Workers[i+1:]...)
-			break
-		}
-	}
+	old.Workers = slices.DeleteFunc(old.Workers, func(o *Worker) bool { return o == w })
+}
+
+// Remove takes a worker out of the fleet.
+func (f *Fleet) Remove(w *Worker) {
+	f.detach(w)
+	w.Rack = nil
+	delete(f.workers, w.Name)
+	f.ordered = slices.DeleteFunc(f.ordered, func(o *Worker) bool { return o == w })
 }
 
 // Update applies change to a worker and brings the indexes up to date.
 func (f *Fleet) Update(w *Worker, change func(*Worker)) {
+	if w.Rack == nil {
+		// The worker has been removed.
+		change(w)
+		return
+	}
 	f.unindex(w)
 	before := w.avail
 	if w.InService() {
@@ -325,7 +328,7 @@
 	if v == Free {
 		return free
 	}
-	return least(free, positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm)))
+	return Least(free, positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm)))
 }
 
 func (w *Worker) reclaimable(v View) api.Resources {
@@ -355,7 +358,8 @@
 	}
 }
 
-func least(a, b api.Resources) api.Resources {
+// Least is the smaller of two amounts in each dimension.
+func Least(a, b api.Resources) api.Resources {
 	return api.Resources{
 		Accelerators: min(a.Accelerators, b.Accelerators),
 		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
@@ -179,7 +180,7 @@
 		}
 	}
 	if w.InService() && w.Capacity != (api.Resources{}) && !reserved.Add(firm).Fits(w.Capacity) && reserved != (api.Resources{}) {
-		t.Fatalf("%s: guarantees %+v are blocked by %+v", w.Name, reserved, firm)
+		t.Fatalf("%s: guarantees %+v are blocked by %+v: %s", w.Name, reserved, firm, describeGroups(w))
 	}
 }
 
@@ -422,3 +423,12 @@
 		m.replay(t)
 	})
 }
+
+func describeGroups(w *worker) string {
+	var out []string
+	for _, g := range w.groups {
+		out = append(out, fmt.Sprintf("%s/%d %s %s %+v firm %v fixed %v ending %v detached %v shared %v",
+			g.job.id(), g.attempt, g.job.phase, g.state, g.amount, g.firm, g.fixed, g.ending, g.detached, g.share != nil))
+	}
+	return strings.Join(out, "\n")
+}
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -34,6 +34,7 @@
 		return
 	}
 	c.reviewed = c.now
+	c.forgetWorkers()
 	for _, cl := range slices.Clone(c.queue.ordered) {
 		if j := cl.head(); cl.failed && j != nil {
 			c.reviewWaiting(j)
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
@@ -11,6 +12,12 @@
 // for a checkpoint within their leases.
 const disconnectPatience = 4 * time.Second
 
+const (
+	// forgetAfter is how long a worker that is gone counts as part of the fleet.
+	forgetAfter    = 24 * time.Hour
+	forgetInterval = time.Hour
+)
+
 // startResend is how long a start may stay without a report.
 const startResend = time.Second
 
@@ -39,6 +46,22 @@
 	return w
 }
 
+// forgetWorkers drops workers that have been replaced.
+func (c *Core) forgetWorkers() {
+	if c.now < c.forgotAt+forgetInterval {
+		return
+	}
+	c.forgotAt = c.now
+	c.ordered = slices.DeleteFunc(c.ordered, func(w *worker) bool {
+		gone := !w.Linked && c.now-w.downTime >= forgetAfter && len(w.groups) == 0 && len(w.claims) == 0
+		if gone {
+			delete(c.workers, w.Name)
+			c.fleet.Remove(w.Worker)
+		}
+		return gone
+	})
+}
+
 func (c *Core) update(w *worker, change func(*fleet.Worker)) { c.fleet.Update(w.Worker, change) }
 
 func (c *Core) workerUp(e WorkerUp) {
