--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -284,6 +284,23 @@
 	})
 }
 
+// BenchmarkReport is a progress report of a running group.
+func BenchmarkReport(t *testing.B) {
+	perSize(t, func(t *testing.B, b *bench) {
+		var reports []GroupReport
+		for _, id := range b.running() {
+			for _, p := range b.rows[id].Placements {
+				reports = append(reports, GroupReport{Worker: p.Worker, JobID: id, Attempt: b.rows[id].Attempt, State: GroupRunning, Progress: time.Minute})
+			}
+		}
+		t.ResetTimer()
+		for i := range t.N {
+			b.apply(reports[i%len(reports)])
+		}
+		t.ReportMetric(float64(len(reports))/float64(len(b.workers)), "groups/worker")
+	})
+}
+
 // BenchmarkSecond is one second of ticks: renewals and reviews.
 func BenchmarkSecond(t *testing.B) {
 	perSize(t, func(t *testing.B, b *bench) {
