--- a/internal/sched/fleet/fleet.go
+++ b/internal/sched/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/google/btree"
 
@@ -93,6 +94,7 @@
 	racks   map[string]*Rack
 	zones   []string
 	zoneOf  map[string][]*Rack
+	totals  map[string]*[viewCount]api.Resources
 	ordered []*Worker
 	gen     uint64
 	recent  *list.List
@@ -108,6 +110,7 @@
 		workers: map[string]*Worker{},
 		racks:   map[string]*Rack{},
 		zoneOf:  map[string][]*Rack{},
+		totals:  map[string]*[viewCount]api.Resources{},
 		recent:  list.New(),
 		byFree:  btree.NewG(btreeDegree, lessWorker),
 		byRack:  btree.NewG(btreeDegree, lessRack),
@@ -153,6 +156,9 @@
 // Racks returns the racks of a zone in order of their first announcement.
 func (f *Fleet) Racks(zone string) []*Rack { return f.zoneOf[zone] }
 
+// ZoneTotal is what a view offers in a zone.
+func (f *Fleet) ZoneTotal(zone string, v View) api.Resources { return f.totals[zone][v] }
+
 // Worker returns the named worker, or nil.
 func (f *Fleet) Worker(name string) *Worker { return f.workers[name] }
 
@@ -187,6 +193,7 @@
 	r.recent = f.recent.PushBack(r)
 	f.racks[name] = r
 	if f.zoneOf[zone] == nil {
+		f.totals[zone] = new([viewCount]api.Resources)
 		f.zones = insertSorted(f.zones, zone)
 	}
 	f.zoneOf[zone] = append(f.zoneOf[zone], r)
@@ -194,14 +201,8 @@
 }
 
 func insertSorted(names []string, name string) []string {
-	i := 0
-	for i < len(names) && names[i] < name {
-		i++
-	}
-	names = append(names, "")
-	copy(names[i+1:], names[i:])
-	names[i] = name
-	return names
+	i, _ := slices.BinarySearch(names, name)
+	return slices.Insert(names, i, name)
 }
 
 func (f *Fleet) detach(w *Worker) {
@@ -211,21 +212,27 @@
 	old := w.Rack
 	f.unindex(w)
 	f.reindexRack(old, func() {
-		for v := range viewCount {
-			old.Total[v] = old.Total[v].Sub(w.avail[v])
-		}
+		f.addTotal(old, w.avail, [viewCount]api.Resources{})
 	})
 	w.avail = [viewCount]api.Resources{}
-	for i, o := range old.Workers {
-		if o == w {
-			old.Workers = append(old.Workers[:i], old.Workers[i+1:]...)
-			break
-		}
-	}
+	old.Workers = slices.DeleteFunc(old.Workers, func(o *Worker) bool { return o == w })
+}
+
+// Remove takes a worker out of the fleet.
+func (f *Fleet) Remove(w *Worker) {
+	f.detach(w)
+	w.Rack = nil
+	delete(f.workers, w.Name)
+	f.ordered = slices.DeleteFunc(f.ordered, func(o *Worker) bool { return o == w })
 }
 
 // Update applies change to a worker and brings the indexes up to date.
 func (f *Fleet) Update(w *Worker, change func(*Worker)) {
+	if w.Rack == nil {
+		// The worker has been removed.
+		change(w)
+		return
+	}
 	f.unindex(w)
 	before := w.avail
 	if w.InService() {
@@ -240,9 +247,7 @@
 		w.avail[v] = w.available(v)
 	}
 	f.reindexRack(w.Rack, func() {
-		for v := range viewCount {
-			w.Rack.Total[v] = w.Rack.Total[v].Add(w.avail[v]).Sub(before[v])
-		}
+		f.addTotal(w.Rack, before, w.avail)
 	})
 	if w.Open() {
 		f.byFree.ReplaceOrInsert(w)
@@ -255,6 +260,15 @@
 	}
 }
 
+// addTotal replaces a worker's part in the totals of its rack and zone.
+func (f *Fleet) addTotal(r *Rack, before, after [viewCount]api.Resources) {
+	zone := f.totals[r.Zone]
+	for v := range viewCount {
+		r.Total[v] = r.Total[v].Add(after[v]).Sub(before[v])
+		zone[v] = zone[v].Add(after[v]).Sub(before[v])
+	}
+}
+
 func gained(before, after [viewCount]api.Resources) bool {
 	for v := range viewCount {
 		if !after[v].Fits(before[v]) {
@@ -314,7 +328,7 @@
 	if v == Free {
 		return free
 	}
-	return least(free, positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm)))
+	return Least(free, positive(w.Capacity.Sub(w.Reserved).Sub(w.Firm)))
 }
 
 func (w *Worker) reclaimable(v View) api.Resources {
@@ -344,7 +358,8 @@
 	}
 }
 
-func least(a, b api.Resources) api.Resources {
+// Least is the smaller of two amounts in each dimension.
+func Least(a, b api.Resources) api.Resources {
 	return api.Resources{
 		Accelerators: min(a.Accelerators, b.Accelerators),
 		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
