--- a/internal/entry/scheduler/guarantees.go
+++ b/internal/entry/scheduler/guarantees.go
@@ -2,12 +2,16 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/feasibility"
 	"github.com/juju/errors"
 )
 
+// settleTime is how long after its start an entry may not know all workers yet.
+const settleTime = 15 * time.Second
+
 // ErrNotFeasible says that guaranteed shapes do not fit on the workers.
 const ErrNotFeasible = errors.ConstError("guarantees do not fit")
 
@@ -15,7 +19,8 @@
 // workers that are linked. An error names the guaranteed shapes that do not
 // fit; a warning tells that they fit only while all zones are in. An edit that
 // leaves the profile's guarantee as it was is never refused, so that profiles
-// stay editable while workers are missing.
+// stay editable while workers are missing, nor is one refused by an entry that
+// has just started and may not know all workers.
 func (s *Service) CheckGuarantees(edited *api.Config, name string) (warning string, err error) {
 	workers := s.linkedWorkers()
 	if len(workers) == 0 {
@@ -30,7 +35,8 @@
 		warnings = append(warnings, f.Detail)
 	}
 	changed := !sameGuarantee(s.config.Current().Profiles[name].Guarantee, edited.Profiles[name].Guarantee)
-	if len(errorsFound) > 0 && changed {
+	settled := time.Since(s.created) >= settleTime
+	if len(errorsFound) > 0 && changed && settled {
 		return "", errors.Annotate(ErrNotFeasible, strings.Join(errorsFound, "; "))
 	}
 	return strings.Join(append(errorsFound, warnings...), "; "), nil
--- a/internal/entry/scheduler/scheduler.go
+++ b/internal/entry/scheduler/scheduler.go
@@ -50,6 +50,7 @@
 	links    *links.Server
 	registry metrics.Registry
 	log      zerolog.Logger
+	created  time.Time
 
 	mu      sync.Mutex
 	term    *term // nil while another entry owns the cell
@@ -77,6 +78,7 @@
 		links:    srv,
 		registry: registry,
 		log:      log,
+		created:  time.Now(),
 		workers:  map[string]*worker{},
 		poke:     make(chan string, 4096),
 	}
