--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -19,8 +19,9 @@
 	defaultListing = 100
 	maxListing     = 1000
 	maxGangTasks   = 1024
-	// maxPayloadBytes bounds a job's payload, which is kept in its row.
-	maxPayloadBytes = 256 << 10
+	// maxPayloadBytes bounds a job's payload, which is kept in its row and in
+	// the owner's memory. Larger inputs belong into the object store.
+	maxPayloadBytes = 64 << 10
 )
 
 // jobRequest is the document that callers submit.
--- a/test/procs/gangs_test.go
+++ b/test/procs/gangs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/client"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 	"github.com/coltsfootlug/coltsfootlug/test/procs/harness"
 )
 
@@ -132,3 +133,57 @@
 		}
 	}
 }
+
+// One account cancels a wave of jobs, most of them queued, one running; the job
+// of another account behind them runs soon.
+func TestCancellationWave(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	h.SetProfile(api.Profile{Name: "other", ClientAccount: "other"})
+	var wave []string
+	for n := range 60 {
+		wave = append(wave, submit(t, h, fmt.Sprintf("wave-%d", n), harness.Gang(2, accelerators, time.Minute, true), h.Owner()))
+	}
+	h.Eventually("the first gangs run", 15*time.Second, func() bool { return h.AllRunningTasks() == 4 })
+	behind := harness.Gang(2, accelerators, 100*time.Millisecond, true)
+	behind.Profile = "other"
+	id := submit(t, h, "behind", behind, h.Owner())
+	for _, job := range wave {
+		if _, err := h.Client().CancelJob(context.Background(), job); err != nil {
+			t.Errorf("cancel of %s: %v", job, err)
+		}
+	}
+	record := h.AwaitJob(id, 10*time.Second)
+	h.CheckJob(record)
+	if record.Outcome != api.OutcomeDone {
+		t.Errorf("job behind the wave ended %q: %s", record.Outcome, record.Detail)
+	}
+	for _, job := range wave {
+		record := h.AwaitJob(job, jobLimit)
+		h.CheckJob(record)
+		if record.Outcome != api.OutcomeCancelled {
+			t.Errorf("cancelled job %s ended %q: %s", job, record.Outcome, record.Detail)
+		}
+	}
+}
+
+// A worker fails every task it starts: the gangs of several jobs end done on
+// the others, and no job is blamed for the worker.
+func TestWorkerThatFailsEveryTask(t *testing.T) {
+	t.Parallel()
+	h := gangSystem(t)
+	broken := h.Workers()[0]
+	broken.Set(standin.FaultSettings{FailTasks: "accelerator fell off the bus"})
+	var ids []string
+	for n := range 12 {
+		ids = append(ids, submit(t, h, fmt.Sprintf("job-%d", n), harness.Gang(1, accelerators, 200*time.Millisecond, true), h.Owner()))
+	}
+	for _, id := range ids {
+		record := h.AwaitJob(id, jobLimit)
+		h.CheckJob(record)
+		if record.Outcome != api.OutcomeDone {
+			t.Errorf("job %s ended %q: %s", id, record.Outcome, record.Detail)
+		}
+	}
+	t.Logf("%s started %d tasks", broken.ID, len(broken.Executions()))
+}
