route: scenario of the bounds; a profile with open requests keeps its queue

The queue of a profile whose requests were all under way could be dropped at MaxFlows and made again beside the old one. The dump is shown in the script.

--- a/internal/route/queue.go
+++ b/internal/route/queue.go
@@ -21,6 +21,7 @@
 	key    flowKey
 	weight float64
 	items  *list.List
+	open   int     // requests that are queued or under way
 	start  float64 // virtual start time of the first item
 	finish float64 // virtual finish time of the last item charged
 	index  int     // position in the heap, or -1
@@ -58,7 +59,7 @@
 func (q *fairQueue) dropOldest() {
 	var oldest *flow
 	for _, f := range q.flows {
-		if f.items.Len() > 0 {
+		if f.open > 0 {
 			continue
 		}
 		if oldest == nil || f.used < oldest.used || f.used == oldest.used && f.key.less(oldest.key) {
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -77,6 +77,7 @@
 	r.phase = phaseQueued
 	r.since = c.now
 	s.open++
+	f.open++
 	s.queue.push(r)
 	c.arm(r)
 }
@@ -200,6 +201,7 @@
 	c.emit(a)
 	delete(c.requests, r.ID)
 	r.service.open--
+	r.flow.open--
 	c.timers.stop(r.timer)
 	r.service.queue.remove(r)
 	c.unfollow(r)
--- a/internal/route/scenario_test.go
+++ b/internal/route/scenario_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -72,11 +73,18 @@
 			Entries:     s.number("entries", 1),
 			RetryBurst:  float64(s.number("retries", 0)),
 			MaxAttempts: s.number("max-attempts", 0),
+			MaxOpen:     s.number("max-open", 0),
+			MaxFlows:    s.number("max-flows", 0),
+			MaxAgents:   s.number("max-agents", 0),
 		})}
 		s.last = Permit{Fresh: true}
 		return s.step(s.last)
 	case "agents":
 		return s.agents()
+	case "dump":
+		out, err := json.MarshalIndent(s.core.Dump(), "", " ")
+		s.check("dump", err)
+		return string(out)
 	}
 	out := s.pass(at)
 	for range s.number("times", 1) {
