--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// running returns the jobs that run, in order.
+func (b *bench) running() []string {
+	var ids []string
+	for _, id := range sortedKeys(b.rows) {
+		if b.rows[id].State == api.JobRunning {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 func (b *bench) lose(workers []WorkerUp) {
 	for _, w := range workers {
 		b.apply(WorkerDown{w.Worker})
