A client that is not used any more closes its connection

BenchmarkStoreOutage failed also without an outage: after 6,548 requests all calls were refused. Cause: a new client for each request left its idle connection open for ever, three descriptors each in the test process, whose limit is 20,000. Ruled out: the entries, whose links and logs show no change.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -43,6 +43,9 @@
 	return fmt.Sprintf("%s: %s", e.Problem.Title, e.Problem.Detail)
 }
 
+// idleConnTimeout lets a client that is not used any more hold no connection.
+const idleConnTimeout = 2 * time.Second
+
 // maxAnswerBytes bounds an answer's body.
 const maxAnswerBytes = 64 << 20
 
@@ -62,7 +65,10 @@
 	return &Client{
 		base:    strings.TrimRight(address, "/"),
 		timeout: timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     idleConnTimeout,
+		}},
 	}
 }
 
