--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -276,6 +276,17 @@
 	})
 }
 
+// BenchmarkConfigure is a configuration that changes no zone and no guarantee.
+func BenchmarkConfigure(t *testing.B) {
+	perSize(t, func(t *testing.B, b *bench) {
+		for range t.N {
+			b.config = b.config.Clone()
+			b.config.Version++
+			b.apply(Configured{b.config})
+		}
+	})
+}
+
 func BenchmarkTakeover(t *testing.B) {
 	perSize(t, func(t *testing.B, b *bench) {
 		for range t.N {
