--- a/internal/sched/dump.go
+++ b/internal/sched/dump.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 )
 
@@ -91,3 +93,12 @@
 	}
 	return d
 }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -18,9 +18,6 @@
 	forgetInterval = time.Hour
 )
 
-// startResend is how long a start may stay without a report.
-const startResend = time.Second
-
 // worker is a worker of the fleet with the groups that use it.
 type worker struct {
 	*fleet.Worker
@@ -243,64 +240,3 @@
 	}
 	return nil
 }
-
-// renewBuckets spreads the renewals of all workers over RenewInterval.
-const renewBuckets = int64(RenewInterval / TickInterval)
-
-func (c *Core) renewDue() {
-	last := c.renewed
-	c.renewed = int64(c.now / TickInterval)
-	if !c.authority.Owner {
-		return
-	}
-	from := max(last+1, c.renewed-renewBuckets+1)
-	for tick := from; tick <= c.renewed; tick++ {
-		for i := int(tick % renewBuckets); i < len(c.ordered); i += int(renewBuckets) {
-			c.renewWorker(c.ordered[i])
-		}
-	}
-}
-
-func (c *Core) renewWorker(w *worker) {
-	if !w.Linked {
-		return
-	}
-	var refs []GroupRef
-	for _, g := range w.groups {
-		if !renewable(g) {
-			continue
-		}
-		g.leaseUntil = c.now + GroupLease + c.cfg.Margin
-		c.startAgain(g)
-		refs = append(refs, GroupRef{g.job.id(), g.attempt})
-	}
-	if len(refs) > 0 {
-		c.emit(Renew{Worker: w.Name, Groups: refs})
-	}
-}
-
-// startAgain repeats a start that has not been confirmed.
-func (c *Core) startAgain(g *group) {
-	j := g.job
-	if g.state != groupStarting || c.now < j.startedAt+startResend {
-		return
-	}
-	if g.worker.ZoneOut {
-		c.broken(g, ReasonZoneOut)
-		return
-	}
-	c.startGroup(g)
-}
-
-// renewable reports whether a group's lease may be extended: those of a gang
-// are for all members or for none.
-func renewable(g *group) bool {
-	if g.ending || g.detached {
-		return false
-	}
-	j := g.job
-	if j.phase == phaseSaving {
-		return j.lost == 0 && !j.aborted
-	}
-	return j.phase == phaseRunning && (j.lost == 0 || j.adopting)
-}
