--- a/internal/sched/scenario_test.go
+++ b/internal/sched/scenario_test.go
@@ -107,6 +107,8 @@
 	case "store":
 		s.storeDown = d.CmdArgs[0].Key != "up"
 		s.step(Authority{Owner: true, Epoch: uint64(s.term), StoreDown: d.CmdArgs[0].Key == "down"})
+	case "drain":
+		s.step(Drain{})
 	case "takeover":
 		s.own(HoldLease + DefaultMargin)
 	case "advance":
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -205,6 +205,7 @@
 	ReasonQuota         Reason = "quota-reached"
 	ReasonReclaim       Reason = "reclaimed-for-guarantee"
 	ReasonZoneOut       Reason = "zone-out"
+	ReasonWorkerLeaving Reason = "worker-leaving"
 	ReasonZoneReturn    Reason = "zone-returning-by-steps"
 	ReasonWorkerLost    Reason = "worker-lost"
 	ReasonQuarantine    Reason = "worker-quarantined"
--- a/internal/sched/zones.go
+++ b/internal/sched/zones.go
@@ -84,6 +84,7 @@
 
 // vacate ends everything on a worker that has not started and moves what runs.
 func (c *Core) vacate(w *worker) {
+	why := leaveReason(w)
 	c.slotsDirty = true
 	c.dropClaimsOn(w)
 	for _, g := range slices.Clone(w.groups) {
@@ -92,26 +93,37 @@
 		}
 		switch g.job.phase {
 		case phaseHolding:
-			c.preempt(g.job, 0, ReasonZoneOut)
+			c.preempt(g.job, 0, why)
 		case phaseSaving:
-			c.abortSaving(g.job, string(ReasonZoneOut))
+			c.abortSaving(g.job, string(why))
 		case phaseRunning:
 			c.moveLater(g.job)
 		}
 	}
 }
 
+func leaveReason(w *worker) Reason {
+	if w.ZoneOut {
+		return ReasonZoneOut
+	}
+	return ReasonWorkerLeaving
+}
+
 // moveIfOut moves a job that was taken over in a zone that is out.
 func (c *Core) moveIfOut(j *job) {
-	if j.inOutZone() {
+	if j.leaves() != nil {
 		c.moveLater(j)
 	}
 }
 
-func (j *job) inOutZone() bool {
-	return slices.ContainsFunc(j.groups, func(g *group) bool {
-		return g.live() && (g.worker.ZoneOut || g.worker.Leaving)
-	})
+// leaves returns a worker of the job that it has to leave, or nil.
+func (j *job) leaves() *worker {
+	for _, g := range j.groups {
+		if g.live() && (g.worker.ZoneOut || g.worker.Leaving) {
+			return g.worker
+		}
+	}
+	return nil
 }
 
 // moveLater notes a job that has to leave its workers. A job that can not
@@ -137,11 +149,12 @@
 		j := c.moving[0]
 		c.moving = c.moving[1:]
 		j.moving = false
-		if j.phase != phaseRunning || j.adopting || !j.inOutZone() {
+		w := j.leaves()
+		if j.phase != phaseRunning || j.adopting || w == nil {
 			continue
 		}
-		c.notice(j, "", ReasonZoneOut, "")
-		c.end(j, grace(j), ReasonZoneOut)
+		c.notice(j, "", leaveReason(w), "")
+		c.end(j, grace(j), leaveReason(w))
 		moved++
 	}
 }
