--- a/internal/confstate/permit.go
+++ b/internal/confstate/permit.go
@@ -2,8 +2,18 @@
 
 import "time"
 
-// PeerFreshLimit is the age up to which a peer's report counts.
-const PeerFreshLimit = 2 * time.Second
+const (
+	// PeerFreshLimit is the age up to which a peer's report counts.
+	PeerFreshLimit = 2 * time.Second
+	// listSlack is how much older than the last contact with the store the list
+	// of entries may be.
+	listSlack = 2500 * time.Millisecond
+	// SettleTime is how long an entry has announced itself before it accepts
+	// changes. By then every entry that reads the store knows of it.
+	SettleTime = 4 * time.Second
+	// settlePoll is the time between two looks at whether the entry has settled.
+	settlePoll = 50 * time.Millisecond
+)
 
 // Peer is another entry as this one knows it.
 type Peer struct {
@@ -15,15 +25,24 @@
 	StoreFailing bool
 }
 
-// PeerView tells which other entries exist. Known is false until a list of the
-// entries was read or heard.
+// PeerView tells which other entries exist and whether they know this one.
 type PeerView interface {
-	Peers() (peers []Peer, known bool)
+	// Peers returns the other entries and when their list was last read from
+	// the store; known is false if it never was.
+	Peers() (peers []Peer, listed time.Duration, known bool)
+	// Settled reports whether the others have counted this entry among theirs
+	// for SettleTime, so that none starts work in an outage without asking it.
+	Settled() bool
 }
 
 // downEverywhere reports whether the store fails for this entry and all peers.
-func downEverywhere(now time.Duration, failing bool, peers []Peer, known bool) bool {
-	if !failing || !known {
+// outage is for how long it has failed here.
+func downEverywhere(now, outage time.Duration, view PeerView) bool {
+	if outage <= FreshLimit {
+		return false
+	}
+	peers, listed, known := view.Peers()
+	if !known || now-listed > outage+listSlack {
 		return false
 	}
 	for _, p := range peers {
--- a/internal/confstate/service.go
+++ b/internal/confstate/service.go
@@ -10,14 +10,17 @@
 	"github.com/rs/zerolog"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 )
 
 // Config sets up a service. Zero values take the defaults.
 type Config struct {
 	PollInterval time.Duration
-	Metrics      metrics.Registry
-	Log          zerolog.Logger
+	// Sleep waits for a duration or the end of ctx.
+	Sleep   func(ctx context.Context, d time.Duration)
+	Metrics metrics.Registry
+	Log     zerolog.Logger
 }
 
 // Service is the Store over the ledger.
@@ -33,8 +36,7 @@
 
 	editing chan struct{} // holds one token while an edit is in progress
 	feed    *feed
-	cancel  context.CancelFunc
-	loops   sync.WaitGroup
+	loops   kernel.Loops
 }
 
 var _ Store = (*Service)(nil)
@@ -47,6 +49,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
+	if cfg.Sleep == nil {
+		cfg.Sleep = kernel.Sleep
+	}
 	return &Service{
 		ledger:  l,
 		peers:   peers,
@@ -60,42 +65,18 @@
 
 // Start starts the polling.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.loops.Add(2)
-	go func() {
-		defer s.loops.Done()
-		s.pollLoop(ctx)
-	}()
-	go func() {
-		defer s.loops.Done()
-		s.feed.run(ctx, s.Current)
-	}()
+	s.loops.Begin()
+	s.loops.Every(s.cfg.PollInterval, s.Poll)
+	s.loops.Go(func(ctx context.Context) { s.feed.run(ctx, s.Current) })
 	return nil
 }
 
 // Stop ends the polling.
 func (s *Service) Stop(context.Context) error {
-	if s.cancel != nil {
-		s.cancel()
-	}
-	s.loops.Wait()
+	s.loops.End()
 	return nil
 }
 
-func (s *Service) pollLoop(ctx context.Context) {
-	t := time.NewTicker(s.cfg.PollInterval)
-	defer t.Stop()
-	for {
-		s.Poll(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
 // Poll reads the head and, if it is newer, the document.
 func (s *Service) Poll(ctx context.Context) {
 	start := s.clock()
@@ -182,17 +163,13 @@
 }
 
 // StoreFailing reports whether the store has answered no call of this entry
-// within FreshLimit.
-func (s *Service) StoreFailing() bool {
-	ago, ok := s.ledger.SinceAnswer()
-	return !ok || ago > FreshLimit
-}
+// for longer than FreshLimit.
+func (s *Service) StoreFailing() bool { return s.ledger.Outage() > FreshLimit }
 
 // StoreDownEverywhere reports whether this entry and all its peers fail to
 // reach the store.
 func (s *Service) StoreDownEverywhere() bool {
-	peers, known := s.peers.Peers()
-	return downEverywhere(s.clock(), s.StoreFailing(), peers, known)
+	return downEverywhere(s.clock(), s.ledger.Outage(), s.peers)
 }
 
 // Permit reports whether work may start now: the configuration was confirmed
--- a/internal/confstate/update.go
+++ b/internal/confstate/update.go
@@ -34,9 +34,9 @@
 	return s.update(ctx, putZone(name, state, expect))
 }
 
-// update makes an edit by compare-and-set. The rows as last seen serve first;
-// what they refuse is judged again on rows that were just read. A transaction
-// that loses to a change of another item is made again on the newer rows.
+// update makes an edit by compare-and-set. It is acknowledged only while the
+// other entries count this one among theirs: an entry that starts work in an
+// outage then asks this one, which knows of the change.
 func (s *Service) update(ctx context.Context, e edit) (*api.Config, error) {
 	select {
 	case s.editing <- struct{}{}:
@@ -44,6 +44,34 @@
 	case <-ctx.Done():
 		return nil, errors.Annotate(ErrStoreDown, ctx.Err().Error())
 	}
+	if err := s.awaitSettled(ctx); err != nil {
+		return nil, errors.Annotate(ErrStoreDown, err.Error())
+	}
+	c, err := s.compareAndSet(ctx, e)
+	if err != nil {
+		return c, err
+	}
+	// This process may have been paused since the first look.
+	if err := s.awaitSettled(ctx); err != nil {
+		return nil, errors.Annotatef(ledger.ErrUnknown, "version %d is written, but may not be in force: %v", c.Version, err)
+	}
+	return c, nil
+}
+
+func (s *Service) awaitSettled(ctx context.Context) error {
+	for !s.peers.Settled() {
+		if err := ctx.Err(); err != nil {
+			return errors.Annotate(err, "the other entries do not know this one yet")
+		}
+		s.cfg.Sleep(ctx, settlePoll)
+	}
+	return nil
+}
+
+// compareAndSet makes an edit. The rows as last seen serve first; what they
+// refuse is judged again on rows that were just read. A transaction that loses
+// to a change of another item is made again on the newer rows.
+func (s *Service) compareAndSet(ctx context.Context, e edit) (*api.Config, error) {
 	b, fresh := s.lastBase(), false
 	for {
 		if b == nil {
--- a/internal/ledger/breaker.go
+++ b/internal/ledger/breaker.go
@@ -9,7 +9,7 @@
 const (
 	breakerThreshold = 3
 	backoffMin       = 100 * time.Millisecond
-	backoffMax       = 1500 * time.Millisecond
+	backoffMax       = 600 * time.Millisecond
 )
 
 // breaker stops calls to a store that fails. After breakerThreshold failures
@@ -59,10 +59,13 @@
 	return max(b.retryAt-now, backoffMin/2)
 }
 
-func (b *breaker) succeeded() {
+// succeeded closes the breaker and reports whether it was open.
+func (b *breaker) succeeded() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	wasOpen := b.failures >= breakerThreshold
 	b.failures, b.wait, b.probing = 0, 0, false
+	return wasOpen
 }
 
 // failed counts a failure and reports whether the breaker has just opened. A
--- a/internal/ledger/cleanup.go
+++ b/internal/ledger/cleanup.go
@@ -64,15 +64,6 @@
 	return len(g.rows)
 }
 
-func (c *Client) cleanLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		c.cfg.Sleep(ctx, cleanInterval)
-		if ctx.Err() == nil {
-			c.clean(ctx)
-		}
-	}
-}
-
 // clean removes the rows of tombstones that are old enough that no late write
 // can still refer to them. A tombstone that has been written again is left; a
 // scan finds what a failed removal leaves.
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -9,31 +9,33 @@
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 )
 
-// maxBudgetWait is how long a read waits for its cause's budget.
-const maxBudgetWait = time.Second
+const (
+	// maxBudgetWait is how long a read waits for its cause's budget.
+	maxBudgetWait = time.Second
+	// maxCallFactor is how many timeouts a call may take; one that has taken
+	// longer tells that this process was paused, and nothing about the store.
+	maxCallFactor = 2
+)
 
 // Client is the Ledger over the platform's table.
 type Client struct {
 	table   platform.Table
 	cfg     Config
 	breaker *breaker
+	health  health
 	meter   *meter
 	tokens  *tokenCache
 	graves  *graves
 	lanes   map[laneName]*lane
 	reads   chan struct{}
 
-	// answered is the start of the last call that the store has answered.
-	answered    time.Duration
-	hasAnswered bool
-
-	mu      sync.Mutex // guards answered and what follows
-	cancel  context.CancelFunc
+	mu      sync.Mutex
 	stopped bool
-	cleaner sync.WaitGroup
+	loops   kernel.Loops
 }
 
 var _ Ledger = (*Client)(nil)
@@ -64,15 +66,8 @@
 
 // Start starts the removal of tombstones.
 func (c *Client) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.mu.Lock()
-	c.cancel = cancel
-	c.mu.Unlock()
-	c.cleaner.Add(1)
-	go func() {
-		defer c.cleaner.Done()
-		c.cleanLoop(ctx)
-	}()
+	c.loops.Begin()
+	c.loops.Every(cleanInterval, c.clean)
 	return nil
 }
 
@@ -80,12 +75,8 @@
 func (c *Client) Stop(ctx context.Context) error {
 	c.mu.Lock()
 	c.stopped = true
-	cancel := c.cancel
 	c.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
-	c.cleaner.Wait()
+	c.loops.End()
 	for !c.idle() {
 		if ctx.Err() != nil {
 			return errors.Annotate(ctx.Err(), "commits are still in progress")
@@ -98,20 +89,9 @@
 // Down reports whether the breaker is open.
 func (c *Client) Down() bool { return c.breaker.open() }
 
-// SinceAnswer returns how long ago the last call began that the store has
-// answered; ok is false before the first.
-func (c *Client) SinceAnswer() (ago time.Duration, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cfg.Clock() - c.answered, c.hasAnswered
-}
-
-func (c *Client) noteAnswer(start time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.answered = max(c.answered, start)
-	c.hasAnswered = true
-}
+// Outage returns for how long the store has answered no call, or 0 when it
+// answers or when the outage was not observed without a gap.
+func (c *Client) Outage() time.Duration { return c.health.outage(c.cfg.Clock()) }
 
 func (c *Client) idle() bool {
 	for _, l := range c.lanes {
@@ -304,23 +284,24 @@
 	return c.call(ctx, call)
 }
 
-// call makes one allowed call to the store and tells the breaker how it went.
+// call makes one allowed call to the store and notes how it went.
 func (c *Client) call(ctx context.Context, call func(context.Context) error) error {
 	opCtx, cancel := context.WithTimeout(ctx, c.cfg.OpTimeout)
 	defer cancel()
 	start := c.cfg.Clock()
 	err := call(opCtx)
+	now := c.cfg.Clock()
 	switch {
 	case err == nil:
-		c.noteAnswer(start)
-		if c.breaker.open() {
+		c.health.answer(start, now)
+		if c.breaker.succeeded() {
 			c.cfg.Log.Info().Msg("store answers again")
 		}
-		c.breaker.succeeded()
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || now-start > maxCallFactor*c.cfg.OpTimeout:
 		c.breaker.abandoned()
 	default:
-		if c.breaker.failed(c.cfg.Clock()) {
+		c.health.failure(now)
+		if c.breaker.failed(now) {
 			c.cfg.Log.Warn().Err(err).Msg("store does not answer")
 		}
 	}
--- a/internal/ledger/config.go
+++ b/internal/ledger/config.go
@@ -8,6 +8,8 @@
 	"github.com/google/uuid"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
 
 // Limits of a client that its Config leaves at zero.
@@ -101,7 +103,7 @@
 		c.Clock = Monotonic()
 	}
 	if c.Sleep == nil {
-		c.Sleep = sleep
+		c.Sleep = kernel.Sleep
 	}
 	if c.Spawn == nil {
 		c.Spawn = func(fn func()) { go fn() }
@@ -126,15 +128,6 @@
 	return func() time.Duration { return time.Since(start) }
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // tokenBytes is the size of the random part of a token.
 const tokenBytes = 12
 
--- a/internal/ledger/dump.go
+++ b/internal/ledger/dump.go
@@ -9,6 +9,7 @@
 // State is the dump of a client.
 type State struct {
 	Down          bool             `json:"down"`
+	OutageMS      int64            `json:"outage_ms"`
 	Queues        map[laneName]int `json:"queues"`
 	ReadsInFlight int              `json:"reads_in_flight"`
 	Tombstones    int              `json:"tombstones"`
@@ -19,6 +20,7 @@
 func (c *Client) DumpState() any {
 	s := State{
 		Down:          c.Down(),
+		OutageMS:      c.Outage().Milliseconds(),
 		Queues:        map[laneName]int{},
 		ReadsInFlight: len(c.reads),
 		Tombstones:    c.graves.len(),
--- a/internal/ledger/lane.go
+++ b/internal/ledger/lane.go
@@ -51,7 +51,9 @@
 
 // lane is a bounded queue of commits with its senders. It has one sender with
 // group commit: a commit is sent at once when the lane is idle, and those that
-// arrive while a transaction is in flight form the next group.
+// arrive while a transaction is in flight form the next group, as in the
+// BatchingEngine of Balakrishnan et al., "Log-structured Protocols in Delos",
+// SOSP 2021.
 type lane struct {
 	client  *Client
 	senders int
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -63,7 +63,7 @@
 	Commit(ctx context.Context, cause Cause, writes ...Write) ([]Row, error)
 	// Down reports whether the breaker is open.
 	Down() bool
-	// SinceAnswer returns how long ago the last call began that the store has
-	// answered; ok is false before the first.
-	SinceAnswer() (ago time.Duration, ok bool)
+	// Outage returns for how long the store has answered no call, or 0 when it
+	// answers or when the outage was not observed without a gap.
+	Outage() time.Duration
 }
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sort"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
@@ -13,27 +14,36 @@
 // newest.
 const unconfirmed = 365 * 24 * time.Hour
 
-// target is a peer to exchange with.
+// target is an address to exchange with.
 type target struct {
-	id   string
 	addr string
-	has  uint64 // configuration version that it has reported
+	has  uint64 // configuration version that was reported from there
 }
 
+// targets returns the addresses of all members and hints, each once.
 func (s *Service) targets() []target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []target
+	has := map[string]uint64{}
+	for addr := range s.roster.hints {
+		has[addr] = 0
+	}
 	for _, m := range s.roster.list() {
 		if m.addr != "" {
-			out = append(out, target{m.id, m.addr, m.state.GetConfigVersion()})
+			has[m.addr] = max(has[m.addr], m.state.GetConfigVersion())
 		}
 	}
+	delete(has, s.self.Addr)
+	out := make([]target, 0, len(has))
+	for addr, version := range has {
+		out = append(out, target{addr, version})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].addr < out[j].addr })
 	return out
 }
 
-// exchangeAll starts an exchange with each peer that has none in progress.
-func (s *Service) exchangeAll(ctx context.Context) {
+// ExchangeAll starts an exchange with each peer that has none in progress.
+func (s *Service) ExchangeAll(ctx context.Context) {
 	used := map[string]bool{}
 	for _, seed := range s.cfg.Seeds {
 		used[seed] = true
@@ -43,12 +53,12 @@
 		if !s.begin(t.addr) {
 			continue
 		}
-		s.loops.Add(1)
-		go func() {
-			defer s.loops.Done()
+		s.exchanges.Add(1)
+		s.cfg.Spawn(func() {
+			defer s.exchanges.Done()
 			defer s.finish(t.addr)
-			s.exchange(ctx, t.id, t.addr)
-		}()
+			s.exchange(ctx, t)
+		})
 	}
 	s.transport.Keep(used)
 }
@@ -70,11 +80,11 @@
 }
 
 // exchange swaps states with one peer.
-func (s *Service) exchange(ctx context.Context, id, addr string) {
+func (s *Service) exchange(ctx context.Context, t target) {
 	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
 	sent := s.clock()
-	reply, err := s.transport.Exchange(ctx, addr, s.state(s.versionOf(id)))
+	reply, err := s.transport.Exchange(ctx, t.addr, s.state(t.has))
 	if err != nil {
 		s.count("membership.exchange_failures")
 		return
@@ -101,15 +111,18 @@
 
 // takeConfig takes over the configuration of a reply, or its confirmation.
 func (s *Service) takeConfig(reply *rpc.PeerState, way time.Duration) {
+	confirmed := reply.ConfigAgeMs >= 0
 	age := unconfirmed
-	if reply.ConfigAgeMs >= 0 {
+	if confirmed {
 		age = time.Duration(reply.ConfigAgeMs)*time.Millisecond + way
 	}
 	if c := decodeConfig(reply); c != nil {
 		s.conf.Offer(c, age)
 		return
 	}
-	s.conf.Confirm(reply.ConfigVersion, age)
+	if confirmed {
+		s.conf.Confirm(reply.ConfigVersion, age)
+	}
 }
 
 func decodeConfig(s *rpc.PeerState) *api.Config {
@@ -123,21 +136,12 @@
 	return c.Clone()
 }
 
-func (s *Service) versionOf(id string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if m, ok := s.roster.members[id]; ok {
-		return m.state.GetConfigVersion()
-	}
-	return 0
-}
-
 // state returns the own state, with the configuration if the peer's is older.
 // A state without address says that this entry leaves.
 func (s *Service) state(peerHas uint64) *rpc.PeerState {
 	c, age, ok := s.conf.Snapshot()
 	out := &rpc.PeerState{
-		EntryId:       s.self.ID,
+		EntryId:       s.presence.name(),
 		RpcAddress:    s.self.Addr,
 		ConfigVersion: c.Version,
 		ConfigAgeMs:   -1,
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sort"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
@@ -23,6 +25,9 @@
 	// ExchangeTimeout bounds one exchange.
 	ExchangeTimeout = time.Second
 
+	// incarnationLength is the length of a drawn incarnation.
+	incarnationLength = 8
+
 	prefix    = "presence/"
 	scanLimit = 256
 	// lookupInterval is the time between two questions to the seeds while the
@@ -46,18 +51,22 @@
 	Confirm(version uint64, age time.Duration)
 }
 
-// Self describes this entry.
+// Self describes this entry. Incarnation differs for each start of the process
+// and is drawn if empty.
 type Self struct {
-	ID   string
-	Addr string
-	Zone string
+	ID          string
+	Addr        string
+	Zone        string
+	Incarnation string
 }
 
 // Config sets up a service.
 type Config struct {
 	// Seeds are addresses at which some entry answers, such as the balancer's.
 	// They are asked while the store cannot be read.
-	Seeds   []string
+	Seeds []string
+	// Spawn runs one exchange, in a goroutine of its own by default.
+	Spawn   func(func())
 	Metrics metrics.Registry
 	Log     zerolog.Logger
 }
@@ -75,13 +84,15 @@
 
 	mu         sync.Mutex
 	roster     *roster
+	announced  announced
 	exchanging map[string]bool // addresses with an exchange in progress
 	leaving    bool
 
 	presence   Presence
 	rowVersion uint64 // of the own row; used by the presence loop only
-	cancel     context.CancelFunc
-	loops      sync.WaitGroup
+	loops      kernel.Loops
+	exchanges  sync.WaitGroup
+	running    bool
 }
 
 var _ confstate.PeerView = (*Service)(nil)
@@ -91,19 +102,25 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
+	if self.Incarnation == "" {
+		self.Incarnation = uuid.NewString()[:incarnationLength]
+	}
+	if cfg.Spawn == nil {
+		cfg.Spawn = func(fn func()) { go fn() }
+	}
 	return &Service{
 		ledger:     l,
 		self:       self,
 		transport:  t,
 		clock:      clock,
 		cfg:        cfg,
-		roster:     newRoster(self.ID),
+		roster:     newRoster(fullName(self.ID, self.Incarnation)),
 		exchanging: map[string]bool{},
 		presence: Presence{
 			ID:          self.ID,
 			Addr:        self.Addr,
 			Zone:        self.Zone,
-			Incarnation: uuid.NewString(),
+			Incarnation: self.Incarnation,
 			Started:     time.Now().UTC(),
 		},
 	}
@@ -121,112 +138,100 @@
 	if s.conf == nil {
 		return errors.NotValidf("membership without configuration")
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.every(ctx, PresenceInterval, s.announce)
-	s.every(ctx, ScanInterval, s.scan)
-	s.every(ctx, ExchangeInterval, s.exchangeAll)
-	s.every(ctx, lookupInterval, s.lookup)
+	s.loops.Begin()
+	s.loops.Every(PresenceInterval, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, PresenceInterval)
+		defer cancel()
+		s.Announce(ctx)
+	})
+	s.loops.Every(ScanInterval, s.Scan)
+	s.loops.Every(ExchangeInterval, s.ExchangeAll)
+	s.loops.Every(lookupInterval, s.Lookup)
+	s.running = true
 	return nil
 }
 
-// every runs fn now and at each interval until ctx ends.
-func (s *Service) every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
-	s.loops.Add(1)
-	go func() {
-		defer s.loops.Done()
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for {
-			fn(ctx)
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-		}
-	}()
-}
-
 // Stop tells the peers that this entry leaves and removes its row.
 func (s *Service) Stop(ctx context.Context) error {
-	if s.cancel == nil {
+	if !s.running {
 		return nil
 	}
+	s.loops.End()
+	s.exchanges.Wait()
+	s.Leave(ctx)
+	return nil
+}
+
+// Leave tells the peers that this entry leaves, with the configuration that it
+// has, and removes its row.
+func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.cancel()
-	s.loops.Wait()
-	s.farewell(ctx)
-	return s.removeRow(ctx)
-}
-
-func (s *Service) farewell(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, p := range s.targets() {
 		wg.Add(1)
-		go func() {
+		s.cfg.Spawn(func() {
 			defer wg.Done()
-			s.exchange(ctx, p.id, p.addr)
-		}()
+			s.exchange(ctx, p)
+		})
 	}
 	wg.Wait()
 	s.transport.Keep(nil)
+	s.removeRow(ctx)
 }
 
-func (s *Service) removeRow(ctx context.Context) error {
+func (s *Service) removeRow(ctx context.Context) {
 	if s.rowVersion == 0 {
-		return nil
+		return
 	}
-	w := ledger.Write{Key: prefix + s.self.ID, Version: s.rowVersion, Delete: true}
+	w := ledger.Write{Key: prefix + s.presence.name(), Version: s.rowVersion, Delete: true}
 	_, err := s.ledger.Commit(ctx, ledger.CausePresence, w)
 	if err != nil {
 		// The other entries drop the row when its lease is over.
 		s.cfg.Log.Warn().Err(err).Msg("presence not removed")
 	}
-	return nil
 }
 
-// announce writes the next beat of the own row.
-func (s *Service) announce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, PresenceInterval)
-	defer cancel()
+// Announce writes the next beat of the own row.
+func (s *Service) Announce(ctx context.Context) {
 	s.presence.Beat++
 	data, err := json.Marshal(s.presence)
 	if err != nil {
 		return
 	}
-	w := ledger.Write{Key: prefix + s.self.ID, Version: s.rowVersion, Data: data}
+	sent := s.clock()
+	w := ledger.Write{Key: prefix + s.presence.name(), Version: s.rowVersion, Data: data}
 	rows, err := s.ledger.Commit(ctx, ledger.CausePresence, w)
 	switch {
 	case err == nil:
 		s.rowVersion = rows[0].Version
+		s.mu.Lock()
+		s.announced.wrote(sent)
+		s.mu.Unlock()
 	case errors.Is(err, ledger.ErrConflict):
+		// The next beat goes over the row as it is.
 		s.count("membership.own_row_changed")
 		s.rowVersion = rows[0].Version
-		w.Version = s.rowVersion
-		if rows, err = s.ledger.Commit(ctx, ledger.CausePresence, w); err == nil {
-			s.rowVersion = rows[0].Version
-		}
 	default:
 		s.count("membership.announce_failures")
 	}
 }
 
-// scan reads all rows of presence and removes those of entries long gone.
-func (s *Service) scan(ctx context.Context) {
+// Scan reads all rows of presence and removes those of entries long gone.
+func (s *Service) Scan(ctx context.Context) {
+	start := s.clock()
 	rows, err := s.readRows(ctx)
 	if err != nil {
 		s.count("membership.scan_failures")
 		return
 	}
 	s.mu.Lock()
-	dead := s.roster.scan(s.clock(), rows)
+	dead := s.roster.scan(start, s.clock(), rows)
 	s.mu.Unlock()
 	for _, w := range dead {
 		// Another entry may have removed the row already.
-		_, _ = s.ledger.Commit(ctx, ledger.CausePresence, ledger.Write{Key: prefix + w.ID, Version: w.version, Delete: true})
+		_, _ = s.ledger.Commit(ctx, ledger.CausePresence, ledger.Write{Key: prefix + w.name(), Version: w.version, Delete: true})
 	}
 }
 
@@ -252,8 +257,10 @@
 	}
 }
 
-// lookup asks the seeds for the entries while the store does not tell.
-func (s *Service) lookup(ctx context.Context) {
+// Lookup asks the seeds for the entries while the store does not tell. Such a
+// list may be short of entries that nobody reached, so it does not count as
+// known for the rule on starts.
+func (s *Service) Lookup(ctx context.Context) {
 	s.mu.Lock()
 	needed := !s.roster.watching(s.clock())
 	s.mu.Unlock()
@@ -276,10 +283,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range entries {
-		s.roster.meet(e.Id, e.RpcAddress)
-	}
-	if len(entries) > 0 {
-		s.roster.known = true
+		s.roster.hints[e.RpcAddress] = true
 	}
 }
 
@@ -288,26 +292,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := []*rpc.EntryAddress{}
-	self := &rpc.EntryAddress{Id: s.self.ID, RpcAddress: s.self.Addr}
-	placed := s.leaving
-	for _, m := range s.roster.entries(s.clock()) {
-		if !placed && m.id > s.self.ID {
-			out = append(out, self)
-			placed = true
-		}
-		out = append(out, &rpc.EntryAddress{Id: m.id, RpcAddress: m.addr})
+	if !s.leaving {
+		out = append(out, &rpc.EntryAddress{Id: s.self.ID, RpcAddress: s.self.Addr})
 	}
-	if !placed {
-		out = append(out, self)
+	for _, m := range s.roster.newest() {
+		if idOf(m.name) != s.self.ID {
+			out = append(out, &rpc.EntryAddress{Id: idOf(m.name), RpcAddress: m.addr})
+		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
 	return out
 }
 
 // Peers returns the other entries for the rule on starting work.
-func (s *Service) Peers() ([]confstate.Peer, bool) {
+func (s *Service) Peers() (peers []confstate.Peer, listed time.Duration, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.peers(), s.roster.lastScan, s.roster.scanned
+}
+
+// Settled reports whether the other entries know this one and have for a while.
+func (s *Service) Settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.peers(s.clock()), s.roster.known
+	return !s.leaving && s.announced.settled(s.clock()) && s.roster.scanned && s.roster.met()
 }
 
 // HighestOwnerEpoch returns the highest epoch of an owner that a peer has told.
@@ -331,8 +339,8 @@
 	defer s.mu.Unlock()
 	now := s.clock()
 	var out []PeerReport
-	for _, m := range s.roster.entries(now) {
-		if m.state != nil {
+	for _, m := range s.roster.newest() {
+		if m.state != nil && idOf(m.name) != s.self.ID {
 			out = append(out, PeerReport{m.state, m.zone, now - m.heard, m.ever})
 		}
 	}
@@ -345,7 +353,7 @@
 
 // PeerDump is a peer in the dump of a service.
 type PeerDump struct {
-	ID           string `json:"id"`
+	Name         string `json:"name"`
 	Addr         string `json:"rpc_address"`
 	Zone         string `json:"zone,omitempty"`
 	Row          uint64 `json:"row_version"`
@@ -358,6 +366,7 @@
 type State struct {
 	Self       Self       `json:"self"`
 	Known      bool       `json:"list_known"`
+	Settled    bool       `json:"settled"`
 	ScanAgeMS  int64      `json:"scan_age_ms"`
 	OwnerEpoch uint64     `json:"highest_owner_epoch"`
 	Peers      []PeerDump `json:"peers"`
@@ -370,14 +379,15 @@
 	now := s.clock()
 	st := State{
 		Self:       s.self,
-		Known:      s.roster.known,
+		Known:      s.roster.scanned,
+		Settled:    s.announced.settled(now) && s.roster.met(),
 		ScanAgeMS:  (now - s.roster.lastScan).Milliseconds(),
 		OwnerEpoch: s.roster.highest,
 		Peers:      []PeerDump{},
 	}
 	for _, m := range s.roster.list() {
 		st.Peers = append(st.Peers, PeerDump{
-			ID: m.id, Addr: m.addr, Zone: m.zone, Row: m.rowVersion,
+			Name: m.name, Addr: m.addr, Zone: m.zone, Row: m.rowVersion,
 			Heard: m.ever, HeardAgeMS: (now - m.heard).Milliseconds(),
 			StoreFailing: m.state.GetStoreFailing(),
 		})
--- /dev/null
+++ b/internal/membership/service_test.go
@@ -0,0 +1,301 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+// fakeLedger holds the rows of presence.
+type fakeLedger struct {
+	ledger.Ledger
+	rows map[string]ledger.Row
+	down bool
+}
+
+func (l *fakeLedger) Scan(context.Context, ledger.Cause, string, string, int) ([]ledger.Row, error) {
+	if l.down {
+		return nil, ledger.ErrDown
+	}
+	var out []ledger.Row
+	for _, r := range l.rows {
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func (l *fakeLedger) Commit(_ context.Context, _ ledger.Cause, ws ...ledger.Write) ([]ledger.Row, error) {
+	if l.down {
+		return nil, ledger.ErrDown
+	}
+	w := ws[0]
+	if l.rows[w.Key].Version != w.Version {
+		return []ledger.Row{l.rows[w.Key]}, ledger.ErrConflict
+	}
+	if w.Delete {
+		delete(l.rows, w.Key)
+		return []ledger.Row{{Key: w.Key}}, nil
+	}
+	l.rows[w.Key] = ledger.Row{Key: w.Key, Version: w.Version + 1, Data: w.Data}
+	return []ledger.Row{{Key: w.Key, Version: w.Version + 1}}, nil
+}
+
+// fakeConfig records what exchanges bring.
+type fakeConfig struct {
+	current *api.Config
+	age     time.Duration
+	known   bool
+}
+
+func (c *fakeConfig) Snapshot() (*api.Config, time.Duration, bool) { return c.current, c.age, c.known }
+func (c *fakeConfig) StoreFailing() bool                           { return false }
+
+func (c *fakeConfig) Offer(n *api.Config, age time.Duration) {
+	if n.Version > c.current.Version {
+		c.current = n
+	}
+	c.Confirm(n.Version, age)
+}
+
+func (c *fakeConfig) Confirm(version uint64, age time.Duration) {
+	if version <= c.current.Version {
+		c.age, c.known = age, true
+	}
+}
+
+// network joins services in one process.
+type network struct {
+	now   time.Duration
+	way   time.Duration // of one exchange
+	store *fakeLedger
+	nodes map[string]*Service
+	confs map[string]*fakeConfig
+}
+
+func newNetwork() *network {
+	return &network{
+		store: &fakeLedger{rows: map[string]ledger.Row{}},
+		nodes: map[string]*Service{},
+		confs: map[string]*fakeConfig{},
+	}
+}
+
+func (n *network) Exchange(_ context.Context, addr string, s *rpc.PeerState) (*rpc.PeerState, error) {
+	peer, ok := n.nodes[addr]
+	if !ok {
+		return nil, errors.New("unreachable")
+	}
+	n.now += n.way
+	return peer.HandleExchange(s), nil
+}
+
+func (n *network) Entries(_ context.Context, addr string) ([]*rpc.EntryAddress, error) {
+	if peer, ok := n.nodes[addr]; ok {
+		return peer.Entries(), nil
+	}
+	return nil, errors.New("unreachable")
+}
+
+func (n *network) Keep(map[string]bool) {}
+
+// start starts an incarnation of the entry at an address.
+func (n *network) start(id, addr, incarnation string) *Service {
+	self := Self{ID: id, Addr: addr, Incarnation: incarnation}
+	s := New(n.store, self, n, func() time.Duration { return n.now }, Config{
+		Seeds: []string{"addr-a"},
+		Spawn: func(fn func()) { fn() },
+	})
+	n.confs[addr] = &fakeConfig{current: &api.Config{}}
+	s.Bind(n.confs[addr])
+	n.nodes[addr] = s
+	return s
+}
+
+// run lets all services work for a time.
+func (n *network) run(d time.Duration) {
+	ctx := context.Background()
+	for end := n.now + d; n.now < end; n.now += 500 * time.Millisecond {
+		for _, addr := range []string{"addr-a", "addr-b", "addr-c"} {
+			if s, ok := n.nodes[addr]; ok {
+				s.Announce(ctx)
+				s.Scan(ctx)
+				s.Lookup(ctx)
+				s.ExchangeAll(ctx)
+			}
+		}
+	}
+}
+
+func entries(s *Service) string {
+	var out []string
+	for _, e := range s.Entries() {
+		out = append(out, e.Id)
+	}
+	return strings.Join(out, " ")
+}
+
+func peers(s *Service) string {
+	var out []string
+	list, _, known := s.Peers()
+	for _, p := range list {
+		out = append(out, fmt.Sprintf("%s:%v", p.ID, p.Ever))
+	}
+	return fmt.Sprintf("%v %v", known, out)
+}
+
+func expect(t *testing.T, what, got, want string) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: %q, expected %q", what, got, want)
+	}
+}
+
+func TestEntriesComeAndGo(t *testing.T) {
+	n := newNetwork()
+	a, b := n.start("a", "addr-a", "1"), n.start("b", "addr-b", "1")
+	n.run(time.Second)
+	expect(t, "entries", entries(a), "a b")
+	delete(n.nodes, "addr-b")
+	n.run(PresenceLease / 2)
+	expect(t, "entries within the lease", entries(a), "a b")
+	n.run(PresenceLease)
+	expect(t, "entries after a kill", entries(a), "a")
+	n.nodes["addr-b"] = b
+	n.run(time.Second)
+	expect(t, "entries after a pause", entries(a), "a b")
+	b.Leave(context.Background())
+	delete(n.nodes, "addr-b")
+	expect(t, "entries after a planned stop", entries(a), "a")
+	n.run(time.Second)
+	expect(t, "entries after the next scan", entries(a), "a")
+}
+
+func TestDeadRowsAreRemoved(t *testing.T) {
+	n := newNetwork()
+	n.start("a", "addr-a", "1")
+	n.start("b", "addr-b", "1")
+	n.run(time.Second)
+	delete(n.nodes, "addr-b")
+	n.run(RowLifetime + PresenceLease)
+	if len(n.store.rows) != 1 {
+		t.Errorf("rows %v", n.store.rows)
+	}
+}
+
+// TestListSurvivesOutage shows that silence tells nothing while the store is
+// down, nor right after it is back.
+func TestListSurvivesOutage(t *testing.T) {
+	n := newNetwork()
+	a := n.start("a", "addr-a", "1")
+	n.start("b", "addr-b", "1")
+	n.run(time.Second)
+	n.store.down = true
+	delete(n.nodes, "addr-b")
+	n.run(10 * PresenceLease)
+	expect(t, "entries in the outage", entries(a), "a b")
+	n.store.down = false
+	n.run(time.Second)
+	expect(t, "entries right after", entries(a), "a b")
+	n.run(2 * PresenceLease)
+	expect(t, "entries later", entries(a), "a")
+}
+
+// TestRestartedEntryIsAnother shows that the rule on starts still counts the
+// earlier process, while agents see one entry.
+func TestRestartedEntryIsAnother(t *testing.T) {
+	n := newNetwork()
+	a := n.start("a", "addr-a", "1")
+	n.start("b", "addr-b", "1")
+	n.run(time.Second)
+	n.store.down = true
+	n.start("b", "addr-b", "2")
+	n.run(PresenceLease)
+	expect(t, "entries", entries(a), "a b")
+	expect(t, "peers", peers(a), "true [b#1:true b#2:true]")
+	list, _, _ := a.Peers()
+	if age := n.now - list[0].Heard; age <= confstate.PeerFreshLimit {
+		t.Errorf("b#1 was heard %v ago", age)
+	}
+}
+
+// TestStartInOutage shows that an entry which has never read the store hears of
+// the others through the balancer, but does not count its list as known.
+func TestStartInOutage(t *testing.T) {
+	n := newNetwork()
+	a := n.start("a", "addr-a", "1")
+	n.run(time.Second)
+	n.store.down = true
+	n.confs["addr-a"].Offer(&api.Config{Version: 7}, 0)
+	b := n.start("b", "addr-b", "1")
+	n.run(2 * time.Second)
+	expect(t, "entries of b", entries(b), "a b")
+	expect(t, "peers of b", peers(b), "false [a#1:true]")
+	expect(t, "entries of a", entries(a), "a b")
+	if v := n.confs["addr-b"].current.Version; v != 7 {
+		t.Errorf("b has version %d", v)
+	}
+	if b.Settled() {
+		t.Error("b has settled without the store")
+	}
+}
+
+func TestSettled(t *testing.T) {
+	n := newNetwork()
+	a := n.start("a", "addr-a", "1")
+	n.start("b", "addr-b", "1")
+	n.run(confstate.SettleTime / 2)
+	if a.Settled() {
+		t.Error("settled at once")
+	}
+	n.run(confstate.SettleTime)
+	if !a.Settled() {
+		t.Error("not settled")
+	}
+	n.now += PresenceLease // a pause
+	if a.Settled() {
+		t.Error("settled right after a pause")
+	}
+	n.run(confstate.SettleTime + time.Second)
+	if !a.Settled() {
+		t.Error("not settled again")
+	}
+	a.Leave(context.Background())
+	if a.Settled() {
+		t.Error("settled while it leaves")
+	}
+}
+
+// TestRequestConfirmsNothing shows that a configuration is taken from a request,
+// which may be old, but not its confirmation.
+func TestRequestConfirmsNothing(t *testing.T) {
+	n := newNetwork()
+	a, b := n.start("a", "addr-a", "1"), n.start("b", "addr-b", "1")
+	n.confs["addr-a"].Offer(&api.Config{Version: 3}, 0)
+	b.HandleExchange(a.state(0))
+	if c := n.confs["addr-b"]; c.current.Version != 3 || c.age < time.Hour {
+		t.Errorf("version %d confirmed %v ago", c.current.Version, c.age)
+	}
+}
+
+// TestAgeCountsTheWay shows that a confirmation which was on its way for long
+// is an old one.
+func TestAgeCountsTheWay(t *testing.T) {
+	n := newNetwork()
+	n.start("a", "addr-a", "1")
+	n.start("b", "addr-b", "1")
+	n.confs["addr-a"].Offer(&api.Config{Version: 3}, 0)
+	n.way = 4 * time.Second
+	n.run(time.Second)
+	if c := n.confs["addr-b"]; c.current.Version != 3 || c.age < n.way {
+		t.Errorf("version %d confirmed %v ago", c.current.Version, c.age)
+	}
+}
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -4,7 +4,11 @@
 // longer than the lease.
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+)
 
 // Times of ownership.
 const (
@@ -26,6 +30,10 @@
 	// failing, so that an owner that goes on through an outage hears of the
 	// watch before the row is claimed.
 	watchGap = 1200 * time.Millisecond
+	// minWatch is how long a watch lasts at least before the row is claimed. By
+	// then no report of this process that the store fails counts any more, so
+	// that an owner that goes on through an outage has stopped.
+	minWatch = confstate.PeerFreshLimit + 200*time.Millisecond
 )
 
 // Times configures a core.
@@ -146,6 +154,7 @@
 	unchangedSince time.Duration
 	lastRead       time.Duration
 	watching       bool
+	watchSince     time.Duration // start of the series
 
 	// epoch is that of the term held, 0 for none. The term is valid until
 	// validUntil and may start work from startAfter on.
@@ -251,7 +260,10 @@
 	if c.free() {
 		return true
 	}
-	return c.watching && now-c.lastRead <= watchGap && now-c.unchangedSince > c.times.Lease+c.times.Margin
+	if !c.watching || now-c.lastRead > watchGap || now-c.watchSince <= minWatch {
+		return false
+	}
+	return now-c.unchangedSince > c.times.Lease+c.times.Margin
 }
 
 func (c *Core) free() bool { return c.version == 0 || c.row.Released }
@@ -313,14 +325,18 @@
 	}
 }
 
-// mine reports whether a row shows a term of this process.
+// mine reports whether a row shows a term of this process that no later one has
+// followed.
 func (c *Core) mine(row Row) bool {
-	return row.Epoch > 0 && row.Incarnation == c.self.Incarnation && !row.Released
+	return row.Epoch > 0 && row.Epoch >= c.highest && row.Incarnation == c.self.Incarnation && !row.Released
 }
 
 func (c *Core) see(now time.Duration, version uint64, row Row) {
 	unbroken := c.watching && now-c.lastRead <= watchGap
-	if !c.seen || version != c.version || !unbroken {
+	if !unbroken {
+		c.watchSince = now
+	}
+	if version != c.version || !unbroken {
 		c.unchangedSince = now
 	}
 	c.seen, c.watching = true, true
--- /dev/null
+++ b/internal/owner/core_test.go
@@ -0,0 +1,140 @@
+package owner
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// coreScenario steps cores by hand against one row.
+type coreScenario struct {
+	cores   map[string]*Core
+	now     time.Duration
+	version uint64
+	row     Row
+	flight  map[string]Action // of each core
+	times   Times
+}
+
+func (s *coreScenario) core(name string) *Core {
+	if _, ok := s.cores[name]; !ok {
+		s.cores[name] = NewCore(Self{ID: name, Addr: name, Incarnation: name}, s.times)
+	}
+	return s.cores[name]
+}
+
+// apply carries an action out at the row and returns the answer.
+func (s *coreScenario) apply(a Action) Event {
+	w, ok := a.(Write)
+	if !ok {
+		return ReadDone{s.version, s.row}
+	}
+	if w.Version != s.version {
+		return WriteConflict{s.version, s.row}
+	}
+	s.version++
+	s.row = w.Row
+	return WriteDone{s.version}
+}
+
+// round ticks a core and answers its action, as told.
+func (s *coreScenario) round(name, answer string) string {
+	c := s.core(name)
+	actions := c.Step(s.now, Tick{})
+	if len(actions) == 0 {
+		return "nothing"
+	}
+	a := actions[0]
+	switch answer {
+	case "none":
+		s.flight[name] = a
+	case "lost":
+		s.apply(a)
+		c.Step(s.now, lostEvent(a))
+	case "failed":
+		c.Step(s.now, failedEvent(a))
+	default:
+		c.Step(s.now, s.apply(a))
+	}
+	return show(a)
+}
+
+func lostEvent(a Action) Event {
+	if _, ok := a.(Write); ok {
+		return WriteUnknown{}
+	}
+	return ReadFailed{}
+}
+
+func failedEvent(a Action) Event {
+	if _, ok := a.(Write); ok {
+		return WriteFailed{}
+	}
+	return ReadFailed{}
+}
+
+func show(a Action) string {
+	w, ok := a.(Write)
+	if !ok {
+		return "read"
+	}
+	return fmt.Sprintf("write over %d: %s epoch %d beat %d released %v", w.Version, w.Row.EntryID, w.Row.Epoch, w.Row.Beat, w.Row.Released)
+}
+
+func (s *coreScenario) run(t *testing.T, d *datadriven.TestData) string {
+	var name, answer, length string
+	everywhere := d.HasArg("outage")
+	d.MaybeScanArgs(t, "core", &name)
+	d.MaybeScanArgs(t, "answer", &answer)
+	d.MaybeScanArgs(t, "for", &length)
+	wait, _ := time.ParseDuration(length)
+	switch d.Cmd {
+	case "round":
+		return s.round(name, answer)
+	case "arrive":
+		ev := s.apply(s.flight[name])
+		s.core(name).Step(s.now, ev)
+		return fmt.Sprintf("%T", ev)
+	case "short-times":
+		s.times = shortTimes
+	case "sleep":
+		s.now += wait
+	case "rounds":
+		return s.rounds(strings.Fields(d.Input), wait)
+	case "release":
+		s.core(name).Step(s.now, Release{})
+	case "peer-epoch":
+		var epoch uint64
+		d.ScanArgs(t, "epoch", &epoch)
+		s.core(name).Step(s.now, PeerEpoch{epoch})
+	case "authority":
+		a := s.core(name).Authority(s.now, Outage{Everywhere: everywhere, Down: everywhere})
+		return fmt.Sprintf("owner=%v epoch=%d start-after=%v of=%q store-down=%v", a.Owner, a.Epoch, max(0, a.StartAfter-s.now), a.OwnerID, a.StoreDown)
+	default:
+		t.Fatalf("unknown command %q", d.Cmd)
+	}
+	return ""
+}
+
+// rounds lets cores run without faults and shows the writes.
+func (s *coreScenario) rounds(names []string, length time.Duration) string {
+	var out []string
+	for end := s.now + length; s.now < end; s.now += 100 * time.Millisecond {
+		for _, name := range names {
+			if a := s.round(name, ""); strings.HasPrefix(a, "write") {
+				out = append(out, fmt.Sprintf("%v %s", s.now, a))
+			}
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
+func TestCore(t *testing.T) {
+	datadriven.Walk(t, "testdata/core", func(t *testing.T, path string) {
+		s := &coreScenario{cores: map[string]*Core{}, flight: map[string]Action{}}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
--- /dev/null
+++ b/internal/owner/oracle_test.go
@@ -0,0 +1,212 @@
+package owner
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/confstate"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+// clockSlack covers the rates of the simulated clocks.
+const clockSlack = 1.05
+
+// inForceBound is how long after its acknowledgement a change may still be
+// unknown to a process that starts work.
+const inForceBound = time.Duration(float64(confstate.PeerFreshLimit) * clockSlack)
+
+// oracle holds the one history of the table and compares with it what the
+// processes say.
+type oracle struct {
+	configs map[uint64]*api.Config
+	last    uint64
+	owners  []Row
+	acked   []ack
+	// started is when each process was last seen with the right to start work.
+	started map[*process]time.Duration
+	terms   map[*process]uint64 // epoch of started
+	fault   string
+	note    func(format string, args ...any)
+}
+
+type ack struct {
+	at      time.Duration
+	version uint64
+	blind   map[*process]bool // processes that could not know of the acknowledging one
+}
+
+func (o *oracle) init(note func(string, ...any)) {
+	o.note = note
+	o.configs = map[uint64]*api.Config{0: (&api.Config{}).Clone()}
+	o.started = map[*process]time.Duration{}
+	o.terms = map[*process]uint64{}
+}
+
+func (o *oracle) failf(format string, args ...any) {
+	if o.fault == "" {
+		o.fault = fmt.Sprintf(format, args...)
+		o.note("FAULT %s", o.fault)
+	}
+}
+
+// wrote sees each row as it takes effect.
+func (o *oracle) wrote(now time.Duration, r platform.Row) {
+	switch r.Key {
+	case "config/doc":
+		var c api.Config
+		rowData(r, &c)
+		if c.Version <= o.last {
+			o.failf("%v: version %d of the configuration follows %d", now, c.Version, o.last)
+		}
+		o.last = c.Version
+		o.note("version %d", c.Version)
+		o.configs[c.Version] = c.Clone()
+	case "owner/cell":
+		var row Row
+		rowData(r, &row)
+		o.wroteOwner(now, row)
+	}
+}
+
+func (o *oracle) wroteOwner(now time.Duration, row Row) {
+	if n := len(o.owners); n > 0 {
+		prev := o.owners[n-1]
+		same := prev.Incarnation == row.Incarnation && prev.Epoch == row.Epoch && !prev.Released
+		if !same && row.Epoch <= prev.Epoch {
+			o.failf("%v: epoch %d of %s follows epoch %d of %s", now, row.Epoch, row.Incarnation, prev.Epoch, prev.Incarnation)
+		}
+	}
+	if n := len(o.owners); n == 0 || o.owners[n-1].Epoch != row.Epoch || row.Released {
+		o.note("epoch %d of %s, released %v", row.Epoch, row.Incarnation, row.Released)
+	}
+	o.owners = append(o.owners, row)
+}
+
+// look checks what must hold at every moment.
+func (o *oracle) look(w *world) {
+	var owner *process
+	for _, p := range w.procs {
+		for _, q := range w.procs {
+			p.blindTo(q)
+		}
+		o.lookConfig(w, p)
+		a := p.owner.Current()
+		if !a.Owner {
+			continue
+		}
+		if owner != nil && !p.blindTo(owner) && !owner.blindTo(p) {
+			o.failf("%v: %s and %s are both owner", w.now, owner.name, p.name)
+		}
+		owner = p
+		if !a.StoreDown && p.clock() >= a.StartAfter {
+			o.lookStart(w, p, a)
+		}
+	}
+}
+
+func (o *oracle) lookConfig(w *world, p *process) {
+	c := p.conf.Current()
+	if c.Version < p.version {
+		o.failf("%v: %s went from version %d to %d", w.now, p.name, p.version, c.Version)
+	}
+	if c.Version != p.version && !reflect.DeepEqual(c, o.configs[c.Version]) {
+		o.failf("%v: %s has version %d that is not in the history", w.now, p.name, c.Version)
+	}
+	p.version = c.Version
+	if want := o.ackedBefore(w.now-inForceBound, p); c.Version < want && p.conf.Permit() {
+		o.failf("%v: %s starts work at version %d, %d was acknowledged", w.now, p.name, c.Version, want)
+	}
+}
+
+// ackedBefore returns the highest version acknowledged up to a time by a
+// process of which another one could know.
+func (o *oracle) ackedBefore(t time.Duration, p *process) uint64 {
+	var v uint64
+	for _, a := range o.acked {
+		if a.at <= t && !a.blind[p] {
+			v = max(v, a.version)
+		}
+	}
+	return v
+}
+
+// lookStart checks that the permissions which an earlier owner may have given
+// are over when the next one starts work. An owner that has released the row
+// has none left.
+func (o *oracle) lookStart(w *world, p *process, a Authority) {
+	for q, at := range o.started {
+		if q != p && o.terms[q] < a.Epoch && !q.stopping && w.now-at < w.procs[0].owner.core.times.PermitTTL {
+			o.failf("%v: %s starts work %v after %s could", w.now, p.name, w.now-at, q.name)
+		}
+	}
+	o.started[p] = w.now
+	o.terms[p] = a.Epoch
+}
+
+// ended compares the outcome of an operator's call with the history so far.
+func (o *oracle) ended(w *world, c *change) {
+	switch {
+	case c.err == nil:
+		o.acknowledged(w, c)
+	case errors.Is(c.err, confstate.ErrLostRace):
+		if have := o.configs[o.last].Profiles[c.profile].Version; have == c.expect {
+			o.failf("%v: %s lost a race at version %d, which is the present one", w.now, c.marker, have)
+		}
+	}
+}
+
+func (o *oracle) acknowledged(w *world, c *change) {
+	v := c.result.Version
+	got, ok := o.configs[v]
+	if !ok || got.Profiles[c.profile].ClientAccount != c.marker || got.Profiles[c.profile].Version != v {
+		o.failf("%v: %s was acknowledged as version %d but is not in the history", w.now, c.marker, v)
+		return
+	}
+	if before := o.before(v).Profiles[c.profile].Version; c.expect != confstate.AnyVersion && before != c.expect {
+		o.failf("%v: %s replaced version %d, expected %d", w.now, c.marker, before, c.expect)
+	}
+	a := ack{w.now, v, map[*process]bool{}}
+	for _, p := range w.procs {
+		a.blind[p] = p.blindTo(c.process)
+	}
+	o.acked = append(o.acked, a)
+}
+
+// before returns the configuration that a version followed.
+func (o *oracle) before(v uint64) *api.Config {
+	for v--; v > 0; v-- {
+		if c, ok := o.configs[v]; ok {
+			return c
+		}
+	}
+	return o.configs[0]
+}
+
+// judge checks all calls at the end, when nothing is late any more: each
+// acknowledged change has happened once, each refused one never.
+func (o *oracle) judge(changes []*change) {
+	times := map[string]int{}
+	for _, c := range o.configs {
+		for _, p := range c.Profiles {
+			if p.Version == c.Version {
+				times[p.ClientAccount]++
+			}
+		}
+	}
+	for _, c := range changes {
+		n := times[c.marker]
+		refused := errors.Is(c.err, confstate.ErrLostRace) || errors.Is(c.err, confstate.ErrStoreDown)
+		switch {
+		case c.err == nil && n != 1:
+			o.failf("%s was acknowledged and happened %d times", c.marker, n)
+		case refused && n != 0:
+			o.failf("%s was refused (%v) and happened", c.marker, c.err)
+		case n > 1:
+			o.failf("%s happened %d times", c.marker, n)
+		}
+	}
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -11,6 +11,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 )
 
@@ -50,8 +51,8 @@
 
 	last    Authority // as last told to subscribers
 	results chan Event
-	cancel  context.CancelFunc
-	loop    sync.WaitGroup
+	loops   kernel.Loops
+	running bool
 }
 
 // New returns a service that is not running yet. The clock is monotonic.
@@ -74,13 +75,9 @@
 
 // Start starts to watch the row and claims it when it is free.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.loop.Add(1)
-	go func() {
-		defer s.loop.Done()
-		s.run(ctx)
-	}()
+	s.loops.Begin()
+	s.loops.Go(s.run)
+	s.running = true
 	return nil
 }
 
@@ -88,12 +85,12 @@
 // ends the service. Whatever acts for the cell must have ended before: the
 // next owner does not wait.
 func (s *Service) Stop(ctx context.Context) error {
+	if !s.running {
+		return nil
+	}
 	s.step(Release{})
 	err := s.awaitRelease(ctx)
-	if s.cancel != nil {
-		s.cancel()
-	}
-	s.loop.Wait()
+	s.loops.End()
 	return err
 }
 
@@ -113,7 +110,7 @@
 func (s *Service) released() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.cancel == nil || s.core.Released()
+	return s.core.Released()
 }
 
 func (s *Service) run(ctx context.Context) {
--- /dev/null
+++ b/internal/owner/store_bench_test.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkConfigChange measures the store's transactions for each acknowledged
+// change of the configuration, by one operator and by operators that race each
+// other at all entries. Polls are not counted.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, racing := range []bool{false, true} {
+		b.Run(fmt.Sprintf("racing=%v", racing), func(b *testing.B) {
+			w := newWorld(1, simProcesses, Times{})
+			w.run(10 * time.Second)
+			w.configTxns = 0
+			if racing {
+				w.operators = 0.2
+			}
+			for acked(w) < b.N {
+				if !racing {
+					w.procs[0].put("a", ^uint64(0))
+					continue
+				}
+				w.run(simStep)
+			}
+			if w.oracle.fault != "" {
+				b.Fatal(w.oracle.fault)
+			}
+			b.ReportMetric(float64(w.configTxns)/float64(acked(w)), "txns/change")
+		})
+	}
+}
+
+func acked(w *world) int { return len(w.oracle.acked) }
+
+// BenchmarkInForce measures, in virtual time, how long after its acknowledgement
+// a change is known to all entries.
+func BenchmarkInForce(b *testing.B) {
+	w := newWorld(1, simProcesses, Times{})
+	w.run(10 * time.Second)
+	var sum, worst time.Duration
+	for range b.N {
+		c := w.procs[0].put("a", ^uint64(0))
+		start := w.now
+		for !known(w, c.result.Version) {
+			w.run(10 * time.Millisecond)
+		}
+		sum += w.now - start
+		worst = max(worst, w.now-start)
+		w.run(time.Duration(w.rng.Intn(1000)) * time.Millisecond)
+	}
+	b.ReportMetric(sum.Seconds()*1000/float64(b.N), "virtual-ms/change")
+	b.ReportMetric(worst.Seconds()*1000, "virtual-ms-max")
+}
+
+func known(w *world, version uint64) bool {
+	for _, p := range w.procs {
+		if p.conf.Current().Version < version {
+			return false
+		}
+	}
+	return true
+}
