--- /dev/null
+++ b/internal/ledger/health_test.go
@@ -0,0 +1,74 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+)
+
+// TestOutageIsObservedWithoutGaps shows that only failures seen all the time
+// since the last answer count as an outage.
+func TestOutageIsObservedWithoutGaps(t *testing.T) {
+	sim := &simTime{}
+	table := newFakeTable()
+	c := New(table, Config{Budgets: map[Cause]Budget{}, Clock: sim.clock, Sleep: sim.sleep})
+	read := func() { _, _ = c.Get(context.Background(), CauseConfig, "a") }
+	expect := func(what string, want time.Duration) {
+		t.Helper()
+		if got := c.Outage(); got != want {
+			t.Errorf("%s: outage of %v, expected %v", what, got, want)
+		}
+	}
+	fail := func(d time.Duration) {
+		for end := sim.now + d; sim.now < end; {
+			sim.now += time.Second
+			read()
+		}
+	}
+	table.down = true
+	read()
+	expect("before the first answer", 0)
+	table.down = false
+	sim.now += time.Second
+	read()
+	expect("after an answer", 0)
+	table.down = true
+	fail(3 * time.Second)
+	expect("after failures", 3*time.Second)
+	sim.now += 2 * watchGap
+	expect("right after a pause", 0)
+	fail(3 * time.Second)
+	expect("after failures with a pause between", 0)
+	table.down = false
+	sim.now += time.Second
+	read()
+	table.down = true
+	fail(2 * time.Second)
+	expect("after another answer", 2*time.Second)
+}
+
+// slowTable answers no call, each after the process was paused.
+type slowTable struct {
+	platform.Table
+	sim *simTime
+}
+
+func (s slowTable) Get(context.Context, ...string) ([]platform.Row, error) {
+	s.sim.now += time.Minute
+	return nil, platform.ErrUnavailable
+}
+
+// TestPausedCallsTellNothing shows that calls which fail because the process was
+// paused open no breaker.
+func TestPausedCallsTellNothing(t *testing.T) {
+	sim := &simTime{}
+	c := New(slowTable{sim: sim}, Config{Budgets: map[Cause]Budget{}, Clock: sim.clock, Sleep: sim.sleep})
+	for range 2 * breakerThreshold {
+		_, _ = c.Get(context.Background(), CauseConfig, "a")
+	}
+	if c.Down() {
+		t.Error("breaker is open")
+	}
+}
