--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -115,7 +115,11 @@
 
 func newMembership(l ledger.Ledger, s *settings.Entry, c clock, registry metrics.Registry, log zerolog.Logger) *membership.Service {
 	self := membership.Self{ID: string(s.ID), Addr: advertised(s), Zone: string(s.Zone)}
-	return membership.New(l, self, membership.NewDialer(), c, membership.Config{Metrics: registry, Log: log})
+	cfg := membership.Config{Metrics: registry, Log: log}
+	if s.Balancer != "" {
+		cfg.Seeds = []string{string(s.Balancer)}
+	}
+	return membership.New(l, self, membership.NewDialer(), c, cfg)
 }
 
 func advertised(s *settings.Entry) string {
--- a/internal/entry/httpapi/httpapi.go
+++ b/internal/entry/httpapi/httpapi.go
@@ -21,7 +21,9 @@
 const (
 	defaultTimeout = 30 * time.Second
 	maxTimeout     = 10 * time.Minute
-	storeTimeout   = 5 * time.Second
+	// storeTimeout bounds the store's part of a call. An entry that has just started
+	// waits some seconds before it acknowledges a change of the configuration.
+	storeTimeout = 8 * time.Second
 	// storeRetryAfter is when to come back after a refusal because of the store.
 	storeRetryAfter = 5 * time.Second
 	maxKeyBytes     = 256
--- a/internal/settings/roles.go
+++ b/internal/settings/roles.go
@@ -54,6 +54,9 @@
 	// RPCAdvertise is the address under which agents and other entries reach
 	// RPCListen. Default RPCListen; empty only when RPCListen has port 0.
 	RPCAdvertise Address `toml:"rpc_advertise"`
+	// Balancer is the platform's balancer in front of the entries' RPCListen.
+	// An entry that starts while the table is down finds the others through it.
+	Balancer Address `toml:"balancer"`
 	// Table is the platform's table service.
 	Table Service `toml:"table,required"`
 	// Objects is the platform's object store.
