--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -49,6 +49,7 @@
 	slotsDirty  bool
 	repackedAt  time.Duration
 	compactedAt time.Duration
+	displacedAt time.Duration
 	repackOwed  bool // a guarantee lacks a place and repackInterval had not passed
 	plannedGen  uint64
 	unbound     []*job // run outside of their profile's guarantee
--- a/internal/sched/guarantee.go
+++ b/internal/sched/guarantee.go
@@ -76,7 +76,7 @@
 	whole := &job{rec: j.rec, perTask: r.gang.PerTask}
 	best, ok := c.cheapest(whole, q, victimRule{firm: true})
 	if !ok {
-		return false
+		return c.displace(r, j)
 	}
 	c.place(r, best.parts)
 	for _, v := range best.victims {
--- a/internal/sched/machine_test.go
+++ b/internal/sched/machine_test.go
@@ -55,7 +55,8 @@
 	pair := api.Shape{Tasks: 2, PerTask: api.Resources{Accelerators: 1, MilliCPU: 1000}, Adjacency: api.AdjacentWorker}
 	return &api.Config{Version: 1, Zones: map[string]api.AvailabilityZone{}, Profiles: map[string]api.Profile{
 		"clinic": {Name: "clinic", ClientAccount: "clinic", Guarantee: &api.Guarantee{Gangs: 1, Shape: shape}},
-		"ward":   {Name: "ward", ClientAccount: "ward", Guarantee: &api.Guarantee{Gangs: 2, Shape: pair}},
+		"ward":   {Name: "ward", ClientAccount: "ward", Guarantee: &api.Guarantee{Gangs: 1, Shape: pair}},
+		"unit":   {Name: "unit", ClientAccount: "unit", Guarantee: &api.Guarantee{Gangs: 1, Shape: pair}},
 		"night":  {Name: "night", ClientAccount: "institute", Preemptible: true, Weight: 2},
 		"plain":  {Name: "plain", ClientAccount: "office", QuotaAccelerators: 24},
 		"urgent": {Name: "urgent", ClientAccount: "office", Urgent: true},
@@ -147,8 +148,9 @@
 		m.checkWorker(t, w)
 	}
 	m.checkAnswers(t)
-	m.checkReclaim(t, "clinic")
-	m.checkReclaim(t, "ward")
+	for _, profile := range []string{"clinic", "unit", "ward"} {
+		m.checkReclaim(t, profile)
+	}
 }
 
 func (m *machine) checkWorker(t *rapid.T, w *worker) {
@@ -263,7 +265,7 @@
 	m.next++
 	job := api.Job{
 		ID:             fmt.Sprintf("j%03d", m.next),
-		Profile:        rapid.SampledFrom([]string{"clinic", "clinic", "ward", "night", "night", "night", "plain", "plain", "urgent"}).Draw(t, "profile"),
+		Profile:        rapid.SampledFrom([]string{"clinic", "clinic", "ward", "unit", "night", "night", "night", "plain", "plain", "urgent"}).Draw(t, "profile"),
 		Idempotent:     rapid.IntRange(0, 3).Draw(t, "idempotent") > 0,
 		Checkpointable: rapid.Bool().Draw(t, "checkpointable"),
 		DeclaredRun:    api.Duration(time.Minute),
--- a/internal/sched/waiting.go
+++ b/internal/sched/waiting.go
@@ -55,6 +55,10 @@
 		return
 	}
 	c.forgiveWorkers(j)
+	if c.missingSlot(j) != nil {
+		// Other guarantees may be moved for it by now.
+		j.class.failed = false
+	}
 	if j.waiting != nil && !j.waiting.whole() {
 		c.dropWaiting(j)
 	}
