--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -11,6 +11,8 @@
 		d.add(n.line, n.column, "rpc_advertise", "is required because rpc_listen %q stands for all addresses", string(e.RPCListen))
 	}
 	d.checkReachable(n, "rpc_advertise", e.RPCAdvertise)
+	n, _ = d.place("balancer")
+	d.checkReachable(n, "balancer", e.Balancer)
 	if e.Limits.MaxQueue > e.Limits.MaxRequests {
 		n, _ := d.place("limits")
 		d.add(n.line, n.column, "limits.max_queue", "%d is above limits.max_requests %d", e.Limits.MaxQueue, e.Limits.MaxRequests)
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -17,11 +17,12 @@
 
 var (
 	logMessage = regexp.MustCompile(`\.Msg\("([^"]+)"\)`)
+	reason     = regexp.MustCompile(`\bReason[A-Za-z]+ +(?:route\.)?(?:Reason )?= "([a-z-]+)"`)
 	metricName = regexp.MustCompile(`(?:GetOrRegister(?:Counter|Gauge|GaugeFloat64|Timer|Meter|Histogram)|\.count)\("([a-z_0-9.]+)"`)
 )
 
-// TestOperationsNamesLogLinesAndMetrics looks up each log message and metric
-// of the processes in docs/OPERATIONS.md.
+// TestOperationsNamesLogLinesAndMetrics looks up each log message, metric and
+// reason of the processes in docs/OPERATIONS.md.
 func TestOperationsNamesLogLinesAndMetrics(t *testing.T) {
 	page := operations(t)
 	for _, dir := range []string{"internal", "cmd"} {
@@ -38,6 +39,11 @@
 					t.Errorf("%s: log message %q is not explained", path, m[1])
 				}
 			}
+			for _, m := range reason.FindAllStringSubmatch(string(source), -1) {
+				if !strings.Contains(page, "`"+m[1]+"`") {
+					t.Errorf("%s: reason %q is not explained", path, m[1])
+				}
+			}
 			for _, m := range metricName.FindAllStringSubmatch(string(source), -1) {
 				if !namesMetric(page, m[1]) {
 					t.Errorf("%s: metric %q is not explained", path, m[1])
