An agent's sessions are reported to the listeners in their order

Server.remove took the session out of the map, released the lock and told the listeners afterwards. A session that opened in between found no earlier one, so that listeners heard up (new), then down (old): the routing core and the scheduler held the agent for lost until its next reconnection, and the scheduler dropped its heartbeats and reports. Two sessions that replace one another in quick succession had the same fault in add. One lock now covers a change of sessions together with what the listeners hear of it.

Ruled out: a deadlock with dispatch, which holds the session's lock alone and never takes the new one; listeners do not open or close sessions.

Before (go test -race -run AgentIsUp ./internal/entry/links/): listeners heard ["up 1" "up 2" "down 1"], want ["up 1" "down 1" "up 2"] After: ok

--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -77,6 +77,11 @@
 	registry  metrics.Registry
 	log       zerolog.Logger
 
+	// changes is held while a session comes or goes and the listeners hear of
+	// it, so that they hear of an agent's sessions in their order. It is taken
+	// before the locks of sessions.
+	changes sync.Mutex
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	closed   bool
@@ -214,6 +219,8 @@
 }
 
 func (s *Server) add(x *session, groups []*rpc.GroupReport) error {
+	s.changes.Lock()
+	defer s.changes.Unlock()
 	s.mu.Lock()
 	if s.closed || len(s.sessions) >= maxSessions {
 		s.mu.Unlock()
@@ -239,6 +246,8 @@
 }
 
 func (s *Server) remove(x *session) {
+	s.changes.Lock()
+	defer s.changes.Unlock()
 	s.mu.Lock()
 	current := s.sessions[x.agent.ID] == x
 	if current {
