A link whose peer takes nothing any more ends although a write is blocked

Open wrote to the stream itself. The watchdog cancels a context derived from the stream's, which does not end a write that waits for flow control: with more queued than the transport takes, an agent that was paused or whose connection went silent stayed linked, with up to 8192 queued messages, until TCP gave up. The writer is now a goroutine of its own and Open returns when the link's context ends, which makes the transport end the write.

Ruled out: the watchdog itself (it fires), the agent's side (its stream is opened under the context that is cancelled, so its writes end).

--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -113,7 +113,9 @@
 	}
 	defer s.remove(x)
 	go s.receive(ctx, stream, x)
-	return send(ctx, stream, x)
+	go send(ctx, stream, x)
+	<-ctx.Done()
+	return status.Error(codes.Unavailable, "link closed")
 }
 
 func agentOf(h *rpc.Hello) Agent {
@@ -129,16 +131,17 @@
 	}
 }
 
-// send writes queued messages until ctx ends. A stream whose peer takes
-// nothing any more is ended by the watchdog of receive.
-func send(ctx context.Context, stream rpc.Link_OpenServer, x *session) error {
+// send writes queued messages until ctx ends. A write may wait for a peer that
+// takes nothing any more; the return of Open ends it.
+func send(ctx context.Context, stream rpc.Link_OpenServer, x *session) {
+	defer x.cancel()
 	for {
 		select {
 		case <-ctx.Done():
-			return status.Error(codes.Unavailable, "link closed")
+			return
 		case m := <-x.out:
 			if err := stream.Send(m); err != nil {
-				return err
+				return
 			}
 		}
 	}
--- a/internal/entry/links/links_test.go
+++ b/internal/entry/links/links_test.go
@@ -1,6 +1,8 @@
 package links
 
 import (
+	"context"
+	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -9,6 +11,8 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 )
 
 const testTimeout = 20 * time.Second
@@ -40,6 +44,7 @@
 func (j *journal) AgentHeartbeat(Agent, *rpc.AgentHeartbeat) {}
 func (j *journal) RequestResult(Agent, *rpc.RequestResult)   {}
 func (j *journal) GroupReport(Agent, *rpc.GroupReport)       {}
+func (j *journal) has(line string) bool                      { return slices.Contains(j.list(), line) }
 
 func newTestServer() (*Server, *journal) {
 	s, j := New(noBeat{}, metrics.NewRegistry(), zerolog.Nop()), &journal{}
@@ -93,3 +98,46 @@
 		t.Fatalf("listeners heard %q, want %q", got, want)
 	}
 }
+
+// An agent that sends and takes nothing any more, on a connection that stays
+// open, while more is queued for it than the transport takes.
+func TestSilentAgentIsDownAlthoughASendIsBlocked(t *testing.T) {
+	s, j := newTestServer()
+	address := serveLinks(t, s)
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stream, err := rpc.NewLinkClient(conn).Open(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hello := &rpc.Hello{AgentId: "a", Incarnation: "1", Zone: "z"}
+	if err := stream.Send(&rpc.AgentMessage{Body: &rpc.AgentMessage_Hello{Hello: hello}}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "agent is up", func() bool { return j.has("up 1") })
+	for range 4 {
+		body := make([]byte, 1<<20)
+		s.Send("a", func(int64) *rpc.EntryMessage {
+			return &rpc.EntryMessage{Body: &rpc.EntryMessage_Execute{Execute: &rpc.Execute{Body: body}}}
+		})
+	}
+	eventually(t, "agent is down", func() bool { return j.has("down 1") })
+}
+
+func serveLinks(t *testing.T, s *Server) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	rpc.RegisterLinkServer(server, s)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
