An agent drops the bodies of requests that it refused or has called

The shell dropped an execution's bodies on the core's Forget alone, which comes for kept answers only. The body of every refused execution, of every call without an answer and of every repeated Execute stayed in memory for good, and that of an answered call as long as its answer (24 MiB of answers are bounded by the core, requests were not counted). A request's body now goes when its call has ended or is refused, and an Execute of a known attempt keeps none.

Ruled out: a body dropped too early. Not-run is final for an attempt, and a queued or running attempt has sent no result.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -24,7 +24,8 @@
 	pauseLimit = 200 * time.Millisecond
 )
 
-// execution holds the bodies of one attempt.
+// execution holds the bodies of one attempt: the request's until its call has
+// ended, then the answer's until the core forgets it.
 type execution struct {
 	request platform.MinionRequest
 	reply   *platform.MinionReply
@@ -92,14 +93,22 @@
 	startBy := h.agent.started.Add(decided + pauseLimit)
 	reply, err := h.minion.Call(platform.WithStartBy(ctx, startBy), x.request)
 	outcome, detail := callOutcome(reply, err)
-	if err == nil {
-		h.mu.Lock()
-		x.reply = &reply
-		h.mu.Unlock()
-	}
+	h.called(act.Ref, x, reply, err)
 	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: int64(len(reply.Body))})
 }
 
+// called keeps the answer of a call in place of the request.
+func (h *requestHost) called(ref exec.Ref, x *execution, reply platform.MinionReply, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		delete(h.bodies, ref)
+		return
+	}
+	x.request = platform.MinionRequest{}
+	x.reply = &reply
+}
+
 func callOutcome(reply platform.MinionReply, err error) (api.Outcome, string) {
 	switch {
 	case errors.Is(err, platform.ErrNotSent):
@@ -128,6 +137,9 @@
 		m.Digest = rpc.Digest(m.Body)
 	}
 	h.agent.links.send(act.Entry, &rpc.AgentMessage{Body: &rpc.AgentMessage_Result{Result: m}})
+	if act.Outcome == api.OutcomeNotRun {
+		delete(h.bodies, act.Ref) // the attempt never runs
+	}
 }
 
 func (h *requestHost) handle(entry string, m *rpc.EntryMessage) {
@@ -149,7 +161,7 @@
 	allowed := h.agent.allowed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.bodies[ref] == nil {
+	if !h.core.Known(ref) {
 		h.bodies[ref] = &execution{request: platform.MinionRequest{
 			RequestID:   x.RequestId,
 			Attempt:     x.Attempt,
--- /dev/null
+++ b/internal/agent/requests_test.go
@@ -0,0 +1,112 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/agent/exec"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// fakeMinion answers each call with reply and err, once release is closed.
+type fakeMinion struct {
+	reply   platform.MinionReply
+	err     error
+	release chan struct{}
+}
+
+func (m *fakeMinion) Call(context.Context, platform.MinionRequest) (platform.MinionReply, error) {
+	<-m.release
+	return m.reply, m.err
+}
+
+func (m *fakeMinion) Healthy(context.Context) error { return nil }
+
+// newTestHost returns a host with one slot whose agent is linked with entry "e".
+func newTestHost(m *fakeMinion) (*requestHost, *session) {
+	m.release = make(chan struct{})
+	a := New(Config{ID: "a", Kind: KindMinion, Slots: 1}, m, nil, metrics.NewRegistry(), zerolog.Nop())
+	s := &session{entry: "e", out: make(chan *rpc.AgentMessage, 100), cancel: func() {}}
+	l := &link{agent: a}
+	l.setSession(s)
+	a.links.links["e"] = l
+	a.healthy = true
+	a.permission = permission{version: 1, until: time.Hour}
+	a.requests.linkUp("e")
+	return a.requests, s
+}
+
+func executeOf(h *requestHost, id string) *rpc.Execute {
+	body := []byte("body")
+	return &rpc.Execute{
+		RequestId:   id,
+		Attempt:     1,
+		Incarnation: h.agent.incarnation,
+		StampMs:     h.agent.clock().Milliseconds(),
+		PermitMs:    1000,
+		TimeoutMs:   60000,
+		Body:        body,
+		Digest:      rpc.Digest(body),
+		Length:      int64(len(body)),
+	}
+}
+
+func resultOf(t *testing.T, s *session) *rpc.RequestResult {
+	t.Helper()
+	select {
+	case m := <-s.out:
+		return m.GetResult()
+	case <-time.After(10 * time.Second):
+		t.Fatal("no result within 10s")
+		return nil
+	}
+}
+
+func (h *requestHost) keptBody(id string) (request, reply bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x := h.bodies[exec.Ref{ID: id, Attempt: 1}]
+	if x == nil {
+		return false, false
+	}
+	return x.request.Body != nil, x.reply != nil
+}
+
+func TestBodiesAreDroppedOnceNobodyNeedsThem(t *testing.T) {
+	h, s := newTestHost(&fakeMinion{reply: platform.MinionReply{Status: 200, Body: []byte("answer")}})
+	for _, id := range []string{"runs", "waits", "refused", "refused"} {
+		h.execute("e", executeOf(h, id))
+	}
+	for range 2 {
+		if got := resultOf(t, s); got.RequestId != "refused" || got.Outcome != rpc.Outcome_OUTCOME_NOT_RUN {
+			t.Fatalf("result %v, want not-run for the request beyond the slot and the queue", got)
+		}
+	}
+	if request, _ := h.keptBody("refused"); request {
+		t.Error("the body of a refused request is kept")
+	}
+	close(h.minion.(*fakeMinion).release)
+	if got := resultOf(t, s); got.RequestId != "runs" || string(got.Body) != "answer" {
+		t.Fatalf("result %v, want the answer of the first request", got)
+	}
+	if request, reply := h.keptBody("runs"); request || !reply {
+		t.Errorf("after the call the request's body is kept: %t, the answer: %t; want the answer alone", request, reply)
+	}
+}
+
+func TestBodyOfACallWithoutAnswerIsDropped(t *testing.T) {
+	h, s := newTestHost(&fakeMinion{err: platform.ErrUnavailable})
+	h.execute("e", executeOf(h, "lost"))
+	close(h.minion.(*fakeMinion).release)
+	if got := resultOf(t, s); got.Outcome != rpc.Outcome_OUTCOME_UNKNOWN {
+		t.Fatalf("result %v, want unknown", got)
+	}
+	h.execute("e", executeOf(h, "lost"))
+	if request, _ := h.keptBody("lost"); request {
+		t.Error("the body of a call that has ended is kept")
+	}
+}
