An answer or result too large for a message no longer breaks an agent's links

Messages are bounded by rpc.MaxMessageBytes, answers were not (the minion's client reads up to 64 MiB): the write of a larger one fails and closes the link, the next link sends the result again, and so on for as long as it is kept (10 minutes), so that one answer stopped all work between an agent and an entry. A job's result did the same to all entries, and up to 512 kept results together made a hello that no entry takes, which keeps the agent from linking at all.

Ruled out: cutting the body or leaving the result out, which would be an incomplete answer; "unknown", since the work is known to have run.

--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -93,20 +94,25 @@
 	startBy := h.agent.started.Add(decided + pauseLimit)
 	reply, err := h.minion.Call(platform.WithStartBy(ctx, startBy), x.request)
 	outcome, detail := callOutcome(reply, err)
-	h.called(act.Ref, x, reply, err)
-	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: int64(len(reply.Body))})
+	size := h.called(act.Ref, x, reply, err)
+	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: size})
 }
 
-// called keeps the answer of a call in place of the request.
-func (h *requestHost) called(ref exec.Ref, x *execution, reply platform.MinionReply, err error) {
+// called keeps the answer of a call in place of the request, unless no message
+// can carry it, and returns its size.
+func (h *requestHost) called(ref exec.Ref, x *execution, reply platform.MinionReply, err error) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err != nil {
+	x.request = platform.MinionRequest{}
+	switch {
+	case err != nil:
 		delete(h.bodies, ref)
-		return
+		return 0
+	case len(reply.Body) > rpc.MaxBodyBytes:
+		return 0
 	}
-	x.request = platform.MinionRequest{}
 	x.reply = &reply
+	return int64(len(reply.Body))
 }
 
 func callOutcome(reply platform.MinionReply, err error) (api.Outcome, string) {
@@ -115,6 +121,8 @@
 		return api.OutcomeNotRun, err.Error()
 	case err != nil:
 		return api.OutcomeUnknown, err.Error()
+	case len(reply.Body) > rpc.MaxBodyBytes:
+		return api.OutcomeFailed, fmt.Sprintf("answer of %d bytes (at most %d)", len(reply.Body), rpc.MaxBodyBytes)
 	case reply.Status >= 500:
 		return api.OutcomeFailed, ""
 	}
--- a/internal/agent/requests_test.go
+++ b/internal/agent/requests_test.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 )
 
 // fakeMinion answers each call with reply and err, once release is closed.
@@ -110,3 +111,16 @@
 		t.Error("the body of a call that has ended is kept")
 	}
 }
+
+func TestAnswerThatNoMessageCanCarryIsAFailure(t *testing.T) {
+	h, s := newTestHost(&fakeMinion{reply: platform.MinionReply{Status: 200, Body: make([]byte, rpc.MaxBodyBytes+1)}})
+	h.execute("e", executeOf(h, "large"))
+	close(h.minion.(*fakeMinion).release)
+	got := resultOf(t, s)
+	if got.Outcome != rpc.Outcome_OUTCOME_FAILED || got.Status != 0 || len(got.Body) > 0 || got.Detail == "" {
+		t.Fatalf("result %v with status %d, %d bytes and detail %q; want failed with a detail alone", got.Outcome, got.Status, len(got.Body), got.Detail)
+	}
+	if size := proto.Size(&rpc.AgentMessage{Body: &rpc.AgentMessage_Result{Result: got}}); size > rpc.MaxMessageBytes {
+		t.Fatalf("message of %d bytes", size)
+	}
+}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -221,40 +221,10 @@
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-var groupStates = map[groups.State]rpc.GroupState{
-	groups.Held:         rpc.GroupState_GROUP_STATE_HELD,
-	groups.Refused:      rpc.GroupState_GROUP_STATE_REFUSED,
-	groups.Running:      rpc.GroupState_GROUP_STATE_RUNNING,
-	groups.Done:         rpc.GroupState_GROUP_STATE_DONE,
-	groups.Failed:       rpc.GroupState_GROUP_STATE_FAILED,
-	groups.Checkpointed: rpc.GroupState_GROUP_STATE_CHECKPOINTED,
-	groups.Stopped:      rpc.GroupState_GROUP_STATE_STOPPED,
-	groups.Absent:       rpc.GroupState_GROUP_STATE_ABSENT,
-}
-
-func reportMessage(r groups.Report) *rpc.GroupReport {
-	return &rpc.GroupReport{
-		JobId:       r.Ref.JobID,
-		Attempt:     r.Ref.Attempt,
-		State:       groupStates[r.State],
-		Tasks:       int32(r.Tasks),
-		ProgressMs:  r.Progress.Milliseconds(),
-		Usage:       rpc.FromResources(r.Usage),
-		Detail:      r.Detail,
-		Result:      r.Result,
-		Checkpoint:  r.Checkpoint,
-		WorkerFault: r.WorkerFault,
-	}
-}
-
 func (h *taskHost) reports() []*rpc.GroupReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []*rpc.GroupReport
-	for _, r := range h.core.Reports() {
-		out = append(out, reportMessage(r))
-	}
-	return out
+	return helloReports(h.core.Reports())
 }
 
 func (h *taskHost) tick(allowed bool) {
--- /dev/null
+++ b/internal/agent/tasks_test.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/agent/groups"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"google.golang.org/protobuf/proto"
+)
+
+func doneReport(i, resultBytes int) groups.Report {
+	result, _ := json.Marshal([]string{strings.Repeat("x", resultBytes)})
+	return groups.Report{
+		Ref:    groups.Ref{JobID: fmt.Sprintf("j%d", i), Attempt: 1},
+		State:  groups.Done,
+		Tasks:  1,
+		Result: result,
+	}
+}
+
+func TestResultThatNoMessageCanCarryIsAFailure(t *testing.T) {
+	m := reportMessage(doneReport(1, maxResultBytes))
+	if m.State != rpc.GroupState_GROUP_STATE_FAILED || len(m.Result) > 0 || m.Detail == "" || m.WorkerFault {
+		t.Fatalf("state %v, %d bytes of result, detail %q, worker's fault %t; want a failure of the task with a detail alone",
+			m.State, len(m.Result), m.Detail, m.WorkerFault)
+	}
+}
+
+func TestHelloHoldsTheReportsThatFit(t *testing.T) {
+	var list []groups.Report
+	for i := range 600 {
+		list = append(list, doneReport(i, 20<<10))
+	}
+	running := groups.Report{Ref: groups.Ref{JobID: "running", Attempt: 1}, State: groups.Running, Tasks: 1}
+	hello := &rpc.Hello{AgentId: "a", Groups: helloReports(append(list, running))}
+	if size := proto.Size(&rpc.AgentMessage{Body: &rpc.AgentMessage_Hello{Hello: hello}}); size > rpc.MaxMessageBytes {
+		t.Errorf("hello of %d bytes (at most %d)", size, rpc.MaxMessageBytes)
+	}
+	for _, g := range hello.Groups {
+		if g.State == rpc.GroupState_GROUP_STATE_DONE && len(g.Result) == 0 {
+			t.Fatalf("report of %q is done without its result", g.JobId)
+		}
+		if g.JobId == "running" {
+			return
+		}
+	}
+	t.Errorf("none of the %d reports is that of the running group", len(hello.Groups))
+}
