A key that came with another body is refused as not-run again

The call's key has a row that names an execution, so the refusal was rewritten to "unknown ... repeat it with the same key" (504), as if an earlier call of the same request might have run. Repeating it can never succeed. The row belongs to another request, and this one has not run: it is 422 with not-run, as the status of ReasonKeyReused already says.

Before (go test -race ./internal/entry/requests/): reply {Outcome:unknown Reason:key-reused Detail:this call has not run, an earlier one with the same key may have; ...}; want not-run because of key-reused After: ok

--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -165,13 +165,20 @@
 		return *known.reply, nil
 	}
 	reply, err := s.submit(call)
-	if known.mayHaveRun && (err != nil || reply.Outcome == api.OutcomeNotRun && reply.Reason != route.ReasonResult) {
+	if known.mayHaveRun && (err != nil || refused(reply)) {
 		reply = refusedAgain(reply, err)
 		err = nil
 	}
 	return reply, err
 }
 
+// refused reports whether a call with a key was refused without regard to what
+// became of the key's request: neither by that request's result nor because
+// the key belongs to a request with another body.
+func refused(reply Reply) bool {
+	return reply.Outcome == api.OutcomeNotRun && reply.Reason != route.ReasonResult && reply.Reason != ReasonKeyReused
+}
+
 // refusedAgain is the answer to a refused call whose key an earlier call has used.
 func refusedAgain(reply Reply, err error) Reply {
 	if err != nil {
--- /dev/null
+++ b/internal/entry/requests/requests_test.go
@@ -0,0 +1,69 @@
+package requests
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+type alwaysPermits struct{}
+
+func (alwaysPermits) Permit() bool         { return true }
+func (alwaysPermits) Current() *api.Config { return &api.Config{Version: 1} }
+
+type oneMember struct{}
+
+func (oneMember) Entries() []*rpc.EntryAddress { return []*rpc.EntryAddress{{Id: "e"}} }
+
+// newTestService returns a service over an empty table, with one minion's agent.
+func newTestService(t *testing.T, objects platform.Objects) (*Service, *ledger.Client) {
+	t.Helper()
+	table := ledger.New(standin.NewTable(), ledger.Config{})
+	srv := links.New(nil, metrics.NewRegistry(), zerolog.Nop())
+	cfg := Config{EntryID: "e", MaxRequests: 100, MaxQueue: 100}
+	s := New(cfg, srv, alwaysPermits{}, oneMember{}, table, objects, metrics.NewRegistry(), zerolog.Nop())
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.loops.End)
+	a := links.Agent{ID: "a", Incarnation: "1", Kind: rpc.EndpointKind_ENDPOINT_KIND_MINION, Service: "svc", Zone: "z", Slots: 4}
+	s.AgentUp(a, nil)
+	s.AgentHeartbeat(a, &rpc.AgentHeartbeat{ClockMs: 1, EndpointHealthy: true})
+	return s, table
+}
+
+func keyedCall(body string) Call {
+	return Call{
+		Service: "svc",
+		Profile: api.Profile{Name: "p", ClientAccount: "acc"},
+		Key:     "k",
+		Timeout: 10 * time.Second,
+		Body:    []byte(body),
+	}
+}
+
+func putClaim(t *testing.T, l ledger.Ledger, row claimRow) {
+	t.Helper()
+	write := ledger.Write{Key: claimKey("acc", "svc", "k"), Data: encode(row)}
+	if _, err := l.Commit(context.Background(), ledger.CauseClaim, write); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestKeyOfAnotherBodyIsRefusedAsNotRun(t *testing.T) {
+	s, table := newTestService(t, standin.NewObjects())
+	putClaim(t, table, claimRow{Digest: rpc.Digest([]byte("first")), Outcome: api.OutcomeDone, Status: 200})
+	reply, err := s.Do(keyedCall("second"))
+	if err != nil || reply.Outcome != api.OutcomeNotRun || reply.Reason != ReasonKeyReused {
+		t.Fatalf("reply %+v, error %v; want not-run because of %s", reply, err, ReasonKeyReused)
+	}
+}
