An answer that the object store does not give is no failure of the table

A call whose key has a recorded answer above 4 KiB reads it from the object store. A read that failed was passed to the routing core as a failed claim, which opened its breaker of the table: during an outage of the object store alone, repeated calls had the keyed requests of all callers refused as store-unavailable. The call is now answered by the shell (unknown, with Retry-After, as before) and the core told that its caller is gone, as for a key of another body.

Ruled out: treating the claim as lost to a holder, which would ask the agent for an answer that it may have forgotten.

--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -196,6 +196,7 @@
 	if row.Object != "" {
 		body, err := c.objects.Get(ctx, row.Object)
 		if err != nil {
+			c.unreadable(act.ID, w)
 			return route.ClaimReply{ID: act.ID, Failed: true}
 		}
 		row.Body = body
@@ -208,13 +209,33 @@
 
 // mismatch answers a call whose key was used with another body.
 func (c *claims) mismatch(id string, w *waiter) {
+	c.end(id, w, Reply{
+		Outcome: api.OutcomeNotRun,
+		Reason:  ReasonKeyReused,
+		Detail:  "the idempotency key belongs to a request with another body",
+	})
+}
+
+// unreadable answers a call whose recorded answer the object store does not give.
+func (c *claims) unreadable(id string, w *waiter) {
+	c.end(id, w, Reply{
+		Outcome:    api.OutcomeUnknown,
+		Reason:     route.ReasonStoreDown,
+		Detail:     "the recorded answer cannot be read now; repeat the call with the same key",
+		RetryAfter: keyRetryAfter,
+	})
+}
+
+// end answers a call before the core does, which then takes the caller for gone
+// and a failed claim not for a failure of the table.
+func (c *claims) end(id string, w *waiter, reply Reply) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	if c.service.waiters[id] != w {
 		return
 	}
 	delete(c.service.waiters, id)
-	w.reply <- Reply{Outcome: api.OutcomeNotRun, Reason: ReasonKeyReused, Detail: "the idempotency key belongs to a request with another body"}
+	w.reply <- reply
 	c.service.stepLocked(route.Gone{ID: id})
 }
 
--- a/internal/entry/requests/requests_test.go
+++ b/internal/entry/requests/requests_test.go
@@ -9,6 +9,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 	"github.com/rcrowley/go-metrics"
@@ -67,3 +68,20 @@
 		t.Fatalf("reply %+v, error %v; want not-run because of %s", reply, err, ReasonKeyReused)
 	}
 }
+
+func TestRecordedAnswerThatCannotBeReadStopsNoOtherKey(t *testing.T) {
+	s, table := newTestService(t, standin.NewObjects())
+	putClaim(t, table, claimRow{Digest: rpc.Digest([]byte("b")), Outcome: api.OutcomeDone, Status: 200, Object: "absent"})
+	for range 5 {
+		reply, err := s.Do(keyedCall("b"))
+		if err != nil || reply.Outcome != api.OutcomeUnknown || reply.RetryAfter == 0 {
+			t.Fatalf("reply %+v, error %v; want unknown with a time to come back", reply, err)
+		}
+	}
+	other := keyedCall("b")
+	other.Key, other.Timeout = "other", 300*time.Millisecond
+	reply, err := s.Do(other)
+	if err != nil || reply.Reason == route.ReasonStoreDown {
+		t.Fatalf("reply %+v, error %v to another key; the table answers", reply, err)
+	}
+}
