A save in doubt is not reported to the scheduling core as not written

sched.Saved{Failed} means that the row has certainly not been written. After a try that ended as ErrUnknown (5 s without an answer) the loop went on, and a next try refused by the breaker (ErrDown: this try wrote nothing) was reported as Failed, although the first had taken effect or still could: the core took the attempt back while its row names it as started. A record is now given up as not written only when no earlier try is in doubt.

Ruled out: other errors of Save as doubtful. Its reads write nothing, and a commit whose context ends is ErrDown or ErrUnknown.

--- a/internal/entry/scheduler/term.go
+++ b/internal/entry/scheduler/term.go
@@ -280,29 +280,39 @@
 	}
 }
 
-// saveOne writes until the write is known to have taken effect, to be
-// impossible, or the term is over. Failed is reported only when nothing was
-// written.
+// saveOne writes a record and tells the core what came of it.
 func (t *term) saveOne(record api.JobRecord) {
+	written, err := t.write(record)
+	switch {
+	case err == nil:
+		t.saved(written, false)
+	case isSettled(err):
+		t.breakTerm(err)
+	case nothingWritten(err):
+		t.saved(record, true)
+	}
+}
+
+// write tries until the write is known to have taken effect, to be impossible,
+// or the term is over. A record that is not final is given up when nothing was
+// written, unless an earlier try may still take effect.
+func (t *term) write(record api.JobRecord) (api.JobRecord, error) {
+	inDoubt := false
 	for t.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(t.ctx, saveTimeout)
 		row, err := t.service.store.Save(ctx, t.epoch, record)
 		cancel()
 		if err == nil {
-			t.saved(row.Record, false)
-			return
+			return row.Record, nil
 		}
 		metrics.GetOrRegisterCounter("scheduler.save_failed", t.service.registry).Inc(1)
-		if isSettled(err) {
-			t.breakTerm(err)
-			return
-		}
-		if nothingWritten(err) && record.State != api.JobFinal {
-			t.saved(record, true)
-			return
+		inDoubt = inDoubt || errors.Is(err, ledger.ErrUnknown)
+		if isSettled(err) || nothingWritten(err) && !inDoubt && record.State != api.JobFinal {
+			return record, err
 		}
 		kernel.Sleep(t.ctx, saveRetry)
 	}
+	return record, t.ctx.Err()
 }
 
 func nothingWritten(err error) bool {
