A lease renewal on the worker that a pause delays is not sent

The agent computed what is left of a group's lease and then called the worker, whose lease counts from the receipt. A process paused in between (SIGSTOP) sent the old remainder when it woke, so that tasks could run past the end of the group's lease, after which the owner may place the gang again. The renewal now carries the guard that starts carry: its first byte is sent within pauseLimit of the computation or not at all, and the lease asked for is shorter by that.

Ruled out: the core's own stop at the lease's end. It comes when the process runs again, but not when it is paused or dies once more.

Before (go test -run Renewal ./internal/agent): the renewal may be sent at any time after a pause After: ok

--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -104,13 +104,17 @@
 	h.step(groups.TaskUpdate{Status: status})
 }
 
+// renew extends the worker's own leases. They count from the worker's receipt,
+// so that a call delayed by a pause of this process would outlive By.
 func (h *taskHost) renew(act groups.RenewTasks) {
-	lease := act.By - h.agent.clock()
+	now := h.agent.clock()
+	lease := act.By - now - pauseLimit
 	if lease <= 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
+	ctx = platform.WithStartBy(ctx, h.agent.started.Add(now+pauseLimit))
 	if err := h.worker.Renew(ctx, act.IDs, lease.Milliseconds()); err != nil {
 		metrics.GetOrRegisterCounter("tasks.renew_failed", h.agent.registry).Inc(1)
 	}
--- a/internal/agent/tasks_test.go
+++ b/internal/agent/tasks_test.go
@@ -1,13 +1,19 @@
 package agent
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/agent/groups"
+	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/coltsfootlug/coltsfootlug/internal/sched"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -49,3 +55,30 @@
 	}
 	t.Errorf("none of the %d reports is that of the running group", len(hello.Groups))
 }
+
+// renewalWorker notes the last renewal.
+type renewalWorker struct {
+	platform.Worker
+	lease   time.Duration
+	startBy time.Time
+	guarded bool
+}
+
+func (w *renewalWorker) Renew(ctx context.Context, _ []string, leaseMS int64) error {
+	w.lease = time.Duration(leaseMS) * time.Millisecond
+	w.startBy, w.guarded = platform.StartBy(ctx)
+	return nil
+}
+
+func TestRenewalDelayedByAPauseDoesNotOutliveTheLease(t *testing.T) {
+	w := &renewalWorker{}
+	a := New(Config{ID: "a", Kind: KindWorker}, nil, w, metrics.NewRegistry(), zerolog.Nop())
+	by := a.clock() + sched.GroupLease
+	a.tasks.renew(groups.RenewTasks{IDs: []string{"t"}, Lease: sched.GroupLease, By: by})
+	if !w.guarded {
+		t.Fatal("the renewal may be sent at any time after a pause")
+	}
+	if end := w.startBy.Add(w.lease); end.After(a.started.Add(by)) {
+		t.Errorf("a renewal at the last moment ends %v after the group's lease", end.Sub(a.started.Add(by)))
+	}
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -75,7 +75,7 @@
 // of ctx's deadline and the client's timeout. The caller calls done when it has
 // read the body of resp.
 func (c *client) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) (done func(), err error) {
-	startBy, ok := ctx.Value(startByKey{}).(time.Time)
+	startBy, ok := StartBy(ctx)
 	if !ok {
 		return func() {}, c.doWith(ctx, c.http, req, resp)
 	}
--- a/internal/platform/guarded.go
+++ b/internal/platform/guarded.go
@@ -23,6 +23,12 @@
 	return context.WithValue(ctx, startByKey{}, t)
 }
 
+// StartBy returns the time that WithStartBy has set.
+func StartBy(ctx context.Context) (t time.Time, ok bool) {
+	t, ok = ctx.Value(startByKey{}).(time.Time)
+	return t, ok
+}
+
 // errLapsed says that a guarded call came too late.
 const errLapsed = errors.ConstError("permission to start has lapsed before the call")
 
