A planned stop ends the waits for jobs instead of waiting for them

GET /v1/jobs/{id}?wait= may last 5 minutes and a stop waits for the requests in progress, 2 minutes by default: with anyone waiting for a job, each planned stop of an entry took up to 2 minutes, then cut the caller off, left the later services (requests, scheduler, hand-over of the ownership) an ended context and exited as failed. A wait now ends when the stop begins, with the record as it stood, as it does when its own time is over.

--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
@@ -243,6 +244,7 @@
 	})
 	a.Mount(r)
 	var server *httpx.Server
+	a.Serving = func() context.Context { return server.Serving() }
 	httpx.Debug(r, httpx.DebugDeps{
 		Ready: func() error {
 			if server.Draining() {
--- a/internal/entry/httpapi/httpapi.go
+++ b/internal/entry/httpapi/httpapi.go
@@ -2,6 +2,7 @@
 package httpapi
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -49,6 +50,8 @@
 	Notifier  Notifier
 	Status    StatusSource
 	Registry  metrics.Registry
+	// Serving returns a context that ends when a planned stop begins.
+	Serving func() context.Context
 }
 
 // Mount adds the interface's paths to a router.
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -168,9 +168,10 @@
 	writeRecord(ctx, fasthttp.StatusOK, record, err)
 }
 
-// awaitJob returns the final record, or the given one when it does not come in time.
+// awaitJob returns the final record, or the given one when it does not come in
+// time or a planned stop begins; the caller goes on waiting at another entry.
 func (a *API) awaitJob(id string, wait time.Duration, record api.JobRecord) api.JobRecord {
-	c, cancel := context.WithTimeout(context.Background(), wait)
+	c, cancel := context.WithTimeout(a.Serving(), wait)
 	defer cancel()
 	if final, err := a.Waiters.Wait(c, id); err == nil {
 		return final
--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -72,7 +72,8 @@
 	options  ServerOptions
 	server   *fasthttp.Server
 	listener net.Listener
-	draining atomic.Bool
+	serving  context.Context // ends when Stop begins
+	drain    context.CancelFunc
 	served   sync.WaitGroup
 
 	classes    [6]metrics.Counter // by the first digit of the status
@@ -88,6 +89,7 @@
 // NewServer returns a server that does not listen yet.
 func NewServer(options ServerOptions) *Server {
 	s := &Server{options: options}
+	s.serving, s.drain = context.WithCancel(context.Background())
 	s.registerCounters(options.Registry)
 	s.server = &fasthttp.Server{
 		Handler:               s.handle,
@@ -137,12 +139,16 @@
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
 // Draining reports whether Stop has begun.
-func (s *Server) Draining() bool { return s.draining.Load() }
+func (s *Server) Draining() bool { return s.serving.Err() != nil }
+
+// Serving returns a context that ends when Stop begins, for handlers that wait
+// for something which need not come.
+func (s *Server) Serving() context.Context { return s.serving }
 
 // Stop waits for the requests in progress. While LameDuck lasts new requests
 // are still served.
 func (s *Server) Stop(ctx context.Context) error {
-	s.draining.Store(true)
+	s.drain()
 	timer := time.NewTimer(s.options.LameDuck)
 	defer timer.Stop()
 	select {
@@ -157,7 +163,7 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.draining.Load() {
+	if s.Draining() {
 		ctx.SetConnectionClose()
 	}
 	s.options.Handler(ctx)
