A worker's agent links with entries once it knows what the worker runs

A new agent process opened its links while its first list of the worker's tasks was still under way or had failed. A renewal or stop in that time was answered "absent" for a group whose tasks ran, which promises that the agent holds nothing of the attempt: the owner could place the gang again, or end a cancelled job, beside running tasks, and the adoption that followed stopped them as strays. Capacity in use counted as free for holds as well. The agent now announces its endpoint after the adoption; adoption and flag change under one lock.

Ruled out: the core, which is told of the tasks by Adopt alone. An agent whose worker does not answer was unhealthy before and gets no work either way.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -145,6 +145,8 @@
 
 // host is the part of the agent that serves its kind of endpoint.
 type host interface {
+	// linkable reports whether entries may be linked; once true, it stays so.
+	linkable() bool
 	tick(allowed bool)
 	linkUp(entry string)
 	linkDown(entry string)
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -48,6 +48,7 @@
 	s.mu.Lock()
 	s.ctx = ctx
 	s.mu.Unlock()
+	kernel.Until(ctx, idlePollInterval, s.agent.host().linkable)
 	for ctx.Err() == nil {
 		s.announce(ctx)
 		s.forgetUnlisted()
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -201,6 +201,7 @@
 func (h *requestHost) caretaker(time.Duration)         {}
 func (h *requestHost) ownerSeen(uint64)                {}
 func (h *requestHost) reports() []*rpc.GroupReport     { return nil }
+func (h *requestHost) linkable() bool                  { return true }
 func (h *requestHost) leave()                          { h.step(exec.Leave{}) }
 func (h *requestHost) probe(ctx context.Context) error { return h.minion.Healthy(ctx) }
 
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -47,6 +47,10 @@
 func (h *taskHost) step(events ...groups.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.stepLocked(events...)
+}
+
+func (h *taskHost) stepLocked(events ...groups.Event) {
 	for _, ev := range events {
 		for _, act := range h.core.Step(h.agent.clock(), ev) {
 			h.apply(act)
@@ -144,21 +148,28 @@
 // returns false once that has been done.
 func (h *taskHost) adopt(list []platform.TaskStatus) bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.adopted {
-		h.mu.Unlock()
 		return false
 	}
-	h.adopted = true
 	for _, status := range list {
 		if status.State == platform.TaskRunning {
 			h.started[status.ID] = 0
 		}
 	}
-	h.mu.Unlock()
-	h.step(groups.Adopt{Tasks: list})
+	h.stepLocked(groups.Adopt{Tasks: list})
+	h.adopted = true
 	return true
 }
 
+// linkable reports whether the worker's tasks are known. Without them the core
+// would answer absent for a group whose tasks run.
+func (h *taskHost) linkable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.adopted
+}
+
 func (h *taskHost) missing(listed map[string]bool) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
