A call with a key is not refused as not-run before the key is looked up

A repeated submission of an accepted job was refused as not-run (400) once its deadline had passed, although the job may have run: the document was checked before the row of its key. Likewise a keyed call was refused as not-run by an entry that had not read the configuration yet, and when its profile had been deleted after the first call, whose client account names the row. A job of a known key is now answered as it stands, as one that can never run already was; a keyed refusal that cannot look the key up says unknown and that this call has not run. Calls without a key are refused as before, and without a read.

Ruled out: looking up the row without the profile, which has the client account.

--- a/internal/entry/httpapi/httpapi.go
+++ b/internal/entry/httpapi/httpapi.go
@@ -106,20 +106,34 @@
 	httpx.WriteProblem(ctx, p)
 }
 
-// profile returns the named profile, or answers with a problem.
-func (a *API) profile(ctx *fasthttp.RequestCtx, name string) (api.Profile, bool) {
+// profile returns the named profile, or answers with a problem. Keyed tells that
+// earlier calls with the same key count as this one.
+func (a *API) profile(ctx *fasthttp.RequestCtx, name string, keyed bool) (api.Profile, bool) {
 	config := a.Config.Current()
 	if config.Version == 0 {
-		notRun(ctx, fasthttp.StatusServiceUnavailable, time.Second, "configuration has not been read yet")
+		refuse(ctx, keyed, fasthttp.StatusServiceUnavailable, time.Second, "configuration has not been read yet")
 		return api.Profile{}, false
 	}
 	p, ok := config.Profiles[name]
 	if !ok {
-		notRun(ctx, fasthttp.StatusUnprocessableEntity, 0, "profile %q does not exist", name)
+		refuse(ctx, keyed, fasthttp.StatusUnprocessableEntity, 0, "profile %q does not exist", name)
 	}
 	return p, ok
 }
 
+// refuse refuses work whose key, if it has one, has not been looked up: an
+// earlier call with it may have run.
+func refuse(ctx *fasthttp.RequestCtx, keyed bool, status int, retryAfter time.Duration, format string, args ...any) {
+	if !keyed {
+		notRun(ctx, status, retryAfter, format, args...)
+		return
+	}
+	ctx.Response.Header.Set(httpx.HeaderOutcome, string(api.OutcomeUnknown))
+	p := httpx.Problemf(status, format+"; this call has not run, an earlier one with the same key may have", args...)
+	p.RetryAfter = seconds(retryAfter)
+	httpx.WriteProblem(ctx, p)
+}
+
 // boolHeader reads "true" or "false"; absent is the given default.
 func boolHeader(ctx *fasthttp.RequestCtx, name string, absent bool) (bool, error) {
 	text := string(ctx.Request.Header.Peek(name))
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -47,15 +47,19 @@
 		notRun(ctx, fasthttp.StatusBadRequest, 0, "%v", err)
 		return
 	}
-	profile, ok := a.profile(ctx, job.Profile)
+	profile, ok := a.profile(ctx, job.Profile, job.IdempotencyKey != "")
 	if !ok {
 		return
 	}
 	job.ID = jobs.JobID(profile.ClientAccount, job.IdempotencyKey)
 	c, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
+	if !job.Deadline.IsZero() && job.Deadline.Before(job.Submitted) {
+		a.refuseJob(ctx, c, job, fasthttp.StatusBadRequest, "%v", errors.NotValidf("deadline: %v has passed", job.Deadline))
+		return
+	}
 	if reason, never := a.Scheduler.NeverFits(job); never {
-		a.refuseNeverFits(ctx, c, job.ID, reason)
+		a.refuseJob(ctx, c, job, fasthttp.StatusUnprocessableEntity, "job can never run: %s", reason)
 		return
 	}
 	record, created, err := a.Jobs.Create(c, job)
@@ -76,14 +80,18 @@
 	httpx.WriteJSON(ctx, fasthttp.StatusAccepted, record)
 }
 
-// refuseNeverFits refuses a job that no worker can hold. A job that an earlier
-// call with the same key has brought is answered as it stands, since workers
-// may have gone away meanwhile.
-func (a *API) refuseNeverFits(ctx *fasthttp.RequestCtx, c context.Context, id, reason string) {
-	record, err := a.Jobs.One(c, id)
+// refuseJob refuses a job that could not run now. One that an earlier call with
+// the same key has brought is answered as it stands, since time has passed and
+// workers may have gone away meanwhile.
+func (a *API) refuseJob(ctx *fasthttp.RequestCtx, c context.Context, job api.Job, status int, format string, args ...any) {
+	if job.IdempotencyKey == "" {
+		notRun(ctx, status, 0, format, args...)
+		return
+	}
+	record, err := a.Jobs.One(c, job.ID)
 	switch {
 	case errors.Is(err, jobs.ErrNoJob):
-		notRun(ctx, fasthttp.StatusUnprocessableEntity, 0, "job can never run: %s", reason)
+		notRun(ctx, status, 0, format, args...)
 	case err != nil:
 		storeProblem(ctx, err)
 	default:
@@ -131,9 +139,6 @@
 	if job.DeclaredRun < 0 {
 		return errors.NotValidf("declared_run: %v", job.DeclaredRun.D())
 	}
-	if !job.Deadline.IsZero() && job.Deadline.Before(job.Submitted) {
-		return errors.NotValidf("deadline: %v has passed", job.Deadline)
-	}
 	return checkShape("gang", job.Gang)
 }
 
--- a/internal/entry/httpapi/requests.go
+++ b/internal/entry/httpapi/requests.go
@@ -17,7 +17,7 @@
 		notRun(ctx, fasthttp.StatusBadRequest, 0, "%v", err)
 		return
 	}
-	profile, ok := a.profile(ctx, call.Profile.Name)
+	profile, ok := a.profile(ctx, call.Profile.Name, call.Key != "" && !call.Idempotent)
 	if !ok {
 		return
 	}
