The lookup of a key ends with the call's timeout, which it counts towards

A call with a key waited for the read of its row without regard to its own timeout: 1.5 s for each read of 200 rows before it, and its deadline began only after the read. While the table was slow, a call with a timeout of 1 s was answered seconds later. The deadline now counts from the call's arrival.

Before (lookups.get without the timer; go test -run LookupEnds ./internal/entry/requests): a call with a timeout of 50ms has no answer after 10s After (go test -race -count=2 ./internal/entry/requests): ok

--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -91,7 +91,7 @@
 // not-run only after its row was read and named no execution, so that the
 // refusal is true of all earlier calls with the key.
 func (c *claims) standing(call Call) standing {
-	row, err := c.lookups.get(claimKey(call.Profile.ClientAccount, call.Service, call.Key))
+	row, err := c.lookups.get(claimKey(call.Profile.ClientAccount, call.Service, call.Key), call.Timeout)
 	if err != nil {
 		return standing{reply: &Reply{
 			Outcome:    api.OutcomeUnknown,
--- a/internal/entry/requests/lookup.go
+++ b/internal/entry/requests/lookup.go
@@ -16,8 +16,11 @@
 	maxLookups = 8192
 )
 
-// errTooManyLookups says that too many calls wait for the table.
-const errTooManyLookups = errors.ConstError("too many calls wait for the table")
+// Errors of lookups.
+const (
+	errTooManyLookups = errors.ConstError("too many calls wait for the table")
+	errLookupTimeout  = errors.ConstError("the call's timeout has passed before its row was read")
+)
 
 // lookups reads rows for many callers with one read at a time: what comes
 // while a read is in progress goes into the next one.
@@ -39,8 +42,8 @@
 	err error
 }
 
-// get returns the row of a key.
-func (l *lookups) get(key string) (ledger.Row, error) {
+// get returns the row of a key, or fails after the timeout.
+func (l *lookups) get(key string, timeout time.Duration) (ledger.Row, error) {
 	one := lookup{key, make(chan lookupResult, 1)}
 	l.mu.Lock()
 	if len(l.waiting) >= maxLookups {
@@ -53,8 +56,14 @@
 		go l.run()
 	}
 	l.mu.Unlock()
-	r := <-one.result
-	return r.row, r.err
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case r := <-one.result:
+		return r.row, r.err
+	case <-timer.C:
+		return ledger.Row{}, errors.Trace(errLookupTimeout)
+	}
 }
 
 func (l *lookups) run() {
--- /dev/null
+++ b/internal/entry/requests/lookup_test.go
@@ -0,0 +1,44 @@
+package requests
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+)
+
+// hungLedger answers no read before release is closed.
+type hungLedger struct {
+	ledger.Ledger
+	release chan struct{}
+}
+
+func (l hungLedger) Get(context.Context, ledger.Cause, ...string) ([]ledger.Row, error) {
+	<-l.release
+	return nil, ledger.ErrDown
+}
+
+// Reads are made one at a time, so that a call may wait behind others.
+func TestLookupEndsWithTheCallsTimeout(t *testing.T) {
+	s, _ := newTestService(t, nil)
+	release := make(chan struct{})
+	defer close(release)
+	s.claims.lookups.ledger = hungLedger{release: release}
+	call := keyedCall("b")
+	call.Timeout = 50 * time.Millisecond
+	answer := make(chan Reply, 1)
+	go func() {
+		reply, _ := s.Do(call)
+		answer <- reply
+	}()
+	select {
+	case reply := <-answer:
+		if reply.Outcome != api.OutcomeUnknown {
+			t.Fatalf("reply %+v, want unknown", reply)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("a call with a timeout of %v has no answer after 10s", call.Timeout)
+	}
+}
--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -157,14 +157,15 @@
 
 // Do carries out a call and returns its final answer.
 func (s *Service) Do(call Call) (Reply, error) {
+	deadline := s.now() + call.Timeout
 	if call.Key == "" || call.Idempotent {
-		return s.submit(call)
+		return s.submit(call, deadline)
 	}
 	known := s.claims.standing(call)
 	if known.reply != nil {
 		return *known.reply, nil
 	}
-	reply, err := s.submit(call)
+	reply, err := s.submit(call, deadline)
 	if known.mayHaveRun && (err != nil || refused(reply)) {
 		reply = refusedAgain(reply, err)
 		err = nil
@@ -189,7 +190,7 @@
 	return reply
 }
 
-func (s *Service) submit(call Call) (Reply, error) {
+func (s *Service) submit(call Call, deadline time.Duration) (Reply, error) {
 	w := &waiter{call: call, reply: make(chan Reply, 1)}
 	s.mu.Lock()
 	if len(s.waiters) >= s.cfg.MaxRequests {
@@ -208,7 +209,7 @@
 		MaxQueue:   call.Profile.MaxQueue,
 		Key:        call.Key,
 		Idempotent: call.Idempotent,
-		Deadline:   s.now() + call.Timeout,
+		Deadline:   deadline,
 	}})
 	s.mu.Unlock()
 	return <-w.reply, nil
