--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -24,7 +25,8 @@
 	pauseLimit = 200 * time.Millisecond
 )
 
-// execution holds the bodies of one attempt.
+// execution holds the bodies of one attempt: the request's until its call has
+// ended, then the answer's until the core forgets it.
 type execution struct {
 	request platform.MinionRequest
 	reply   *platform.MinionReply
@@ -92,12 +94,25 @@
 	startBy := h.agent.started.Add(decided + pauseLimit)
 	reply, err := h.minion.Call(platform.WithStartBy(ctx, startBy), x.request)
 	outcome, detail := callOutcome(reply, err)
-	if err == nil {
-		h.mu.Lock()
-		x.reply = &reply
-		h.mu.Unlock()
+	size := h.called(act.Ref, x, reply, err)
+	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: size})
+}
+
+// called keeps the answer of a call in place of the request, unless no message
+// can carry it, and returns its size.
+func (h *requestHost) called(ref exec.Ref, x *execution, reply platform.MinionReply, err error) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x.request = platform.MinionRequest{}
+	switch {
+	case err != nil:
+		delete(h.bodies, ref)
+		return 0
+	case len(reply.Body) > rpc.MaxBodyBytes:
+		return 0
 	}
-	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: int64(len(reply.Body))})
+	x.reply = &reply
+	return int64(len(reply.Body))
 }
 
 func callOutcome(reply platform.MinionReply, err error) (api.Outcome, string) {
@@ -106,6 +121,8 @@
 		return api.OutcomeNotRun, err.Error()
 	case err != nil:
 		return api.OutcomeUnknown, err.Error()
+	case len(reply.Body) > rpc.MaxBodyBytes:
+		return api.OutcomeFailed, fmt.Sprintf("answer of %d bytes (at most %d)", len(reply.Body), rpc.MaxBodyBytes)
 	case reply.Status >= 500:
 		return api.OutcomeFailed, ""
 	}
@@ -128,6 +145,9 @@
 		m.Digest = rpc.Digest(m.Body)
 	}
 	h.agent.links.send(act.Entry, &rpc.AgentMessage{Body: &rpc.AgentMessage_Result{Result: m}})
+	if act.Outcome == api.OutcomeNotRun {
+		delete(h.bodies, act.Ref) // the attempt never runs
+	}
 }
 
 func (h *requestHost) handle(entry string, m *rpc.EntryMessage) {
@@ -149,7 +169,7 @@
 	allowed := h.agent.allowed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.bodies[ref] == nil {
+	if !h.core.Known(ref) {
 		h.bodies[ref] = &execution{request: platform.MinionRequest{
 			RequestID:   x.RequestId,
 			Attempt:     x.Attempt,
@@ -181,6 +201,7 @@
 func (h *requestHost) caretaker(time.Duration)         {}
 func (h *requestHost) ownerSeen(uint64)                {}
 func (h *requestHost) reports() []*rpc.GroupReport     { return nil }
+func (h *requestHost) linkable() bool                  { return true }
 func (h *requestHost) leave()                          { h.step(exec.Leave{}) }
 func (h *requestHost) probe(ctx context.Context) error { return h.minion.Healthy(ctx) }
 
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -47,6 +47,10 @@
 func (h *taskHost) step(events ...groups.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.stepLocked(events...)
+}
+
+func (h *taskHost) stepLocked(events ...groups.Event) {
 	for _, ev := range events {
 		for _, act := range h.core.Step(h.agent.clock(), ev) {
 			h.apply(act)
@@ -104,13 +108,17 @@
 	h.step(groups.TaskUpdate{Status: status})
 }
 
+// renew extends the worker's own leases. They count from the worker's receipt,
+// so that a call delayed by a pause of this process would outlive By.
 func (h *taskHost) renew(act groups.RenewTasks) {
-	lease := act.By - h.agent.clock()
+	now := h.agent.clock()
+	lease := act.By - now - pauseLimit
 	if lease <= 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
+	ctx = platform.WithStartBy(ctx, h.agent.started.Add(now+pauseLimit))
 	if err := h.worker.Renew(ctx, act.IDs, lease.Milliseconds()); err != nil {
 		metrics.GetOrRegisterCounter("tasks.renew_failed", h.agent.registry).Inc(1)
 	}
@@ -140,21 +148,28 @@
 // returns false once that has been done.
 func (h *taskHost) adopt(list []platform.TaskStatus) bool {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.adopted {
-		h.mu.Unlock()
 		return false
 	}
-	h.adopted = true
 	for _, status := range list {
 		if status.State == platform.TaskRunning {
 			h.started[status.ID] = 0
 		}
 	}
-	h.mu.Unlock()
-	h.step(groups.Adopt{Tasks: list})
+	h.stepLocked(groups.Adopt{Tasks: list})
+	h.adopted = true
 	return true
 }
 
+// linkable reports whether the worker's tasks are known. Without them the core
+// would answer absent for a group whose tasks run.
+func (h *taskHost) linkable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.adopted
+}
+
 func (h *taskHost) missing(listed map[string]bool) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -221,40 +236,10 @@
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-var groupStates = map[groups.State]rpc.GroupState{
-	groups.Held:         rpc.GroupState_GROUP_STATE_HELD,
-	groups.Refused:      rpc.GroupState_GROUP_STATE_REFUSED,
-	groups.Running:      rpc.GroupState_GROUP_STATE_RUNNING,
-	groups.Done:         rpc.GroupState_GROUP_STATE_DONE,
-	groups.Failed:       rpc.GroupState_GROUP_STATE_FAILED,
-	groups.Checkpointed: rpc.GroupState_GROUP_STATE_CHECKPOINTED,
-	groups.Stopped:      rpc.GroupState_GROUP_STATE_STOPPED,
-	groups.Absent:       rpc.GroupState_GROUP_STATE_ABSENT,
-}
-
-func reportMessage(r groups.Report) *rpc.GroupReport {
-	return &rpc.GroupReport{
-		JobId:       r.Ref.JobID,
-		Attempt:     r.Ref.Attempt,
-		State:       groupStates[r.State],
-		Tasks:       int32(r.Tasks),
-		ProgressMs:  r.Progress.Milliseconds(),
-		Usage:       rpc.FromResources(r.Usage),
-		Detail:      r.Detail,
-		Result:      r.Result,
-		Checkpoint:  r.Checkpoint,
-		WorkerFault: r.WorkerFault,
-	}
-}
-
 func (h *taskHost) reports() []*rpc.GroupReport {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var out []*rpc.GroupReport
-	for _, r := range h.core.Reports() {
-		out = append(out, reportMessage(r))
-	}
-	return out
+	return helloReports(h.core.Reports())
 }
 
 func (h *taskHost) tick(allowed bool) {
--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -77,6 +77,11 @@
 	registry  metrics.Registry
 	log       zerolog.Logger
 
+	// changes is held while a session comes or goes and the listeners hear of
+	// it, so that they hear of an agent's sessions in their order. It is taken
+	// before the locks of sessions.
+	changes sync.Mutex
+
 	mu       sync.Mutex
 	sessions map[string]*session
 	closed   bool
@@ -108,7 +113,9 @@
 	}
 	defer s.remove(x)
 	go s.receive(ctx, stream, x)
-	return send(ctx, stream, x)
+	go send(ctx, stream, x)
+	<-ctx.Done()
+	return status.Error(codes.Unavailable, "link closed")
 }
 
 func agentOf(h *rpc.Hello) Agent {
@@ -124,16 +131,17 @@
 	}
 }
 
-// send writes queued messages until ctx ends. A stream whose peer takes
-// nothing any more is ended by the watchdog of receive.
-func send(ctx context.Context, stream rpc.Link_OpenServer, x *session) error {
+// send writes queued messages until ctx ends. A write may wait for a peer that
+// takes nothing any more; the return of Open ends it.
+func send(ctx context.Context, stream rpc.Link_OpenServer, x *session) {
+	defer x.cancel()
 	for {
 		select {
 		case <-ctx.Done():
-			return status.Error(codes.Unavailable, "link closed")
+			return
 		case m := <-x.out:
 			if err := stream.Send(m); err != nil {
-				return err
+				return
 			}
 		}
 	}
@@ -214,6 +222,8 @@
 }
 
 func (s *Server) add(x *session, groups []*rpc.GroupReport) error {
+	s.changes.Lock()
+	defer s.changes.Unlock()
 	s.mu.Lock()
 	if s.closed || len(s.sessions) >= maxSessions {
 		s.mu.Unlock()
@@ -239,6 +249,8 @@
 }
 
 func (s *Server) remove(x *session) {
+	s.changes.Lock()
+	defer s.changes.Unlock()
 	s.mu.Lock()
 	current := s.sessions[x.agent.ID] == x
 	if current {
--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -157,21 +157,29 @@
 
 // Do carries out a call and returns its final answer.
 func (s *Service) Do(call Call) (Reply, error) {
+	deadline := s.now() + call.Timeout
 	if call.Key == "" || call.Idempotent {
-		return s.submit(call)
+		return s.submit(call, deadline)
 	}
 	known := s.claims.standing(call)
 	if known.reply != nil {
 		return *known.reply, nil
 	}
-	reply, err := s.submit(call)
-	if known.mayHaveRun && (err != nil || reply.Outcome == api.OutcomeNotRun && reply.Reason != route.ReasonResult) {
+	reply, err := s.submit(call, deadline)
+	if known.mayHaveRun && (err != nil || refused(reply)) {
 		reply = refusedAgain(reply, err)
 		err = nil
 	}
 	return reply, err
 }
 
+// refused reports whether a call with a key was refused without regard to what
+// became of the key's request: neither by that request's result nor because
+// the key belongs to a request with another body.
+func refused(reply Reply) bool {
+	return reply.Outcome == api.OutcomeNotRun && reply.Reason != route.ReasonResult && reply.Reason != ReasonKeyReused
+}
+
 // refusedAgain is the answer to a refused call whose key an earlier call has used.
 func refusedAgain(reply Reply, err error) Reply {
 	if err != nil {
@@ -182,7 +190,7 @@
 	return reply
 }
 
-func (s *Service) submit(call Call) (Reply, error) {
+func (s *Service) submit(call Call, deadline time.Duration) (Reply, error) {
 	w := &waiter{call: call, reply: make(chan Reply, 1)}
 	s.mu.Lock()
 	if len(s.waiters) >= s.cfg.MaxRequests {
@@ -201,7 +209,7 @@
 		MaxQueue:   call.Profile.MaxQueue,
 		Key:        call.Key,
 		Idempotent: call.Idempotent,
-		Deadline:   s.now() + call.Timeout,
+		Deadline:   deadline,
 	}})
 	s.mu.Unlock()
 	return <-w.reply, nil
