--- a/cmd/coltsfoot-agent/main.go
+++ b/cmd/coltsfoot-agent/main.go
@@ -79,5 +79,5 @@
 		Registry: registry,
 		Dump:     func() any { return k.DumpState() },
 	})
-	return httpx.NewServer(httpx.ServerOptions{Listen: string(s.HTTPListen), Handler: r.Handler})
+	return httpx.NewServer(httpx.ServerOptions{Listen: string(s.HTTPListen), Handler: r.Handler, Registry: registry})
 }
--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -260,6 +260,7 @@
 		Handler:      r.Handler,
 		MaxBodyBytes: s.Limits.MaxBodyBytes,
 		LameDuck:     lameDuck,
+		Registry:     registry,
 	})
 	return server
 }
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -30,8 +30,9 @@
 
 	mu      sync.Mutex
 	core    *groups.Core
-	started map[string]int // task id to the number of lists in a row that lack it
-	adopted bool           // the worker's tasks at the agent's start were taken in
+	started map[string]int  // task id to the number of lists in a row that lack it
+	ended   map[string]bool // listed tasks whose end was taken in
+	adopted bool            // the worker's tasks at the agent's start were taken in
 	ops     opQueues
 }
 
@@ -41,6 +42,7 @@
 		worker:  worker,
 		core:    groups.New(groups.Config{Capacity: a.cfg.Capacity}),
 		started: map[string]int{},
+		ended:   map[string]bool{},
 	}
 }
 
@@ -136,8 +138,11 @@
 	listed := map[string]bool{}
 	for _, status := range list {
 		listed[status.ID] = true
-		h.step(groups.TaskUpdate{Status: status})
+		if h.news(status) {
+			h.step(groups.TaskUpdate{Status: status})
+		}
 	}
+	h.forgetEnded(listed)
 	for _, id := range h.missing(listed) {
 		h.step(groups.TaskLost{ID: id, Detail: "worker does not list the task"})
 	}
@@ -170,6 +175,31 @@
 	return h.adopted
 }
 
+// news reports whether a listed task's state is to be taken in: one that had
+// ended in an earlier list tells nothing new.
+func (h *taskHost) news(status platform.TaskStatus) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended[status.ID] {
+		return false
+	}
+	if status.State != platform.TaskRunning {
+		h.ended[status.ID] = true
+	}
+	return true
+}
+
+// forgetEnded drops the ended tasks that the worker lists no more.
+func (h *taskHost) forgetEnded(listed map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.ended {
+		if !listed[id] {
+			delete(h.ended, id)
+		}
+	}
+}
+
 func (h *taskHost) missing(listed map[string]bool) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -174,13 +174,18 @@
 	return w.report(t), nil
 }
 
-// List returns all tasks in order of their IDs.
+// listEnded is how long a worker lists a task after its end.
+const listEnded = time.Minute
+
+// List returns the tasks that run or have ended lately, in order of their IDs.
 func (w *Worker) List(context.Context) ([]platform.TaskStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := []platform.TaskStatus{}
 	for _, t := range w.sorted() {
-		list = append(list, w.report(t))
+		if t.ended.IsZero() || time.Since(t.ended) < listEnded {
+			list = append(list, w.report(t))
+		}
 	}
 	return list, nil
 }
