--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -6,41 +6,74 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
 )
 
-// displace makes room for a guarantee without a place by moving another one
-// that is in use, and unused ones, if all fit then and the work in the one in
-// use may be stopped.
+// maxDisplacedSets bounds the sets of reservations that are looked at for one
+// guarantee without a place.
+const maxDisplacedSets = 64
+
+// displaced is a set of reservations in use that may move, with the jobs in them.
+type displaced struct {
+	reservations []*reservation
+	users        []*job
+}
+
+// displace makes room for a guarantee without a place by moving one or two
+// others that are in use, and unused ones, if all fit then and the work in
+// those in use may be stopped.
 func (c *Core) displace(r *reservation, j *job) bool {
 	if c.now < c.displacedAt+repackInterval {
 		return false
 	}
 	c.displacedAt = c.now
-	for _, other := range c.slots {
-		users, ok := other.users()
-		if !ok {
-			continue
-		}
-		moved := append([]*reservation{other}, c.unusedSlots()...)
-		places := c.swapPlaces(r, moved)
-		if places == nil {
-			continue
-		}
-		for _, user := range users {
-			c.notice(user, "", ReasonMigrated, j.id())
-			c.preempt(user, grace(user), ReasonMigrated)
+	unused := c.unusedSlots()
+	for _, set := range c.displacedSets() {
+		moved := append(append([]*reservation{}, set.reservations...), unused...)
+		if places := c.swapPlaces(r, moved); places != nil {
+			return c.moveFor(r, j, set.users, moved, places)
 		}
-		for _, m := range moved {
-			c.lift(m)
-		}
-		for i, m := range append([]*reservation{r}, moved...) {
-			c.place(m, places[i])
+	}
+	return false
+}
+
+// displacedSets returns the reservations in use that may move, each alone and
+// then two at a time.
+func (c *Core) displacedSets() []displaced {
+	var sets []displaced
+	for _, other := range c.slots {
+		if users, ok := other.users(); ok {
+			sets = append(sets, displaced{[]*reservation{other}, users})
 		}
-		cl, ok := c.claimIn(r, j, c.avoids(j))
-		if ok {
-			c.claim(j, cl, c.claimGrace(j))
+	}
+	single := len(sets)
+	for i := range single {
+		for k := i + 1; k < single && len(sets) < maxDisplacedSets; k++ {
+			both := displaced{
+				reservations: []*reservation{sets[i].reservations[0], sets[k].reservations[0]},
+				users:        append(append([]*job{}, sets[i].users...), sets[k].users...),
+			}
+			sets = append(sets, both)
 		}
-		return ok
 	}
-	return false
+	return sets
+}
+
+// moveFor stops the users of moved reservations, gives r and the moved ones
+// their new places and claims r's for the job.
+func (c *Core) moveFor(r *reservation, j *job, users []*job, moved []*reservation, places [][]placement.Part) bool {
+	for _, user := range users {
+		c.notice(user, "", ReasonMigrated, j.id())
+		c.preempt(user, grace(user), ReasonMigrated)
+	}
+	for _, m := range moved {
+		c.lift(m)
+	}
+	for i, m := range append([]*reservation{r}, moved...) {
+		c.place(m, places[i])
+	}
+	cl, ok := c.claimIn(r, j, c.avoids(j))
+	if ok {
+		c.claim(j, cl, c.claimGrace(j))
+	}
+	return ok
 }
 
 // users returns the jobs that run in a reservation; ok is false if there are
--- a/internal/sched/guarantee.go
+++ b/internal/sched/guarantee.go
@@ -71,6 +71,8 @@
 	if r == nil {
 		return false
 	}
+	// A guarantee goes before the places kept for gangs that wait.
+	c.dropAllWaiting()
 	q := c.request(j, fleet.Movable)
 	q.Gang = r.gang
 	whole := &job{rec: j.rec, perTask: r.gang.PerTask}
--- a/test/run.sh
+++ b/test/run.sh
@@ -1,14 +1,18 @@
 #!/usr/bin/env bash
 # Runs all Go tests. Tests that KNOWN-RED.txt lists are printed and passed
 # over; any other failure fails the run. A line "test: PACKAGE TESTNAME" in
-# KNOWN-RED.txt names one test. Packages that use rapid run with a fixed seed.
+# KNOWN-RED.txt names one test; a line "fuzz: COMMAND" names a run that make
+# test does not include. Packages that use rapid run with a fixed seed.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 skip=$(sed -n 's/^test: *[^ ]* *\([A-Za-z0-9_]*\).*$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 args=(-count=1 -timeout 25m)
-if [ -n "$skip" ]; then
-  echo "KNOWN-RED.txt lists tests that are passed over:"
+if [ -s KNOWN-RED.txt ]; then
+  echo "KNOWN-RED.txt:"
   cat KNOWN-RED.txt
+fi
+if [ -n "$skip" ]; then
+  echo "passed over: $skip"
   args+=(-skip "^($skip)\$")
 fi
 rapid=$(grep -rl --include=*_test.go pgregory.net/rapid internal test 2>/dev/null | xargs -r -n1 dirname | sort -u | sed 's|^|./|')
