Guarantees may move up to two others in use, and work outside of guarantees; tidy modules

Its rack was held by two guarantees in use, or by one in use and firm work beside it, or by a place kept for a waiting gang; only one guarantee could be moved, and only where preemptible work stood in the way. Ruled out: a model that counts immovable work (its check leaves it out).

--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -44,6 +44,7 @@
 	Config     *confstate.Service
 	Owner      *owner.Service
 	Waiters    *jobs.Waiters
+	Links      *links.Server
 	RPC        *node.RPCServer
 	Scheduler  *scheduler.Service
 	Requests   *requests.Service
@@ -87,6 +88,7 @@
 		{"membership", all.Membership},
 		{"owner", all.Owner},
 		{"waiters", all.Waiters},
+		{"links", all.Links},
 		{"rpc", all.RPC},
 		{"scheduler", all.Scheduler},
 		{"requests", all.Requests},
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -62,6 +62,9 @@
 		a.refuseJob(ctx, c, job, fasthttp.StatusUnprocessableEntity, "job can never run: %s", reason)
 		return
 	}
+	// Set before the write, so that a caller without a key can ask for a job
+	// whose write got no answer.
+	ctx.Response.Header.Set("Location", "/v1/jobs/"+job.ID)
 	record, created, err := a.Jobs.Create(c, job)
 	switch {
 	case errors.Is(err, jobs.ErrKeyReused):
@@ -76,7 +79,6 @@
 		metrics.GetOrRegisterCounter("jobs.accepted", a.Registry).Inc(1)
 		a.announce(record)
 	}
-	ctx.Response.Header.Set("Location", "/v1/jobs/"+job.ID)
 	httpx.WriteJSON(ctx, fasthttp.StatusAccepted, record)
 }
 
--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -10,7 +10,6 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
-	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc/codes"
@@ -344,9 +343,9 @@
 func (s *Server) Start(context.Context) error { return nil }
 
 // Stop closes all links.
-func (s *Server) Stop(ctx context.Context) error {
+func (s *Server) Stop(context.Context) error {
 	s.Close()
-	return errors.Trace(ctx.Err())
+	return nil
 }
 
 // DumpState returns the linked agents.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,8 +14,10 @@
 
 // Bounds of one client.
 const (
-	maxConnsPerClient   = 64
-	maxIdleConnDuration = 5 * time.Second
+	maxConnsPerClient = 64
+	// maxIdleConnDuration is shorter than the time after which servers close
+	// idle connections: a call on one that is being closed may have been sent.
+	maxIdleConnDuration = time.Second
 	maxResponseBytes    = 64 << 20
 	connectTimeout      = time.Second
 )
--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -67,6 +67,7 @@
 		c.lift(m)
 	}
 	for i, m := range append([]*reservation{r}, moved...) {
+		c.clearFirm(j, m, places[i])
 		c.place(m, places[i])
 	}
 	cl, ok := c.claimIn(r, j, c.avoids(j))
@@ -76,6 +77,20 @@
 	return ok
 }
 
+// clearFirm stops work outside of guarantees that stands in a reservation's new
+// place.
+func (c *Core) clearFirm(j *job, m *reservation, parts []placement.Part) {
+	whole := &job{rec: j.rec, perTask: m.gang.PerTask}
+	cl, ok := c.plan(whole, parts, victimRule{firm: true})
+	if !ok {
+		return
+	}
+	for _, v := range cl.victims {
+		c.notice(v, "", ReasonReclaim, j.id())
+		c.preempt(v, min(c.claimGrace(j), grace(v)), ReasonReclaim)
+	}
+}
+
 // users returns the jobs that run in a reservation; ok is false if there are
 // none or one of them must not be stopped.
 func (r *reservation) users() (users []*job, ok bool) {
@@ -113,7 +128,7 @@
 	var places [][]placement.Part
 	all := append([]*reservation{r}, moved...)
 	for _, m := range all {
-		parts := placement.Find(c.fleet, placement.Request{Gang: m.gang, View: fleet.Evictable})
+		parts := placement.Find(c.fleet, placement.Request{Gang: m.gang, View: fleet.Movable})
 		if parts == nil {
 			break
 		}
