--- a/internal/standin/specs.go
+++ b/internal/standin/specs.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"flag"
 	"net/url"
 	"strconv"
@@ -73,6 +74,17 @@
 type Group struct {
 	servers []*Server
 	relays  []*Relay
+	states  []State
+}
+
+// State is what the dump of a process shows of one stand-in.
+type State struct {
+	Address  string        `json:"address"`
+	Kind     string        `json:"kind"`
+	Faults   FaultSettings `json:"faults"`
+	Observed any           `json:"observed,omitempty"`
+
+	service Service
 }
 
 // Serve starts all stand-ins. Workers keep their checkpoints in the object
@@ -89,6 +101,27 @@
 	return group, nil
 }
 
+// Start does nothing: the stand-ins serve already.
+func (g *Group) Start(context.Context) error { return nil }
+
+// Stop stops all stand-ins.
+func (g *Group) Stop(context.Context) error {
+	g.Close()
+	return nil
+}
+
+// DumpState returns the state of each stand-in.
+func (g *Group) DumpState() any {
+	out := append([]State(nil), g.states...)
+	for i := range out {
+		out[i].Faults = out[i].service.faults().get()
+		if o, ok := out[i].service.(observer); ok {
+			out[i].Observed = o.observe()
+		}
+	}
+	return out
+}
+
 // Close stops all stand-ins.
 func (g *Group) Close() {
 	for _, server := range g.servers {
@@ -101,12 +134,14 @@
 
 func (g *Group) add(one spec, objects *Objects) error {
 	if one.kind == "objects" {
+		g.note(one, objects)
 		return g.serve(one.address, objects)
 	}
 	service, err := builders[one.kind](one, objects)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	g.note(one, service)
 	balancer, ok := service.(*Balancer)
 	if !ok {
 		return g.serve(one.address, service)
@@ -118,6 +153,10 @@
 	return nil
 }
 
+func (g *Group) note(one spec, service Service) {
+	g.states = append(g.states, State{Address: one.address, Kind: one.kind, service: service})
+}
+
 func (g *Group) serve(address string, service Service) error {
 	server, err := Serve(address, service)
 	if err != nil {
