One way to dial, one job document, one encoder of rows

Three packages dialled other processes with options of their own, the client and the entry each had the type of the submitted job, and two services the same encoder. They call rpc.Dial, api.JobRequest and ledger.Encode now. Exchanges between entries get the message bound and no-proxy setting of the others by it.

--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -80,7 +80,7 @@
 // serve runs one session until it is lost, silent or ctx ends. It reports
 // whether the entry has answered on it.
 func (l *link) serve(ctx context.Context) (wasUp bool, err error) {
-	conn, err := dial(l.address)
+	conn, err := rpc.Dial(l.address)
 	if err != nil {
 		return false, errors.Annotatef(err, "dialling entry at %q", l.address)
 	}
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -10,8 +10,6 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/rcrowley/go-metrics"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
 const (
@@ -65,7 +63,7 @@
 func (s *linkSet) announce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	conn, err := dial(s.agent.cfg.Balancer)
+	conn, err := rpc.Dial(s.agent.cfg.Balancer)
 	if err != nil {
 		return
 	}
@@ -78,13 +76,6 @@
 	s.learn(reply.Entries)
 }
 
-func dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(rpc.MaxMessageBytes), grpc.MaxCallSendMsgSize(rpc.MaxMessageBytes)),
-		grpc.WithNoProxy())
-}
-
 // learn opens links to entries that are not linked yet.
 func (s *linkSet) learn(entries []*rpc.EntryAddress) {
 	s.mu.Lock()
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -171,7 +171,18 @@
 	OutcomeCancelled Outcome = "cancelled"
 )
 
-// Job is what a caller submits.
+// JobRequest is the document that a caller submits.
+type JobRequest struct {
+	Profile        string          `json:"profile"`
+	Gang           Shape           `json:"gang"`
+	Payload        json.RawMessage `json:"payload,omitempty"`
+	Idempotent     bool            `json:"idempotent"`
+	Checkpointable bool            `json:"checkpointable"`
+	DeclaredRun    Duration        `json:"declared_run"`
+	Deadline       time.Time       `json:"deadline,omitzero"`
+}
+
+// Job is an accepted JobRequest.
 type Job struct {
 	ID             string          `json:"id"`
 	IdempotencyKey string          `json:"idempotency_key,omitempty"`
--- a/internal/client/work.go
+++ b/internal/client/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,17 +12,6 @@
 	"github.com/juju/errors"
 )
 
-// JobRequest is what a caller submits as a job.
-type JobRequest struct {
-	Profile        string          `json:"profile"`
-	Gang           api.Shape       `json:"gang"`
-	Payload        json.RawMessage `json:"payload,omitempty"`
-	Idempotent     bool            `json:"idempotent"`
-	Checkpointable bool            `json:"checkpointable"`
-	DeclaredRun    api.Duration    `json:"declared_run"`
-	Deadline       time.Time       `json:"deadline,omitzero"`
-}
-
 // JobsQuery selects jobs of a list.
 type JobsQuery struct {
 	State api.JobState
@@ -41,7 +29,7 @@
 
 // SubmitJob submits a job. The same key always gives the same job, so that a
 // call without an answer can be repeated.
-func (c *Client) SubmitJob(ctx context.Context, job JobRequest, key string) (api.JobRecord, error) {
+func (c *Client) SubmitJob(ctx context.Context, job api.JobRequest, key string) (api.JobRecord, error) {
 	var record api.JobRecord
 	body, header, err := jsonBody(job)
 	if err != nil {
--- a/internal/ctl/submit.go
+++ b/internal/ctl/submit.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/client"
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 )
@@ -19,7 +18,7 @@
 )
 
 type submitFlags struct {
-	job       client.JobRequest
+	job       api.JobRequest
 	adjacency string
 	declared  time.Duration
 	deadline  string
@@ -83,14 +82,14 @@
 	return e.printJob(record)
 }
 
-func (e *env) jobToSubmit(flags *submitFlags, files []string) (client.JobRequest, error) {
+func (e *env) jobToSubmit(flags *submitFlags, files []string) (api.JobRequest, error) {
 	if len(files) == 0 {
 		return e.buildJob(flags, time.Now())
 	}
 	if flags.describesJob() {
-		return client.JobRequest{}, usagef("a job file and flags that describe the job exclude each other")
+		return api.JobRequest{}, usagef("a job file and flags that describe the job exclude each other")
 	}
-	return readDocument[client.JobRequest](e, files[0])
+	return readDocument[api.JobRequest](e, files[0])
 }
 
 // describesJob reports whether a flag was given that a job file has a field for.
@@ -106,7 +105,7 @@
 	return found
 }
 
-func (e *env) buildJob(flags *submitFlags, now time.Time) (client.JobRequest, error) {
+func (e *env) buildJob(flags *submitFlags, now time.Time) (api.JobRequest, error) {
 	job := flags.job
 	if job.Profile == "" {
 		return job, usagef("--profile is required")
@@ -146,7 +145,7 @@
 
 // submitWithRetries repeats a submission that was not received or may or may
 // not have taken effect. That is safe, as the same key always gives the same job.
-func (e *env) submitWithRetries(ctx context.Context, job client.JobRequest, key string) (api.JobRecord, error) {
+func (e *env) submitWithRetries(ctx context.Context, job api.JobRequest, key string) (api.JobRecord, error) {
 	c := e.client()
 	for attempt := 1; ; attempt++ {
 		record, err := c.SubmitJob(ctx, job, key)
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 	"time"
 
@@ -24,17 +23,6 @@
 	maxPayloadBytes = 64 << 10
 )
 
-// jobRequest is the document that callers submit.
-type jobRequest struct {
-	Profile        string          `json:"profile"`
-	Gang           api.Shape       `json:"gang"`
-	Payload        json.RawMessage `json:"payload"`
-	Idempotent     bool            `json:"idempotent"`
-	Checkpointable bool            `json:"checkpointable"`
-	DeclaredRun    api.Duration    `json:"declared_run"`
-	Deadline       time.Time       `json:"deadline"`
-}
-
 // JobList is the answer to a listing. Next is the id to go on after.
 type JobList struct {
 	Jobs []api.JobRecord `json:"jobs"`
@@ -109,7 +97,7 @@
 }
 
 func readJob(ctx *fasthttp.RequestCtx) (api.Job, error) {
-	var r jobRequest
+	var r api.JobRequest
 	if err := httpx.ReadJSON(ctx, &r); err != nil {
 		return api.Job{}, err
 	}
--- a/internal/entry/jobs/store.go
+++ b/internal/entry/jobs/store.go
@@ -83,8 +83,8 @@
 		Record: api.JobRecord{Job: job, State: api.JobQueued},
 	}
 	rows, err := s.ledger.Commit(ctx, ledger.CauseJob,
-		ledger.Write{Key: jobPrefix + job.ID, Data: encode(row)},
-		ledger.Write{Key: s.activeKey(job.ID), Data: encode(struct{}{})})
+		ledger.Write{Key: jobPrefix + job.ID, Data: ledger.Encode(row)},
+		ledger.Write{Key: s.activeKey(job.ID), Data: ledger.Encode(struct{}{})})
 	if err == nil {
 		return row.Record, true, nil
 	}
@@ -104,7 +104,7 @@
 // jobDigest covers what the caller submitted, not when.
 func jobDigest(job api.Job) string {
 	job.Submitted = time.Time{}
-	sum := sha256.Sum256(encode(job))
+	sum := sha256.Sum256(ledger.Encode(job))
 	return hex.EncodeToString(sum[:8])
 }
 
@@ -222,8 +222,8 @@
 	}
 	row.Record.CancelAsked = true
 	_, err = s.ledger.Commit(ctx, ledger.CauseJob,
-		ledger.Write{Key: jobPrefix + id, Version: row.version, Data: encode(row)},
-		ledger.Write{Key: s.activeKey(id), Version: active[0].Version, Data: encode(struct{}{})})
+		ledger.Write{Key: jobPrefix + id, Version: row.version, Data: ledger.Encode(row)},
+		ledger.Write{Key: s.activeKey(id), Version: active[0].Version, Data: ledger.Encode(struct{}{})})
 	return row.Record, err
 }
 
@@ -269,11 +269,11 @@
 	return row, nil
 }
 
-func sameRecord(a, b api.JobRecord) bool { return string(encode(a)) == string(encode(b)) }
+func sameRecord(a, b api.JobRecord) bool { return string(ledger.Encode(a)) == string(ledger.Encode(b)) }
 
 func (s *Store) write(ctx context.Context, row Row) error {
 	id := row.Record.Job.ID
-	writes := []ledger.Write{{Key: jobPrefix + id, Version: row.version, Data: encode(row)}}
+	writes := []ledger.Write{{Key: jobPrefix + id, Version: row.version, Data: ledger.Encode(row)}}
 	if row.Record.State == api.JobFinal {
 		active, err := s.ledger.Get(ctx, ledger.CauseJob, s.activeKey(id))
 		if err != nil {
@@ -298,12 +298,3 @@
 	row.version = r.Version
 	return row, nil
 }
-
-// encode writes a value of a type that always encodes.
-func encode(v any) json.RawMessage {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
--- a/internal/entry/node/notifier.go
+++ b/internal/entry/node/notifier.go
@@ -9,7 +9,6 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
 const (
@@ -93,8 +92,7 @@
 		return true
 	}
 	n.disconnect()
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy())
+	conn, err := rpc.Dial(address)
 	if err != nil {
 		return false
 	}
--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -153,7 +153,7 @@
 	failed := route.ClaimReply{ID: act.ID, Failed: true}
 	version := uint64(0)
 	for range maxClaimTries {
-		rows, err := c.ledger.Commit(ctx, ledger.CauseClaim, ledger.Write{Key: key, Version: version, Data: encode(row)})
+		rows, err := c.ledger.Commit(ctx, ledger.CauseClaim, ledger.Write{Key: key, Version: version, Data: ledger.Encode(row)})
 		if err == nil {
 			return route.ClaimReply{ID: act.ID, Won: true, Holder: act.Holder}
 		}
@@ -310,7 +310,7 @@
 	if old.Outcome != "" || old.Holder != row.Holder {
 		return true // recorded by another entry
 	}
-	_, err = c.ledger.Commit(ctx, ledger.CauseClaim, ledger.Write{Key: key, Version: current[0].Version, Data: encode(row)})
+	_, err = c.ledger.Commit(ctx, ledger.CauseClaim, ledger.Write{Key: key, Version: current[0].Version, Data: ledger.Encode(row)})
 	return err == nil
 }
 
@@ -343,12 +343,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// encode writes a value of a type that always encodes.
-func encode(v any) json.RawMessage {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
--- a/internal/entry/requests/requests_test.go
+++ b/internal/entry/requests/requests_test.go
@@ -54,7 +54,7 @@
 
 func putClaim(t *testing.T, l ledger.Ledger, row claimRow) {
 	t.Helper()
-	write := ledger.Write{Key: claimKey("acc", "svc", "k"), Data: encode(row)}
+	write := ledger.Write{Key: claimKey("acc", "svc", "k"), Data: ledger.Encode(row)}
 	if _, err := l.Commit(context.Background(), ledger.CauseClaim, write); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/membership/peer.go
+++ b/internal/membership/peer.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
@@ -33,7 +32,6 @@
 
 // NewDialer returns a dialer without connections.
 func NewDialer(options ...grpc.DialOption) *Dialer {
-	options = append([]grpc.DialOption{grpc.WithTransportCredentials(insecure.NewCredentials())}, options...)
 	return &Dialer{options: options, conns: map[string]*peerConn{}}
 }
 
@@ -74,7 +72,7 @@
 	if p, ok := d.conns[addr]; ok {
 		return p, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr, d.options...)
+	conn, err := rpc.Dial(addr, d.options...)
 	if err != nil {
 		return nil, err
 	}
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-func job(profile string, s api.Shape, run time.Duration) client.JobRequest {
-	return client.JobRequest{
+func job(profile string, s api.Shape, run time.Duration) api.JobRequest {
+	return api.JobRequest{
 		Profile:        profile,
 		Gang:           s,
 		Payload:        json.RawMessage(fmt.Sprintf(`{"run_ms":%d,"result":"ok"}`, run.Milliseconds())),
--- a/test/procs/harness/jobs.go
+++ b/test/procs/harness/jobs.go
@@ -21,10 +21,10 @@
 
 // Gang returns a job of tasks with a run time; each takes a number of
 // accelerators and all run in one rack.
-func Gang(tasks, accelerators int, run time.Duration, idempotent bool) client.JobRequest {
+func Gang(tasks, accelerators int, run time.Duration, idempotent bool) api.JobRequest {
 	// A TaskPayload always marshals.
 	payload, _ := json.Marshal(standin.TaskPayload{RunMS: run.Milliseconds()})
-	return client.JobRequest{
+	return api.JobRequest{
 		Profile: Profile,
 		Gang: api.Shape{
 			Tasks:     tasks,
@@ -39,7 +39,7 @@
 
 // Submit submits a job and repeats calls without an answer, to the clients in
 // turn. An entry's refusal is returned as it is.
-func (h *Harness) Submit(ctx context.Context, key string, job client.JobRequest, clients ...*client.Client) (api.JobRecord, error) {
+func (h *Harness) Submit(ctx context.Context, key string, job api.JobRequest, clients ...*client.Client) (api.JobRecord, error) {
 	for calls := 0; ; calls++ {
 		record, err := clients[calls%len(clients)].SubmitJob(ctx, job, key)
 		if !errors.Is(err, client.ErrUnreachable) && !errors.Is(err, client.ErrNoAnswer) || ctx.Err() != nil {
--- a/test/procs/owner_test.go
+++ b/test/procs/owner_test.go
@@ -38,7 +38,7 @@
 }
 
 // submit submits a job that has to be accepted.
-func submit(t *testing.T, h *harness.Harness, key string, job client.JobRequest, entry *harness.Entry) string {
+func submit(t *testing.T, h *harness.Harness, key string, job api.JobRequest, entry *harness.Entry) string {
 	t.Helper()
 	var record api.JobRecord
 	var err error
