Ledger: versions of a row need not follow one another; a commit can check rows that it leaves

Cause: a table that counts all its writes with one counter gives a row versions with gaps, and the ledger counted tokens to tell whether a lost write can still be found. Each token now carries the version that it replaced. A commit can also be made conditional on rows that it does not write, which fences the writes of an earlier owner. Ruled out: a counter of its own in each value (needs a read before the condition).

--- a/internal/ledger/cache.go
+++ b/internal/ledger/cache.go
@@ -18,7 +18,7 @@
 type cachedTokens struct {
 	version uint64
 	deleted bool
-	tokens  []string
+	stamps  []stamp
 }
 
 func newTokenCache() *tokenCache {
@@ -35,7 +35,7 @@
 	if !known {
 		t.makeRoom(s.key)
 	}
-	t.rows[s.key] = cachedTokens{s.version, s.Deleted, s.Tokens}
+	t.rows[s.key] = cachedTokens{s.version, s.Deleted, s.Stamps}
 }
 
 // makeRoom enters a key into the ring, in place of the oldest if it is full.
@@ -49,14 +49,14 @@
 	t.next = (t.next + 1) % maxCachedTokens
 }
 
-// find returns the version in the table and the tokens for a write that
+// find returns the version in the table and the stamps for a write that
 // expects the given version; ok is false if the row must be read first.
-func (t *tokenCache) find(key string, version uint64) (have uint64, tokens []string, ok bool) {
+func (t *tokenCache) find(key string, version uint64) (have uint64, stamps []stamp, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, known := t.rows[key]
 	if known && (c.version == version || version == 0 && c.deleted) {
-		return c.version, c.tokens, true
+		return c.version, c.stamps, true
 	}
 	return version, nil, version == 0
 }
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -119,8 +119,11 @@
 // prepare sets the conditions of a part and the tokens to carry on.
 func (c *Client) prepare(p *part) {
 	for i, w := range p.writes {
+		if w.Check {
+			continue
+		}
 		var ok bool
-		p.conds[i], p.tokens[i], ok = c.tokens.find(w.Key, w.Version)
+		p.conds[i], p.stamps[i], ok = c.tokens.find(w.Key, w.Version)
 		p.blind = p.blind || !ok
 	}
 }
@@ -156,7 +159,7 @@
 	if w.Delete && w.Version == 0 {
 		return errors.NotValidf("delete of absent row %q", w.Key)
 	}
-	if !w.Delete && !json.Valid(w.Data) {
+	if !w.Delete && !w.Check && !json.Valid(w.Data) {
 		return errors.NotValidf("data of row %q (want JSON)", w.Key)
 	}
 	return nil
--- a/internal/ledger/envelope.go
+++ b/internal/ledger/envelope.go
@@ -12,12 +12,19 @@
 // maxTokens is the number of writes that a row remembers.
 const maxTokens = 8
 
-// envelope is a row's value in the table. Tokens holds the tokens of the last
-// writes of the row, one for each version, the newest last. A deleted row
-// stays as a tombstone for a while, so that a lost answer of its delete can be
-// settled like any other and versions do not start again.
+// stamp marks one write of a row: its token and the version that it replaced.
+// Versions of a row grow, but not by one: a table may count all its writes
+// with one counter.
+type stamp struct {
+	Token    string `json:"t"`
+	Replaced uint64 `json:"r,omitempty"`
+}
+
+// envelope is a row's value in the table. Stamps holds the stamps of the last
+// writes of the row, the newest last. A deleted row stays as a tombstone for a
+// while, so that a lost answer of its delete can be settled like any other.
 type envelope struct {
-	Tokens  []string        `json:"tokens"`
+	Stamps  []stamp         `json:"stamps"`
 	Deleted bool            `json:"deleted,omitempty"`
 	Data    json.RawMessage `json:"data,omitempty"`
 }
@@ -63,27 +70,36 @@
 func (s stored) absent() bool { return s.version == 0 || s.Deleted }
 
 func (s stored) has(token string) bool {
-	for _, t := range s.Tokens {
-		if t == token {
+	for _, t := range s.Stamps {
+		if t.Token == token {
 			return true
 		}
 	}
 	return false
 }
 
-// covers reports whether the tokens reach back to the given version, so that
-// a token that is missing has certainly not been written at that version.
-func (s stored) covers(version uint64) bool {
-	return s.version < version || s.version-version < uint64(len(s.Tokens))
+// covers reports whether the stamps reach back to the write that replaced the
+// given version, so that a token that is missing has certainly not been
+// written in its place.
+func (s stored) covers(replaced uint64) bool {
+	if s.version <= replaced {
+		return true
+	}
+	for _, t := range s.Stamps {
+		if t.Replaced == replaced {
+			return true
+		}
+	}
+	return false
 }
 
-func appendToken(tokens []string, token string) []string {
-	if n := len(tokens) - (maxTokens - 1); n > 0 {
-		tokens = tokens[n:]
+func appendStamp(stamps []stamp, next stamp) []stamp {
+	if n := len(stamps) - (maxTokens - 1); n > 0 {
+		stamps = stamps[n:]
 	}
-	out := make([]string, 0, len(tokens)+1)
-	out = append(out, tokens...)
-	return append(out, token)
+	out := make([]stamp, 0, len(stamps)+1)
+	out = append(out, stamps...)
+	return append(out, next)
 }
 
 func encodeToken(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -26,9 +26,11 @@
 	// conds are the versions in the table; they differ from those of writes
 	// where a row is a tombstone.
 	conds []uint64
-	// tokens are the earlier tokens of each row, as far as known.
-	tokens [][]string
-	// blind is set while the tokens of a row are not known.
+	// stamps are the earlier stamps of each row, as far as known.
+	stamps [][]stamp
+	// versions are those that the writes have given, once the part has committed.
+	versions []uint64
+	// blind is set while the stamps of a row are not known.
 	blind bool
 	// doubt is set once an answer that concerns the part was lost.
 	doubt bool
@@ -39,7 +41,7 @@
 }
 
 func newPart(token string, writes []Write) *part {
-	p := &part{token: token, writes: writes, conds: make([]uint64, len(writes)), tokens: make([][]string, len(writes))}
+	p := &part{token: token, writes: writes, conds: make([]uint64, len(writes)), stamps: make([][]stamp, len(writes))}
 	for i, w := range writes {
 		p.conds[i] = w.Version
 		p.bytes += len(w.Key) + len(w.Data)
@@ -94,9 +96,13 @@
 
 func (g *group) keys() []string {
 	var keys []string
+	seen := map[string]bool{}
 	for _, p := range g.open() {
 		for _, w := range p.writes {
-			keys = append(keys, w.Key)
+			if !seen[w.Key] {
+				seen[w.Key] = true
+				keys = append(keys, w.Key)
+			}
 		}
 	}
 	return keys
@@ -105,10 +111,17 @@
 // txn returns the transaction to send.
 func (g *group) txn() platform.Txn {
 	var txn platform.Txn
+	seen := map[platform.Cond]bool{}
 	for _, p := range g.open() {
 		for i, w := range p.writes {
-			txn.Conds = append(txn.Conds, platform.Cond{Key: w.Key, Version: p.conds[i]})
-			txn.Puts = append(txn.Puts, platform.Row{Key: w.Key, Value: p.value(i)})
+			cond := platform.Cond{Key: w.Key, Version: p.conds[i]}
+			if !seen[cond] {
+				seen[cond] = true
+				txn.Conds = append(txn.Conds, cond)
+			}
+			if !w.Check {
+				txn.Puts = append(txn.Puts, platform.Row{Key: w.Key, Value: p.value(i)})
+			}
 		}
 	}
 	return txn
@@ -116,7 +129,7 @@
 
 func (p *part) value(i int) json.RawMessage {
 	w := p.writes[i]
-	e := envelope{Tokens: appendToken(p.tokens[i], p.token), Deleted: w.Delete, Data: w.Data}
+	e := envelope{Stamps: appendStamp(p.stamps[i], stamp{p.token, p.conds[i]}), Deleted: w.Delete, Data: w.Data}
 	if w.Delete {
 		e.Data = nil
 	}
@@ -146,9 +159,14 @@
 
 func (p *part) written(versions map[string]uint64) []Row {
 	out := make([]Row, len(p.writes))
+	p.versions = make([]uint64, len(p.writes))
 	for i, w := range p.writes {
+		p.versions[i] = versions[w.Key]
 		out[i] = Row{Key: w.Key}
-		if !w.Delete {
+		switch {
+		case w.Check:
+			out[i].Version = w.Version
+		case !w.Delete:
 			out[i].Version = versions[w.Key]
 		}
 	}
@@ -178,12 +196,12 @@
 	for i, w := range p.writes {
 		r := rows[w.Key]
 		if r.version == p.conds[i] {
-			p.tokens[i] = r.Tokens
+			p.stamps[i] = r.Stamps
 			continue
 		}
-		unclear = unclear || p.doubt && !r.covers(p.conds[i]+1)
+		unclear = unclear || p.doubt && !w.Check && !r.covers(p.conds[i])
 		if w.Version == 0 && r.absent() {
-			p.conds[i], p.tokens[i] = r.version, r.Tokens
+			p.conds[i], p.stamps[i] = r.version, r.Stamps
 			continue
 		}
 		changed = true
@@ -200,7 +218,7 @@
 // all rows or none, so one is enough.
 func (p *part) found(rows map[string]stored) bool {
 	for _, w := range p.writes {
-		if rows[w.Key].has(p.token) {
+		if !w.Check && rows[w.Key].has(p.token) {
 			return true
 		}
 	}
@@ -211,17 +229,23 @@
 func (p *part) settledRows(rows map[string]stored) []Row {
 	versions := make(map[string]uint64, len(p.writes))
 	for i, w := range p.writes {
-		versions[w.Key] = rows[w.Key].versionOf(p.token, p.conds[i]+1)
+		versions[w.Key] = rows[w.Key].versionOf(p.token, p.conds[i])
 	}
 	return p.written(versions)
 }
 
 // versionOf returns the version at which the token was written, or def if the
-// row no longer remembers it.
+// row no longer remembers it. A version that is too old lets the next write of
+// the row conflict, which brings the current one.
 func (s stored) versionOf(token string, def uint64) uint64 {
-	for i, t := range s.Tokens {
-		if t == token {
-			return s.version - uint64(len(s.Tokens)-1-i)
+	for i, t := range s.Stamps {
+		switch {
+		case t.Token != token:
+			continue
+		case i+1 < len(s.Stamps):
+			return s.Stamps[i+1].Replaced
+		default:
+			return s.version
 		}
 	}
 	return def
--- a/internal/ledger/group_machine_test.go
+++ b/internal/ledger/group_machine_test.go
@@ -48,7 +48,7 @@
 		panic(err)
 	}
 	if e.Deleted {
-		return e.Tokens[len(e.Tokens)-1]
+		return e.Stamps[len(e.Stamps)-1].Token
 	}
 	return string(e.Data)
 }
@@ -65,7 +65,7 @@
 // the present ones. It knows the rows' tokens, as after a read.
 func (m *groupMachine) newPart(t *rapid.T, used map[string]bool) *part {
 	var writes []Write
-	var tokens [][]string
+	var stamps [][]stamp
 	var conds []uint64
 	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 1, 3, rapid.ID).Draw(t, "rows") {
 		key := fmt.Sprintf("k%d", i)
@@ -79,14 +79,17 @@
 		}
 		w := Write{Key: key, Version: s.row().Version, Data: json.RawMessage(strconv.Itoa(len(m.all)))}
 		w.Delete = w.Version > 0 && rapid.IntRange(0, 4).Draw(t, "delete") == 0
-		writes, tokens, conds = append(writes, w), append(tokens, s.Tokens), append(conds, s.version)
+		if len(writes) > 0 && rapid.IntRange(0, 3).Draw(t, "check") == 0 {
+			w = Write{Key: key, Version: s.version, Check: true}
+		}
+		writes, stamps, conds = append(writes, w), append(stamps, s.Stamps), append(conds, s.version)
 	}
 	if len(writes) == 0 {
 		return nil
 	}
 	p := newPart(strconv.Itoa(len(m.all)), writes)
 	m.ids[p] = p.token
-	p.tokens, p.conds = tokens, conds
+	p.stamps, p.conds = stamps, conds
 	m.all = append(m.all, p)
 	return p
 }
@@ -181,7 +184,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := envelope{Tokens: appendToken(s.Tokens, "other"), Data: json.RawMessage(`"other"`)}
+		e := envelope{Stamps: appendStamp(s.Stamps, stamp{"other", s.version}), Data: json.RawMessage(`"other"`)}
 		value, err := json.Marshal(e)
 		if err != nil {
 			t.Fatal(err)
@@ -200,6 +203,9 @@
 }
 
 func (m *groupMachine) checkWrite(t *rapid.T, p *part, w Write) {
+	if w.Check {
+		return
+	}
 	replaced := m.wrote[m.ids[p]+" "+w.Key]
 	n := len(replaced)
 	switch {
@@ -238,6 +244,7 @@
 func TestGroupMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &groupMachine{table: newFakeTable(), ids: map[*part]string{}, wrote: map[string][]uint64{}}
+		m.table.oneCounter = rapid.Bool().Draw(t, "one counter")
 		t.Repeat(map[string]func(*rapid.T){
 			"open":      m.open,
 			"advance":   m.advance,
--- a/internal/ledger/lane.go
+++ b/internal/ledger/lane.go
@@ -96,13 +96,13 @@
 }
 
 // take removes the next group from the queue. With an empty queue it ends the
-// sender and returns nil. A second write of the same key waits for the next
-// group.
+// sender and returns nil. A second write of the same key, or a check of a key
+// that is written, waits for the next group.
 func (l *lane) take() []*waiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	cfg := &l.client.cfg
-	keys := map[string]bool{}
+	keys := map[string]use{}
 	rows, bytes := 0, 0
 	var ws, rest []*waiter
 	for i, w := range l.queue {
@@ -127,14 +127,32 @@
 	return ws
 }
 
-func overlaps(keys map[string]bool, writes []Write) bool {
+// use is how the commits of a group use a key.
+type use int
+
+const (
+	unused use = iota
+	checked
+	written
+)
+
+func useOf(w Write) use {
+	if w.Check {
+		return checked
+	}
+	return written
+}
+
+// overlaps reports whether writes cannot join a group that uses keys already;
+// otherwise their keys are added.
+func overlaps(keys map[string]use, writes []Write) bool {
 	for _, w := range writes {
-		if keys[w.Key] {
+		if have := keys[w.Key]; have == written || have == checked && !w.Check {
 			return true
 		}
 	}
 	for _, w := range writes {
-		keys[w.Key] = true
+		keys[w.Key] = useOf(w)
 	}
 	return false
 }
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -101,11 +101,11 @@
 // remember keeps the tokens of the rows that a commit has written.
 func (c *Client) remember(w *waiter) {
 	for i, wr := range w.writes {
-		s := stored{key: wr.Key, version: w.conds[i] + 1}
-		if !wr.Delete {
-			s.version = w.rows[i].Version
+		if wr.Check {
+			continue
 		}
-		s.Tokens = appendToken(w.tokens[i], w.token)
+		s := stored{key: wr.Key, version: w.versions[i]}
+		s.Stamps = appendStamp(w.stamps[i], stamp{w.token, w.conds[i]})
 		s.Deleted = wr.Delete
 		c.tokens.put(s)
 		if wr.Delete {
--- a/internal/ledger/table_test.go
+++ b/internal/ledger/table_test.go
@@ -27,13 +27,16 @@
 	latency time.Duration
 	stall   bool // calls hang until their context ends
 
-	faults  []fault // for the next calls, reads and writes alike
-	down    bool
-	late    []platform.Txn
-	commits int
-	reads   int
-	before  func() // runs before a transaction is applied
-	reading func() // runs before a read
+	faults []fault // for the next calls, reads and writes alike
+	down   bool
+	late   []platform.Txn
+	// oneCounter counts the versions of all rows together.
+	oneCounter bool
+	counter    uint64
+	commits    int
+	reads      int
+	before     func() // runs before a transaction is applied
+	reading    func() // runs before a read
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
@@ -74,6 +77,14 @@
 	return t.get(keys), nil
 }
 
+func (t *fakeTable) nextVersion(key string) uint64 {
+	if !t.oneCounter {
+		return t.rows[key].Version + 1
+	}
+	t.counter++
+	return t.counter
+}
+
 func (t *fakeTable) get(keys []string) []platform.Row {
 	out := make([]platform.Row, len(keys))
 	for i, k := range keys {
@@ -135,7 +146,7 @@
 	}
 	res := platform.TxnResult{Committed: true}
 	for _, p := range txn.Puts {
-		p.Version = t.rows[p.Key].Version + 1
+		p.Version = t.nextVersion(p.Key)
 		t.rows[p.Key] = p
 		res.Rows = append(res.Rows, platform.Row{Key: p.Key, Version: p.Version})
 	}
--- a/internal/ledger/types.go
+++ b/internal/ledger/types.go
@@ -46,12 +46,14 @@
 }
 
 // Write is one conditional write: Key must have Version (0: be absent).
-// Delete removes the row.
+// Delete removes the row. Check leaves the row as it is: the others are written
+// only while it has Version.
 type Write struct {
 	Key     string
 	Version uint64
 	Data    json.RawMessage
 	Delete  bool
+	Check   bool
 }
 
 // Ledger is the interface to lasting state that the services use.
