--- a/cmd/coltsfoot-agent/main.go
+++ b/cmd/coltsfoot-agent/main.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/agent"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/procmain"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
 	"github.com/rcrowley/go-metrics"
@@ -67,9 +67,9 @@
 		Balancer: string(s.Balancer),
 	}
 	if cfg.Kind == agent.KindMinion {
-		return agent.New(cfg, platform.NewMinionClient(string(s.Endpoint), endpointTimeout), nil, registry, log)
+		return agent.New(cfg, external.NewMinionClient(string(s.Endpoint), endpointTimeout), nil, registry, log)
 	}
-	return agent.New(cfg, nil, platform.NewWorkerClient(string(s.Endpoint), endpointTimeout), registry, log)
+	return agent.New(cfg, nil, external.NewWorkerClient(string(s.Endpoint), endpointTimeout), registry, log)
 }
 
 func newPages(k *kernel.Kernel, s *settings.Agent, a *agent.Agent, registry metrics.Registry) *httpx.Server {
--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -13,12 +13,12 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/requests"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/retention"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/scheduler"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/membership"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
@@ -103,15 +103,15 @@
 	return nil
 }
 
-func newTable(s *settings.Entry) platform.Table {
-	return platform.NewTableClient(string(s.Table.URL), s.Table.Timeout.D())
+func newTable(s *settings.Entry) external.Table {
+	return external.NewTableClient(string(s.Table.URL), s.Table.Timeout.D())
 }
 
-func newObjects(s *settings.Entry) platform.Objects {
-	return platform.NewObjectsClient(string(s.Objects.URL), s.Objects.Timeout.D())
+func newObjects(s *settings.Entry) external.Objects {
+	return external.NewObjectsClient(string(s.Objects.URL), s.Objects.Timeout.D())
 }
 
-func newLedger(table platform.Table, c clock, registry metrics.Registry, log zerolog.Logger) (*ledger.Client, ledger.Ledger) {
+func newLedger(table external.Table, c clock, registry metrics.Registry, log zerolog.Logger) (*ledger.Client, ledger.Ledger) {
 	client := ledger.New(table, ledger.Config{Metrics: registry, Log: log, Clock: c})
 	return client, client
 }
@@ -197,7 +197,7 @@
 	return node.Ownership{Owner: o, Clock: c}
 }
 
-func newRetention(l ledger.Ledger, o node.Ownership, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *retention.Service {
+func newRetention(l ledger.Ledger, o node.Ownership, objects external.Objects, registry metrics.Registry, log zerolog.Logger) *retention.Service {
 	return retention.New(l, o, registry, log, requests.Retention(objects), jobs.Retention())
 }
 
@@ -205,7 +205,7 @@
 	return scheduler.New(o, config, store, w, srv, registry, log)
 }
 
-func newRequests(s *settings.Entry, srv *links.Server, config confstate.Store, m *membership.Service, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *requests.Service {
+func newRequests(s *settings.Entry, srv *links.Server, config confstate.Store, m *membership.Service, l ledger.Ledger, objects external.Objects, registry metrics.Registry, log zerolog.Logger) *requests.Service {
 	cfg := requests.Config{EntryID: string(s.ID), MaxRequests: s.Limits.MaxRequests, MaxQueue: s.Limits.MaxQueue}
 	return requests.New(cfg, srv, config, m, l, objects, registry, log)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/google/uuid"
 	"github.com/juju/errors"
@@ -72,7 +72,7 @@
 }
 
 // New returns an agent. Minion is used for KindMinion, worker for KindWorker.
-func New(cfg Config, minion platform.Minion, worker platform.Worker, registry metrics.Registry, log zerolog.Logger) *Agent {
+func New(cfg Config, minion external.Minion, worker external.Worker, registry metrics.Registry, log zerolog.Logger) *Agent {
 	a := &Agent{
 		cfg:         cfg,
 		incarnation: uuid.NewString(),
--- a/internal/agent/groups/group.go
+++ b/internal/agent/groups/group.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 // phase is the part of its life that a group is in.
@@ -50,13 +50,13 @@
 // task is one task of a running group.
 type task struct {
 	id       string
-	state    platform.TaskState
+	state    external.TaskState
 	progress time.Duration
 	usage    api.Resources
 	output   json.RawMessage
 }
 
-func (t *task) ended() bool { return t.state != platform.TaskRunning }
+func (t *task) ended() bool { return t.state != external.TaskRunning }
 
 func (g *group) resources() api.Resources {
 	var sum api.Resources
@@ -67,7 +67,7 @@
 }
 
 // all reports whether every task is in the state.
-func (g *group) all(state platform.TaskState) bool {
+func (g *group) all(state external.TaskState) bool {
 	for i := range g.tasks {
 		if g.tasks[i].state != state {
 			return false
@@ -124,14 +124,14 @@
 	r := Report{Ref: g.ref, State: Stopped, Tasks: len(g.tasks), Detail: g.detail}
 	r.Progress, r.Usage = g.progress()
 	switch {
-	case g.all(platform.TaskDone):
+	case g.all(external.TaskDone):
 		r.State = Done
 		r.Detail = ""
 		r.Result = g.result()
 	case g.cause == causeFailed:
 		r.State = Failed
 		r.WorkerFault = g.workerFault
-	case g.all(platform.TaskCheckpointed):
+	case g.all(external.TaskCheckpointed):
 		r.State = Checkpointed
 		r.Checkpoint = checkpointName(g.ref)
 	}
--- a/internal/agent/groups/holdstart.go
+++ b/internal/agent/groups/holdstart.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 func (c *Core) hold(e Hold) {
@@ -107,8 +107,8 @@
 	startBy := min(e.Stamp+e.Permit, c.now+(g.leaseBy-c.now)/2)
 	for i := range g.perTask {
 		name := TaskName{Ref: g.ref, First: g.first, Tasks: len(g.perTask), Index: g.first + i}
-		g.tasks = append(g.tasks, task{id: name.String(), state: platform.TaskRunning})
-		c.emit(StartTask{StartBy: startBy, Task: platform.Task{
+		g.tasks = append(g.tasks, task{id: name.String(), state: external.TaskRunning})
+		c.emit(StartTask{StartBy: startBy, Task: external.Task{
 			ID:           name.String(),
 			Resources:    g.perTask[i],
 			Payload:      e.Payload,
--- a/internal/agent/groups/stop.go
+++ b/internal/agent/groups/stop.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 func (c *Core) stop(e Stop) {
@@ -91,7 +91,7 @@
 	if c.now >= g.workerBy {
 		for i := range g.tasks {
 			if !g.tasks[i].ended() {
-				g.tasks[i].state = platform.TaskStopped
+				g.tasks[i].state = external.TaskStopped
 			}
 		}
 		return
--- a/internal/agent/groups/tasks.go
+++ b/internal/agent/groups/tasks.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
-func (c *Core) taskUpdate(s platform.TaskStatus) {
+func (c *Core) taskUpdate(s external.TaskStatus) {
 	name, ok := ParseTask(s.ID)
 	if !ok {
 		return // not a task of ours
@@ -28,8 +28,8 @@
 }
 
 // stray stops a task that no group accounts for.
-func (c *Core) stray(s platform.TaskStatus) {
-	if s.State == platform.TaskRunning {
+func (c *Core) stray(s external.TaskStatus) {
+	if s.State == external.TaskRunning {
 		c.counters.Strays++
 		c.emit(StopTask{ID: s.ID})
 	}
@@ -37,14 +37,14 @@
 
 // strayOfGroup stops a task that runs although its lease on the worker must
 // have ended it. Late news of a task that has ended are ignored.
-func (c *Core) strayOfGroup(s platform.TaskStatus, t *task) {
-	if t.state == platform.TaskStopped {
+func (c *Core) strayOfGroup(s external.TaskStatus, t *task) {
+	if t.state == external.TaskStopped {
 		c.stray(s)
 	}
 }
 
 // update applies the worker's state of a task that was last known to run.
-func (c *Core) update(g *group, t *task, s platform.TaskStatus) {
+func (c *Core) update(g *group, t *task, s external.TaskStatus) {
 	t.state = s.State
 	t.progress = max(t.progress, time.Duration(s.ProgressMS)*time.Millisecond)
 	t.usage = s.Usage
@@ -53,10 +53,10 @@
 		return
 	}
 	switch s.State {
-	case platform.TaskFailed:
+	case external.TaskFailed:
 		g.workerFault = s.WorkerFault
 		c.end(g, causeFailed, s.Detail)
-	case platform.TaskStopped, platform.TaskCheckpointed:
+	case external.TaskStopped, external.TaskCheckpointed:
 		c.end(g, causeBroken, s.Detail)
 	}
 }
@@ -74,7 +74,7 @@
 	switch {
 	case t == nil || t.ended():
 	case e.NotSent:
-		t.state = platform.TaskStopped
+		t.state = external.TaskStopped
 		c.end(g, causeBroken, e.Detail)
 	default:
 		g.workerFault = true
@@ -102,7 +102,7 @@
 		}
 		if t := g.task(s.ID); t != nil {
 			g.perTask[name.Index-g.first] = s.Resources
-			t.state = platform.TaskRunning
+			t.state = external.TaskRunning
 			c.update(g, t, s)
 		} else {
 			c.stray(s) // the group has other bounds
@@ -148,7 +148,7 @@
 	missing := false
 	for i := range g.tasks {
 		if g.tasks[i].state == "" {
-			g.tasks[i].state = platform.TaskStopped
+			g.tasks[i].state = external.TaskStopped
 			missing = true
 		}
 	}
--- a/internal/agent/groups/types.go
+++ b/internal/agent/groups/types.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 // Ref names the tasks of one job attempt on this worker.
@@ -78,7 +78,7 @@
 type Permission struct{ Allowed bool }
 
 // TaskUpdate is the worker's state of one task.
-type TaskUpdate struct{ Status platform.TaskStatus }
+type TaskUpdate struct{ Status external.TaskStatus }
 
 // TaskLost says that the worker does not know the task or did not answer in
 // time; with NotSent, that the start was never asked of it.
@@ -92,7 +92,7 @@
 // groups among those that still run are adopted, without renewing their leases
 // on the worker, so that they end when the former agent's leases do unless the
 // owner renews them. Everything else that runs is stopped.
-type Adopt struct{ Tasks []platform.TaskStatus }
+type Adopt struct{ Tasks []external.TaskStatus }
 
 // Leave refuses new holds and starts for good, for a planned stop.
 type Leave struct{}
@@ -138,7 +138,7 @@
 // not be made after StartBy, which the shell checks once more before the call;
 // the task's own lease is such that even then it does not outlive the group's.
 type StartTask struct {
-	Task    platform.Task
+	Task    external.Task
 	StartBy time.Duration
 }
 
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -8,7 +8,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/agent/exec"
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
@@ -28,14 +28,14 @@
 // execution holds the bodies of one attempt: the request's until its call has
 // ended, then the answer's until the core forgets it.
 type execution struct {
-	request platform.MinionRequest
-	reply   *platform.MinionReply
+	request external.MinionRequest
+	reply   *external.MinionReply
 }
 
 // requestHost runs the exec core beside a minion.
 type requestHost struct {
 	agent  *Agent
-	minion platform.Minion
+	minion external.Minion
 
 	mu      sync.Mutex
 	core    *exec.Core
@@ -43,7 +43,7 @@
 	running sync.WaitGroup
 }
 
-func newRequestHost(a *Agent, minion platform.Minion) *requestHost {
+func newRequestHost(a *Agent, minion external.Minion) *requestHost {
 	return &requestHost{
 		agent:  a,
 		minion: minion,
@@ -92,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), act.Timeout)
 	defer cancel()
 	startBy := h.agent.started.Add(decided + pauseLimit)
-	reply, err := h.minion.Call(platform.WithStartBy(ctx, startBy), x.request)
+	reply, err := h.minion.Call(external.WithStartBy(ctx, startBy), x.request)
 	outcome, detail := callOutcome(reply, err)
 	size := h.called(act.Ref, x, reply, err)
 	h.step(exec.Called{Ref: act.Ref, Outcome: outcome, Detail: detail, Size: size})
@@ -100,10 +100,10 @@
 
 // called keeps the answer of a call in place of the request, unless no message
 // can carry it, and returns its size.
-func (h *requestHost) called(ref exec.Ref, x *execution, reply platform.MinionReply, err error) int64 {
+func (h *requestHost) called(ref exec.Ref, x *execution, reply external.MinionReply, err error) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	x.request = platform.MinionRequest{}
+	x.request = external.MinionRequest{}
 	switch {
 	case err != nil:
 		delete(h.bodies, ref)
@@ -115,9 +115,9 @@
 	return int64(len(reply.Body))
 }
 
-func callOutcome(reply platform.MinionReply, err error) (api.Outcome, string) {
+func callOutcome(reply external.MinionReply, err error) (api.Outcome, string) {
 	switch {
-	case errors.Is(err, platform.ErrNotSent):
+	case errors.Is(err, external.ErrNotSent):
 		return api.OutcomeNotRun, err.Error()
 	case err != nil:
 		return api.OutcomeUnknown, err.Error()
@@ -170,7 +170,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.core.Known(ref) {
-		h.bodies[ref] = &execution{request: platform.MinionRequest{
+		h.bodies[ref] = &execution{request: external.MinionRequest{
 			RequestID:   x.RequestId,
 			Attempt:     x.Attempt,
 			ContentType: x.ContentType,
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/agent/groups"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched"
 	"github.com/juju/errors"
@@ -26,7 +26,7 @@
 // taskHost runs the groups core beside a worker.
 type taskHost struct {
 	agent  *Agent
-	worker platform.Worker
+	worker external.Worker
 
 	mu      sync.Mutex
 	core    *groups.Core
@@ -36,7 +36,7 @@
 	ops     opQueues
 }
 
-func newTaskHost(a *Agent, worker platform.Worker) *taskHost {
+func newTaskHost(a *Agent, worker external.Worker) *taskHost {
 	return &taskHost{
 		agent:   a,
 		worker:  worker,
@@ -85,8 +85,8 @@
 	task := act.Task
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
-	status, err := h.worker.Start(platform.WithStartBy(ctx, h.agent.started.Add(act.StartBy)), task)
-	if errors.Is(err, platform.ErrNotSent) {
+	status, err := h.worker.Start(external.WithStartBy(ctx, h.agent.started.Add(act.StartBy)), task)
+	if errors.Is(err, external.ErrNotSent) {
 		h.step(groups.TaskLost{ID: task.ID, Detail: err.Error(), NotSent: true})
 		return
 	}
@@ -100,7 +100,7 @@
 	h.step(groups.TaskUpdate{Status: status})
 }
 
-func (h *taskHost) endTask(id string, end func(context.Context, string) (platform.TaskStatus, error)) {
+func (h *taskHost) endTask(id string, end func(context.Context, string) (external.TaskStatus, error)) {
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
 	status, err := end(ctx, id)
@@ -120,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
-	ctx = platform.WithStartBy(ctx, h.agent.started.Add(now+pauseLimit))
+	ctx = external.WithStartBy(ctx, h.agent.started.Add(now+pauseLimit))
 	if err := h.worker.Renew(ctx, act.IDs, lease.Milliseconds()); err != nil {
 		metrics.GetOrRegisterCounter("tasks.renew_failed", h.agent.registry).Inc(1)
 	}
@@ -151,14 +151,14 @@
 
 // adopt takes in the tasks that the worker had when the agent started. It
 // returns false once that has been done.
-func (h *taskHost) adopt(list []platform.TaskStatus) bool {
+func (h *taskHost) adopt(list []external.TaskStatus) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.adopted {
 		return false
 	}
 	for _, status := range list {
-		if status.State == platform.TaskRunning {
+		if status.State == external.TaskRunning {
 			h.started[status.ID] = 0
 		}
 	}
@@ -177,13 +177,13 @@
 
 // news reports whether a listed task's state is to be taken in: one that had
 // ended in an earlier list tells nothing new.
-func (h *taskHost) news(status platform.TaskStatus) bool {
+func (h *taskHost) news(status external.TaskStatus) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.ended[status.ID] {
 		return false
 	}
-	if status.State != platform.TaskRunning {
+	if status.State != external.TaskRunning {
 		h.ended[status.ID] = true
 	}
 	return true
--- a/internal/entry/requests/claims.go
+++ b/internal/entry/requests/claims.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/juju/errors"
@@ -51,7 +51,7 @@
 type claims struct {
 	service *Service
 	ledger  ledger.Ledger
-	objects platform.Objects
+	objects external.Objects
 	lookups lookups
 	slots   chan struct{}
 	running sync.WaitGroup
@@ -61,7 +61,7 @@
 	recording map[route.ClaimHolder][]route.Ack
 }
 
-func newClaims(s *Service, l ledger.Ledger, objects platform.Objects) *claims {
+func newClaims(s *Service, l ledger.Ledger, objects external.Objects) *claims {
 	return &claims{
 		service:   s,
 		ledger:    l,
--- a/internal/entry/requests/requests.go
+++ b/internal/entry/requests/requests.go
@@ -10,9 +10,9 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/links"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/google/uuid"
@@ -96,7 +96,7 @@
 }
 
 // New returns the service; it listens to srv from now on.
-func New(cfg Config, srv *links.Server, permits Permits, members Members, l ledger.Ledger, objects platform.Objects, registry metrics.Registry, log zerolog.Logger) *Service {
+func New(cfg Config, srv *links.Server, permits Permits, members Members, l ledger.Ledger, objects external.Objects, registry metrics.Registry, log zerolog.Logger) *Service {
 	s := &Service{
 		cfg:      cfg,
 		links:    srv,
--- a/internal/entry/requests/retention.go
+++ b/internal/entry/requests/retention.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/retention"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/juju/errors"
 )
 
@@ -14,7 +14,7 @@
 const claimKeep = 24 * time.Hour
 
 // Retention removes claims, with their recorded answers, after claimKeep.
-func Retention(objects platform.Objects) retention.Rule {
+func Retention(objects external.Objects) retention.Rule {
 	return retention.Rule{
 		Name:   "claims",
 		Prefix: claimPrefix,
@@ -28,7 +28,7 @@
 				return nil
 			}
 			err := objects.Delete(ctx, row.Object)
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, external.ErrNotFound) {
 				return nil
 			}
 			return err
--- a/internal/platform/platform.go
+++ b/internal/external/external.go
@@ -1,6 +1,6 @@
-// Package platform holds the interfaces to the platform's services (table,
+// Package external holds the interfaces to the services outside of coltsfootlug (table,
 // object store, workers, minions) and thin HTTP clients for them.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/platform/table.go
+++ b/internal/external/table.go
@@ -1,4 +1,4 @@
-package platform
+package external
 
 import (
 	"context"
--- a/internal/ledger/cleanup.go
+++ b/internal/ledger/cleanup.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 const (
@@ -84,13 +84,13 @@
 // remove deletes rows in one transaction. If some of them have changed, nothing
 // is deleted and the others are returned.
 func (c *Client) remove(ctx context.Context, old []grave) []grave {
-	var txn platform.Txn
+	var txn external.Txn
 	for _, v := range old {
-		txn.Conds = append(txn.Conds, platform.Cond{Key: v.key, Version: v.version})
+		txn.Conds = append(txn.Conds, external.Cond{Key: v.key, Version: v.version})
 		txn.Deletes = append(txn.Deletes, v.key)
 	}
 	c.meter.count(CauseCleanup, countTxns, 1)
-	var res platform.TxnResult
+	var res external.TxnResult
 	err := c.call(ctx, func(ctx context.Context) (err error) {
 		res, err = c.table.Commit(ctx, txn)
 		return err
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -9,8 +9,8 @@
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // Client is the Ledger over the platform's table.
 type Client struct {
-	table   platform.Table
+	table   external.Table
 	cfg     Config
 	breaker *breaker
 	health  health
@@ -41,7 +41,7 @@
 var _ Ledger = (*Client)(nil)
 
 // New returns a client of the table.
-func New(table platform.Table, cfg Config) *Client {
+func New(table external.Table, cfg Config) *Client {
 	cfg = cfg.withDefaults()
 	c := &Client{
 		table:   table,
@@ -199,7 +199,7 @@
 
 // Get returns a row for each key, in order.
 func (c *Client) Get(ctx context.Context, cause Cause, keys ...string) ([]Row, error) {
-	var rows []platform.Row
+	var rows []external.Row
 	err := c.read(ctx, cause, func(ctx context.Context) (err error) {
 		rows, err = c.table.Get(ctx, keys...)
 		return err
@@ -241,7 +241,7 @@
 }
 
 func (c *Client) scanPage(ctx context.Context, cause Cause, prefix, after string, limit int) ([]stored, error) {
-	var rows []platform.Row
+	var rows []external.Row
 	err := c.read(ctx, cause, func(ctx context.Context) (err error) {
 		rows, err = c.table.Scan(ctx, prefix, after, limit)
 		return err
@@ -253,7 +253,7 @@
 }
 
 // learn opens the rows and remembers their tokens and tombstones.
-func (c *Client) learn(rows []platform.Row) ([]stored, error) {
+func (c *Client) learn(rows []external.Row) ([]stored, error) {
 	found, err := openAll(rows)
 	if err != nil {
 		return nil, err
--- a/internal/ledger/envelope.go
+++ b/internal/ledger/envelope.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 // maxTokens is the number of writes that a row remembers.
@@ -36,7 +36,7 @@
 	envelope
 }
 
-func open(r platform.Row) (stored, error) {
+func open(r external.Row) (stored, error) {
 	s := stored{key: r.Key, version: r.Version}
 	if r.Version == 0 || len(r.Value) == 0 {
 		return s, nil
@@ -47,7 +47,7 @@
 	return s, nil
 }
 
-func openAll(rows []platform.Row) ([]stored, error) {
+func openAll(rows []external.Row) ([]stored, error) {
 	out := make([]stored, 0, len(rows))
 	for _, r := range rows {
 		s, err := open(r)
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -5,7 +5,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 // step is what a group needs next.
@@ -109,18 +109,18 @@
 }
 
 // txn returns the transaction to send.
-func (g *group) txn() platform.Txn {
-	var txn platform.Txn
-	seen := map[platform.Cond]bool{}
+func (g *group) txn() external.Txn {
+	var txn external.Txn
+	seen := map[external.Cond]bool{}
 	for _, p := range g.open() {
 		for i, w := range p.writes {
-			cond := platform.Cond{Key: w.Key, Version: p.conds[i]}
+			cond := external.Cond{Key: w.Key, Version: p.conds[i]}
 			if !seen[cond] {
 				seen[cond] = true
 				txn.Conds = append(txn.Conds, cond)
 			}
 			if !w.Check {
-				txn.Puts = append(txn.Puts, platform.Row{Key: w.Key, Value: p.value(i)})
+				txn.Puts = append(txn.Puts, external.Row{Key: w.Key, Value: p.value(i)})
 			}
 		}
 	}
@@ -147,7 +147,7 @@
 }
 
 // committed brings the written rows.
-func (g *group) committed(rows []platform.Row) {
+func (g *group) committed(rows []external.Row) {
 	versions := make(map[string]uint64, len(rows))
 	for _, r := range rows {
 		versions[r.Key] = r.Version
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 )
 
 // send carries a group of commits through to the end of each.
@@ -131,7 +131,7 @@
 func (c *Client) sendTxn(g *group, ws []*waiter) {
 	c.spendWrites(ws)
 	txn := g.txn()
-	var res platform.TxnResult
+	var res external.TxnResult
 	err := c.call(context.Background(), func(ctx context.Context) (err error) {
 		res, err = c.table.Commit(ctx, txn)
 		return err
@@ -148,7 +148,7 @@
 	c.judge(g, res.Rows)
 }
 
-func (c *Client) judge(g *group, rows []platform.Row) {
+func (c *Client) judge(g *group, rows []external.Row) {
 	found, err := c.learn(rows)
 	if err != nil {
 		for _, p := range g.open() {
@@ -162,7 +162,7 @@
 // readBack reads the group's rows as they are now, which settles a lost answer.
 // The breaker has allowed it.
 func (c *Client) readBack(l *lane, g *group) {
-	var rows []platform.Row
+	var rows []external.Row
 	err := c.call(context.Background(), func(ctx context.Context) (err error) {
 		rows, err = c.table.Get(ctx, g.keys()...)
 		return err
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 )
@@ -81,7 +81,7 @@
 }
 
 func (m *Minion) call(ctx *fasthttp.RequestCtx) {
-	id := string(ctx.Request.Header.Peek(platform.HeaderRequestID))
+	id := string(ctx.Request.Header.Peek(external.HeaderRequestID))
 	var control MinionCall
 	// A body that is not a MinionCall asks for nothing special.
 	_ = json.Unmarshal(ctx.PostBody(), &control)
@@ -109,7 +109,7 @@
 	return MinionAnswer{
 		Minion:    m.id,
 		RequestID: id,
-		Attempt:   string(ctx.Request.Header.Peek(platform.HeaderAttempt)),
+		Attempt:   string(ctx.Request.Header.Peek(external.HeaderAttempt)),
 		Echo:      ctx.PostBody(),
 		Digest:    fmt.Sprintf("%016x", xxhash.Sum64(ctx.PostBody())),
 		Padding:   strings.Repeat("x", max(size, 0)),
@@ -148,6 +148,6 @@
 func (m *Minion) observe() any { return m.Stats() }
 
 func (m *Minion) routes(r *router.Router) {
-	r.GET(platform.PathHealth, healthy)
-	r.POST(platform.PathMinionCall, m.call)
+	r.GET(external.PathHealth, healthy)
+	r.POST(external.PathMinionCall, m.call)
 }
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"sync"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/fasthttp/router"
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
@@ -20,7 +20,7 @@
 	values map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ external.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store.
 func NewObjects() *Objects { return &Objects{values: map[string][]byte{}} }
@@ -39,7 +39,7 @@
 	defer o.mu.Unlock()
 	value, ok := o.values[key]
 	if !ok {
-		return nil, errors.Annotatef(platform.ErrNotFound, "object %q", key)
+		return nil, errors.Annotatef(external.ErrNotFound, "object %q", key)
 	}
 	return value, nil
 }
@@ -55,8 +55,8 @@
 func (o *Objects) faults() *Faults { return &o.Faults }
 
 func (o *Objects) routes(r *router.Router) {
-	path := platform.PathObjects + "{key:*}"
-	r.GET(platform.PathHealth, healthy)
+	path := external.PathObjects + "{key:*}"
+	r.GET(external.PathHealth, healthy)
 	r.PUT(path, func(ctx *fasthttp.RequestCtx) {
 		_ = o.Put(ctx, objectKey(ctx), ctx.PostBody())
 	})
@@ -77,7 +77,7 @@
 // its dots and slashes normalized.
 func objectKey(ctx *fasthttp.RequestCtx) string {
 	original := ctx.Request.URI().PathOriginal()
-	key := string(bytes.TrimPrefix(original, []byte(platform.PathObjects)))
+	key := string(bytes.TrimPrefix(original, []byte(external.PathObjects)))
 	if unescaped, err := url.PathUnescape(key); err == nil {
 		return unescaped
 	}
--- a/internal/standin/specs.go
+++ b/internal/standin/specs.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
-	"github.com/coltsfootlug/coltsfootlug/internal/platform"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/juju/errors"
 )
 
@@ -33,10 +33,10 @@
 }
 
 // builder makes one stand-in. Objects is the process's object store.
-type builder func(s spec, objects platform.Objects) (Service, error)
+type builder func(s spec, objects external.Objects) (Service, error)
 
 var builders = map[string]builder{
-	"table":    func(spec, platform.Objects) (Service, error) { return NewTable(), nil },
+	"table":    func(spec, external.Objects) (Service, error) { return NewTable(), nil },
 	"worker":   buildWorker,
 	"minion":   buildMinion,
 	"balancer": buildBalancer,
@@ -166,7 +166,7 @@
 	return nil
 }
 
-func buildWorker(s spec, objects platform.Objects) (Service, error) {
+func buildWorker(s spec, objects external.Objects) (Service, error) {
 	var capacity api.Resources
 	var err error
 	if capacity.Accelerators, err = s.number("accelerators", defaultAccelerators); err != nil {
@@ -181,7 +181,7 @@
 	return NewWorker(s.values.Get("id"), capacity, objects), nil
 }
 
-func buildMinion(s spec, _ platform.Objects) (Service, error) {
+func buildMinion(s spec, _ external.Objects) (Service, error) {
 	slots, err := s.number("slots", defaultSlots)
 	if err != nil {
 		return nil, err
@@ -189,7 +189,7 @@
 	return NewMinion(s.values.Get("id"), slots), nil
 }
 
-func buildBalancer(s spec, _ platform.Objects) (Service, error) {
+func buildBalancer(s spec, _ external.Objects) (Service, error) {
 	relay, err := NewRelay(s.address, s.values["target"]...)
 	if err != nil {
 		return nil, errors.Trace(err)
