--- a/cmd/coltsfoot-agent/main.go
+++ b/cmd/coltsfoot-agent/main.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/procmain"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+	"github.com/coltsfootlug/coltsfootlug/platform"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 )
@@ -22,6 +23,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	if path := platform.SettingsPath(); path != "" {
+		return runHosted(path)
+	}
 	s, code := procmain.Load("coltsfoot-agent", os.Args[1:], os.Stderr, settings.LoadAgent)
 	if s == nil {
 		return code
--- /dev/null
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/graphs"
+	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
+	"github.com/coltsfootlug/coltsfootlug/internal/procmain"
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+	"github.com/coltsfootlug/coltsfootlug/platform"
+)
+
+const (
+	// hostedCell is the cell of a hosted deployment: one owner for all.
+	hostedCell = "all"
+	// storeTimeout bounds one call of the table, which answers within a few
+	// milliseconds, or sixty times that when it is slow.
+	storeTimeout = 600 * time.Millisecond
+	// hostedLameDuck is how long a leaving entry goes on accepting connections:
+	// the balancer probes every second and takes it out after two misses.
+	hostedLameDuck = 2500 * time.Millisecond
+	// maxJobBytes bounds the body of a caller's request.
+	maxJobBytes = 1 << 20
+)
+
+// leaving is set once the process has been asked to stop.
+type leaving struct{ flag atomic.Bool }
+
+func (l *leaving) Start(context.Context) error { return nil }
+
+func (l *leaving) Stop(context.Context) error {
+	l.flag.Store(true)
+	return nil
+}
+
+// callers, probes and pages are the HTTP servers of a hosted entry.
+type (
+	callers struct{ *httpx.Server }
+	probes  struct{ *httpx.Server }
+	pages   struct{ *httpx.Server }
+)
+
+// hosted are all services of a hosted entry.
+type hosted struct {
+	dig.In
+
+	Ledger    *ledger.Client
+	Policies  *policy.Watcher
+	RPC       *graphs.Server
+	Pages     *pages
+	Probes    *probes
+	Callers   *callers
+	Owner     *owner.Service
+	Scheduler *graphs.Scheduler
+	Leaving   *leaving
+}
+
+func runHosted(path string) int {
+	s, flags, code := procmain.LoadHosted("coltsfoot-entry", os.Args[1:], os.Stderr, path, platform.LoadSettings)
+	if s == nil {
+		return code
+	}
+	registry := metrics.NewRegistry()
+	log := procmain.HostedLogger(flags, "entry", s.Node, func(n int) {
+		metrics.GetOrRegisterCounter("log.dropped", registry).Inc(int64(n))
+	})
+	k := kernel.New()
+	if err := wireHosted(k, s, flags, registry, log); err != nil {
+		log.Error().Err(err).Msg("wiring failed")
+		return procmain.ExitFailed
+	}
+	reload := func() error {
+		_, err := platform.LoadSettings(path)
+		return err
+	}
+	return procmain.Process{Kernel: k, Log: log, DrainTimeout: procmain.DrainTime(s), Reload: reload}.Run()
+}
+
+func wireHosted(k *kernel.Kernel, s *settings.Hosted, flags procmain.HostedFlags, registry metrics.Registry, log zerolog.Logger) error {
+	if s.ClientsListen == "" {
+		return errors.NotValidf("settings of an entry without an address for callers")
+	}
+	err := k.Provide(
+		func() *settings.Hosted { return s },
+		func() procmain.HostedFlags { return flags },
+		func() zerolog.Logger { return log },
+		func() metrics.Registry { return registry },
+		func() clock { return clock(ledger.Monotonic()) },
+		func() *leaving { return &leaving{} },
+		func(s *settings.Hosted) *platform.Store { return platform.NewStore(s.TableAddress) },
+		hostedLedger, hostedPolicies, hostedOwner, hostedStore, hostedScheduler, hostedRPC,
+		hostedFront, hostedCallers, hostedProbes, hostedPages,
+	)
+	if err != nil {
+		return err
+	}
+	return k.Invoke(func(all hosted) error { return registerHosted(k, all) })
+}
+
+// registerHosted registers the services in the order of their start. They stop
+// in reverse: the entry stops being ready, gives the ownership up, answers what
+// still comes, and then ends its connections.
+func registerHosted(k *kernel.Kernel, all hosted) error {
+	for _, r := range []struct {
+		name    string
+		service kernel.Service
+	}{
+		{"ledger", all.Ledger},
+		{"policies", all.Policies},
+		{"rpc", all.RPC},
+		{"pages", all.Pages},
+		{"probes", all.Probes},
+		{"callers", all.Callers},
+		{"owner", all.Owner},
+		{"scheduler", all.Scheduler},
+		{"leaving", all.Leaving},
+	} {
+		if err := k.Register(r.name, r.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func hostedLedger(store *platform.Store, c clock, registry metrics.Registry, log zerolog.Logger) *ledger.Client {
+	return ledger.New(store, ledger.Config{Metrics: registry, Log: log, Clock: c, OpTimeout: storeTimeout})
+}
+
+func hostedPolicies(store *platform.Store, c clock, registry metrics.Registry, log zerolog.Logger) *policy.Watcher {
+	return policy.NewWatcher(platform.NewOperator(store), c, registry, log)
+}
+
+func hostedOwner(l *ledger.Client, s *settings.Hosted, c clock, registry metrics.Registry, log zerolog.Logger) *owner.Service {
+	times := ownerTimes()
+	times.PermitTTL = time.Millisecond // workers' leases are waited for one by one
+	self := owner.Self{ID: s.Node, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))}
+	return owner.New(l, hostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
+}
+
+func hostedStore(l *ledger.Client) *graphs.Store { return graphs.NewStore(l) }
+
+func hostedScheduler(o *owner.Service, s *graphs.Store, p *policy.Watcher, c clock, registry metrics.Registry, log zerolog.Logger) *graphs.Scheduler {
+	return graphs.NewScheduler(o, s, p, c, registry, log)
+}
+
+func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service) *graphs.Server {
+	return graphs.NewServer(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), sch, o)
+}
+
+func hostedFront(p *policy.Watcher, store *graphs.Store, sch *graphs.Scheduler, o *owner.Service, registry metrics.Registry, log zerolog.Logger) *graphs.Front {
+	return graphs.NewFront(p, store, graphs.NewRouter(sch, o), time.Now, registry, log)
+}
+
+func hostedCallers(s *settings.Hosted, f *graphs.Front, registry metrics.Registry) *callers {
+	return &callers{httpx.NewServer(httpx.ServerOptions{
+		Listen:       s.ClientsListen,
+		Handler:      platform.CallerHandler(f),
+		MaxBodyBytes: maxJobBytes,
+		LameDuck:     hostedLameDuck,
+		Registry:     registry,
+	})}
+}
+
+func hostedProbes(s *settings.Hosted, f *graphs.Front, l *leaving) *probes {
+	ready := func() error {
+		if l.flag.Load() {
+			return errors.New("stopping")
+		}
+		return f.Ready()
+	}
+	return &probes{httpx.NewServer(httpx.ServerOptions{Listen: s.ReadyListen, Handler: platform.ReadyHandler(ready)})}
+}
+
+func hostedPages(k *kernel.Kernel, s *settings.Hosted, flags procmain.HostedFlags, registry metrics.Registry) *pages {
+	return &pages{httpx.NewPages(s.IP, flags.MetricsPort, registry, func() any { return k.DumpState() })}
+}
--- a/cmd/coltsfoot-entry/main.go
+++ b/cmd/coltsfoot-entry/main.go
@@ -8,12 +8,16 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/procmain"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+	"github.com/coltsfootlug/coltsfootlug/platform"
 	"github.com/google/uuid"
 )
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if path := platform.SettingsPath(); path != "" {
+		return runHosted(path)
+	}
 	s, code := procmain.Load("coltsfoot-entry", os.Args[1:], os.Stderr, settings.LoadEntry)
 	if s == nil {
 		return code
--- /dev/null
+++ b/internal/agent/keeper/finder.go
@@ -0,0 +1,150 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+const (
+	// locateTimeout bounds one round of questions to all known entries.
+	locateTimeout = 400 * time.Millisecond
+	// rowTimeout bounds one read of the ownership's row.
+	rowTimeout = 600 * time.Millisecond
+	// rowInterval is the least time between two reads of it.
+	rowInterval = time.Second
+	// maxEntries bounds the entries that are remembered.
+	maxEntries = 16
+)
+
+// Rows reads rows of the table.
+type Rows interface {
+	Get(ctx context.Context, cause ledger.Cause, keys ...string) ([]ledger.Row, error)
+}
+
+// Finder finds the entry that owns scheduling: it asks the entries that it
+// knows and, if none of them tells, reads the row of the ownership.
+type Finder struct {
+	rows  Rows
+	key   string
+	clock func() time.Duration
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	entries []string // addresses, the last owner first
+	conns   map[string]*grpc.ClientConn
+	readAt  time.Duration
+	read    bool
+}
+
+// NewFinder returns a finder that knows some addresses to begin with.
+func NewFinder(rows Rows, cell string, entries []string, clock func() time.Duration, log zerolog.Logger) *Finder {
+	return &Finder{rows: rows, key: owner.RowKey(cell), entries: entries, clock: clock, log: log, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Find returns a connection with the owner, nil if there is none now.
+func (f *Finder) Find(ctx context.Context) (*grpc.ClientConn, string) {
+	address := f.ask(ctx)
+	if address == "" {
+		address = f.readRow(ctx)
+	}
+	if address == "" {
+		return nil, ""
+	}
+	f.remember(address)
+	return f.conn(address), address
+}
+
+// ask asks all known entries at once and takes the answer with the highest epoch.
+func (f *Finder) ask(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	f.mu.Lock()
+	entries := append([]string(nil), f.entries...)
+	f.mu.Unlock()
+	replies := make(chan *rpc.LocateReply, len(entries))
+	for _, e := range entries {
+		go func() { replies <- f.locate(ctx, e) }()
+	}
+	var best *rpc.LocateReply
+	for range entries {
+		r := <-replies
+		if r.GetOwnerAddress() != "" && (best == nil || r.Epoch > best.Epoch) {
+			best = r
+		}
+	}
+	return best.GetOwnerAddress()
+}
+
+func (f *Finder) locate(ctx context.Context, address string) *rpc.LocateReply {
+	conn := f.conn(address)
+	if conn == nil {
+		return nil
+	}
+	reply, err := rpc.NewFleetClient(conn).Locate(ctx, &rpc.LocateRequest{})
+	if err != nil {
+		return nil // it is asked again in the next round
+	}
+	return reply
+}
+
+func (f *Finder) conn(address string) *grpc.ClientConn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.conns[address]; c != nil {
+		return c
+	}
+	c, err := rpc.Dial(address, rpc.QuickReconnect()...)
+	if err != nil {
+		f.log.Error().Err(err).Str("entry", address).Msg("address cannot be dialled")
+		return nil
+	}
+	f.conns[address] = c
+	return c
+}
+
+func (f *Finder) remember(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := []string{address}
+	for _, e := range f.entries {
+		if e != address && len(entries) < maxEntries {
+			entries = append(entries, e)
+		}
+	}
+	f.entries = entries
+}
+
+// readRow reads the owner's address from the table.
+func (f *Finder) readRow(ctx context.Context) string {
+	f.mu.Lock()
+	due := !f.read || f.clock()-f.readAt >= rowInterval
+	if due {
+		f.read, f.readAt = true, f.clock()
+	}
+	f.mu.Unlock()
+	if !due {
+		return ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	rows, err := f.rows.Get(ctx, ledger.CauseOwner, f.key)
+	if err != nil || rows[0].Version == 0 {
+		f.log.Info().Err(err).Msg("no entry tells who owns scheduling, nor does the table")
+		return ""
+	}
+	var row owner.Row
+	if err := json.Unmarshal(rows[0].Data, &row); err != nil {
+		f.log.Error().Err(err).Str("row", f.key).Msg("row cannot be read")
+		return ""
+	}
+	return row.Addr
+}
--- /dev/null
+++ b/internal/agent/keeper/orders.go
@@ -0,0 +1,144 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+const (
+	// orderTimeout bounds one call with an order. A gang waits three seconds
+	// for its members, within which a start is tried startTries times.
+	orderTimeout = 600 * time.Millisecond
+	startTries   = 3
+	// settleRetry is the time between two tries to settle an order.
+	settleRetry = 150 * time.Millisecond
+)
+
+// begin marks an order as being carried out; false if it is already.
+func (k *Keeper) begin(ref runRef) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.orders[ref] {
+		return false
+	}
+	k.orders[ref] = true
+	return true
+}
+
+func (k *Keeper) finish(ref runRef) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.orders, ref)
+}
+
+// start carries out a start order.
+func (k *Keeper) start(ctx context.Context, o *rpc.StartTask) {
+	task, run := rpc.TaskOf(o.Ref)
+	ref := runRef{task, run}
+	if !k.begin(ref) {
+		return
+	}
+	defer k.finish(ref)
+	if k.draining() {
+		k.refused(ref, "worker drains")
+		return
+	}
+	t := k.target()
+	err := k.tryStart(ctx, t, o, ref)
+	if err == nil {
+		return
+	}
+	k.log.Info().Err(err).Str("job", string(task.Job)).Str("task", task.String()).Uint64("run", run).Msg("start refused or in doubt")
+	k.settle(ctx, t, ref, err.Error())
+}
+
+// tryStart returns nil once the worker has the run.
+func (k *Keeper) tryStart(ctx context.Context, t target, o *rpc.StartTask, ref runRef) (err error) {
+	order := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Deadline: t.deadline, Epoch: t.epoch}
+	for range startTries {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err = k.runner.Start(callCtx, t.instance, order)
+		cancel()
+		if err == nil || !errors.Is(err, external.ErrUnavailable) {
+			metrics.GetOrRegisterCounter("keeper.starts", k.registry).Inc(1)
+			return err
+		}
+	}
+	return err
+}
+
+func (k *Keeper) draining() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.worker == nil || k.worker.Draining || k.leftAt > 0
+}
+
+// refused reports a run that never began and never will.
+func (k *Keeper) refused(ref runRef, reason string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.absent = append(k.absent, &rpc.AbsentTask{Ref: rpc.TaskRefOf(ref.task, ref.run), Reason: reason})
+	wake(k.wakeSend)
+}
+
+// stop carries out a stop order.
+func (k *Keeper) stop(ctx context.Context, r *rpc.TaskRef) {
+	task, run := rpc.TaskOf(r)
+	ref := runRef{task, run}
+	if !k.begin(ref) {
+		return
+	}
+	defer k.finish(ref)
+	k.settle(ctx, k.target(), ref, "stopped")
+}
+
+// settle stops a run, which also keeps one from beginning that is still on its
+// way, and reports it absent unless the worker lists it.
+func (k *Keeper) settle(ctx context.Context, t target, ref runRef, reason string) {
+	for ctx.Err() == nil && k.same(t) {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := k.runner.Stop(callCtx, t.instance, external.StopRun{Task: ref.task, Run: ref.run, Epoch: t.epoch})
+		cancel()
+		if errors.Is(err, external.ErrRunEpoch) || errors.Is(err, external.ErrRunOtherOne) {
+			return // the next owner, or the new incarnation, settles it
+		}
+		if err == nil && k.hold(ctx, 0) == nil {
+			if !k.lists(ref) {
+				k.refused(ref, reason)
+			}
+			return
+		}
+		kernel.Sleep(ctx, settleRetry)
+	}
+}
+
+// same reports whether the worker and the epoch are still those of t.
+func (k *Keeper) same(t target) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.worker != nil && k.worker.ID == t.instance && k.worker.Incarnation == t.incarnation && k.epoch == t.epoch
+}
+
+// lists reports whether the worker runs a run or lists its end.
+func (k *Keeper) lists(ref runRef) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range k.runs.Running {
+		if r.Task == ref.task && r.Run == ref.run {
+			return true
+		}
+	}
+	for _, e := range k.runs.Ended {
+		if e.Task == ref.task && e.Run == ref.run {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/graphs/front.go
@@ -0,0 +1,292 @@
+package graphs
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
+)
+
+const (
+	// defaultWait is how long a caller is taken to wait if it does not say.
+	defaultWait = 2500 * time.Millisecond
+	// answerMargin is the part of the caller's time that is left for the answer
+	// to reach it.
+	answerMargin = 150 * time.Millisecond
+	// retryStore is when a caller may come back after the table was not
+	// reachable, retryNoPolicy when the configuration is not known.
+	retryStore    = time.Second
+	retryNoPolicy = time.Second
+	// retryNever is for what this version of the program does not serve.
+	retryNever = time.Hour
+	// idDigits is the number of hexadecimal digits of a job's ID.
+	idDigits = 16
+)
+
+// Call is what all requests of callers have in common.
+type Call struct {
+	Host string
+	Path string
+	Key  string
+	Wait time.Duration // how long the caller waits; 0 if it does not say
+}
+
+// Outcome is the kind of an answer.
+type Outcome int
+
+// The outcomes. Refused, Overloaded, NoQueue, Unauthorized and Invalid promise that
+// a job was not accepted and never runs because of this request.
+const (
+	OK           Outcome = iota
+	Refused              // for now; RetryAfter tells when to come back
+	Overloaded           // likewise
+	NoQueue              // no such queue
+	Unauthorized         // no account has the key
+	Invalid              // the request can never be served
+	Unknown              // it may or may not have taken effect
+	NoJob                // no such job
+)
+
+var outcomeNames = [...]string{"ok", "refused", "overloaded", "no-queue", "unauthorized", "invalid", "unknown", "no-job"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Answer is the answer to a caller.
+type Answer struct {
+	Outcome    Outcome
+	RetryAfter time.Duration
+	Detail     string
+	State      graph.State
+	Pending    *int
+}
+
+// Policies is where the front finds the configuration.
+type Policies interface {
+	Fresh() (*policy.Snapshot, time.Duration)
+}
+
+// Owner answers what only the owner of scheduling knows, wherever it runs.
+type Owner interface {
+	// Status returns a job's state; known is false if the owner cannot be
+	// asked or does not know the job.
+	Status(ctx context.Context, id graph.JobID) (state graph.State, known bool)
+	// Pending returns the number of a queue's jobs of which no task has started.
+	Pending(ctx context.Context, queue string) (n int, known bool)
+}
+
+// Front serves the requests of callers.
+type Front struct {
+	policies Policies
+	store    *Store
+	owner    Owner
+	now      func() time.Time
+	log      zerolog.Logger
+	registry metrics.Registry
+}
+
+// NewFront returns a front. now is the time of day.
+func NewFront(p Policies, s *Store, o Owner, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Front {
+	return &Front{policies: p, store: s, owner: o, now: now, log: log, registry: registry}
+}
+
+// Ready returns nil while callers can be served.
+func (f *Front) Ready() error {
+	if s, age := f.policies.Fresh(); s == nil {
+		return errors.Errorf("configuration was confirmed %v ago", age)
+	}
+	return nil
+}
+
+// target is what a call is about, once it has been let in.
+type target struct {
+	queue   *policy.Queue
+	account string
+	id      graph.JobID // empty for the queue itself
+	version uint64
+	age     time.Duration
+}
+
+// admit finds the queue of a call and checks its key. A nil target comes with
+// the answer.
+func (f *Front) admit(call Call) (*target, Answer) {
+	s, age := f.policies.Fresh()
+	if s == nil {
+		return nil, Answer{Outcome: Refused, RetryAfter: retryNoPolicy, Detail: "configuration is not known to be current"}
+	}
+	q, rest := s.Match(call.Host, call.Path)
+	if q == nil {
+		return nil, Answer{Outcome: NoQueue, Detail: "no such queue"}
+	}
+	t := &target{queue: q, id: graph.JobID(rest), version: s.Version, age: age}
+	if q.Public {
+		return t, Answer{}
+	}
+	account := s.AccountOf(call.Key)
+	if account == nil {
+		return nil, Answer{Outcome: Unauthorized, Detail: "key is not known"}
+	}
+	t.account = account.Name
+	return t, Answer{}
+}
+
+// Submit accepts a job.
+func (f *Front) Submit(call Call, decode func() (*graph.Job, error)) Answer {
+	start := time.Now()
+	t, a := f.admit(call)
+	if t != nil {
+		a = f.accept(call, t, decode)
+	}
+	f.report("submit", call, t, a, start)
+	return a
+}
+
+func (f *Front) accept(call Call, t *target, decode func() (*graph.Job, error)) Answer {
+	if !validID(t.id) {
+		return Answer{Outcome: Invalid, Detail: "job ID is not 16 hexadecimal digits"}
+	}
+	if t.queue.Advised {
+		return Answer{Outcome: Refused, RetryAfter: retryNever, Detail: "queues with an adviser are not served"}
+	}
+	job, err := decode()
+	if errors.Is(err, errors.NotSupported) {
+		return Answer{Outcome: Refused, RetryAfter: retryNever, Detail: err.Error()}
+	}
+	if err != nil {
+		return Answer{Outcome: Invalid, Detail: err.Error()}
+	}
+	job.ID = t.id
+	job.Queue, job.Account, job.Pool = t.queue.Name, t.account, t.queue.Pool
+	job.Priority, job.Attempts = t.queue.Priority, t.queue.Attempts
+	job.Stretch, job.Allowance = t.queue.Stretch, t.queue.Allowance
+	job.Submitted = f.now()
+	ctx, cancel := f.context(call)
+	defer cancel()
+	return writeAnswer(f.store.Accept(ctx, job))
+}
+
+// writeAnswer is the answer to a request that had to be made durable.
+func writeAnswer(err error) Answer {
+	switch {
+	case err == nil:
+		return Answer{Outcome: OK}
+	case errors.Is(err, ledger.ErrUnknown):
+		return Answer{Outcome: Unknown, Detail: err.Error()}
+	default:
+		return Answer{Outcome: Refused, RetryAfter: retryStore, Detail: err.Error()}
+	}
+}
+
+// Lookup answers for a job's state, or for a queue's length.
+func (f *Front) Lookup(call Call) Answer {
+	start := time.Now()
+	t, a := f.admit(call)
+	switch {
+	case t == nil:
+	case t.id == "":
+		a = f.pending(call, t)
+	default:
+		a = f.state(call, t)
+	}
+	f.report("lookup", call, t, a, start)
+	return a
+}
+
+func (f *Front) pending(call Call, t *target) Answer {
+	ctx, cancel := f.context(call)
+	defer cancel()
+	n, known := f.owner.Pending(ctx, t.queue.Name)
+	if !known {
+		return Answer{Outcome: Refused, RetryAfter: retryStore, Detail: "no entry owns scheduling"}
+	}
+	return Answer{Outcome: OK, Pending: &n}
+}
+
+func (f *Front) state(call Call, t *target) Answer {
+	ctx, cancel := f.context(call)
+	defer cancel()
+	if state, known := f.owner.Status(ctx, t.id); known {
+		return Answer{Outcome: OK, State: state}
+	}
+	state, found, err := f.store.State(ctx, t.id)
+	switch {
+	case err != nil:
+		return Answer{Outcome: Refused, RetryAfter: retryStore, Detail: err.Error()}
+	case !found:
+		return Answer{Outcome: NoJob}
+	default:
+		return Answer{Outcome: OK, State: state}
+	}
+}
+
+// Cancel ends a job.
+func (f *Front) Cancel(call Call) Answer {
+	start := time.Now()
+	t, a := f.admit(call)
+	if t != nil {
+		a = f.cancel(call, t)
+	}
+	f.report("cancel", call, t, a, start)
+	return a
+}
+
+func (f *Front) cancel(call Call, t *target) Answer {
+	ctx, cancel := f.context(call)
+	defer cancel()
+	found, err := f.store.Cancel(ctx, t.id)
+	if err == nil && !found {
+		return Answer{Outcome: NoJob}
+	}
+	return writeAnswer(err)
+}
+
+// context ends shortly before the caller stops waiting.
+func (f *Front) context(call Call) (context.Context, context.CancelFunc) {
+	wait := call.Wait
+	if wait == 0 {
+		wait = defaultWait
+	}
+	return context.WithTimeout(context.Background(), max(wait-answerMargin, wait/2))
+}
+
+// report counts and logs one answer.
+func (f *Front) report(verb string, call Call, t *target, a Answer, start time.Time) {
+	took := time.Since(start)
+	metrics.GetOrRegisterCounter("front."+verb+"."+a.Outcome.String(), f.registry).Inc(1)
+	metrics.GetOrRegisterTimer("front."+verb, f.registry).Update(took)
+	e := f.log.Info()
+	if verb == "lookup" && a.Outcome == OK {
+		e = f.log.Debug()
+	}
+	e = e.Str("verb", verb).Str("outcome", a.Outcome.String()).Dur("took_ms", took)
+	if t != nil {
+		e = e.Str("job", string(t.id)).Str("queue", t.queue.Name).Str("account", t.account).
+			Uint64("policy", t.version).Dur("policy_age_ms", t.age)
+	} else {
+		e = e.Str("path", call.Path)
+	}
+	if a.Detail != "" {
+		e = e.Str("detail", a.Detail)
+	}
+	if a.State != "" {
+		e = e.Str("state", string(a.State))
+	}
+	e.Msg("request")
+}
+
+func validID(id graph.JobID) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, r := range id {
+		if !(r >= '0' && r <= '9' || r >= 'a' && r <= 'f' || r >= 'A' && r <= 'F') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/graphs/hub.go
@@ -0,0 +1,180 @@
+package graphs
+
+import (
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+// session is one connection with a worker's agent.
+type session struct {
+	id string
+
+	mu     sync.Mutex
+	next   []*rpc.WorkerOrders // one for each incarnation that is meant
+	ready  chan struct{}
+	done   chan struct{}
+	closed bool
+}
+
+func newSession() *session {
+	return &session{id: uuid.NewString(), ready: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// add changes the orders that are sent next to an incarnation.
+func (s *session) add(epoch uint64, incarnation int64, change func(*rpc.WorkerOrders)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.next)
+	if n == 0 || s.next[n-1].Incarnation != incarnation {
+		s.next = append(s.next, &rpc.WorkerOrders{Epoch: epoch, Incarnation: incarnation})
+		n++
+	}
+	change(s.next[n-1])
+}
+
+// flush wakes the sender if there is something to send.
+func (s *session) flush() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.next) == 0 {
+		return
+	}
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) take() []*rpc.WorkerOrders {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.next
+	s.next = nil
+	return out
+}
+
+func (s *session) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.closed = true
+		close(s.done)
+	}
+}
+
+// errNotOwner tells an agent to look for the owner.
+var errNotOwner = status.Error(codes.FailedPrecondition, "this entry does not own scheduling")
+
+// Attend serves one agent until the connection or the term ends.
+func (s *Scheduler) Attend(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]) error {
+	t := s.current()
+	if t == nil || !t.valid() {
+		return errNotOwner
+	}
+	conn := newSession()
+	received := make(chan error, 1)
+	go func() { received <- t.receive(stream, conn) }()
+	err := conn.sendAll(stream, received)
+	t.leave(conn)
+	return err
+}
+
+func (s *session) sendAll(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders], received <-chan error) error {
+	for {
+		select {
+		case err := <-received:
+			return err
+		case <-s.done:
+			return errNotOwner
+		case <-s.ready:
+		}
+		for _, o := range s.take() {
+			if err := stream.Send(o); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (t *term) receive(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders], conn *session) error {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if !t.valid() {
+			return errNotOwner
+		}
+		t.join(r.Worker, conn)
+		if r.Listed {
+			t.step(plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: conn.id,
+				Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentOf(r.Absent),
+				LeaseAge: time.Duration(r.LeaseAgeMs) * time.Millisecond, Answering: r.Answering, Gone: r.Gone})
+		}
+		t.answer(r, conn)
+	}
+}
+
+// answer grants a lease for a report, or tells the epoch to an agent that has
+// not listed its runs under it yet.
+func (t *term) answer(r *rpc.WorkerReport, conn *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed || !t.valid() {
+		return
+	}
+	conn.add(t.epoch, r.Incarnation, func(o *rpc.WorkerOrders) {
+		if r.Listed {
+			o.GrantedBeat, o.LeaseMs = r.Beat, Lease.Milliseconds()
+		}
+	})
+	conn.flush()
+}
+
+// join makes a connection the worker's present one.
+func (t *term) join(worker string, conn *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.sessions[worker]
+	if old == conn {
+		return
+	}
+	if old != nil {
+		old.close()
+	}
+	t.sessions[worker] = conn
+	t.log.Info().Str("worker", worker).Str("session", conn.id).Msg("agent connected")
+}
+
+func (t *term) leave(conn *session) {
+	worker := ""
+	t.mu.Lock()
+	for w, s := range t.sessions {
+		if s == conn {
+			worker = w
+			delete(t.sessions, w)
+		}
+	}
+	t.mu.Unlock()
+	if worker != "" {
+		t.log.Info().Str("worker", worker).Str("session", conn.id).Msg("agent disconnected")
+		t.step(plan.SessionClosed{Worker: worker, Session: conn.id})
+	}
+}
+
+func absentOf(in []*rpc.AbsentTask) []plan.RunAbsent {
+	out := make([]plan.RunAbsent, len(in))
+	for i, a := range in {
+		task, run := rpc.TaskOf(a.Ref)
+		out[i] = plan.RunAbsent{Task: task, Run: run, Reason: a.Reason}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/graphs/peers.go
@@ -0,0 +1,166 @@
+package graphs
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+const (
+	// askTimeout bounds one question to the owner.
+	askTimeout = 400 * time.Millisecond
+	// keepaliveTime and keepaliveTimeout find connections that have gone silent.
+	keepaliveTime    = 2 * time.Second
+	keepaliveTimeout = time.Second
+)
+
+// Server serves agents and the other entries over gRPC.
+type Server struct {
+	rpc.UnimplementedFleetServer
+
+	address   string
+	scheduler *Scheduler
+	owner     Ownership
+	server    *grpc.Server
+	served    sync.WaitGroup
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(address string, s *Scheduler, o Ownership) *Server {
+	return &Server{address: address, scheduler: s, owner: o}
+}
+
+// Start listens and serves.
+func (s *Server) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Annotatef(err, "listening on %q", s.address)
+	}
+	s.server = grpc.NewServer(
+		grpc.MaxRecvMsgSize(rpc.MaxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))
+	rpc.RegisterFleetServer(s.server, s)
+	s.served.Add(1)
+	go func() {
+		defer s.served.Done()
+		// Serve returns an error only when the listener is closed.
+		_ = s.server.Serve(listener)
+	}()
+	return nil
+}
+
+// Stop ends all connections.
+func (s *Server) Stop(context.Context) error {
+	s.server.Stop()
+	s.served.Wait()
+	return nil
+}
+
+// Locate tells which entry owns scheduling.
+func (s *Server) Locate(context.Context, *rpc.LocateRequest) (*rpc.LocateReply, error) {
+	a := s.owner.Current()
+	return &rpc.LocateReply{OwnerAddress: a.OwnerAddr, Epoch: a.Epoch}, nil
+}
+
+// Attend serves the agent of one worker.
+func (s *Server) Attend(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]) error {
+	return s.scheduler.Attend(stream)
+}
+
+// JobStatus answers for a job.
+func (s *Server) JobStatus(_ context.Context, r *rpc.JobStatusRequest) (*rpc.JobStatusReply, error) {
+	state, known := s.scheduler.Status(graph.JobID(r.Job))
+	return &rpc.JobStatusReply{Known: known, State: string(state)}, nil
+}
+
+// PendingJobs answers for a queue.
+func (s *Server) PendingJobs(_ context.Context, r *rpc.PendingJobsRequest) (*rpc.PendingJobsReply, error) {
+	n, known := s.scheduler.Pending(r.Queue)
+	if !known {
+		return nil, errNotOwner
+	}
+	return &rpc.PendingJobsReply{Pending: int64(n)}, nil
+}
+
+// Router asks the owner, in this process or in another entry.
+type Router struct {
+	scheduler *Scheduler
+	owner     Ownership
+
+	mu      sync.Mutex
+	address string
+	conn    *grpc.ClientConn
+}
+
+var _ Owner = (*Router)(nil)
+
+// NewRouter returns a router without connections.
+func NewRouter(s *Scheduler, o Ownership) *Router { return &Router{scheduler: s, owner: o} }
+
+// remote returns a client of the owner in another process, nil if there is none.
+func (r *Router) remote() rpc.FleetClient {
+	a := r.owner.Current()
+	if a.Owner || a.OwnerAddr == "" {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn != nil && r.address == a.OwnerAddr {
+		return rpc.NewFleetClient(r.conn)
+	}
+	if r.conn != nil {
+		_ = r.conn.Close() // the owner has moved
+		r.conn = nil
+	}
+	conn, err := rpc.Dial(a.OwnerAddr, rpc.QuickReconnect()...)
+	if err != nil {
+		return nil
+	}
+	r.address, r.conn = a.OwnerAddr, conn
+	return rpc.NewFleetClient(conn)
+}
+
+// Status asks for a job's state.
+func (r *Router) Status(ctx context.Context, id graph.JobID) (graph.State, bool) {
+	if state, known := r.scheduler.Status(id); known {
+		return state, true
+	}
+	client := r.remote()
+	if client == nil {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := client.JobStatus(ctx, &rpc.JobStatusRequest{Job: string(id)})
+	if err != nil || !reply.Known {
+		return "", false
+	}
+	return graph.State(reply.State), true
+}
+
+// Pending asks for a queue's length.
+func (r *Router) Pending(ctx context.Context, queue string) (int, bool) {
+	if n, known := r.scheduler.Pending(queue); known {
+		return n, true
+	}
+	client := r.remote()
+	if client == nil {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := client.PendingJobs(ctx, &rpc.PendingJobsRequest{Queue: queue})
+	if err != nil {
+		return 0, false
+	}
+	return int(reply.Pending), true
+}
--- /dev/null
+++ b/internal/entry/graphs/store.go
@@ -0,0 +1,222 @@
+// Package graphs is the part of an entry that serves jobs which are graphs of
+// steps: it accepts them, answers for them and, while the entry owns
+// scheduling, drives their decision core with the agents of the workers.
+package graphs
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+)
+
+// The rows. A job has up to three: what the caller asked for, written once by
+// the entry that accepts it; its cancelling, written once by any entry; and its
+// progress, written by the owner alone.
+const (
+	jobsPrefix     = "graph/j/"
+	jobSuffix      = "/job"
+	cancelSuffix   = "/cancel"
+	progressSuffix = "/progress"
+	// fenceKey is written by each new owner before it reads the jobs. All its
+	// writes of progress require it unchanged, so that none of an earlier owner
+	// takes effect after that.
+	fenceKey = "graph/fence"
+)
+
+// scanPage is the number of rows of one call of a scan.
+const scanPage = 500
+
+// Table is the lasting state that jobs live in.
+type Table interface {
+	ledger.Ledger
+	Feed(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]ledger.Row, uint64, error)
+	Newest(ctx context.Context) (uint64, error)
+}
+
+// Store reads and writes the rows of jobs.
+type Store struct{ table Table }
+
+// NewStore returns the rows of jobs in a table.
+func NewStore(t Table) *Store { return &Store{t} }
+
+func jobKey(id graph.JobID) string      { return jobsPrefix + string(id) + jobSuffix }
+func cancelKey(id graph.JobID) string   { return jobsPrefix + string(id) + cancelSuffix }
+func progressKey(id graph.JobID) string { return jobsPrefix + string(id) + progressSuffix }
+
+// Accept makes a job durable. A job with the same ID that is there already
+// stands for it.
+func (s *Store) Accept(ctx context.Context, job *graph.Job) error {
+	_, err := s.table.Commit(ctx, ledger.CauseJob, ledger.Write{Key: jobKey(job.ID), Data: ledger.Encode(job)})
+	if errors.Is(err, ledger.ErrConflict) {
+		return nil
+	}
+	return errors.Annotatef(err, "accepting job %q", job.ID)
+}
+
+// Cancel makes the cancelling of a job durable; found is false if there is no
+// such job.
+func (s *Store) Cancel(ctx context.Context, id graph.JobID) (found bool, err error) {
+	rows, err := s.table.Get(ctx, ledger.CauseJob, jobKey(id))
+	if err != nil {
+		return false, errors.Annotatef(err, "cancelling job %q", id)
+	}
+	if rows[0].Version == 0 {
+		return false, nil
+	}
+	_, err = s.table.Commit(ctx, ledger.CauseJob, ledger.Write{Key: cancelKey(id), Data: json.RawMessage("{}")})
+	if errors.Is(err, ledger.ErrConflict) {
+		err = nil
+	}
+	return true, errors.Annotatef(err, "cancelling job %q", id)
+}
+
+// State reads a job's state from its rows; found is false if there is no such job.
+func (s *Store) State(ctx context.Context, id graph.JobID) (state graph.State, found bool, err error) {
+	rows, err := s.table.Scan(ctx, ledger.CauseJob, jobsPrefix+string(id)+"/", "", scanPage)
+	if err != nil {
+		return "", false, errors.Annotatef(err, "state of job %q", id)
+	}
+	loaded, err := decode(rows)
+	if err != nil || len(loaded) == 0 || loaded[0].job == nil {
+		return "", false, err
+	}
+	return loaded[0].state(), true, nil
+}
+
+// stored is a job as its rows tell.
+type stored struct {
+	id        graph.JobID
+	job       *graph.Job // nil if only its other rows were read
+	cancelled bool
+	progress  *graph.Progress
+	version   uint64 // of the progress row
+}
+
+func (s *stored) state() graph.State {
+	switch {
+	case s.progress != nil && s.progress.State.Final():
+		return s.progress.State
+	case s.cancelled:
+		return graph.Cancelled
+	case s.progress != nil:
+		return s.progress.State
+	default:
+		return graph.Queued
+	}
+}
+
+// decode groups rows by job, in order of the first row of each.
+func decode(rows []ledger.Row) ([]*stored, error) {
+	var out []*stored
+	byID := map[graph.JobID]*stored{}
+	for _, r := range rows {
+		id, kind, ok := splitKey(r.Key)
+		if !ok || r.Version == 0 {
+			continue
+		}
+		s := byID[id]
+		if s == nil {
+			s = &stored{id: id}
+			byID[id] = s
+			out = append(out, s)
+		}
+		if err := s.take(id, kind, r); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (s *stored) take(id graph.JobID, kind string, r ledger.Row) error {
+	switch kind {
+	case jobSuffix:
+		s.job = &graph.Job{}
+		if err := json.Unmarshal(r.Data, s.job); err != nil {
+			return errors.Annotatef(err, "row %q", r.Key)
+		}
+		s.job.ID = id
+	case cancelSuffix:
+		s.cancelled = true
+	case progressSuffix:
+		s.progress, s.version = &graph.Progress{}, r.Version
+		if err := json.Unmarshal(r.Data, s.progress); err != nil {
+			return errors.Annotatef(err, "row %q", r.Key)
+		}
+	}
+	return nil
+}
+
+func splitKey(key string) (id graph.JobID, kind string, ok bool) {
+	rest, ok := strings.CutPrefix(key, jobsPrefix)
+	if !ok {
+		return "", "", false
+	}
+	i := strings.LastIndexByte(rest, '/')
+	if i < 0 {
+		return "", "", false
+	}
+	return graph.JobID(rest[:i]), rest[i:], true
+}
+
+// Load returns all jobs, in order of their IDs.
+func (s *Store) Load(ctx context.Context) ([]*stored, error) {
+	var rows []ledger.Row
+	after := ""
+	for {
+		page, err := s.table.Scan(ctx, ledger.CauseRecovery, jobsPrefix, after, scanPage)
+		if err != nil {
+			return nil, errors.Annotate(err, "loading jobs")
+		}
+		rows = append(rows, page...)
+		if len(page) < scanPage {
+			return decode(rows)
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
+// fence is the row that an owner writes at the start of its term.
+type fence struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+// Fence keeps the writes of all earlier owners from taking effect and returns
+// the version of the fence's row.
+func (s *Store) Fence(ctx context.Context, epoch uint64) (uint64, error) {
+	rows, err := s.table.Get(ctx, ledger.CauseOwner, fenceKey)
+	if err != nil {
+		return 0, errors.Annotate(err, "reading the fence")
+	}
+	var present fence
+	if rows[0].Version > 0 {
+		if err := json.Unmarshal(rows[0].Data, &present); err != nil {
+			return 0, errors.Annotatef(err, "row %q", fenceKey)
+		}
+	}
+	if present.Epoch >= epoch {
+		return 0, errors.Annotatef(ledger.ErrConflict, "epoch %d has been fenced off by %d", epoch, present.Epoch)
+	}
+	written, err := s.table.Commit(ctx, ledger.CauseOwner, ledger.Write{Key: fenceKey, Version: rows[0].Version, Data: ledger.Encode(fence{epoch})})
+	if err != nil {
+		return 0, errors.Annotate(err, "writing the fence")
+	}
+	return written[0].Version, nil
+}
+
+// SaveProgress writes a job's progress as long as the fence is unchanged. With
+// ErrConflict it returns the versions of the fence and of the progress row.
+func (s *Store) SaveProgress(ctx context.Context, fenceVersion uint64, id graph.JobID, version uint64, p graph.Progress) (fenceNow, now uint64, err error) {
+	rows, err := s.table.Commit(ctx, ledger.CauseJob,
+		ledger.Write{Key: progressKey(id), Version: version, Data: ledger.Encode(p)},
+		ledger.Write{Key: fenceKey, Version: fenceVersion, Check: true})
+	if len(rows) == 2 {
+		now, fenceNow = rows[0].Version, rows[1].Version
+	}
+	return fenceNow, now, errors.Annotatef(err, "saving job %q", id)
+}
--- /dev/null
+++ b/internal/entry/graphs/term.go
@@ -0,0 +1,201 @@
+package graphs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+// term is the time in which this process owns scheduling under one epoch.
+type term struct {
+	epoch    uint64
+	fence    uint64 // version of the fence's row
+	start    time.Duration
+	clock    func() time.Duration
+	owner    Ownership
+	store    *Store
+	registry metrics.Registry
+	log      zerolog.Logger
+	ctx      context.Context
+	end      context.CancelCauseFunc
+
+	mu       sync.Mutex
+	core     *plan.Core
+	versions map[graph.JobID]uint64 // of the progress rows
+	sessions map[string]*session    // by worker
+	closed   bool
+}
+
+func newTerm(s *Scheduler, epoch, fence uint64, end context.CancelCauseFunc) *term {
+	return &term{
+		epoch:    epoch,
+		fence:    fence,
+		start:    s.clock(),
+		clock:    s.clock,
+		owner:    s.owner,
+		store:    s.store,
+		registry: s.registry,
+		log:      s.log.With().Uint64("epoch", epoch).Logger(),
+		end:      end,
+		core:     plan.New(plan.Config{Epoch: epoch, LeaseBound: leaseBound()}),
+		versions: map[graph.JobID]uint64{},
+		sessions: map[string]*session{},
+	}
+}
+
+// valid reports whether this process still owns scheduling under the epoch.
+func (t *term) valid() bool {
+	a := t.owner.Current()
+	return a.Owner && a.Epoch == t.epoch
+}
+
+// load hands jobs from the table to the core, which ignores those it knows.
+func (t *term) load(jobs []*stored) {
+	for _, j := range jobs {
+		if j.job != nil {
+			t.mu.Lock()
+			if j.progress != nil && t.versions[j.job.ID] == 0 {
+				t.versions[j.job.ID] = j.version
+			}
+			t.mu.Unlock()
+			t.step(plan.Submitted{Job: j.job, Progress: j.progress})
+		}
+		if j.cancelled {
+			t.step(plan.Cancel{Job: j.id})
+		}
+	}
+}
+
+// step gives the core one event and carries out what follows.
+func (t *term) step(ev plan.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	t.carryOut(t.core.Step(t.clock()-t.start, ev))
+}
+
+// carryOut hands the actions on. Orders are dropped with the term once the
+// ownership is over: the next owner decides then.
+func (t *term) carryOut(actions []plan.Action) {
+	checked := false
+	for _, a := range actions {
+		switch a := a.(type) {
+		case plan.Notice:
+			t.notice(a)
+			continue
+		case plan.Save:
+			go t.save(a, t.versions[a.Job])
+			continue
+		}
+		if !checked && !t.valid() {
+			t.end(errors.New("ownership is over"))
+			return
+		}
+		checked = true
+		t.order(a)
+	}
+	t.send()
+}
+
+func (t *term) order(a plan.Action) {
+	switch a := a.(type) {
+	case plan.Start:
+		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
+			o.Starts = append(o.Starts, &rpc.StartTask{Ref: rpc.TaskRefOf(a.Task, a.Run), Spec: a.Spec, Checkpoint: a.Checkpoint})
+		})
+		t.logRun(a.Task.Job, "start ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
+	case plan.Stop:
+		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
+			o.Stops = append(o.Stops, rpc.TaskRefOf(a.Task, a.Run))
+		})
+		t.logRun(a.Task.Job, "stop ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
+	case plan.Acknowledge:
+		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) { o.Acknowledged = max(o.Acknowledged, a.Number) })
+	}
+}
+
+func (t *term) logRun(job graph.JobID, what string) *zerolog.Event {
+	return t.log.Info().Str("job", string(job)).Str("what", what)
+}
+
+// to adds something to the orders for an incarnation of a worker.
+func (t *term) to(worker string, incarnation int64, add func(*rpc.WorkerOrders)) {
+	s := t.sessions[worker]
+	if s == nil {
+		return
+	}
+	s.add(t.epoch, incarnation, add)
+}
+
+func (t *term) send() {
+	for _, s := range t.sessions {
+		s.flush()
+	}
+}
+
+// notice counts and logs a decision.
+func (t *term) notice(n plan.Notice) {
+	metrics.GetOrRegisterCounter("plan."+string(n.Reason), t.registry).Inc(1)
+	e := t.logRun(n.Job, string(n.Reason))
+	if n.Task != "" {
+		e = e.Str("task", n.Task).Uint64("run", n.Run)
+	}
+	if n.Worker != "" {
+		e = e.Str("worker", n.Worker)
+	}
+	if n.Detail != "" {
+		e = e.Str("detail", n.Detail)
+	}
+	e.Msg("decision")
+}
+
+// save writes a job's progress; it is tried until it is written or the term ends.
+func (t *term) save(a plan.Save, version uint64) {
+	begin := time.Now()
+	for t.ctx.Err() == nil {
+		fence, now, err := t.store.SaveProgress(t.ctx, t.fence, a.Job, version, a.Progress)
+		switch {
+		case err == nil:
+			metrics.GetOrRegisterTimer("plan.save", t.registry).UpdateSince(begin)
+			t.savedAs(a, now)
+			return
+		case errors.Is(err, ledger.ErrConflict) && fence != t.fence:
+			t.end(errors.Annotatef(err, "another owner has begun its term"))
+			return
+		case errors.Is(err, ledger.ErrConflict):
+			version = now
+		default:
+			t.log.Warn().Err(err).Str("job", string(a.Job)).Msg("progress not saved; tried again")
+			kernel.Sleep(t.ctx, saveRetry)
+		}
+	}
+}
+
+func (t *term) savedAs(a plan.Save, version uint64) {
+	t.mu.Lock()
+	t.versions[a.Job] = version
+	t.mu.Unlock()
+	t.step(plan.Saved{Job: a.Job, Number: a.Number})
+}
+
+// close ends all sessions; their agents look for the next owner.
+func (t *term) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for _, s := range t.sessions {
+		s.close()
+	}
+}
--- a/internal/external/client.go
+++ b/internal/external/client.go
@@ -44,12 +44,13 @@
 		service: service,
 		base:    "http://" + address,
 		timeout: timeout,
-		http:    newHostClient(address, maxConnsPerClient),
+		http:    NewHostClient(address, maxConnsPerClient),
 		guarded: &guardedLanes{address: address},
 	}
 }
 
-func newHostClient(address string, maxConns int) *fasthttp.HostClient {
+// NewHostClient returns an HTTP client of one address that never retries.
+func NewHostClient(address string, maxConns int) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
 		Dial:                      dial,
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/juju/errors"
@@ -14,6 +15,10 @@
 // have taken effect.
 const ErrUnavailable = errors.ConstError("platform service unavailable")
 
+// ErrRefused says that the service refused the call at once: nothing was done,
+// and nothing of the call will be done later. It is an ErrUnavailable as well.
+const ErrRefused = errors.ConstError("platform service refused the call")
+
 // ErrNotFound says that the named object or task does not exist.
 const ErrNotFound = errors.ConstError("not found")
 
@@ -57,6 +62,20 @@
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 }
 
+// ErrHistoryGone says that the table no longer tells what has changed since a version.
+const ErrHistoryGone = errors.ConstError("history is gone")
+
+// Feeder is a table that tells what has changed. All its rows share one
+// counter of versions.
+type Feeder interface {
+	// Feed returns the rows with the prefix that were written after a version,
+	// in order, as soon as there is one or after wait, and the version up to
+	// which that is all. It may end with ErrHistoryGone.
+	Feed(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Row, uint64, error)
+	// Newest returns the version that the table has reached.
+	Newest(ctx context.Context) (uint64, error)
+}
+
 // Objects is the platform's object store.
 type Objects interface {
 	Put(ctx context.Context, key string, value []byte) error
--- a/internal/external/guarded.go
+++ b/internal/external/guarded.go
@@ -78,7 +78,7 @@
 		return lane, nil
 	}
 	lane := &guardedLane{startBy: startBy}
-	lane.http = newHostClient(g.address, 1)
+	lane.http = NewHostClient(g.address, 1)
 	lane.http.StreamResponseBody = g.stream
 	lane.http.Dial = func(address string) (net.Conn, error) {
 		conn, err := dial(address)
--- /dev/null
+++ b/internal/graph/plan/core.go
@@ -0,0 +1,160 @@
+package plan
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
+)
+
+// Config sets up a core.
+type Config struct {
+	// Epoch is the owner's fencing token; it leads the run numbers.
+	Epoch uint64
+	// LeaseBound is how long after the last report of a worker its lease has
+	// run out for certain.
+	LeaseBound time.Duration
+}
+
+const (
+	// quietAfter is the age of the last report from which a worker gets no new
+	// work; agents report every second.
+	quietAfter = 2500 * time.Millisecond
+	// runsPerEpoch is the number of run numbers of one epoch.
+	runsPerEpoch = 1 << 24
+)
+
+// Core decides for one term of an owner. It is not safe for concurrent use.
+type Core struct {
+	cfg     Config
+	now     time.Duration
+	out     []Action
+	policy  *policy.Snapshot
+	jobs    map[graph.JobID]*job
+	live    []*job // not final, in order of submission
+	workers map[string]*worker
+	ordered []*worker // by ID
+	runs    uint64
+	unsaved []*job
+	books   books
+}
+
+// New returns a core without jobs and workers.
+func New(cfg Config) *Core {
+	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}}
+}
+
+// Step takes one event and returns the actions that follow, in order. Time
+// must not go back.
+func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.now = max(c.now, now)
+	c.out = nil
+	c.handle(ev)
+	c.schedule()
+	c.flush()
+	return c.out
+}
+
+func (c *Core) handle(ev Event) {
+	switch e := ev.(type) {
+	case Submitted:
+		c.submitted(e)
+	case Cancel:
+		c.cancel(e.Job)
+	case WorkerReport:
+		c.report(e)
+	case SessionClosed:
+		c.sessionClosed(e)
+	case Saved:
+		c.saved(e)
+	case Configured:
+		c.policy = e.Policy
+	case Tick:
+		c.tick()
+	}
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) tick() {
+	for _, w := range c.ordered {
+		c.watchWorker(w)
+	}
+	for _, j := range c.live {
+		c.watchRuns(j)
+	}
+}
+
+// nextRun returns a run number that no earlier one of any task reaches.
+func (c *Core) nextRun() uint64 {
+	c.runs++
+	return c.cfg.Epoch*runsPerEpoch + c.runs
+}
+
+// View is what callers may know of a job.
+type View struct {
+	State graph.State
+	Queue string
+}
+
+// View returns a job's state; ok is false if the core does not know it.
+func (c *Core) View(id graph.JobID) (v View, ok bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return View{}, false
+	}
+	return View{State: j.shown(), Queue: j.Queue}, true
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.live {
+		if j.Queue == queue && j.shown() == graph.Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// save asks for the job's progress to be written; then runs once it is.
+func (c *Core) save(j *job, then func()) {
+	if then != nil {
+		j.afterNext = append(j.afterNext, then)
+	}
+	j.dirty = true
+	if !slices.Contains(c.unsaved, j) {
+		c.unsaved = append(c.unsaved, j)
+	}
+}
+
+// flush emits a save for each changed job that has none in progress.
+func (c *Core) flush() {
+	jobs := c.unsaved
+	c.unsaved = nil
+	for _, j := range jobs {
+		if j.saving {
+			c.unsaved = append(c.unsaved, j)
+			continue
+		}
+		j.saving, j.dirty = true, false
+		j.number++
+		j.afterSave, j.afterNext = j.afterNext, nil
+		c.emit(Save{Job: j.ID, Number: j.number, Progress: j.progress()})
+	}
+}
+
+func (c *Core) saved(e Saved) {
+	j := c.jobs[e.Job]
+	if j == nil || !j.saving || j.number != e.Number {
+		return
+	}
+	j.saving = false
+	j.durable = j.savedState
+	then := j.afterSave
+	j.afterSave = nil
+	for _, fn := range then {
+		fn()
+	}
+}
--- /dev/null
+++ b/internal/graph/plan/dump.go
@@ -0,0 +1,62 @@
+package plan
+
+import (
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// Dump is the state of a core for the state dump.
+type Dump struct {
+	Jobs    []JobDump    `json:"jobs"`
+	Workers []WorkerDump `json:"workers"`
+}
+
+// JobDump is a job that is not final.
+type JobDump struct {
+	ID      graph.JobID `json:"id"`
+	Queue   string      `json:"queue"`
+	State   graph.State `json:"state"`
+	Waiting int         `json:"waiting"` // units that have no place
+	Placed  int         `json:"placed"`
+	Done    int         `json:"done"`
+}
+
+// WorkerDump is a worker.
+type WorkerDump struct {
+	ID          string          `json:"id"`
+	Rack        string          `json:"rack"`
+	Zone        string          `json:"zone"`
+	Linked      bool            `json:"linked"`
+	Lost        bool            `json:"lost"`
+	Draining    bool            `json:"draining"`
+	Capacity    graph.Resources `json:"capacity"`
+	Used        graph.Resources `json:"used"`
+	Runs        int             `json:"runs"`
+	Quarantined bool            `json:"quarantined"`
+}
+
+// Dump returns the core's state.
+func (c *Core) Dump() Dump {
+	var d Dump
+	for _, j := range c.live {
+		jd := JobDump{ID: j.ID, Queue: j.Queue, State: j.shown()}
+		for _, u := range j.units {
+			switch u.phase {
+			case unitWaiting:
+				jd.Waiting++
+			case unitPlaced:
+				jd.Placed++
+			case unitDone:
+				jd.Done++
+			}
+		}
+		d.Jobs = append(d.Jobs, jd)
+	}
+	for _, w := range c.ordered {
+		d.Workers = append(d.Workers, WorkerDump{
+			ID: w.info.ID, Rack: w.info.Rack, Zone: w.info.Zone, Linked: w.linked(), Lost: w.lost,
+			Draining: w.info.Draining, Capacity: w.info.Capacity, Used: w.used, Runs: len(w.members),
+			Quarantined: w.quarantine > c.now,
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/graph/plan/schedule.go
@@ -0,0 +1,309 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+const (
+	// maxReservations bounds the waiting units for which room is set aside.
+	maxReservations = 4
+	// lateFactor times the objective is the time after which a job earns
+	// nothing any more.
+	lateFactor = 3
+	// overrun is what a run is expected to take beyond an estimate that has
+	// turned out too low, as a part of the estimate.
+	overrun = 4
+)
+
+// books is what is set aside in the worker's rooms beside what runs.
+type books struct {
+	claims   []*claim
+	reserved []*reservation // of this pass
+}
+
+// schedule places what can be placed.
+func (c *Core) schedule() {
+	if c.policy == nil {
+		return
+	}
+	c.books.reserved = nil
+	entitled := c.entitled()
+	for _, u := range c.waiting(entitled) {
+		c.place(u, entitled[u.job])
+	}
+}
+
+// waiting returns the units that could start now, in the order in which they
+// are served.
+func (c *Core) waiting(entitled map[*job]bool) []*unit {
+	var out []*unit
+	for _, j := range c.live {
+		for _, u := range j.units {
+			if u.phase == unitWaiting && u.notBefore <= c.now && u.ready() {
+				out = append(out, u)
+			}
+		}
+	}
+	ranks := map[*job]int{}
+	for _, u := range out {
+		ranks[u.job] = c.rank(u.job, entitled[u.job])
+	}
+	slices.SortStableFunc(out, func(a, b *unit) int {
+		return cmp.Or(cmp.Compare(ranks[a.job], ranks[b.job]), cmp.Compare(c.due(a.job), c.due(b.job)))
+	})
+	return out
+}
+
+// rank orders jobs: those within a guarantee, then by priority, then those
+// that are too late to be of use.
+func (c *Core) rank(j *job, entitled bool) int {
+	switch {
+	case entitled:
+		return -1
+	case c.now > j.arrived+lateFactor*j.Objective():
+		return 1 << 20
+	default:
+		return j.Priority
+	}
+}
+
+// due is when a job should be completed.
+func (c *Core) due(j *job) time.Duration { return j.arrived + j.Objective() }
+
+// entitled returns the jobs of priority 0 that lie within their account's
+// guarantee, the oldest first.
+func (c *Core) entitled() map[*job]bool {
+	out := map[*job]bool{}
+	left := map[string]int{}
+	for _, j := range c.live {
+		if j.Priority != 0 {
+			continue
+		}
+		if _, ok := left[j.Account]; !ok {
+			left[j.Account] = c.policy.Guaranteed(j.Account)
+		}
+		if need := j.accelerators(); need <= left[j.Account] {
+			left[j.Account] -= need
+			out[j] = true
+		}
+	}
+	return out
+}
+
+// accelerators returns the most that a step of the job needs at once.
+func (j *job) accelerators() int {
+	most := 0
+	for i := range j.Steps {
+		most = max(most, j.Steps[i].Width().Accelerators)
+	}
+	return most
+}
+
+// place places a unit, or claims room for it, or sets room aside.
+func (c *Core) place(u *unit, entitled bool) {
+	if u.claim != nil {
+		c.useClaim(u)
+		return
+	}
+	sites := c.sites(u)
+	if parts := find(u, sites, !c.rackCouldHold(u)); parts != nil {
+		c.begin(u, parts)
+		return
+	}
+	if entitled && c.claimRoom(u) {
+		c.useClaim(u)
+		return
+	}
+	c.reserve(u)
+}
+
+// rackCouldHold reports whether some rack could hold a gang if it were empty.
+func (c *Core) rackCouldHold(u *unit) bool {
+	if !u.spec.SameRack {
+		return true
+	}
+	var sites []site
+	for _, w := range c.ordered {
+		if c.usable(w, u) {
+			sites = append(sites, site{w, w.info.Capacity})
+		}
+	}
+	return find(u, sites, false) != nil
+}
+
+// begin binds a unit to its place. The starts follow once that is in the table.
+func (c *Core) begin(u *unit, parts []part) {
+	u.phase = unitPlaced
+	u.run = c.nextRun()
+	u.done, u.failed, u.ending = false, false, false
+	i := 0
+	for _, p := range parts {
+		for range p.tasks {
+			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation}
+			u.members = append(u.members, m)
+			c.occupy(m)
+			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID})
+			i++
+		}
+	}
+	members := u.members
+	c.save(u.job, func() { c.start(u, members) })
+}
+
+// start orders the starts of a run that is in the table.
+func (c *Core) start(u *unit, members []*member) {
+	for _, m := range members {
+		w := m.worker
+		switch {
+		case m.ended:
+		case m.stopping || !w.linked() || m.incarnation != w.info.Incarnation:
+			c.memberEnded(m, graph.EndAbsent, "")
+			c.save(u.job, nil)
+		default:
+			m.ordered = true
+			m.session = w.session
+			m.movedAt = c.now
+			u.job.begun = true
+			c.emit(Start{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resume()})
+		}
+	}
+}
+
+func (u *unit) resume() string {
+	if !u.spec.Checkpoints {
+		return ""
+	}
+	return u.checkpoint
+}
+
+// reserve sets aside the place where the unit is expected to fit soonest.
+func (c *Core) reserve(u *unit) {
+	if len(c.books.reserved) >= maxReservations {
+		return
+	}
+	var best *reservation
+	for _, g := range c.groupsFor(u) {
+		if r := c.soonest(u, g); r != nil && (best == nil || r.at < best.at) {
+			best = r
+		}
+	}
+	if best != nil {
+		c.books.reserved = append(c.books.reserved, best)
+	}
+}
+
+// groupsFor returns the sets of workers over which a unit may be spread.
+func (c *Core) groupsFor(u *unit) []group {
+	sites := c.sites(u)
+	if u.spec.SameRack && c.rackCouldHold(u) {
+		return byRack(sites)
+	}
+	return []group{{sites: sites}}
+}
+
+// soonest returns when a unit is expected to fit into a group, as the runs
+// there end by their estimates.
+func (c *Core) soonest(u *unit, g group) *reservation {
+	type ending struct {
+		at time.Duration
+		m  *member
+		i  int
+	}
+	var ends []ending
+	for i, s := range g.sites {
+		for _, m := range s.members {
+			ends = append(ends, ending{c.expectedEnd(m), m, i})
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
+	sites := slices.Clone(g.sites)
+	for _, e := range ends {
+		sites[e.i].room = sites[e.i].room.Add(e.m.unit.spec.Needs)
+		if parts := pack(sites, u.spec, u.tasks, nil); parts != nil {
+			return &reservation{unit: u, parts: parts, at: e.at}
+		}
+	}
+	return nil
+}
+
+// expectedEnd estimates when a member ends.
+func (c *Core) expectedEnd(m *member) time.Duration {
+	est := m.unit.spec.Estimate
+	if !m.running {
+		return c.now + est
+	}
+	if m.percent > 0 {
+		ran := c.now - m.runningAt
+		return c.now + ran*time.Duration(100-m.percent)/time.Duration(m.percent)
+	}
+	return max(m.runningAt+est, c.now+est/overrun)
+}
+
+// watchRuns stops runs that make no progress, so that they begin elsewhere.
+func (c *Core) watchRuns(j *job) {
+	for _, u := range j.units {
+		if u.phase != unitPlaced || u.ending || len(u.members) == 0 {
+			continue
+		}
+		c.watchDraining(u)
+		if m := c.hung(u); m != nil && !u.ending {
+			c.emit(Notice{Reason: ReasonHung, Job: j.ID, Task: m.task.String(), Run: m.run, Worker: m.worker.info.ID})
+			u.avoidWorker(m.worker.info.ID, c.now+suspectFor)
+			c.workerFailed(m.worker, u)
+			c.endRun(u)
+		}
+	}
+}
+
+// hangTime is how long a run may stand still at least, and hangPart the part of
+// its estimate: one percent of it is the grain of what workers report.
+const (
+	hangTime = 3 * time.Second
+	hangPart = 0.3
+)
+
+// hung returns the member that keeps a unit from making progress.
+func (c *Core) hung(u *unit) *member {
+	limit := max(hangTime, time.Duration(hangPart*float64(u.spec.Estimate)))
+	var worst *member
+	for _, m := range u.members {
+		if !m.running || m.ended || m.stopping || !m.worker.linked() || c.now-m.worker.heardAt > quietAfter {
+			return nil
+		}
+		if c.now-m.movedAt <= limit || m.percent >= 100 {
+			continue
+		}
+		if worst == nil || m.percent < worst.percent || m.percent == worst.percent && len(m.worker.failed) > len(worst.worker.failed) {
+			worst = m
+		}
+	}
+	return worst
+}
+
+// drainMargin is how long before a worker leaves its last checkpoints are taken.
+const drainMargin = 900 * time.Millisecond
+
+// watchDraining moves a unit from workers that leave before it is expected to
+// end: at once if its work is lost anyway, else shortly before they leave.
+func (c *Core) watchDraining(u *unit) {
+	for _, m := range u.members {
+		w := m.worker
+		if m.ended || !w.info.Draining || !w.linked() {
+			continue
+		}
+		left := w.drainingAt + w.info.Remaining - c.now
+		if c.expectedEnd(m) <= c.now+left {
+			continue
+		}
+		if u.spec.Checkpoints && left > drainMargin {
+			continue
+		}
+		c.emit(Notice{Reason: ReasonDraining, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
+		c.endRun(u)
+		return
+	}
+}
--- /dev/null
+++ b/internal/graph/plan/types.go
@@ -0,0 +1,172 @@
+// Package plan is the decision core for jobs that are graphs of steps: which
+// task runs on which worker, when it is stopped, and when its end may be
+// acknowledged. It is pure and deterministic: no I/O, no clock, no goroutines.
+// The caller passes events with the time since the start of the owner's term
+// and carries out the returned actions in order.
+//
+// Invariants:
+//   - A start is ordered only after the placement is in the table, and an end
+//     is acknowledged only after its effect is there.
+//   - A task is placed again only when its last run has ended for certain: the
+//     end was listed, the worker never had the run and never will, the worker's
+//     incarnation is gone, or its lease has lapsed.
+package plan
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
+)
+
+// Event is an input of the core.
+type Event interface{ event() }
+
+// Submitted brings a job that is in the table, with its progress if it has any.
+type Submitted struct {
+	Job      *graph.Job
+	Progress *graph.Progress
+}
+
+// Cancel says that a job's cancelling is in the table.
+type Cancel struct{ Job graph.JobID }
+
+// WorkerInfo describes one incarnation of a worker.
+type WorkerInfo struct {
+	ID string
+	// Incarnation differs for each start of the worker under its ID.
+	Incarnation int64
+	Pool        string
+	Zone        string
+	Rack        string
+	Labels      []string
+	Capacity    graph.Resources
+	Draining    bool
+	// Remaining is how long a draining worker stays at least.
+	Remaining time.Duration
+}
+
+// RunAbsent says that a run is not on the worker and never will be.
+type RunAbsent struct {
+	Task   graph.TaskID
+	Run    uint64
+	Reason string
+}
+
+// WorkerReport is the whole truth about a worker, from its agent, which has
+// seen this term's epoch. Session differs for each connection.
+type WorkerReport struct {
+	Worker  WorkerInfo
+	Session string
+	Running []graph.RunState
+	Ended   []graph.RunEnd
+	Absent  []RunAbsent
+	// LeaseAge is how long ago the report was sent whose grant the worker's
+	// lease may rest on.
+	LeaseAge time.Duration
+	// Answering is false while the worker does not answer its agent.
+	Answering bool
+	// Gone says that the worker has left and runs nothing any more.
+	Gone bool
+}
+
+// SessionClosed says that the connection with a worker's agent has ended.
+type SessionClosed struct{ Worker, Session string }
+
+// Saved says that the progress with this number is in the table.
+type Saved struct {
+	Job    graph.JobID
+	Number uint64
+}
+
+// Configured brings the operators' configuration.
+type Configured struct{ Policy *policy.Snapshot }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Submitted) event()     {}
+func (Cancel) event()        {}
+func (WorkerReport) event()  {}
+func (SessionClosed) event() {}
+func (Saved) event()         {}
+func (Configured) event()    {}
+func (Tick) event()          {}
+
+// Action is an output of the core.
+type Action interface{ action() }
+
+// Start orders a run. It may be ordered again for the same run.
+type Start struct {
+	Worker      string
+	Incarnation int64
+	Task        graph.TaskID
+	Run         uint64
+	Spec        string
+	Checkpoint  string
+}
+
+// Stop orders the end of a run, also of one that may not have begun: the agent
+// lists its end or reports it absent.
+type Stop struct {
+	Worker      string
+	Incarnation int64
+	Task        graph.TaskID
+	Run         uint64
+}
+
+// Acknowledge lets a worker forget its ends up to a number.
+type Acknowledge struct {
+	Worker      string
+	Incarnation int64
+	Number      uint64
+}
+
+// Save writes a job's progress; Saved answers it.
+type Save struct {
+	Job      graph.JobID
+	Number   uint64
+	Progress graph.Progress
+}
+
+// Notice reports a decision for logs and counters.
+type Notice struct {
+	Reason Reason
+	Job    graph.JobID
+	Task   string
+	Run    uint64
+	Worker string
+	Detail string
+}
+
+func (Start) action()       {}
+func (Stop) action()        {}
+func (Acknowledge) action() {}
+func (Save) action()        {}
+func (Notice) action()      {}
+
+// Reason is a typed reason of a decision.
+type Reason string
+
+// The reasons of decisions.
+const (
+	ReasonAccepted    Reason = "accepted"
+	ReasonPlaced      Reason = "placed"
+	ReasonStarted     Reason = "start-ordered"
+	ReasonEnded       Reason = "run-ended"
+	ReasonDone        Reason = "job-completed"
+	ReasonFailed      Reason = "job-failed"
+	ReasonCancelled   Reason = "job-cancelled"
+	ReasonReclaimed   Reason = "reclaimed-for-guarantee"
+	ReasonPreempted   Reason = "preempted"
+	ReasonDraining    Reason = "worker-draining"
+	ReasonHung        Reason = "no-progress"
+	ReasonSlow        Reason = "slow-worker"
+	ReasonWorkerUp    Reason = "worker-up"
+	ReasonWorkerQuiet Reason = "worker-quiet"
+	ReasonWorkerLost  Reason = "worker-lost"
+	ReasonWorkerNew   Reason = "worker-incarnation-changed"
+	ReasonQuarantined Reason = "worker-quarantined"
+	ReasonUnknownRun  Reason = "unknown-run-stopped"
+	ReasonAdopted     Reason = "run-adopted"
+)
--- a/internal/httpx/debug.go
+++ b/internal/httpx/debug.go
@@ -16,7 +16,10 @@
 	PathHealth  = "/healthz"
 	PathReady   = "/readyz"
 	PathMetrics = "/metrics"
-	PathState   = "/debug/state"
+	// PathMetricsText has the metrics as lines of text for clients that ask for
+	// no type.
+	PathMetricsText = "/metrics.txt"
+	PathState       = "/debug/state"
 )
 
 // DebugDeps is what the pages of a process show.
@@ -35,13 +38,17 @@
 	Status string `json:"status"`
 }
 
-// Debug mounts /healthz, /readyz, /metrics and /debug/state.
+// Debug mounts /healthz, /readyz, /metrics, /metrics.txt and /debug/state.
 func Debug(r *router.Router, deps DebugDeps) {
 	r.GET(PathHealth, func(ctx *fasthttp.RequestCtx) {
 		WriteJSON(ctx, fasthttp.StatusOK, Health{"ok"})
 	})
 	r.GET(PathReady, func(ctx *fasthttp.RequestCtx) { serveReady(ctx, deps.Ready) })
 	r.GET(PathMetrics, func(ctx *fasthttp.RequestCtx) { serveMetrics(ctx, deps.Registry) })
+	r.GET(PathMetricsText, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType(ContentTypeText)
+		ctx.SetBody(metricLines(deps.Registry.GetAll()))
+	})
 	r.GET(PathState, func(ctx *fasthttp.RequestCtx) {
 		WriteJSON(ctx, fasthttp.StatusOK, deps.Dump())
 	})
--- a/internal/ledger/config.go
+++ b/internal/ledger/config.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
@@ -122,10 +123,22 @@
 	}
 }
 
-// Monotonic returns a clock that counts from now on and never goes back.
+// Monotonic returns a clock that counts from now on, never goes back and goes
+// on while the host is suspended.
 func Monotonic() func() time.Duration {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) }
+	start := sinceBoot()
+	return func() time.Duration { return sinceBoot() - start }
+}
+
+// sinceBoot is the time since the host's boot, with the time that it was
+// suspended.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The call fails only for clocks that the system does not have.
+		panic(err)
+	}
+	return time.Duration(t.Nano())
 }
 
 // tokenBytes is the size of the random part of a token.
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -136,6 +136,9 @@
 		res, err = c.table.Commit(ctx, txn)
 		return err
 	})
+	if errors.Is(err, external.ErrRefused) {
+		return // not in doubt; sent again until the breaker opens
+	}
 	if err != nil {
 		g.lost()
 		c.countLost(ws)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -55,6 +55,9 @@
 	running bool
 }
 
+// RowKey is the key of the row of a cell's ownership.
+func RowKey(cell string) string { return "owner/" + cell }
+
 // New returns a service that is not running yet. The clock is monotonic.
 func New(l ledger.Ledger, cell string, self Self, clock func() time.Duration, cfg Config) *Service {
 	if self.Incarnation == "" {
@@ -65,7 +68,7 @@
 	}
 	return &Service{
 		ledger:  l,
-		key:     "owner/" + cell,
+		key:     RowKey(cell),
 		clock:   clock,
 		cfg:     cfg,
 		core:    NewCore(self, cfg.Times),
--- /dev/null
+++ b/internal/procmain/hosted.go
@@ -0,0 +1,72 @@
+package procmain
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/settings"
+)
+
+const (
+	// logBacklog is the number of lines that wait for standard output; further
+	// ones are dropped and counted.
+	logBacklog = 4096
+	// memoryShare is the part of the host's memory limit up to which the
+	// garbage collector lets the heap grow.
+	memoryShare = 0.6
+	// stopReserve is the part of the time before the kill that is left over
+	// after the drain.
+	stopReserve = 800 * time.Millisecond
+)
+
+// HostedFlags are the command line of a process whose host gives its settings.
+type HostedFlags struct {
+	// MetricsPort is the port of the process's own pages.
+	MetricsPort int
+	LogLevel    string
+}
+
+// LoadHosted parses the flags of a hosted process and loads the settings of
+// the host. It returns nil and the exit code when the process has to end.
+func LoadHosted(name string, args []string, stderr io.Writer, path string, load func(string) (*settings.Hosted, error)) (*settings.Hosted, HostedFlags, int) {
+	var f HostedFlags
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.IntVar(&f.MetricsPort, "metrics-port", 0, "`PORT` of the pages for metrics and state; 0 for none")
+	flags.StringVar(&f.LogLevel, "log-level", "info", "least `LEVEL` of lines: debug, info, warn, error")
+	if err := flags.Parse(args); err != nil {
+		return nil, f, ExitUsage
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintf(stderr, "%s: argument %q is not expected\n", name, flags.Arg(0))
+		return nil, f, ExitUsage
+	}
+	if _, err := zerolog.ParseLevel(f.LogLevel); err != nil {
+		fmt.Fprintf(stderr, "%s: log level %q does not exist\n", name, f.LogLevel)
+		return nil, f, ExitUsage
+	}
+	s, err := load(path)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return nil, f, ExitUsage
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	return s, f, ExitOK
+}
+
+// HostedLogger returns a logger that never blocks: lines that standard output
+// does not take in time are dropped, and dropped is told how many.
+func HostedLogger(f HostedFlags, role, id string, dropped func(int)) zerolog.Logger {
+	w := diode.NewWriter(os.Stdout, logBacklog, 0, dropped)
+	return NewLogger(w, settings.Level(f.LogLevel), settings.Role(role), id)
+}
+
+// DrainTime is how long a planned stop may take.
+func DrainTime(s *settings.Hosted) time.Duration { return s.StopGrace - stopReserve }
--- a/internal/procmain/procmain.go
+++ b/internal/procmain/procmain.go
@@ -76,20 +76,39 @@
 	DrainTimeout time.Duration
 	// Failed, if not nil, ends the process when a service fails while it runs.
 	Failed <-chan error
+	// Reload, if not nil, reads the settings again on SIGHUP.
+	Reload func() error
 	// Dump receives the state dump on SIGUSR1. Default os.Stderr.
 	Dump io.Writer
 }
 
 // Run starts the kernel, serves until SIGTERM or SIGINT, stops gracefully and
 // returns the exit code. A second signal cuts the stop short. SIGUSR1 writes
-// the state dump.
+// the state dump, SIGHUP reloads the settings.
 func (p Process) Run() int {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	go p.reloads(hup)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 	return p.run(signals)
 }
 
+// reloads reloads the settings on each SIGHUP, which never ends the process.
+func (p Process) reloads(hup <-chan os.Signal) {
+	for range hup {
+		if p.Reload == nil {
+			p.Log.Info().Msg("settings are read at the start only")
+			continue
+		}
+		if err := p.Reload(); err != nil {
+			p.Log.Error().Err(err).Msg("settings not reloaded; the earlier ones stay")
+		}
+	}
+}
+
 func (p Process) run(signals <-chan os.Signal) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -1,8 +1,12 @@
 package rpc
 
 import (
+	"time"
+
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 )
 
 // Dial returns a connection to another process of coltsfootlug at an IP
@@ -15,3 +19,28 @@
 	}, options...)
 	return grpc.NewClient("passthrough:///"+address, options...)
 }
+
+// Times of connections that are opened again at once: takeovers have to end
+// within the time in which urgent work starts.
+const (
+	reconnectMin   = 50 * time.Millisecond
+	reconnectMax   = 300 * time.Millisecond
+	connectTimeout = 600 * time.Millisecond
+	reconnectGrow  = 1.6
+	reconnectNoise = 0.2
+	// probeAfter is the shortest time that grpc-go allows.
+	probeAfter   = 10 * time.Second
+	probeTimeout = time.Second
+)
+
+// QuickReconnect returns the options of a connection that is opened again soon
+// after it was lost.
+func QuickReconnect() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectMin, MaxDelay: reconnectMax, Multiplier: reconnectGrow, Jitter: reconnectNoise},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: probeAfter, Timeout: probeTimeout}),
+	}
+}
--- /dev/null
+++ b/internal/rpc/fleet.go
@@ -0,0 +1,89 @@
+package rpc
+
+import (
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+)
+
+// TaskRefOf returns the message that names a run.
+func TaskRefOf(t graph.TaskID, run uint64) *TaskRef {
+	return &TaskRef{Job: string(t.Job), Occurrence: int32(t.Occurrence), Step: int32(t.Step), Index: int32(t.Index), Run: run}
+}
+
+// TaskOf returns the run that a message names.
+func TaskOf(r *TaskRef) (graph.TaskID, uint64) {
+	id := graph.TaskID{Job: graph.JobID(r.GetJob()), Occurrence: int(r.GetOccurrence()), Step: int(r.GetStep()), Index: int(r.GetIndex())}
+	return id, r.GetRun()
+}
+
+// WorkerInfoOf returns the worker that a report describes.
+func WorkerInfoOf(r *WorkerReport) plan.WorkerInfo {
+	return plan.WorkerInfo{
+		ID:          r.Worker,
+		Incarnation: r.Incarnation,
+		Pool:        r.Pool,
+		Zone:        r.Zone,
+		Rack:        r.Rack,
+		Labels:      r.Labels,
+		Capacity:    graph.Resources{MilliCPU: int(r.MilliCpu), MemoryMB: int(r.MemoryMb), Accelerators: int(r.Accelerators)},
+		Draining:    r.Draining,
+		Remaining:   time.Duration(r.RemainingMs) * time.Millisecond,
+	}
+}
+
+// ReportOf returns the message that describes a worker, without its lists.
+func ReportOf(w plan.WorkerInfo) *WorkerReport {
+	return &WorkerReport{
+		Worker:       w.ID,
+		Incarnation:  w.Incarnation,
+		Pool:         w.Pool,
+		Zone:         w.Zone,
+		Rack:         w.Rack,
+		Labels:       w.Labels,
+		MilliCpu:     int64(w.Capacity.MilliCPU),
+		MemoryMb:     int64(w.Capacity.MemoryMB),
+		Accelerators: int64(w.Capacity.Accelerators),
+		Draining:     w.Draining,
+		RemainingMs:  w.Remaining.Milliseconds(),
+	}
+}
+
+// RunStatesOf returns the runs of a report.
+func RunStatesOf(in []*RunningTask) []graph.RunState {
+	out := make([]graph.RunState, len(in))
+	for i, r := range in {
+		task, run := TaskOf(r.Ref)
+		out[i] = graph.RunState{Task: task, Run: run, Checkpoint: r.Checkpoint, Percent: int(r.Percent)}
+	}
+	return out
+}
+
+// RunningTasksOf returns the messages for runs.
+func RunningTasksOf(in []graph.RunState) []*RunningTask {
+	out := make([]*RunningTask, len(in))
+	for i, r := range in {
+		out[i] = &RunningTask{Ref: TaskRefOf(r.Task, r.Run), Checkpoint: r.Checkpoint, Percent: int32(r.Percent)}
+	}
+	return out
+}
+
+// RunEndsOf returns the ends of a report.
+func RunEndsOf(in []*EndedTask) []graph.RunEnd {
+	out := make([]graph.RunEnd, len(in))
+	for i, e := range in {
+		task, run := TaskOf(e.Ref)
+		out[i] = graph.RunEnd{Number: e.Number, Task: task, Run: run, How: graph.EndKind(e.How), Checkpoint: e.Checkpoint}
+	}
+	return out
+}
+
+// EndedTasksOf returns the messages for ends.
+func EndedTasksOf(in []graph.RunEnd) []*EndedTask {
+	out := make([]*EndedTask, len(in))
+	for i, e := range in {
+		out[i] = &EndedTask{Number: e.Number, Ref: TaskRefOf(e.Task, e.Run), How: string(e.How), Checkpoint: e.Checkpoint}
+	}
+	return out
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -3,7 +3,7 @@
 // change of coltsfoot.proto.
 package rpc
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative coltsfoot.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative coltsfoot.proto fleet.proto
 
 // MaxBodyBytes bounds the body of one request or answer.
 const MaxBodyBytes = 8 << 20
--- /dev/null
+++ b/internal/settings/hosted.go
@@ -0,0 +1,38 @@
+package settings
+
+import "time"
+
+// Hosted are the settings of a process whose host tells it where it runs, in a
+// format of the host's own.
+type Hosted struct {
+	Node string // name of the host
+	Zone string
+	IP   string
+	// ClientsListen, ReadyListen and WorkerListen are the addresses on which
+	// callers, the balancer's probes and the worker of this host call. The last
+	// is an agent's, the first two are an entry's.
+	ClientsListen string
+	ReadyListen   string
+	WorkerListen  string
+	// FirstPort and LastPort bound the ports for the processes' own use.
+	FirstPort int
+	LastPort  int
+	// SeedHosts are IPs of hosts that may run entries; some may be gone.
+	SeedHosts []string
+
+	TableAddress string
+	// WorkerAddress and Pool are those of the worker beside an agent.
+	WorkerAddress string
+	Pool          string
+	// OrdersInReplies tells that workers take orders only in the replies to
+	// their heartbeats.
+	OrdersInReplies bool
+
+	// MaxLease bounds the lease that a worker grants.
+	MaxLease time.Duration
+	// DrainNotice is how long after its notice a draining worker may get work.
+	DrainNotice time.Duration
+	// StopGrace is the time between the request to stop and the kill.
+	StopGrace time.Duration
+	MemoryMB  int
+}
