--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -29,7 +29,12 @@
 	hostedCell = "all"
 	// storeTimeout bounds one call of the table, which answers within a few
 	// milliseconds, or sixty times that when it is slow.
-	storeTimeout = 600 * time.Millisecond
+	storeTimeout = 900 * time.Millisecond
+	// hostedTerm is how long a renewal of the ownership lasts, hostedRenew the
+	// time between two: a store that is sixty times slower, or one connection
+	// that is silent, does not end it.
+	hostedTerm  = 2200 * time.Millisecond
+	hostedRenew = 500 * time.Millisecond
 	// hostedLameDuck is how long a leaving entry goes on accepting connections:
 	// the balancer probes every second and takes it out after two misses.
 	hostedLameDuck = 2500 * time.Millisecond
@@ -145,8 +150,13 @@
 }
 
 func hostedOwner(l *ledger.Client, s *settings.Hosted, c clock, registry metrics.Registry, log zerolog.Logger) *owner.Service {
-	times := ownerTimes()
-	times.PermitTTL = time.Millisecond // workers' leases are waited for one by one
+	times := owner.Times{
+		Lease:     hostedTerm,
+		Renew:     hostedRenew,
+		Margin:    200 * time.Millisecond,
+		Poll:      250 * time.Millisecond,
+		PermitTTL: time.Millisecond, // workers' leases are waited for one by one
+	}
 	self := owner.Self{ID: s.Node, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))}
 	return owner.New(l, hostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
 }
--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -55,7 +55,7 @@
 	runs     external.RunList
 	seen     uint64 // ends up to it are acknowledged
 	absent   []*rpc.AbsentTask
-	orders   map[runRef]bool // stops and starts that are being carried out
+	orders   map[runRef]*order // those that are being carried out
 	wakeHold chan struct{}
 	wakeSend chan struct{}
 	loops    kernel.Loops
@@ -75,7 +75,7 @@
 		clock:    clock,
 		registry: registry,
 		log:      log,
-		orders:   map[runRef]bool{},
+		orders:   map[runRef]*order{},
 		wakeHold: make(chan struct{}, 1),
 		wakeSend: make(chan struct{}, 1),
 	}
@@ -136,7 +136,7 @@
 	k.runs = external.RunList{}
 	k.listed, k.seen, k.leftAt = 0, 0, 0
 	k.absent = nil
-	k.orders = map[runRef]bool{}
+	k.orders = map[runRef]*order{}
 }
 
 // Left takes the worker's farewell.
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -21,38 +21,69 @@
 	settleRetry = 150 * time.Millisecond
 )
 
-// begin marks an order as being carried out; false if it is already.
-func (k *Keeper) begin(ref runRef) bool {
+// order is a start or a stop that is being carried out.
+type order struct {
+	stop bool // the run is to be stopped, after the start that is in progress
+}
+
+// begin marks an order as being carried out; nil if one for the run is in
+// progress already, which then also carries the stop out.
+func (k *Keeper) begin(ref runRef, stop bool) *order {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o := k.orders[ref]; o != nil {
+		o.stop = o.stop || stop
+		return nil
+	}
+	o := &order{stop: stop}
+	k.orders[ref] = o
+	return o
+}
+
+// mayEnd ends an order unless its run has to be stopped first.
+func (k *Keeper) mayEnd(ref runRef, o *order) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.orders[ref] {
+	if o.stop {
 		return false
 	}
-	k.orders[ref] = true
+	k.drop(ref, o)
 	return true
 }
 
-func (k *Keeper) finish(ref runRef) {
+// drop removes an order; the caller holds the lock.
+func (k *Keeper) drop(ref runRef, o *order) {
+	if k.orders[ref] == o {
+		delete(k.orders, ref)
+	}
+}
+
+func (k *Keeper) finish(ref runRef, o *order) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.orders, ref)
+	k.drop(ref, o)
 }
 
 // start carries out a start order.
 func (k *Keeper) start(ctx context.Context, o *rpc.StartTask) {
 	task, run := rpc.TaskOf(o.Ref)
 	ref := runRef{task, run}
-	if !k.begin(ref) {
+	doing := k.begin(ref, false)
+	if doing == nil {
 		return
 	}
-	defer k.finish(ref)
+	defer k.finish(ref, doing)
 	if k.draining() {
 		k.refused(ref, "worker drains")
 		return
 	}
 	t := k.target()
 	err := k.tryStart(ctx, t, o, ref)
+	if err == nil && k.mayEnd(ref, doing) {
+		return
+	}
 	if err == nil {
+		k.settle(ctx, t, ref, "stopped")
 		return
 	}
 	k.log.Info().Err(err).Str("job", string(task.Job)).Str("task", task.String()).Uint64("run", run).Msg("start refused or in doubt")
@@ -92,10 +123,11 @@
 func (k *Keeper) stop(ctx context.Context, r *rpc.TaskRef) {
 	task, run := rpc.TaskOf(r)
 	ref := runRef{task, run}
-	if !k.begin(ref) {
+	doing := k.begin(ref, true)
+	if doing == nil {
 		return
 	}
-	defer k.finish(ref)
+	defer k.finish(ref, doing)
 	k.settle(ctx, k.target(), ref, "stopped")
 }
 
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -26,6 +26,7 @@
 
 // attendLoop keeps a connection with the owner.
 func (k *Keeper) attendLoop(ctx context.Context) {
+	last := "" // why the last connection ended; repetitions are not logged
 	for ctx.Err() == nil {
 		if !k.announced() {
 			kernel.Sleep(ctx, findRetry)
@@ -41,7 +42,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		k.log.Info().Err(err).Str("owner", address).Dur("lasted_ms", k.clock()-began).Msg("connection with the owner ended")
+		if lasted := k.clock() - began; lasted > findRetry || err.Error() != last {
+			last = err.Error()
+			k.log.Info().Err(err).Str("owner", address).Dur("lasted_ms", lasted).Msg("connection with the owner ended")
+		}
 		kernel.Sleep(ctx, findRetry)
 	}
 }
--- a/internal/entry/graphs/hub.go
+++ b/internal/entry/graphs/hub.go
@@ -29,12 +29,12 @@
 }
 
 // add changes the orders that are sent next to an incarnation.
-func (s *session) add(epoch uint64, incarnation int64, change func(*rpc.WorkerOrders)) {
+func (s *session) add(token uint64, incarnation int64, change func(*rpc.WorkerOrders)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.next)
 	if n == 0 || s.next[n-1].Incarnation != incarnation {
-		s.next = append(s.next, &rpc.WorkerOrders{Epoch: epoch, Incarnation: incarnation})
+		s.next = append(s.next, &rpc.WorkerOrders{Epoch: token, Incarnation: incarnation})
 		n++
 	}
 	change(s.next[n-1])
@@ -131,7 +131,7 @@
 	if t.closed || !t.valid() {
 		return
 	}
-	conn.add(t.epoch, r.Incarnation, func(o *rpc.WorkerOrders) {
+	conn.add(t.token, r.Incarnation, func(o *rpc.WorkerOrders) {
 		if r.Listed {
 			o.GrantedBeat, o.LeaseMs = r.Beat, Lease.Milliseconds()
 		}
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -162,7 +162,7 @@
 	start := s.clock()
 	loadCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	version, err := s.store.Fence(loadCtx, epoch)
+	token, version, err := s.store.Fence(loadCtx, epoch)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -170,13 +170,13 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	t := newTerm(s, epoch, version, end)
+	t := newTerm(s, epoch, token, version, end)
 	t.ctx = ctx
 	if p := s.policies.Latest(); p != nil {
 		t.step(plan.Configured{Policy: p})
 	}
 	t.load(jobs)
-	s.log.Info().Uint64("epoch", epoch).Int("jobs", len(jobs)).Dur("took_ms", s.clock()-start).Msg("term began")
+	t.log.Info().Int("jobs", len(jobs)).Dur("took_ms", s.clock()-start).Msg("term began")
 	return t, nil
 }
 
--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -181,32 +181,36 @@
 	}
 }
 
-// fence is the row that an owner writes at the start of its term.
+// fence is the row that an owner writes at the start of each term. Token counts
+// the terms: an owner that has lost its ownership for a moment and found it
+// unclaimed begins another term under the same epoch.
 type fence struct {
 	Epoch uint64 `json:"epoch"`
+	Token uint64 `json:"token"`
 }
 
-// Fence keeps the writes of all earlier owners from taking effect and returns
-// the version of the fence's row.
-func (s *Store) Fence(ctx context.Context, epoch uint64) (uint64, error) {
+// Fence keeps the writes of all earlier terms from taking effect. It returns
+// the term's fencing token and the version of the fence's row.
+func (s *Store) Fence(ctx context.Context, epoch uint64) (token, version uint64, err error) {
 	rows, err := s.table.Get(ctx, ledger.CauseOwner, fenceKey)
 	if err != nil {
-		return 0, errors.Annotate(err, "reading the fence")
+		return 0, 0, errors.Annotate(err, "reading the fence")
 	}
 	var present fence
 	if rows[0].Version > 0 {
 		if err := json.Unmarshal(rows[0].Data, &present); err != nil {
-			return 0, errors.Annotatef(err, "row %q", fenceKey)
+			return 0, 0, errors.Annotatef(err, "row %q", fenceKey)
 		}
 	}
-	if present.Epoch >= epoch {
-		return 0, errors.Annotatef(ledger.ErrConflict, "epoch %d has been fenced off by %d", epoch, present.Epoch)
+	if present.Epoch > epoch {
+		return 0, 0, errors.Annotatef(ledger.ErrConflict, "epoch %d has been fenced off by %d", epoch, present.Epoch)
 	}
-	written, err := s.table.Commit(ctx, ledger.CauseOwner, ledger.Write{Key: fenceKey, Version: rows[0].Version, Data: ledger.Encode(fence{epoch})})
+	next := fence{Epoch: epoch, Token: present.Token + 1}
+	written, err := s.table.Commit(ctx, ledger.CauseOwner, ledger.Write{Key: fenceKey, Version: rows[0].Version, Data: ledger.Encode(next)})
 	if err != nil {
-		return 0, errors.Annotate(err, "writing the fence")
+		return 0, 0, errors.Annotate(err, "writing the fence")
 	}
-	return written[0].Version, nil
+	return next.Token, written[0].Version, nil
 }
 
 // SaveProgress writes a job's progress as long as the fence is unchanged. With
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -18,7 +18,8 @@
 
 // term is the time in which this process owns scheduling under one epoch.
 type term struct {
-	epoch    uint64
+	epoch    uint64 // of the ownership
+	token    uint64 // fencing token of the term
 	fence    uint64 // version of the fence's row
 	start    time.Duration
 	clock    func() time.Duration
@@ -36,18 +37,19 @@
 	closed   bool
 }
 
-func newTerm(s *Scheduler, epoch, fence uint64, end context.CancelCauseFunc) *term {
+func newTerm(s *Scheduler, epoch, token, fence uint64, end context.CancelCauseFunc) *term {
 	return &term{
 		epoch:    epoch,
+		token:    token,
 		fence:    fence,
 		start:    s.clock(),
 		clock:    s.clock,
 		owner:    s.owner,
 		store:    s.store,
 		registry: s.registry,
-		log:      s.log.With().Uint64("epoch", epoch).Logger(),
+		log:      s.log.With().Uint64("epoch", epoch).Uint64("token", token).Logger(),
 		end:      end,
-		core:     plan.New(plan.Config{Epoch: epoch, LeaseBound: leaseBound()}),
+		core:     plan.New(plan.Config{Token: token, LeaseBound: leaseBound()}),
 		versions: map[graph.JobID]uint64{},
 		sessions: map[string]*session{},
 	}
@@ -136,7 +138,7 @@
 	if s == nil {
 		return
 	}
-	s.add(t.epoch, incarnation, add)
+	s.add(t.token, incarnation, add)
 }
 
 func (t *term) send() {
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -10,8 +10,8 @@
 
 // Config sets up a core.
 type Config struct {
-	// Epoch is the owner's fencing token; it leads the run numbers.
-	Epoch uint64
+	// Token is the term's fencing token; it leads the run numbers.
+	Token uint64
 	// LeaseBound is how long after the last report of a worker its lease has
 	// run out for certain.
 	LeaseBound time.Duration
@@ -21,8 +21,8 @@
 	// quietAfter is the age of the last report from which a worker gets no new
 	// work; agents report every second.
 	quietAfter = 2500 * time.Millisecond
-	// runsPerEpoch is the number of run numbers of one epoch.
-	runsPerEpoch = 1 << 24
+	// runsPerTerm is the number of run numbers of one term.
+	runsPerTerm = 1 << 24
 )
 
 // Core decides for one term of an owner. It is not safe for concurrent use.
@@ -89,7 +89,7 @@
 // nextRun returns a run number that no earlier one of any task reaches.
 func (c *Core) nextRun() uint64 {
 	c.runs++
-	return c.cfg.Epoch*runsPerEpoch + c.runs
+	return c.cfg.Token*runsPerTerm + c.runs
 }
 
 // View is what callers may know of a job.
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -233,7 +233,6 @@
 		if j.state.Final() {
 			c.endRun(u)
 		}
-		c.runs = max(c.runs, u.run%runsPerEpoch)
 	}
 }
 
