Workers are known by their host; a restarted owner takes its own ownership at once

Ruled out: late agents (all connected 0.3 s after the term began). A worker's identity is now its host, an incarnation the name and the start.

--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -157,14 +157,14 @@
 		Poll:      250 * time.Millisecond,
 		PermitTTL: time.Millisecond, // workers' leases are waited for one by one
 	}
-	self := owner.Self{ID: s.Node, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))}
+	self := owner.Self{ID: s.Node, Sole: true, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))}
 	return owner.New(l, hostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
 }
 
 func hostedStore(l *ledger.Client) *graphs.Store { return graphs.NewStore(l) }
 
 func hostedScheduler(o *owner.Service, s *graphs.Store, p *policy.Watcher, c clock, registry metrics.Registry, log zerolog.Logger) *graphs.Scheduler {
-	return graphs.NewScheduler(o, s, p, c, registry, log)
+	return graphs.NewScheduler(o, s, p, c, time.Now, registry, log)
 }
 
 func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service) *graphs.Server {
--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -109,14 +109,12 @@
 func (k *Keeper) Heartbeat(info plan.WorkerInfo, number uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if old := k.worker; old != nil && old.ID == info.ID {
-		if info.Incarnation < old.Incarnation || info.Incarnation == old.Incarnation && number <= k.number && old.Incarnation != 0 {
-			return
-		}
+	if old := k.worker; old != nil && (info.Born < old.Born || info.Incarnation() == old.Incarnation() && number < k.number) {
+		return
 	}
-	changed := k.worker == nil || k.worker.ID != info.ID || k.worker.Incarnation != info.Incarnation
+	changed := k.worker == nil || k.worker.Incarnation() != info.Incarnation()
 	if changed {
-		k.log.Info().Str("worker", info.ID).Int64("incarnation", info.Incarnation).Str("rack", info.Rack).Msg("worker announced")
+		k.log.Info().Str("worker", info.ID).Str("instance", info.Incarnation()).Str("rack", info.Rack).Msg("worker announced")
 		k.restart()
 	}
 	if !changed && info.Draining && !k.worker.Draining {
@@ -143,10 +141,10 @@
 func (k *Keeper) Left(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.worker == nil || k.worker.ID != id {
+	if k.worker == nil || k.worker.Instance != id {
 		return
 	}
-	k.log.Info().Str("worker", id).Msg("worker left")
+	k.log.Info().Str("worker", k.worker.ID).Str("instance", id).Msg("worker left")
 	k.leftAt = k.clock()
 	time.AfterFunc(goneDelay, func() { wake(k.wakeSend) })
 }
@@ -200,7 +198,8 @@
 // target is what a call needs to know of the worker at one moment.
 type target struct {
 	instance    string
-	incarnation int64
+	born        int64
+	incarnation string
 	epoch       uint64
 	deadline    time.Duration
 	seen        uint64
@@ -213,7 +212,7 @@
 	defer k.mu.Unlock()
 	t := target{epoch: k.epoch, seen: k.seen}
 	if k.worker != nil {
-		t.instance, t.incarnation = k.worker.ID, k.worker.Incarnation
+		t.instance, t.incarnation, t.born = k.worker.Instance, k.worker.Incarnation(), k.worker.Born
 	}
 	// While the worker does not answer, a call may still reach it later: its
 	// lease is not extended before it answers again.
@@ -256,14 +255,14 @@
 func (k *Keeper) take(t target, list external.RunList) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.worker == nil || k.worker.ID != t.instance || k.worker.Incarnation != t.incarnation {
+	if k.worker == nil || k.worker.Incarnation() != t.incarnation {
 		return
 	}
-	if list.Incarnation != 0 && list.Incarnation != t.incarnation {
-		k.log.Info().Str("worker", t.instance).Int64("incarnation", list.Incarnation).Msg("worker has been restarted")
+	if list.Born != 0 && list.Born != t.born {
+		k.log.Info().Str("worker", t.instance).Int64("born", list.Born).Msg("worker has been restarted")
 		k.restart()
 		info := *k.worker
-		info.Incarnation = list.Incarnation
+		info.Born = list.Born
 		k.worker, k.number = &info, 0
 	}
 	now := k.clock()
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -155,7 +155,7 @@
 func (k *Keeper) same(t target) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.worker != nil && k.worker.ID == t.instance && k.worker.Incarnation == t.incarnation && k.epoch == t.epoch
+	return k.worker != nil && k.worker.Incarnation() == t.incarnation && k.epoch == t.epoch
 }
 
 // lists reports whether the worker runs a run or lists its end.
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -192,7 +192,7 @@
 		k.epoch = o.Epoch
 		go k.listAgain(ctx)
 	}
-	meant := k.worker != nil && o.Incarnation == k.worker.Incarnation
+	meant := k.worker != nil && o.Incarnation == k.worker.Incarnation()
 	if meant {
 		k.lease.granted(o.GrantedBeat, time.Duration(o.LeaseMs)*time.Millisecond)
 		if o.Acknowledged > k.seen {
--- a/internal/entry/graphs/hub.go
+++ b/internal/entry/graphs/hub.go
@@ -29,7 +29,7 @@
 }
 
 // add changes the orders that are sent next to an incarnation.
-func (s *session) add(token uint64, incarnation int64, change func(*rpc.WorkerOrders)) {
+func (s *session) add(token uint64, incarnation string, change func(*rpc.WorkerOrders)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.next)
@@ -131,7 +131,7 @@
 	if t.closed || !t.valid() {
 		return
 	}
-	conn.add(t.token, r.Incarnation, func(o *rpc.WorkerOrders) {
+	conn.add(t.token, rpc.WorkerInfoOf(r).Incarnation(), func(o *rpc.WorkerOrders) {
 		if r.Listed {
 			o.GrantedBeat, o.LeaseMs = r.Beat, Lease.Milliseconds()
 		}
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -56,6 +56,7 @@
 	store    *Store
 	policies *policy.Watcher
 	clock    func() time.Duration
+	now      func() time.Time // time of day
 	registry metrics.Registry
 	log      zerolog.Logger
 
@@ -67,8 +68,8 @@
 }
 
 // NewScheduler returns a scheduler that is not running yet.
-func NewScheduler(o Ownership, s *Store, p *policy.Watcher, clock func() time.Duration, registry metrics.Registry, log zerolog.Logger) *Scheduler {
-	return &Scheduler{owner: o, store: s, policies: p, clock: clock, registry: registry, log: log, wake: make(chan struct{}, 1)}
+func NewScheduler(o Ownership, s *Store, p *policy.Watcher, clock func() time.Duration, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Scheduler {
+	return &Scheduler{owner: o, store: s, policies: p, clock: clock, now: now, registry: registry, log: log, wake: make(chan struct{}, 1)}
 }
 
 // Start starts to follow the ownership.
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -49,7 +49,7 @@
 		registry: s.registry,
 		log:      s.log.With().Uint64("epoch", epoch).Uint64("token", token).Logger(),
 		end:      end,
-		core:     plan.New(plan.Config{Token: token, LeaseBound: leaseBound()}),
+		core:     plan.New(plan.Config{Token: token, TermStart: s.now(), LeaseBound: leaseBound()}),
 		versions: map[graph.JobID]uint64{},
 		sessions: map[string]*session{},
 	}
@@ -133,7 +133,7 @@
 }
 
 // to adds something to the orders for an incarnation of a worker.
-func (t *term) to(worker string, incarnation int64, add func(*rpc.WorkerOrders)) {
+func (t *term) to(worker string, incarnation string, add func(*rpc.WorkerOrders)) {
 	s := t.sessions[worker]
 	if s == nil {
 		return
--- a/internal/external/runner.go
+++ b/internal/external/runner.go
@@ -52,10 +52,11 @@
 type RunList struct {
 	// Clock is the worker's clock when it answered.
 	Clock time.Duration
-	// Incarnation differs for each start of the worker; 0 if it does not say.
-	Incarnation int64
-	Running     []graph.RunState
-	Ended       []graph.RunEnd
+	// Born is when the worker started, in milliseconds since 1970; 0 if it does
+	// not say.
+	Born    int64
+	Running []graph.RunState
+	Ended   []graph.RunEnd
 }
 
 // Runner is a worker that runs tasks under one lease, and obeys only the
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -12,6 +12,8 @@
 type Config struct {
 	// Token is the term's fencing token; it leads the run numbers.
 	Token uint64
+	// TermStart is the time of day at time zero.
+	TermStart time.Time
 	// LeaseBound is how long after the last report of a worker its lease has
 	// run out for certain.
 	LeaseBound time.Duration
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
@@ -43,7 +44,7 @@
 	run    uint64
 	worker *worker
 	// incarnation is that of the worker on which the run was placed.
-	incarnation int64
+	incarnation string
 	recovered   bool // placed in an earlier term
 	ordered     bool // the start has been sent in this term
 	running     bool // the worker has listed it
@@ -195,7 +196,7 @@
 		return
 	}
 	j := newJob(e.Job)
-	j.arrived = c.now
+	j.arrived = min(e.Job.Submitted.Sub(c.cfg.TermStart), c.now)
 	c.jobs[j.ID] = j
 	if e.Progress != nil {
 		c.recover(j, e.Progress)
@@ -203,7 +204,20 @@
 	if !j.state.Final() {
 		c.live = append(c.live, j)
 	}
-	c.emit(Notice{Reason: ReasonAccepted, Job: j.ID, Detail: string(j.state)})
+	c.emit(Notice{Reason: ReasonAccepted, Job: j.ID, Detail: j.describe()})
+}
+
+// describe summarizes a job for the log.
+func (j *job) describe() string {
+	tasks, gangs := 0, 0
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
+		if j.Steps[i].Gang {
+			gangs++
+		}
+	}
+	return fmt.Sprintf("%s, priority %d, account %s, %d steps (%d gangs), %d tasks, %d accelerators, chain %v, objective %v",
+		j.state, j.Priority, j.Account, len(j.Steps), gangs, tasks, j.accelerators(), j.Chain(), j.Objective())
 }
 
 // recover restores a job's units. Where a task may still run it is bound to
@@ -273,7 +287,7 @@
 // finish gives a job its final state and ends what still runs of it.
 func (c *Core) finish(j *job, state graph.State, why Reason) {
 	j.state = state
-	c.emit(Notice{Reason: why, Job: j.ID, Detail: (c.now - j.arrived).String()})
+	c.emit(Notice{Reason: why, Job: j.ID, Detail: fmt.Sprintf("after %v, objective %v", c.now-j.arrived, j.Objective())})
 	for _, u := range j.units {
 		c.dropClaim(u)
 		c.endRun(u)
@@ -305,7 +319,7 @@
 	if !m.ordered && !m.recovered {
 		return
 	}
-	if !m.worker.linked() || m.incarnation != m.worker.info.Incarnation {
+	if !m.worker.linked() || m.incarnation != m.worker.info.Incarnation() {
 		return
 	}
 	m.session = m.worker.session
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -143,7 +143,7 @@
 	i := 0
 	for _, p := range parts {
 		for range p.tasks {
-			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation}
+			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
 			u.members = append(u.members, m)
 			c.occupy(m)
 			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID})
@@ -160,7 +160,7 @@
 		w := m.worker
 		switch {
 		case m.ended:
-		case m.stopping || !w.linked() || m.incarnation != w.info.Incarnation:
+		case m.stopping || !w.linked() || m.incarnation != w.info.Incarnation():
 			c.memberEnded(m, graph.EndAbsent, "")
 			c.save(u.job, nil)
 		default:
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -13,6 +13,7 @@
 package plan
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
@@ -33,19 +34,30 @@
 
 // WorkerInfo describes one incarnation of a worker.
 type WorkerInfo struct {
+	// ID is the host's name, which stays when the worker starts anew.
 	ID string
-	// Incarnation differs for each start of the worker under its ID.
-	Incarnation int64
-	Pool        string
-	Zone        string
-	Rack        string
-	Labels      []string
-	Capacity    graph.Resources
-	Draining    bool
+	// Instance is the name that the worker has given itself, and Born its start
+	// in milliseconds since 1970, 0 if it does not say.
+	Instance string
+	Born     int64
+	Pool     string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity graph.Resources
+	Draining bool
 	// Remaining is how long a draining worker stays at least.
 	Remaining time.Duration
 }
 
+// Incarnation names one life of a worker: a host has one at a time.
+func (w WorkerInfo) Incarnation() string {
+	if w.Instance == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s@%d", w.Instance, w.Born)
+}
+
 // RunAbsent says that a run is not on the worker and never will be.
 type RunAbsent struct {
 	Task   graph.TaskID
@@ -99,7 +111,7 @@
 // Start orders a run. It may be ordered again for the same run.
 type Start struct {
 	Worker      string
-	Incarnation int64
+	Incarnation string
 	Task        graph.TaskID
 	Run         uint64
 	Spec        string
@@ -110,7 +122,7 @@
 // lists its end or reports it absent.
 type Stop struct {
 	Worker      string
-	Incarnation int64
+	Incarnation string
 	Task        graph.TaskID
 	Run         uint64
 }
@@ -118,7 +130,7 @@
 // Acknowledge lets a worker forget its ends up to a number.
 type Acknowledge struct {
 	Worker      string
-	Incarnation int64
+	Incarnation string
 	Number      uint64
 }
 
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -85,8 +85,8 @@
 // report takes over what a worker's agent has reported.
 func (c *Core) report(e WorkerReport) {
 	w := c.worker(e.Worker.ID)
-	if w.info.Incarnation != e.Worker.Incarnation {
-		c.reborn(w, e.Worker.Incarnation)
+	if w.info.Incarnation() != e.Worker.Incarnation() {
+		c.reborn(w, e.Worker.Incarnation())
 	}
 	w.leaseFrom = max(w.leaseFrom, c.now-e.LeaseAge)
 	lost := c.now-w.leaseFrom > c.cfg.LeaseBound
@@ -117,7 +117,7 @@
 }
 
 // reborn says that a worker's earlier incarnations, and all they ran, are gone.
-func (c *Core) reborn(w *worker, now int64) {
+func (c *Core) reborn(w *worker, now string) {
 	c.emit(Notice{Reason: ReasonWorkerNew, Worker: w.info.ID})
 	w.acks, w.listed, w.acked = nil, 0, 0
 	w.failed, w.quarantine = nil, 0
@@ -126,7 +126,7 @@
 
 // loseMembers ends all members on a worker that were not placed on the given
 // incarnation: they cannot run any more.
-func (c *Core) loseMembers(w *worker, except int64) {
+func (c *Core) loseMembers(w *worker, except string) {
 	for _, m := range slices.Clone(w.members) {
 		if m.incarnation == except {
 			continue
@@ -137,7 +137,7 @@
 }
 
 // noIncarnation is the incarnation of no worker.
-const noIncarnation = -1
+const noIncarnation = ""
 
 func (c *Core) takeRunning(w *worker, running []graph.RunState) {
 	for _, r := range running {
@@ -153,7 +153,7 @@
 // strayRun stops a run that the owner has not placed there.
 func (c *Core) strayRun(w *worker, r graph.RunState) {
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
-	c.emit(Stop{Worker: w.info.ID, Incarnation: w.info.Incarnation, Task: r.Task, Run: r.Run})
+	c.emit(Stop{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
 }
 
 func (c *Core) progressed(m *member, r graph.RunState) {
@@ -205,10 +205,10 @@
 		return
 	}
 	c.memberEnded(m, e.How, e.Checkpoint)
-	incarnation := w.info.Incarnation
+	incarnation := w.info.Incarnation()
 	c.save(m.unit.job, func() {
 		ack.done = true
-		if w.info.Incarnation == incarnation {
+		if w.info.Incarnation() == incarnation {
 			c.acknowledge(w, false)
 		}
 	})
@@ -229,7 +229,7 @@
 		w.acks = w.acks[1:]
 	}
 	if (w.acked > before || again) && w.linked() {
-		c.emit(Acknowledge{Worker: w.info.ID, Incarnation: w.info.Incarnation, Number: w.acked})
+		c.emit(Acknowledge{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Number: w.acked})
 	}
 }
 
@@ -256,7 +256,7 @@
 		listed[r.Task] = r.Run
 	}
 	for _, m := range slices.Clone(w.members) {
-		if m.ended || m.incarnation != w.info.Incarnation {
+		if m.ended || m.incarnation != w.info.Incarnation() {
 			continue
 		}
 		running := listed[m.task] == m.run
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -31,7 +31,7 @@
 	// when it runs nowhere for certain.
 	Run         uint64 `json:"r,omitempty"`
 	Worker      string `json:"w,omitempty"`
-	Incarnation int64  `json:"b,omitempty"`
+	Incarnation string `json:"b,omitempty"`
 	Failures    int    `json:"f,omitempty"`
 	Done        bool   `json:"d,omitempty"`
 	Checkpoint  string `json:"c,omitempty"`
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -65,6 +65,9 @@
 	ID          string
 	Addr        string
 	Incarnation string
+	// Sole tells that no earlier process with the ID is alive, so that its
+	// ownership may be taken at once.
+	Sole bool
 }
 
 // Row is the row of a cell's ownership.
@@ -257,7 +260,7 @@
 	if !c.seen || c.leaving || now < c.nextSend {
 		return false
 	}
-	if c.free() {
+	if c.free() || c.self.Sole && c.row.EntryID == c.self.ID {
 		return true
 	}
 	if !c.watching || now-c.lastRead > watchGap || now-c.watchSince <= minWatch {
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -138,3 +138,26 @@
 		datadriven.RunTest(t, path, s.run)
 	})
 }
+
+// TestSoleRestart shows that a process which knows its predecessor to be dead
+// takes the ownership over at once, while any other waits for the lease's end.
+func TestSoleRestart(t *testing.T) {
+	row := Row{EntryID: "a", Incarnation: "first", Epoch: 7, Beat: 3}
+	for _, tc := range []struct {
+		id     string
+		sole   bool
+		claims bool
+	}{{"a", true, true}, {"a", false, false}, {"b", true, false}} {
+		c := NewCore(Self{ID: tc.id, Incarnation: "second", Sole: tc.sole}, Times{})
+		c.Step(0, Tick{})
+		c.Step(time.Millisecond, ReadDone{Version: 5, Row: row})
+		acts := c.Step(2*time.Millisecond, Tick{})
+		w, claims := Write{}, false
+		if len(acts) == 1 {
+			w, claims = acts[0].(Write)
+		}
+		if claims != tc.claims || claims && (w.Version != 5 || w.Row.Epoch != 8) {
+			t.Fatalf("%q (sole %v) after reading %+v: %+v", tc.id, tc.sole, row, acts)
+		}
+	}
+}
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -21,15 +21,16 @@
 // WorkerInfoOf returns the worker that a report describes.
 func WorkerInfoOf(r *WorkerReport) plan.WorkerInfo {
 	return plan.WorkerInfo{
-		ID:          r.Worker,
-		Incarnation: r.Incarnation,
-		Pool:        r.Pool,
-		Zone:        r.Zone,
-		Rack:        r.Rack,
-		Labels:      r.Labels,
-		Capacity:    graph.Resources{MilliCPU: int(r.MilliCpu), MemoryMB: int(r.MemoryMb), Accelerators: int(r.Accelerators)},
-		Draining:    r.Draining,
-		Remaining:   time.Duration(r.RemainingMs) * time.Millisecond,
+		ID:        r.Worker,
+		Instance:  r.Instance,
+		Born:      r.Born,
+		Pool:      r.Pool,
+		Zone:      r.Zone,
+		Rack:      r.Rack,
+		Labels:    r.Labels,
+		Capacity:  graph.Resources{MilliCPU: int(r.MilliCpu), MemoryMB: int(r.MemoryMb), Accelerators: int(r.Accelerators)},
+		Draining:  r.Draining,
+		Remaining: time.Duration(r.RemainingMs) * time.Millisecond,
 	}
 }
 
@@ -37,7 +38,8 @@
 func ReportOf(w plan.WorkerInfo) *WorkerReport {
 	return &WorkerReport{
 		Worker:       w.ID,
-		Incarnation:  w.Incarnation,
+		Instance:     w.Instance,
+		Born:         w.Born,
 		Pool:         w.Pool,
 		Zone:         w.Zone,
 		Rack:         w.Rack,
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -4,24 +4,35 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/fasthttp/router"
 	"github.com/google/btree"
+	"github.com/juju/errors"
 )
 
 const (
 	btreeDegree  = 32
 	maxScanLimit = 10_000
+	// maxHistory is the number of changes that the feed can tell of.
+	maxHistory = 10_000
 )
 
 // Table is an in-memory transactional table.
 type Table struct {
 	Faults
 
-	mu    sync.Mutex
-	rows  *btree.BTreeG[external.Row]
-	stats TableStats
+	// shared counts the versions of all rows together, as a feed needs.
+	shared bool
+
+	mu      sync.Mutex
+	rows    *btree.BTreeG[external.Row]
+	version uint64         // of the last write
+	history []external.Row // without values, in order of versions
+	oldest  uint64         // changes up to this version have left the history
+	changed chan struct{}  // closed by the next write
+	stats   TableStats
 }
 
 // TableStats counts the operations of a table.
@@ -35,12 +46,23 @@
 	Rows        int    `json:"rows"`
 }
 
-var _ external.Table = (*Table)(nil)
+var (
+	_ external.Table  = (*Table)(nil)
+	_ external.Feeder = (*Table)(nil)
+)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	byKey := func(a, b external.Row) bool { return a.Key < b.Key }
-	return &Table{rows: btree.NewG(btreeDegree, byKey)}
+	return &Table{rows: btree.NewG(btreeDegree, byKey), changed: make(chan struct{})}
+}
+
+// NewFeedTable returns an empty table whose rows share one counter of versions,
+// so that it can tell what has changed.
+func NewFeedTable() *Table {
+	t := NewTable()
+	t.shared = true
+	return t
 }
 
 // Get returns a row for each key.
@@ -89,7 +111,9 @@
 	}
 	for _, key := range txn.Deletes {
 		t.rows.Delete(external.Row{Key: key})
+		t.note(key)
 	}
+	t.wake()
 	t.stats.RowsWritten += uint64(len(txn.Puts) + len(txn.Deletes))
 	return result, nil
 }
@@ -134,11 +158,83 @@
 // put writes one row and returns it with its new version, without its value.
 func (t *Table) put(row external.Row) external.Row {
 	old, _ := t.rows.Get(external.Row{Key: row.Key})
-	row.Version = old.Version + 1
+	row.Version = t.note(row.Key)
+	if !t.shared {
+		row.Version = old.Version + 1
+	}
 	t.rows.ReplaceOrInsert(row)
 	return external.Row{Key: row.Key, Version: row.Version}
 }
 
+// note enters a change into the history and returns its version.
+func (t *Table) note(key string) uint64 {
+	t.version++
+	t.history = append(t.history, external.Row{Key: key, Version: t.version})
+	if n := len(t.history) - maxHistory; n > 0 {
+		t.oldest = t.history[n-1].Version
+		t.history = t.history[n:]
+	}
+	return t.version
+}
+
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Feed returns the rows that were written after a version.
+func (t *Table) Feed(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]external.Row, uint64, error) {
+	if !t.shared {
+		return nil, 0, errors.NotSupportedf("feed of a table whose rows count their own versions")
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		rows, upTo, changed, err := t.since(prefix, after)
+		if err != nil || len(rows) > 0 {
+			return rows, upTo, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, upTo, nil
+		case <-ctx.Done():
+			return nil, 0, external.ErrUnavailable
+		}
+	}
+}
+
+func (t *Table) since(prefix string, after uint64) (rows []external.Row, upTo uint64, changed <-chan struct{}, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after < t.oldest {
+		return nil, 0, nil, external.ErrHistoryGone
+	}
+	seen := map[string]bool{}
+	for _, h := range t.history {
+		if h.Version <= after || !strings.HasPrefix(h.Key, prefix) || seen[h.Key] {
+			continue
+		}
+		seen[h.Key] = true
+		rows = append(rows, t.read([]string{h.Key})...)
+	}
+	return rows, t.version, t.changed, nil
+}
+
+// Newest returns the version that the table has reached.
+func (t *Table) Newest(context.Context) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, nil
+}
+
+// Forget drops the history, as the service may at any time.
+func (t *Table) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.history, t.oldest = nil, t.version
+}
+
 func (t *Table) faults() *Faults { return &t.Faults }
 
 func (t *Table) observe() any { return t.Stats() }
