--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -290,7 +290,9 @@
 	c.emit(Notice{Reason: why, Job: j.ID, Detail: fmt.Sprintf("after %v, objective %v", c.now-j.arrived, j.Objective())})
 	for _, u := range j.units {
 		c.dropClaim(u)
-		c.endRun(u)
+		if !u.done {
+			c.endRun(u)
+		}
 	}
 	c.save(j, nil)
 	for i, o := range c.live {
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -192,8 +192,8 @@
 // is at most one for each kind of resource.
 const remotePenalty = 3
 
-// present counts the tasks of the unit's step on each worker, for a bound per
-// worker.
+// present counts the tasks of the unit's step on each worker, and those that
+// have a claim there, for a bound per worker.
 func (u *unit) present() map[*worker]int {
 	if u.spec.MaxPerWorker == 0 {
 		return nil
@@ -205,6 +205,12 @@
 				out[m.worker]++
 			}
 		}
+		if o == u || o.claim == nil {
+			continue
+		}
+		for _, p := range o.claim.parts {
+			out[p.worker] += p.tasks
+		}
 	}
 	return out
 }
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -154,16 +154,17 @@
 	c.save(u.job, func() { c.start(u, members) })
 }
 
-// start orders the starts of a run that is in the table.
+// start orders the starts of a run that is in the table. If one member cannot
+// start any more, none does.
 func (c *Core) start(u *unit, members []*member) {
 	for _, m := range members {
-		w := m.worker
-		switch {
-		case m.ended:
-		case m.stopping || !w.linked() || m.incarnation != w.info.Incarnation():
-			c.memberEnded(m, graph.EndAbsent, "")
-			c.save(u.job, nil)
-		default:
+		if !c.startable(m) {
+			c.abandon(u, members)
+			return
+		}
+	}
+	for _, m := range members {
+		if w := m.worker; !m.ended {
 			m.ordered = true
 			m.session = w.session
 			m.movedAt = c.now
@@ -173,6 +174,22 @@
 	}
 }
 
+// startable reports whether a member may still start: while its placement was
+// being saved, its job, its worker or its zone may have been taken away.
+func (c *Core) startable(m *member) bool {
+	w := m.worker
+	return !m.stopping && !m.ended && w.linked() && m.incarnation == w.info.Incarnation() &&
+		!w.info.Draining && !c.policy.ZonesOut[w.info.Zone]
+}
+
+// abandon ends a run of which nothing has been ordered.
+func (c *Core) abandon(u *unit, members []*member) {
+	for _, m := range members {
+		c.memberEnded(m, graph.EndAbsent, "")
+	}
+	c.save(u.job, nil)
+}
+
 func (u *unit) resume() string {
 	if !u.spec.Checkpoints {
 		return ""
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -54,6 +54,7 @@
 	plannedGen  uint64
 	unbound     []*job // run outside of their profile's guarantee
 	missing     int    // guarantees without a place
+	lacking     int    // size of the guarantees without a place
 	waiting     []*reservation
 	beside      besideGuarantees
 }
--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -16,7 +16,7 @@
 	users        []*job
 }
 
-// displace makes room for a guarantee without a place by moving one or two
+// displace makes room for a guarantee without a place by moving up to two
 // others that are in use, and unused ones, if all fit then and the work in
 // those in use may be stopped.
 func (c *Core) displace(r *reservation, j *job) bool {
@@ -34,17 +34,17 @@
 	return false
 }
 
-// displacedSets returns the reservations in use that may move, each alone and
-// then two at a time.
+// displacedSets returns the reservations in use that may move: first none, then
+// each alone, then two at a time.
 func (c *Core) displacedSets() []displaced {
-	var sets []displaced
+	sets := []displaced{{}}
 	for _, other := range c.slots {
 		if users, ok := other.users(); ok {
 			sets = append(sets, displaced{[]*reservation{other}, users})
 		}
 	}
 	single := len(sets)
-	for i := range single {
+	for i := 1; i < single; i++ {
 		for k := i + 1; k < single && len(sets) < maxDisplacedSets; k++ {
 			both := displaced{
 				reservations: []*reservation{sets[i].reservations[0], sets[k].reservations[0]},
--- a/internal/sched/slots.go
+++ b/internal/sched/slots.go
@@ -89,6 +89,9 @@
 // repackInterval bounds how often all guarantees are packed anew for a missing one.
 const repackInterval = 5 * time.Second
 
+// acceleratorMilliCPU is what one accelerator counts as when sizes are compared.
+const acceleratorMilliCPU = 8000
+
 // compactInterval bounds how often that is done for a waiting gang.
 const compactInterval = 30 * time.Second
 
@@ -122,7 +125,7 @@
 
 // placeSlots looks for a place for each guarantee without one, the largest first.
 func (c *Core) placeSlots() {
-	c.missing = 0
+	c.missing, c.lacking = 0, 0
 	c.unbound = slices.DeleteFunc(c.unbound, func(j *job) bool { return j.phase != phaseRunning || j.reserved != nil })
 	for _, r := range c.bySize() {
 		if r.placed() || c.bind(r) {
@@ -131,16 +134,24 @@
 		parts := placement.Find(c.fleet, placement.Request{Gang: r.gang, View: fleet.Evictable})
 		if parts == nil {
 			c.missing++
+			c.lacking += r.size()
 			continue
 		}
 		c.place(r, parts)
 	}
 }
 
-// repack moves all unused guarantees if that makes room for a missing one.
+// repack moves all unused guarantees if that makes room for a missing one, or
+// leaves smaller ones missing: for those, work outside of guarantees is stopped
+// more easily.
 func (c *Core) repack() {
-	before := c.missing
-	c.rearrange(func() bool { return c.missing < before })
+	missing, lacking := c.missing, c.lacking
+	c.rearrange(func() bool { return c.missing < missing || c.missing == missing && c.lacking < lacking })
+}
+
+// size compares reservations of different shapes.
+func (r *reservation) size() int {
+	return r.gang.Tasks * (acceleratorMilliCPU*r.gang.PerTask.Accelerators + r.gang.PerTask.MilliCPU)
 }
 
 // compact packs the unused guarantees anew if that opens a place for a gang.
@@ -164,7 +175,7 @@
 		r     *reservation
 		parts []placement.Part
 	}
-	before := c.missing
+	missing, lacking := c.missing, c.lacking
 	var old []kept
 	for _, r := range c.slots {
 		if r.placed() && r.unused() {
@@ -187,7 +198,7 @@
 	for _, k := range old {
 		c.place(k.r, k.parts)
 	}
-	c.missing = before
+	c.missing, c.lacking = missing, lacking
 }
 
 func (r *reservation) parts() []placement.Part {
