--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"github.com/coltsfootlug/coltsfootlug/internal/api"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/fleet"
 	"github.com/coltsfootlug/coltsfootlug/internal/sched/placement"
@@ -80,6 +82,9 @@
 // clearFirm stops work outside of guarantees that stands in a reservation's new
 // place.
 func (c *Core) clearFirm(j *job, m *reservation, parts []placement.Part) {
+	for _, p := range parts {
+		c.dropFirmClaims(c.workers[p.Worker.Name])
+	}
 	whole := &job{rec: j.rec, perTask: m.gang.PerTask}
 	cl, ok := c.plan(whole, parts, victimRule{firm: true})
 	if !ok {
@@ -91,6 +96,17 @@
 	}
 }
 
+// dropFirmClaims drops the claims of work outside of guarantees on a worker,
+// which wait for room there that a guarantee takes now.
+func (c *Core) dropFirmClaims(w *worker) {
+	for _, g := range slices.Clone(w.groups) {
+		if g.firm && g.job.phase == phaseClaiming && !g.detached {
+			c.dropClaim(g.job)
+			c.enqueue(g.job)
+		}
+	}
+}
+
 // users returns the jobs that run in a reservation; ok is false if there are
 // none or one of them must not be stopped.
 func (r *reservation) users() (users []*job, ok bool) {
