--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -38,9 +38,9 @@
 	step    *graph.Step
 	work    time.Duration // of one task on a sound worker
 	fails   int           // runs that fail by their own fault before one is done
-	done    bool      // a run of it has ended done
-	noted   bool      // such an end was acknowledged, and no lease ran out before
-	runs    []*simRun // live
+	done    bool          // a run of it has ended done
+	noted   bool          // such an end was acknowledged, and no lease ran out before
+	runs    []*simRun     // live
 	members int
 }
 
@@ -559,9 +559,14 @@
 	}
 }
 
+// wastePrice is the price of a core-second of work thrown away, in the worth of
+// the jobs.
+const wastePrice = 0.0017
+
 // result sums up a play.
 type result struct {
 	worth  float64 // earned of what was owed
+	net    float64 // less the price of work thrown away
 	inAim  int
 	late   int
 	missed int
@@ -598,5 +603,6 @@
 		r.p50, r.p95 = took[len(took)/2], took[len(took)*95/100]
 	}
 	r.worth, r.wasted = earned/owed, s.wasted
+	r.net = (earned - wastePrice*s.wasted) / owed
 	return r
 }
--- a/internal/graph/plan/load_test.go
+++ b/internal/graph/plan/load_test.go
@@ -40,8 +40,8 @@
 // short conflict reports that come first, and wide bundles of evidence.
 func assessments() []class {
 	return []class{
-		{"survey", 1, 0.36, 8500 * time.Millisecond, 0.3, 11 * time.Second, 1.5, 9, graph.Resources{MilliCPU: 52000, MemoryMB: 110000}, []int{1, 2, 4, 8, 8}, 0.5, 0.6, 0.45, 0.9, 3, time.Second, 2, 0.02, 3, 0.9, 0.05},
-		{"conflict", 0, 0.264, 2500 * time.Millisecond, 0.5, 8 * time.Second, 3.4, 21, graph.Resources{MilliCPU: 15000, MemoryMB: 31000}, []int{1, 2, 4, 8, 8}, 0.5, 0.8, 0, 0.2, 1.5, 250 * time.Millisecond, 3, 0.02, 4, 0.8, 0},
+		{"survey", 1, 0.36, 8500 * time.Millisecond, 0.3, 11 * time.Second, 1.5, 9, graph.Resources{MilliCPU: 52000, MemoryMB: 110000}, []int{1, 2, 4, 8, 8}, 0.5, 0.6, 0.45, 0.9, 3, time.Second, 2, 0.02, 3, 0.3, 0.05},
+		{"conflict", 0, 0.264, 2500 * time.Millisecond, 0.5, 8 * time.Second, 3.4, 21, graph.Resources{MilliCPU: 15000, MemoryMB: 31000}, []int{1, 2, 4, 8, 8}, 0.5, 0.8, 0, 0.2, 1.5, 250 * time.Millisecond, 3, 0.02, 4, 0.2, 0},
 		{"evidence", 2, 0.217, 6100 * time.Millisecond, 0.3, 11 * time.Second, 9.2, 55, graph.Resources{MilliCPU: 11000, MemoryMB: 23000}, []int{1}, 0, 0, 0.45, 0.2, 3, 3 * time.Second, 4, 0.05, 1, 0.3, 0.15},
 	}
 }
@@ -221,7 +221,32 @@
 		sum += res.worth
 	}
 	t.Logf("mean worth %.4f", sum/days)
-	if sum/days < 0.85 {
-		t.Errorf("mean worth %.3f is below 0.85", sum/days)
+	if sum/days < 0.95 {
+		t.Errorf("mean worth %.3f is below 0.95", sum/days)
+	}
+}
+
+// TestHeavyLoad plays days on which more is asked for than fits. Work of the
+// first priority has to take room where nothing is lost by it: without that, at
+// twice the usual load, a twentieth of the worth is missed.
+func TestHeavyLoad(t *testing.T) {
+	for _, day := range []struct{ factor, least float64 }{{1.2, 0.95}, {2.2, 0.85}} {
+		var worth, net, wasted float64
+		late, missed := 0, 0
+		const days = 30
+		factor := day.factor
+		for seed := range int64(days) {
+			s := playAssessments(t, 1000+seed, factor)
+			r := s.result()
+			worth += r.worth / days
+			net += r.net / days
+			wasted += r.wasted / days
+			late += r.late
+			missed += r.missed
+		}
+		t.Logf("load %.1f: worth %.4f, net %.4f, %d late, %d missed, wasted %.0f core-s a day", factor, worth, net, late, missed, wasted)
+		if worth < day.least {
+			t.Errorf("load %.1f: mean worth %.3f is below %.2f", factor, worth, day.least)
+		}
 	}
 }
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -52,24 +52,25 @@
 type option struct {
 	parts   []part
 	victims []*unit
-	loss    float64 // core-seconds
+	loss    float64 // weighted core-seconds
 }
 
-// claimRoom stops the work whose loss is least so that a guaranteed unit fits.
-func (c *Core) claimRoom(u *unit) bool {
+// claimRoom stops the work whose loss is least so that a unit fits, unless the
+// loss exceeds the limit.
+func (c *Core) claimRoom(u *unit, limit float64, why Reason) bool {
 	var best *option
 	for _, g := range c.groupsFor(u) {
-		if o := c.clear(u, g); o != nil && (best == nil || o.loss < best.loss) {
+		if o := c.clear(u, g, why); o != nil && (best == nil || o.loss < best.loss) {
 			best = o
 		}
 	}
-	if best == nil {
+	if best == nil || best.loss > limit {
 		return false
 	}
 	u.claim = &claim{unit: u, parts: best.parts, since: c.now}
 	c.books.claims = append(c.books.claims, u.claim)
 	for _, v := range best.victims {
-		c.emit(Notice{Reason: ReasonReclaimed, Job: v.job.ID, Task: v.taskID(0).String(), Run: v.run, Detail: "for " + string(u.job.ID)})
+		c.emit(Notice{Reason: why, Job: v.job.ID, Task: v.taskID(0).String(), Run: v.run, Detail: "for " + string(u.job.ID)})
 		c.endRun(v)
 	}
 	return true
@@ -78,10 +79,10 @@
 // clear finds the victims within a group that open a place with little loss:
 // they are added one by one, those with the least loss for what they free
 // first, and then those that turned out not to be needed are left out.
-func (c *Core) clear(u *unit, g group) *option {
-	candidates := c.victims(g)
+func (c *Core) clear(u *unit, g group, why Reason) *option {
+	candidates := c.victims(u, g, why)
 	slices.SortStableFunc(candidates, func(a, b *unit) int {
-		return cmp.Compare(a.unsaved(c.now)/freed(a, g), b.unsaved(c.now)/freed(b, g))
+		return cmp.Compare(c.loss(a)/freed(a, g), c.loss(b)/freed(b, g))
 	})
 	var chosen []*unit
 	parts := c.placeWithout(u, g, chosen)
@@ -103,22 +104,27 @@
 	}
 	o := &option{parts: parts, victims: chosen}
 	for _, v := range chosen {
-		o.loss += v.unsaved(c.now)
+		o.loss += c.loss(v)
 	}
 	return o
 }
 
-// victims returns the units with work on a group that may be stopped: those
-// outside of every guarantee.
-func (c *Core) victims(g group) []*unit {
+// victims returns the units with work on a group that may be stopped for a
+// unit: those outside of every guarantee, and for a unit that has none itself
+// only those of a lower priority.
+func (c *Core) victims(u *unit, g group, why Reason) []*unit {
 	entitled := c.entitled()
 	var out []*unit
 	for _, s := range g.sites {
 		for _, m := range s.members {
-			u := m.unit
-			if !entitled[u.job] && u.phase == unitPlaced && !u.ending && !slices.Contains(out, u) {
-				out = append(out, u)
+			v := m.unit
+			if entitled[v.job] || v.phase != unitPlaced || v.ending || slices.Contains(out, v) {
+				continue
 			}
+			if why == ReasonPreempted && v.job.Priority <= u.job.Priority {
+				continue
+			}
+			out = append(out, v)
 		}
 	}
 	return out
@@ -148,3 +154,67 @@
 	}
 	return pack(sites, u.spec, u.tasks, u.present())
 }
+
+// Weights of lost core-seconds against each other. Work that is thrown away
+// counts once; work of a job that misses its objective counts by the job's
+// priority, as a short job of the first priority is worth several times as much
+// to its caller, for each core-second, as a long one of the second.
+const (
+	wasteWeight    = 1.7
+	firstWeight    = 9.0
+	priorityFactor = 3.0 // by which each further priority weighs less
+	// lateShare is the part of a job's value that is lost when it is late.
+	lateShare = 0.75
+)
+
+// value is the weight of a job by its size in core-seconds.
+func (j *job) value() float64 {
+	size := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += s.Estimate.Seconds() * float64(s.Count) * s.Needs.Cores()
+	}
+	weight := firstWeight
+	for range j.Priority {
+		weight /= priorityFactor
+	}
+	return weight * size
+}
+
+// loss estimates what is lost if a unit is stopped now and starts anew.
+func (c *Core) loss(u *unit) float64 {
+	lost := wasteWeight * u.unsaved(c.now)
+	left := u.spec.Estimate
+	if u.spec.Checkpoints {
+		left = u.remaining()
+	}
+	return lost + c.lateLoss(u.job, c.now+requeueTime+left) - c.lateLoss(u.job, c.now+u.remaining())
+}
+
+// requeueTime is how long a unit that was stopped is expected to wait.
+const requeueTime = 1500 * time.Millisecond
+
+// lateLoss estimates the value that a job loses if it is completed at a time.
+func (c *Core) lateLoss(j *job, at time.Duration) float64 {
+	objective := j.Objective()
+	switch took := at - j.arrived; {
+	case took <= objective:
+		return 0
+	case took <= lateFactor*objective:
+		return lateShare * j.value()
+	default:
+		return j.value()
+	}
+}
+
+// preempt makes room for a unit of a higher priority that would miss its
+// objective if it waited until the given time, where nothing is lost by it:
+// the gain rests on estimates that are often wrong, a loss is certain.
+func (c *Core) preempt(u *unit, until time.Duration) bool {
+	gain := c.lateLoss(u.job, until+u.spec.Estimate) - c.lateLoss(u.job, c.now+stopTime+u.spec.Estimate)
+	return gain > 0 && c.claimRoom(u, 0, ReasonPreempted)
+}
+
+// stopTime is how long it takes until the room of a unit that is stopped can
+// be used.
+const stopTime = 500 * time.Millisecond
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -114,11 +115,13 @@
 		c.begin(u, parts)
 		return
 	}
-	if entitled && c.claimRoom(u) {
+	if entitled && c.claimRoom(u, math.Inf(1), ReasonReclaimed) {
 		c.useClaim(u)
 		return
 	}
-	c.reserve(u)
+	if soonest := c.reserve(u); soonest != nil && c.preempt(u, soonest.at) {
+		c.useClaim(u)
+	}
 }
 
 // rackCouldHold reports whether some rack could hold a gang if it were empty.
@@ -197,10 +200,11 @@
 	return u.checkpoint
 }
 
-// reserve sets aside the place where the unit is expected to fit soonest.
-func (c *Core) reserve(u *unit) {
+// reserve sets aside the place where the unit is expected to fit soonest, and
+// returns it; nil if there is none or enough units have one.
+func (c *Core) reserve(u *unit) *reservation {
 	if len(c.books.reserved) >= maxReservations {
-		return
+		return nil
 	}
 	var best *reservation
 	for _, g := range c.groupsFor(u) {
@@ -211,6 +215,7 @@
 	if best != nil {
 		c.books.reserved = append(c.books.reserved, best)
 	}
+	return best
 }
 
 // groupsFor returns the sets of workers over which a unit may be spread.
