--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -29,12 +29,12 @@
 	hostedCell = "all"
 	// storeTimeout bounds one call of the table, which answers within a few
 	// milliseconds, or sixty times that when it is slow.
-	storeTimeout = 900 * time.Millisecond
+	storeTimeout = 600 * time.Millisecond
 	// hostedTerm is how long a renewal of the ownership lasts, hostedRenew the
 	// time between two: a store that is sixty times slower, or one connection
 	// that is silent, does not end it.
-	hostedTerm  = 2200 * time.Millisecond
-	hostedRenew = 500 * time.Millisecond
+	hostedTerm  = 1700 * time.Millisecond
+	hostedRenew = 400 * time.Millisecond
 	// hostedLameDuck is how long a leaving entry goes on accepting connections:
 	// the balancer probes every second and takes it out after two misses.
 	hostedLameDuck = 2500 * time.Millisecond
@@ -107,7 +107,7 @@
 		func() clock { return clock(ledger.Monotonic()) },
 		func() *leaving { return &leaving{} },
 		func(s *settings.Hosted) *platform.Store { return platform.NewStore(s.TableAddress) },
-		hostedLedger, hostedPolicies, hostedOwner, hostedStore, hostedScheduler, hostedRPC,
+		hostedLedger, hostedPolicies, hostedOwner, hostedStore, hostedScheduler, hostedPeers, hostedRPC,
 		hostedFront, hostedCallers, hostedProbes, hostedPages,
 	)
 	if err != nil {
@@ -157,22 +157,35 @@
 		Poll:      250 * time.Millisecond,
 		PermitTTL: time.Millisecond, // workers' leases are waited for one by one
 	}
-	self := owner.Self{ID: s.Node, Sole: true, Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort))}
+	self := owner.Self{ID: s.Node, Sole: true, Addr: entryAddress(s, s.IP)}
 	return owner.New(l, hostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
 }
 
+// entryAddress is where the entry on a host serves agents and other entries.
+func entryAddress(s *settings.Hosted, ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(s.FirstPort))
+}
+
+func hostedPeers(s *settings.Hosted, o *owner.Service, log zerolog.Logger) *graphs.Peers {
+	var seeds []string
+	for _, host := range s.SeedHosts {
+		seeds = append(seeds, entryAddress(s, host))
+	}
+	return graphs.NewPeers(entryAddress(s, s.IP), seeds, o, log)
+}
+
 func hostedStore(l *ledger.Client) *graphs.Store { return graphs.NewStore(l) }
 
 func hostedScheduler(o *owner.Service, s *graphs.Store, p *policy.Watcher, c clock, registry metrics.Registry, log zerolog.Logger) *graphs.Scheduler {
 	return graphs.NewScheduler(o, s, p, c, time.Now, registry, log)
 }
 
-func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service) *graphs.Server {
-	return graphs.NewServer(net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), sch, o)
+func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front) *graphs.Server {
+	return graphs.NewServer(entryAddress(s, s.IP), sch, o, f)
 }
 
-func hostedFront(p *policy.Watcher, store *graphs.Store, sch *graphs.Scheduler, o *owner.Service, registry metrics.Registry, log zerolog.Logger) *graphs.Front {
-	return graphs.NewFront(p, store, graphs.NewRouter(sch, o), time.Now, registry, log)
+func hostedFront(p *policy.Watcher, store *graphs.Store, sch *graphs.Scheduler, o *owner.Service, peers *graphs.Peers, registry metrics.Registry, log zerolog.Logger) *graphs.Front {
+	return graphs.NewFront(p, store, graphs.NewRouter(sch, o), peers, time.Now, registry, log)
 }
 
 func hostedCallers(s *settings.Hosted, f *graphs.Front, registry metrics.Registry) *callers {
--- a/internal/entry/graphs/front.go
+++ b/internal/entry/graphs/front.go
@@ -69,6 +69,14 @@
 // Policies is where the front finds the configuration.
 type Policies interface {
 	Fresh() (*policy.Snapshot, time.Duration)
+	Lost() time.Duration
+}
+
+// Relay serves requests through another entry.
+type Relay interface {
+	// Serve returns false if no other entry has answered; the request may have
+	// taken effect all the same.
+	Serve(ctx context.Context, verb string, call Call, job *graph.Job) (Answer, bool)
 }
 
 // Owner answers what only the owner of scheduling knows, wherever it runs.
@@ -85,18 +93,26 @@
 	policies Policies
 	store    *Store
 	owner    Owner
+	relay    Relay
 	now      func() time.Time
 	log      zerolog.Logger
 	registry metrics.Registry
 }
 
 // NewFront returns a front. now is the time of day.
-func NewFront(p Policies, s *Store, o Owner, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Front {
-	return &Front{policies: p, store: s, owner: o, now: now, log: log, registry: registry}
+func NewFront(p Policies, s *Store, o Owner, r Relay, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Front {
+	return &Front{policies: p, store: s, owner: o, relay: r, now: now, log: log, registry: registry}
 }
 
-// Ready returns nil while callers can be served.
+// lostLimit is how long the store may fail to confirm the configuration before
+// callers are sent to other entries: the balancer takes two more seconds.
+const lostLimit = 300 * time.Millisecond
+
+// Ready returns nil while callers can be served from here.
 func (f *Front) Ready() error {
+	if lost := f.policies.Lost(); lost > policy.WatchLimit+lostLimit {
+		return errors.Errorf("the store has not answered for %v", lost)
+	}
 	if s, age := f.policies.Fresh(); s == nil {
 		return errors.Errorf("configuration was confirmed %v ago", age)
 	}
@@ -137,12 +153,46 @@
 
 // Submit accepts a job.
 func (f *Front) Submit(call Call, decode func() (*graph.Job, error)) Answer {
+	start := time.Now()
+	if f.policies.Lost() > 0 {
+		if a, served := f.relaySubmit(call, decode); served {
+			f.report(verbSubmit, call, nil, a, start)
+			return a
+		}
+	}
+	return f.SubmitHere(call, decode)
+}
+
+// relaySubmit submits through another entry.
+func (f *Front) relaySubmit(call Call, decode func() (*graph.Job, error)) (Answer, bool) {
+	job, err := decode()
+	if err != nil {
+		return Answer{}, false // refused here as well, once the caller is known
+	}
+	return f.serveElsewhere(verbSubmit, call, job)
+}
+
+func (f *Front) serveElsewhere(verb string, call Call, job *graph.Job) (Answer, bool) {
+	ctx, cancel := f.context(call)
+	defer cancel()
+	a, served := f.relay.Serve(ctx, verb, call, job)
+	if served && a.Outcome == Refused {
+		return a, false // this entry may still do better
+	}
+	if served {
+		metrics.GetOrRegisterCounter("front.relayed", f.registry).Inc(1)
+	}
+	return a, served
+}
+
+// SubmitHere accepts a job with this entry's own view of the store.
+func (f *Front) SubmitHere(call Call, decode func() (*graph.Job, error)) Answer {
 	start := time.Now()
 	t, a := f.admit(call)
 	if t != nil {
 		a = f.accept(call, t, decode)
 	}
-	f.report("submit", call, t, a, start)
+	f.report(verbSubmit, call, t, a, start)
 	return a
 }
 
@@ -184,6 +234,16 @@
 
 // Lookup answers for a job's state, or for a queue's length.
 func (f *Front) Lookup(call Call) Answer {
+	if f.policies.Lost() > 0 {
+		if a, served := f.serveElsewhere(verbLookup, call, nil); served {
+			return a
+		}
+	}
+	return f.LookupHere(call)
+}
+
+// LookupHere is Lookup with this entry's own view of the store.
+func (f *Front) LookupHere(call Call) Answer {
 	start := time.Now()
 	t, a := f.admit(call)
 	switch {
@@ -193,7 +253,7 @@
 	default:
 		a = f.state(call, t)
 	}
-	f.report("lookup", call, t, a, start)
+	f.report(verbLookup, call, t, a, start)
 	return a
 }
 
@@ -226,12 +286,22 @@
 
 // Cancel ends a job.
 func (f *Front) Cancel(call Call) Answer {
+	if f.policies.Lost() > 0 {
+		if a, served := f.serveElsewhere(verbCancel, call, nil); served {
+			return a
+		}
+	}
+	return f.CancelHere(call)
+}
+
+// CancelHere is Cancel with this entry's own view of the store.
+func (f *Front) CancelHere(call Call) Answer {
 	start := time.Now()
 	t, a := f.admit(call)
 	if t != nil {
 		a = f.cancel(call, t)
 	}
-	f.report("cancel", call, t, a, start)
+	f.report(verbCancel, call, t, a, start)
 	return a
 }
 
@@ -260,7 +330,7 @@
 	metrics.GetOrRegisterCounter("front."+verb+"."+a.Outcome.String(), f.registry).Inc(1)
 	metrics.GetOrRegisterTimer("front."+verb, f.registry).Update(took)
 	e := f.log.Info()
-	if verb == "lookup" && a.Outcome == OK {
+	if verb == verbLookup && a.Outcome == OK {
 		e = f.log.Debug()
 	}
 	e = e.Str("verb", verb).Str("outcome", a.Outcome.String()).Dur("took_ms", took)
--- a/internal/entry/graphs/peers.go
+++ b/internal/entry/graphs/peers.go
@@ -29,13 +29,14 @@
 	address   string
 	scheduler *Scheduler
 	owner     Ownership
+	front     *Front
 	server    *grpc.Server
 	served    sync.WaitGroup
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(address string, s *Scheduler, o Ownership) *Server {
-	return &Server{address: address, scheduler: s, owner: o}
+func NewServer(address string, s *Scheduler, o Ownership, f *Front) *Server {
+	return &Server{address: address, scheduler: s, owner: o, front: f}
 }
 
 // Start listens and serves.
@@ -91,6 +92,11 @@
 	return &rpc.PendingJobsReply{Pending: int64(n)}, nil
 }
 
+// Relay serves a request that another entry's caller has made.
+func (s *Server) Relay(_ context.Context, r *rpc.RelayRequest) (*rpc.RelayReply, error) {
+	return serveRelayed(s.front, r)
+}
+
 // Router asks the owner, in this process or in another entry.
 type Router struct {
 	scheduler *Scheduler
--- /dev/null
+++ b/internal/entry/graphs/relay.go
@@ -0,0 +1,150 @@
+package graphs
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+const (
+	// relayTimeout bounds one try at another entry, so that a second one fits
+	// into the time that callers usually wait.
+	relayTimeout = 700 * time.Millisecond
+	// maxRelayTries bounds the entries that are tried for one request.
+	maxRelayTries = 2
+)
+
+// The verbs of relayed requests.
+const (
+	verbSubmit = "submit"
+	verbLookup = "lookup"
+	verbCancel = "cancel"
+)
+
+// Peers relays requests to other entries: the owner first, which is known to
+// reach the table, then those that the host's settings name.
+type Peers struct {
+	self  string
+	seeds []string
+	owner Ownership
+	log   zerolog.Logger
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+var _ Relay = (*Peers)(nil)
+
+// NewPeers returns a relay of the entry at self.
+func NewPeers(self string, seeds []string, o Ownership, log zerolog.Logger) *Peers {
+	return &Peers{self: self, seeds: seeds, owner: o, log: log, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Serve asks other entries, one after the other.
+func (p *Peers) Serve(ctx context.Context, verb string, call Call, job *graph.Job) (Answer, bool) {
+	request := &rpc.RelayRequest{Verb: verb, Host: call.Host, Path: call.Path, Key: call.Key, WaitMs: call.Wait.Milliseconds()}
+	if job != nil {
+		data, err := json.Marshal(job)
+		if err != nil {
+			p.log.Error().Err(err).Msg("job cannot be relayed")
+			return Answer{}, false
+		}
+		request.Job = data
+	}
+	for _, address := range p.candidates() {
+		reply, err := p.ask(ctx, address, request)
+		if err == nil {
+			return answerOf(reply), true
+		}
+		p.log.Warn().Err(err).Str("entry", address).Str("verb", verb).Str("path", call.Path).Msg("request not relayed")
+		if mayHaveRun(err) && verb != verbLookup {
+			return Answer{Outcome: Unknown, Detail: "another entry did not answer"}, true
+		}
+	}
+	return Answer{}, false
+}
+
+// mayHaveRun reports whether the other entry may have taken the request.
+func mayHaveRun(err error) bool { return status.Code(err) == codes.DeadlineExceeded }
+
+func (p *Peers) candidates() []string {
+	var out []string
+	for _, a := range append([]string{p.owner.Current().OwnerAddr}, p.seeds...) {
+		known := a == "" || a == p.self
+		for _, o := range out {
+			known = known || a == o
+		}
+		if !known {
+			out = append(out, a)
+		}
+	}
+	return out[:min(len(out), maxRelayTries)]
+}
+
+func (p *Peers) ask(ctx context.Context, address string, r *rpc.RelayRequest) (*rpc.RelayReply, error) {
+	conn, err := p.conn(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return rpc.NewFleetClient(conn).Relay(ctx, r)
+}
+
+func (p *Peers) conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := rpc.Dial(address, rpc.QuickReconnect()...)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+func answerOf(r *rpc.RelayReply) Answer {
+	a := Answer{Outcome: Outcome(r.Outcome), RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Detail: r.Detail, State: graph.State(r.State)}
+	if r.HasPending {
+		n := int(r.Pending)
+		a.Pending = &n
+	}
+	return a
+}
+
+// serveRelayed serves a request of another entry's caller.
+func serveRelayed(f *Front, r *rpc.RelayRequest) (*rpc.RelayReply, error) {
+	call := Call{Host: r.Host, Path: r.Path, Key: r.Key, Wait: min(time.Duration(r.WaitMs)*time.Millisecond, relayTimeout)}
+	var a Answer
+	switch r.Verb {
+	case verbSubmit:
+		a = f.SubmitHere(call, func() (*graph.Job, error) {
+			job := &graph.Job{}
+			err := json.Unmarshal(r.Job, job)
+			return job, err
+		})
+	case verbLookup:
+		a = f.LookupHere(call)
+	case verbCancel:
+		a = f.CancelHere(call)
+	default:
+		return nil, status.Errorf(codes.InvalidArgument, "verb %q does not exist", r.Verb)
+	}
+	out := &rpc.RelayReply{Outcome: int32(a.Outcome), RetryAfterMs: a.RetryAfter.Milliseconds(), Detail: a.Detail, State: string(a.State)}
+	if a.Pending != nil {
+		out.HasPending, out.Pending = true, int64(*a.Pending)
+	}
+	return out, nil
+}
--- a/internal/policy/watcher.go
+++ b/internal/policy/watcher.go
@@ -18,6 +18,8 @@
 	// be in force.
 	watchWait  = 700 * time.Millisecond
 	watchSlack = 500 * time.Millisecond
+	// WatchLimit is the age that a confirmation reaches while all is well.
+	WatchLimit = watchWait + watchSlack
 	// readTimeout bounds one read of the whole configuration.
 	readTimeout = 1200 * time.Millisecond
 	// retryWait is the time between two calls after a failure.
@@ -108,6 +110,17 @@
 	return w.current, age
 }
 
+// Lost returns for how long the store has failed to confirm the configuration,
+// 0 while it does.
+func (w *Watcher) Lost() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.current != nil && !w.lost {
+		return 0
+	}
+	return w.clock() - w.confirmed
+}
+
 func (w *Watcher) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		revision, err := w.read(ctx)
