--- a/Makefile
+++ b/Makefile
@@ -14,10 +14,10 @@
 	cd internal/rpc && PATH="$(CURDIR)/bin:$$PATH" $(GO) generate
 
 fmt:
-	gofmt -w cmd internal test
+	gofmt -w cmd internal platform test
 
 format-check:
-	@out=$$(gofmt -l cmd internal test); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$(gofmt -l cmd internal platform test); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint:
 	$(GO) vet ./...
@@ -31,6 +31,7 @@
 
 fuzz:
 	$(GO) test $$(grep -rl --include=*_test.go pgregory.net/rapid internal test | xargs -r -n1 dirname | sort -u | sed 's|^|./|') -run Machine -rapid.checks=10000 -timeout 60m
+	for f in FuzzHeartbeat FuzzJob FuzzRuns FuzzConfig FuzzSettings; do $(GO) test ./platform -run "^$$" -fuzz "^$$f$$" -fuzztime 10m || exit 1; done
 
 demo: build
 	$(GO) run ./test/demo
