--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -60,11 +60,10 @@
 	registry metrics.Registry
 	log      zerolog.Logger
 
-	mu       sync.Mutex
-	term     *term
-	stopping bool
-	wake     chan struct{}
-	loops    kernel.Loops
+	mu    sync.Mutex
+	term  *term
+	wake  chan struct{}
+	loops kernel.Loops
 }
 
 // NewScheduler returns a scheduler that is not running yet.
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -97,12 +97,10 @@
 	policy  *policy.Snapshot
 	fail    func(format string, args ...any)
 	noStore bool
-	pending []simOrder // saves while the store is away
 
 	wasted   float64 // core-seconds
 	starts   int
 	rejected int
-	reclaims []time.Duration
 }
 
 func newSim(workers int, capacity graph.Resources, p *policy.Snapshot, fail func(string, ...any)) *sim {
--- a/internal/policy/watcher.go
+++ b/internal/policy/watcher.go
@@ -54,7 +54,6 @@
 	mu        sync.Mutex
 	current   *Snapshot
 	confirmed time.Duration // start of the last call that confirmed current
-	known     bool
 	lost      bool
 	subs      []func(*Snapshot)
 	loops     kernel.Loops
