A relayed answer's configuration version is a floor for the entry; lookups logged, jobs forgotten after an hour, fewer passes

Ruled out: a watcher that goes back (versions in its log rise). Answers carry their version, and no entry answers by an older one again, nor asks another to.

--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/graphs"
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/retention"
 	"github.com/coltsfootlug/coltsfootlug/internal/httpx"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
@@ -71,6 +72,7 @@
 	Callers   *callers
 	Owner     *owner.Service
 	Scheduler *graphs.Scheduler
+	Retention *retention.Service
 	Leaving   *leaving
 }
 
@@ -108,7 +110,7 @@
 		func() *leaving { return &leaving{} },
 		func(s *settings.Hosted) *platform.Store { return platform.NewStore(s.TableAddress) },
 		hostedLedger, hostedPolicies, hostedOwner, hostedStore, hostedScheduler, hostedPeers, hostedRPC,
-		hostedFront, hostedCallers, hostedProbes, hostedPages,
+		hostedRetention, hostedFront, hostedCallers, hostedProbes, hostedPages,
 	)
 	if err != nil {
 		return err
@@ -132,6 +134,7 @@
 		{"callers", all.Callers},
 		{"owner", all.Owner},
 		{"scheduler", all.Scheduler},
+		{"retention", all.Retention},
 		{"leaving", all.Leaving},
 	} {
 		if err := k.Register(r.name, r.service); err != nil {
@@ -180,6 +183,10 @@
 	return graphs.NewScheduler(o, s, p, c, time.Now, registry, log)
 }
 
+func hostedRetention(l *ledger.Client, store *graphs.Store, sch *graphs.Scheduler, registry metrics.Registry, log zerolog.Logger) *retention.Service {
+	return retention.New(l, sch, registry, log, store.Retention())
+}
+
 func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front) *graphs.Server {
 	return graphs.NewServer(entryAddress(s, s.IP), sch, o, f)
 }
--- a/internal/entry/graphs/front.go
+++ b/internal/entry/graphs/front.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +37,8 @@
 	Path string
 	Key  string
 	Wait time.Duration // how long the caller waits; 0 if it does not say
+	// Least is the oldest version of the configuration that may be used.
+	Least uint64
 }
 
 // Outcome is the kind of an answer.
@@ -64,6 +68,9 @@
 	Detail     string
 	State      graph.State
 	Pending    *int
+	// Version is that of the configuration by which the call was let in or
+	// turned away; 0 if there was none.
+	Version uint64
 }
 
 // Policies is where the front finds the configuration.
@@ -76,7 +83,7 @@
 type Relay interface {
 	// Serve returns false if no other entry has answered; the request may have
 	// taken effect all the same.
-	Serve(ctx context.Context, verb string, call Call, job *graph.Job) (Answer, bool)
+	Serve(ctx context.Context, verb string, call Call, job *graph.Job, least uint64) (Answer, bool)
 }
 
 // Owner answers what only the owner of scheduling knows, wherever it runs.
@@ -95,6 +102,9 @@
 	owner    Owner
 	relay    Relay
 	now      func() time.Time
+	// floor is the newest version that any answer of this entry has rested on,
+	// through another entry too: callers never see an older one again.
+	floor    atomic.Uint64
 	log      zerolog.Logger
 	registry metrics.Registry
 }
@@ -135,9 +145,13 @@
 	if s == nil {
 		return nil, Answer{Outcome: Refused, RetryAfter: retryNoPolicy, Detail: "configuration is not known to be current"}
 	}
+	if least := max(call.Least, f.floor.Load()); s.Version < least {
+		return nil, Answer{Outcome: Refused, RetryAfter: retryNoPolicy, Detail: fmt.Sprintf("configuration %d is older than %d, which has been used", s.Version, least)}
+	}
+	f.raise(s.Version)
 	q, rest := s.Match(call.Host, call.Path)
 	if q == nil {
-		return nil, Answer{Outcome: NoQueue, Detail: "no such queue"}
+		return nil, Answer{Outcome: NoQueue, Detail: "no such queue", Version: s.Version}
 	}
 	t := &target{queue: q, id: graph.JobID(rest), version: s.Version, age: age}
 	if q.Public {
@@ -145,12 +159,22 @@
 	}
 	account := s.AccountOf(call.Key)
 	if account == nil {
-		return nil, Answer{Outcome: Unauthorized, Detail: "key is not known"}
+		return nil, Answer{Outcome: Unauthorized, Detail: "key is not known", Version: s.Version}
 	}
 	t.account = account.Name
 	return t, Answer{}
 }
 
+// raise notes that an answer rests on a version.
+func (f *Front) raise(version uint64) {
+	for {
+		old := f.floor.Load()
+		if version <= old || f.floor.CompareAndSwap(old, version) {
+			return
+		}
+	}
+}
+
 // Submit accepts a job.
 func (f *Front) Submit(call Call, decode func() (*graph.Job, error)) Answer {
 	start := time.Now()
@@ -175,7 +199,8 @@
 func (f *Front) serveElsewhere(verb string, call Call, job *graph.Job) (Answer, bool) {
 	ctx, cancel := f.context(call)
 	defer cancel()
-	a, served := f.relay.Serve(ctx, verb, call, job)
+	a, served := f.relay.Serve(ctx, verb, call, job, f.floor.Load())
+	f.raise(a.Version)
 	if served && a.Outcome == Refused {
 		return a, false // this entry may still do better
 	}
@@ -191,6 +216,7 @@
 	t, a := f.admit(call)
 	if t != nil {
 		a = f.accept(call, t, decode)
+		a.Version = t.version
 	}
 	f.report(verbSubmit, call, t, a, start)
 	return a
@@ -253,6 +279,9 @@
 	default:
 		a = f.state(call, t)
 	}
+	if t != nil {
+		a.Version = t.version
+	}
 	f.report(verbLookup, call, t, a, start)
 	return a
 }
@@ -300,6 +329,7 @@
 	t, a := f.admit(call)
 	if t != nil {
 		a = f.cancel(call, t)
+		a.Version = t.version
 	}
 	f.report(verbCancel, call, t, a, start)
 	return a
@@ -329,11 +359,7 @@
 	took := time.Since(start)
 	metrics.GetOrRegisterCounter("front."+verb+"."+a.Outcome.String(), f.registry).Inc(1)
 	metrics.GetOrRegisterTimer("front."+verb, f.registry).Update(took)
-	e := f.log.Info()
-	if verb == verbLookup && a.Outcome == OK {
-		e = f.log.Debug()
-	}
-	e = e.Str("verb", verb).Str("outcome", a.Outcome.String()).Dur("took_ms", took)
+	e := f.log.Info().Str("verb", verb).Str("outcome", a.Outcome.String()).Dur("took_ms", took)
 	if t != nil {
 		e = e.Str("job", string(t.id)).Str("queue", t.queue.Name).Str("account", t.account).
 			Uint64("policy", t.version).Dur("policy_age_ms", t.age)
--- a/internal/entry/graphs/relay.go
+++ b/internal/entry/graphs/relay.go
@@ -51,8 +51,8 @@
 }
 
 // Serve asks other entries, one after the other.
-func (p *Peers) Serve(ctx context.Context, verb string, call Call, job *graph.Job) (Answer, bool) {
-	request := &rpc.RelayRequest{Verb: verb, Host: call.Host, Path: call.Path, Key: call.Key, WaitMs: call.Wait.Milliseconds()}
+func (p *Peers) Serve(ctx context.Context, verb string, call Call, job *graph.Job, least uint64) (Answer, bool) {
+	request := &rpc.RelayRequest{Verb: verb, Host: call.Host, Path: call.Path, Key: call.Key, WaitMs: call.Wait.Milliseconds(), LeastVersion: least}
 	if job != nil {
 		data, err := json.Marshal(job)
 		if err != nil {
@@ -116,7 +116,7 @@
 }
 
 func answerOf(r *rpc.RelayReply) Answer {
-	a := Answer{Outcome: Outcome(r.Outcome), RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Detail: r.Detail, State: graph.State(r.State)}
+	a := Answer{Outcome: Outcome(r.Outcome), RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond, Detail: r.Detail, State: graph.State(r.State), Version: r.Version}
 	if r.HasPending {
 		n := int(r.Pending)
 		a.Pending = &n
@@ -126,7 +126,7 @@
 
 // serveRelayed serves a request of another entry's caller.
 func serveRelayed(f *Front, r *rpc.RelayRequest) (*rpc.RelayReply, error) {
-	call := Call{Host: r.Host, Path: r.Path, Key: r.Key, Wait: min(time.Duration(r.WaitMs)*time.Millisecond, relayTimeout)}
+	call := Call{Host: r.Host, Path: r.Path, Key: r.Key, Wait: min(time.Duration(r.WaitMs)*time.Millisecond, relayTimeout), Least: r.LeastVersion}
 	var a Answer
 	switch r.Verb {
 	case verbSubmit:
@@ -142,7 +142,7 @@
 	default:
 		return nil, status.Errorf(codes.InvalidArgument, "verb %q does not exist", r.Verb)
 	}
-	out := &rpc.RelayReply{Outcome: int32(a.Outcome), RetryAfterMs: a.RetryAfter.Milliseconds(), Detail: a.Detail, State: string(a.State)}
+	out := &rpc.RelayReply{Outcome: int32(a.Outcome), RetryAfterMs: a.RetryAfter.Milliseconds(), Detail: a.Detail, State: string(a.State), Version: a.Version}
 	if a.Pending != nil {
 		out.HasPending, out.Pending = true, int64(*a.Pending)
 	}
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -180,6 +180,12 @@
 	return t, nil
 }
 
+// Owns reports whether this process runs a term.
+func (s *Scheduler) Owns() bool {
+	t := s.current()
+	return t != nil && t.valid()
+}
+
 // Status returns a job's state if this process is the owner and knows it.
 func (s *Scheduler) Status(id graph.JobID) (graph.State, bool) {
 	t := s.current()
--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -11,7 +11,9 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/retention"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 )
 
@@ -181,6 +183,43 @@
 	}
 }
 
+// Retention removes jobs that have been final for long, the progress last: its
+// row names the job.
+func (s *Store) Retention() retention.Rule {
+	return retention.Rule{
+		Name:   "graphs",
+		Prefix: jobsPrefix,
+		Expired: func(data json.RawMessage, now time.Time) bool {
+			var p graph.Progress
+			return json.Unmarshal(data, &p) == nil && p.State.Final() && !p.Finished.IsZero() && now.Sub(p.Finished) > plan.KeepFinal
+		},
+		Before: func(ctx context.Context, data json.RawMessage) error {
+			var p graph.Progress
+			if err := json.Unmarshal(data, &p); err != nil {
+				return errors.Trace(err)
+			}
+			return s.remove(ctx, jobKey(p.Job), cancelKey(p.Job))
+		},
+	}
+}
+
+// remove deletes those of the rows that are there.
+func (s *Store) remove(ctx context.Context, keys ...string) error {
+	for _, key := range keys {
+		rows, err := s.table.Get(ctx, ledger.CauseCleanup, key)
+		if err != nil {
+			return errors.Annotatef(err, "removing %q", key)
+		}
+		if rows[0].Version == 0 {
+			continue
+		}
+		if _, err := s.table.Commit(ctx, ledger.CauseCleanup, ledger.Write{Key: key, Version: rows[0].Version, Delete: true}); err != nil {
+			return errors.Annotatef(err, "removing %q", key)
+		}
+	}
+	return nil
+}
+
 // fence is the row that an owner writes at the start of each term. Token counts
 // the terms: an owner that has lost its ownership for a moment and found it
 // unclaimed begins another term under the same epoch.
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -114,6 +114,7 @@
 func (t *term) order(a plan.Action) {
 	switch a := a.(type) {
 	case plan.Start:
+		t.noteWait(a)
 		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
 			o.Starts = append(o.Starts, &rpc.StartTask{Ref: rpc.TaskRefOf(a.Task, a.Run), Spec: a.Spec, Checkpoint: a.Checkpoint})
 		})
@@ -128,6 +129,18 @@
 	}
 }
 
+// noteWait records how long a job has waited for its first start; work within a
+// guarantee has a histogram of its own.
+func (t *term) noteWait(a plan.Start) {
+	if !a.First {
+		return
+	}
+	metrics.GetOrRegisterTimer("plan.first_start", t.registry).Update(a.Waited)
+	if a.Guaranteed {
+		metrics.GetOrRegisterTimer("plan.first_start_guaranteed", t.registry).Update(a.Waited)
+	}
+}
+
 func (t *term) logRun(job graph.JobID, what string) *zerolog.Event {
 	return t.log.Info().Str("job", string(job)).Str("what", what)
 }
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -40,6 +40,9 @@
 	runs    uint64
 	unsaved []*job
 	books   books
+	// stirred is set when something has changed on which places depend.
+	stirred  bool
+	forgotAt time.Duration
 }
 
 // New returns a core without jobs and workers.
@@ -53,7 +56,10 @@
 	c.now = max(c.now, now)
 	c.out = nil
 	c.handle(ev)
-	c.schedule()
+	if c.stirred {
+		c.stirred = false
+		c.schedule()
+	}
 	c.flush()
 	return c.out
 }
@@ -72,6 +78,7 @@
 		c.saved(e)
 	case Configured:
 		c.policy = e.Policy
+		c.stirred = true
 	case Tick:
 		c.tick()
 	}
@@ -80,6 +87,8 @@
 func (c *Core) emit(a Action) { c.out = append(c.out, a) }
 
 func (c *Core) tick() {
+	c.stirred = true
+	c.forget()
 	for _, w := range c.ordered {
 		c.watchWorker(w)
 	}
@@ -88,6 +97,27 @@
 	}
 }
 
+// KeepFinal is how long a job that is final stays known: callers ask for it for
+// minutes.
+const KeepFinal = time.Hour
+
+// forgetInterval is the time between two looks for jobs to forget.
+const forgetInterval = time.Minute
+
+// forget drops the jobs that have been final for long.
+func (c *Core) forget() {
+	if c.now < c.forgotAt+forgetInterval {
+		return
+	}
+	c.forgotAt = c.now
+	now := c.cfg.TermStart.Add(c.now)
+	for id, j := range c.jobs {
+		if j.durable.Final() && !j.saving && !j.finished.IsZero() && now.Sub(j.finished) > KeepFinal {
+			delete(c.jobs, id)
+		}
+	}
+}
+
 // nextRun returns a run number that no earlier one of any task reaches.
 func (c *Core) nextRun() uint64 {
 	c.runs++
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -61,10 +61,11 @@
 
 type job struct {
 	*graph.Job
-	units []*unit
-	steps [][]*unit
-	state graph.State // as decided
-	begun bool        // a task has been started
+	units    []*unit
+	steps    [][]*unit
+	state    graph.State // as decided
+	begun    bool        // a task has been started
+	finished time.Time   // when the state became final
 
 	durable    graph.State // as saved
 	savedState graph.State // in the save that is in progress
@@ -159,7 +160,7 @@
 
 // progress returns what the table has to hold of the job.
 func (j *job) progress() graph.Progress {
-	p := graph.Progress{State: j.state}
+	p := graph.Progress{Job: j.ID, State: j.state, Finished: j.finished}
 	if j.state == graph.Queued && j.begun {
 		p.State = graph.Running
 	}
@@ -195,6 +196,7 @@
 	if c.jobs[e.Job.ID] != nil {
 		return
 	}
+	c.stirred = true
 	j := newJob(e.Job)
 	j.arrived = min(e.Job.Submitted.Sub(c.cfg.TermStart), c.now)
 	c.jobs[j.ID] = j
@@ -223,7 +225,7 @@
 // recover restores a job's units. Where a task may still run it is bound to
 // the worker's incarnation until that worker is heard or its lease is over.
 func (c *Core) recover(j *job, p *graph.Progress) {
-	j.state, j.durable = p.State, p.State
+	j.state, j.durable, j.finished = p.State, p.State, p.Finished
 	j.begun = p.State != graph.Queued
 	for _, t := range p.Tasks {
 		u := j.unitOf(t.Step, t.Index)
@@ -287,6 +289,7 @@
 // finish gives a job its final state and ends what still runs of it.
 func (c *Core) finish(j *job, state graph.State, why Reason) {
 	j.state = state
+	j.finished = c.cfg.TermStart.Add(c.now)
 	c.emit(Notice{Reason: why, Job: j.ID, Detail: fmt.Sprintf("after %v, objective %v", c.now-j.arrived, j.Objective())})
 	for _, u := range j.units {
 		c.dropClaim(u)
@@ -334,6 +337,7 @@
 		return
 	}
 	m.ended = true
+	c.stirred = true
 	c.release(m)
 	u := m.unit
 	c.emit(Notice{Reason: ReasonEnded, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: m.worker.info.ID, Detail: string(how)})
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -171,8 +171,10 @@
 			m.ordered = true
 			m.session = w.session
 			m.movedAt = c.now
+			first := !u.job.begun
 			u.job.begun = true
-			c.emit(Start{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resume()})
+			c.emit(Start{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resume(),
+				First: first, Guaranteed: first && c.entitled()[u.job], Waited: c.now - u.job.arrived})
 		}
 	}
 }
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -116,6 +116,11 @@
 	Run         uint64
 	Spec        string
 	Checkpoint  string
+	// First is set for the first start of a job; Waited is the time since its
+	// submission then, and Guaranteed tells that it lay within a guarantee.
+	First      bool
+	Guaranteed bool
+	Waited     time.Duration
 }
 
 // Stop orders the end of a run, also of one that may not have begun: the agent
@@ -164,7 +169,6 @@
 const (
 	ReasonAccepted    Reason = "accepted"
 	ReasonPlaced      Reason = "placed"
-	ReasonStarted     Reason = "start-ordered"
 	ReasonEnded       Reason = "run-ended"
 	ReasonDone        Reason = "job-completed"
 	ReasonFailed      Reason = "job-failed"
@@ -173,12 +177,9 @@
 	ReasonPreempted   Reason = "preempted"
 	ReasonDraining    Reason = "worker-draining"
 	ReasonHung        Reason = "no-progress"
-	ReasonSlow        Reason = "slow-worker"
 	ReasonWorkerUp    Reason = "worker-up"
-	ReasonWorkerQuiet Reason = "worker-quiet"
 	ReasonWorkerLost  Reason = "worker-lost"
 	ReasonWorkerNew   Reason = "worker-incarnation-changed"
 	ReasonQuarantined Reason = "worker-quarantined"
 	ReasonUnknownRun  Reason = "unknown-run-stopped"
-	ReasonAdopted     Reason = "run-adopted"
 )
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -97,6 +97,9 @@
 		w.drainingAt = c.now
 		c.emit(Notice{Reason: ReasonDraining, Worker: e.Worker.ID, Detail: e.Worker.Remaining.String()})
 	}
+	if !w.heard || w.lost != lost || w.session != e.Session || w.answering != e.Answering || w.info.Draining != e.Worker.Draining || w.info.Capacity != e.Worker.Capacity {
+		c.stirred = true
+	}
 	w.info = e.Worker
 	w.heard, w.answering = true, e.Answering
 	w.lost = w.lost && lost
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -1,5 +1,7 @@
 package graph
 
+import "time"
+
 // State is the state of a job as its caller sees it.
 type State string
 
@@ -18,8 +20,11 @@
 // Progress is what lasts of a job's progress: its row is written by the owner
 // before a start is ordered and before an end is acknowledged to the worker.
 type Progress struct {
+	Job   JobID          `json:"id"`
 	State State          `json:"state"`
 	Tasks []TaskProgress `json:"tasks,omitempty"` // those that have been placed
+	// Finished is the time of day at the owner when the state became final.
+	Finished time.Time `json:"end,omitzero"`
 }
 
 // TaskProgress is the progress of one task, or of all tasks of a gang when it
--- a/internal/procmain/procmain.go
+++ b/internal/procmain/procmain.go
@@ -105,7 +105,9 @@
 		}
 		if err := p.Reload(); err != nil {
 			p.Log.Error().Err(err).Msg("settings not reloaded; the earlier ones stay")
+			continue
 		}
+		p.Log.Info().Msg("settings read again; addresses stay until the next start")
 	}
 }
 
--- a/test/graphs/graphs_test.go
+++ b/test/graphs/graphs_test.go
@@ -264,3 +264,37 @@
 		t.Fatalf("%d tasks began on a draining worker", n)
 	}
 }
+
+// TestRelayedVersionIsNotForgotten shows that an entry whose callers have seen a
+// newer configuration through another entry does not answer by its own older
+// one afterwards.
+func TestRelayedVersionIsNotForgotten(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	var cut *entry
+	for _, e := range f.entries {
+		if e != f.ownerEntry() {
+			cut = e
+		}
+	}
+	cut.path.refuse.Store(true)
+	f.await("an entry without its store", func() bool { return cut.front.Ready() != nil })
+	for _, e := range f.entries {
+		if e == cut {
+			continue
+		}
+		next := snapshot(2)
+		next.Queues = append(next.Queues, next.Queues[0])
+		next.Queues[1].Name, next.Queues[1].PathPrefix = "added", "/added/"
+		e.operator.set(next)
+	}
+	call := graphs.Call{Host: queueHost, Path: "/added/", Key: callerKey, Wait: 2 * time.Second}
+	f.await("an added queue", func() bool { return cut.front.Lookup(call).Outcome == graphs.OK })
+	cut.path.refuse.Store(false)
+	f.await("an entry with its store", func() bool { return cut.front.Ready() == nil })
+	for range 20 {
+		if a := cut.front.Lookup(call); a.Outcome == graphs.NoQueue {
+			t.Fatalf("queue that was there is gone: %+v", a)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
