--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -179,7 +179,7 @@
 // save writes a job's progress; it is tried until it is written or the term ends.
 func (t *term) save(a plan.Save, version uint64) {
 	begin := time.Now()
-	for t.ctx.Err() == nil {
+	for tries := 0; t.ctx.Err() == nil; tries++ {
 		fence, now, err := t.store.SaveProgress(t.ctx, t.fence, a.Job, version, a.Progress)
 		switch {
 		case err == nil:
@@ -192,7 +192,10 @@
 		case errors.Is(err, ledger.ErrConflict):
 			version = now
 		default:
-			t.log.Warn().Err(err).Str("job", string(a.Job)).Msg("progress not saved; tried again")
+			metrics.GetOrRegisterCounter("plan.save_retries", t.registry).Inc(1)
+			if tries == 0 && t.ctx.Err() == nil {
+				t.log.Warn().Err(err).Str("job", string(a.Job)).Msg("progress not saved; tried again until it is")
+			}
 			kernel.Sleep(t.ctx, saveRetry)
 		}
 	}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -121,7 +121,9 @@
 
 // reborn says that a worker's earlier incarnations, and all they ran, are gone.
 func (c *Core) reborn(w *worker, now string) {
-	c.emit(Notice{Reason: ReasonWorkerNew, Worker: w.info.ID})
+	if w.heard {
+		c.emit(Notice{Reason: ReasonWorkerNew, Worker: w.info.ID, Detail: now})
+	}
 	w.acks, w.listed, w.acked = nil, 0, 0
 	w.failed, w.quarantine = nil, 0
 	c.loseMembers(w, now)
