A worker's lease counts from the last report that got a grant

The owner counted from the age that the report told, which is that of the grant before: the grant that answers the report itself can extend the lease by a second more. Ruled out: clock rates (2 %), a late takeover (one owner all the while). Grants are an action of the core now, given to workers that answer only, and the lease counts from them.

--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -141,7 +141,6 @@
 	r := rpc.ReportOf(*k.worker)
 	r.Beat, r.Listed = l.beat, listed
 	now := k.clock()
-	r.LeaseAgeMs = k.lease.age(now).Milliseconds()
 	r.Answering, r.Gone = k.answering(), k.gone()
 	if listed {
 		r.Running = rpc.RunningTasksOf(k.runs.Running)
--- a/internal/entry/graphs/hub.go
+++ b/internal/entry/graphs/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/google/uuid"
 	"google.golang.org/grpc"
@@ -117,25 +116,21 @@
 		if r.Listed {
 			t.step(plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: conn.id,
 				Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentOf(r.Absent),
-				LeaseAge: time.Duration(r.LeaseAgeMs) * time.Millisecond, Answering: r.Answering, Gone: r.Gone})
+				Beat: r.Beat, Answering: r.Answering, Gone: r.Gone})
 		}
-		t.answer(r, conn)
+		t.greet(r, conn)
 	}
 }
 
-// answer grants a lease for a report, or tells the epoch to an agent that has
-// not listed its runs under it yet.
-func (t *term) answer(r *rpc.WorkerReport, conn *session) {
+// greet answers a report even if there is no order for it: the agent learns the
+// term's token, and that the owner hears it.
+func (t *term) greet(r *rpc.WorkerReport, conn *session) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed || !t.valid() {
 		return
 	}
-	conn.add(t.token, rpc.WorkerInfoOf(r).Incarnation(), func(o *rpc.WorkerOrders) {
-		if r.Listed {
-			o.GrantedBeat, o.LeaseMs = r.Beat, Lease.Milliseconds()
-		}
-	})
+	conn.add(t.token, rpc.WorkerInfoOf(r).Incarnation(), func(*rpc.WorkerOrders) {})
 	conn.flush()
 }
 
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -124,6 +124,8 @@
 			o.Stops = append(o.Stops, rpc.TaskRefOf(a.Task, a.Run))
 		})
 		t.logRun(a.Task.Job, "stop ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
+	case plan.Grant:
+		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) { o.GrantedBeat, o.LeaseMs = a.Beat, Lease.Milliseconds() })
 	case plan.Acknowledge:
 		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) { o.Acknowledged = max(o.Acknowledged, a.Number) })
 	}
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -224,6 +224,11 @@
 		if w := s.worker(a.Worker, a.Incarnation, o); w != nil {
 			s.stopRun(w, a)
 		}
+	case Grant:
+		if w := s.worker(a.Worker, a.Incarnation, o); w != nil {
+			// The lease counts from when the report was sent.
+			w.lease = max(w.lease, time.Duration(a.Beat)*simStep+simLease-400*time.Millisecond)
+		}
 	case Acknowledge:
 		if w := s.worker(a.Worker, a.Incarnation, o); w != nil {
 			s.note(w, a.Number)
@@ -471,8 +476,7 @@
 	}
 	w.news = false
 	w.reports = s.now + simBeat
-	w.lease = s.now + simLease - 400*time.Millisecond
-	e := WorkerReport{Worker: w.info, Session: fmt.Sprintf("%s-%d", w.info.ID, w.session), Absent: w.absent, Answering: true}
+	e := WorkerReport{Worker: w.info, Session: fmt.Sprintf("%s-%d", w.info.ID, w.session), Absent: w.absent, Answering: true, Beat: uint64(s.now / simStep)}
 	w.absent = nil
 	for _, r := range w.runs {
 		percent := int(100 * r.progress / max(r.unit.work, 1))
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -73,10 +73,10 @@
 	Running []graph.RunState
 	Ended   []graph.RunEnd
 	Absent  []RunAbsent
-	// LeaseAge is how long ago the report was sent whose grant the worker's
-	// lease may rest on.
-	LeaseAge time.Duration
-	// Answering is false while the worker does not answer its agent.
+	// Beat numbers the reports of a session; a Grant names it.
+	Beat uint64
+	// Answering is false while the worker does not answer its agent. It gets no
+	// grants then: an order with a new deadline could still reach it.
 	Answering bool
 	// Gone says that the worker has left and runs nothing any more.
 	Gone bool
@@ -132,6 +132,15 @@
 	Run         uint64
 }
 
+// Grant lets a worker's lease last for its whole length from when the report
+// with this number was sent. The lease then ends before LeaseBound has passed
+// since the core took the report.
+type Grant struct {
+	Worker      string
+	Incarnation string
+	Beat        uint64
+}
+
 // Acknowledge lets a worker forget its ends up to a number.
 type Acknowledge struct {
 	Worker      string
@@ -158,6 +167,7 @@
 
 func (Start) action()       {}
 func (Stop) action()        {}
+func (Grant) action()       {}
 func (Acknowledge) action() {}
 func (Save) action()        {}
 func (Notice) action()      {}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -27,7 +27,7 @@
 	info    WorkerInfo
 	heard   bool // in this term
 	heardAt time.Duration
-	// leaseFrom is the latest time from which the worker's lease may count.
+	// leaseFrom is when the last report was taken that got a grant.
 	leaseFrom time.Duration
 	answering bool
 	session   string
@@ -88,8 +88,7 @@
 	if w.info.Incarnation() != e.Worker.Incarnation() {
 		c.reborn(w, e.Worker.Incarnation())
 	}
-	w.leaseFrom = max(w.leaseFrom, c.now-e.LeaseAge)
-	lost := c.now-w.leaseFrom > c.cfg.LeaseBound
+	lost := !e.Answering && c.now-w.leaseFrom > c.cfg.LeaseBound
 	if !w.heard || w.lost && !lost {
 		c.emit(Notice{Reason: ReasonWorkerUp, Worker: e.Worker.ID, Detail: e.Worker.Rack})
 	}
@@ -104,6 +103,10 @@
 	w.heard, w.answering = true, e.Answering
 	w.lost = w.lost && lost
 	w.heardAt = c.now
+	if e.Answering && !e.Gone {
+		w.leaseFrom = c.now
+		c.emit(Grant{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Beat: e.Beat})
+	}
 	fresh := w.session != e.Session
 	w.session = e.Session
 	c.takeRunning(w, e.Running)
