--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -73,6 +73,7 @@
 	Owner     *owner.Service
 	Scheduler *graphs.Scheduler
 	Retention *retention.Service
+	Handover  *graphs.Handover
 	Leaving   *leaving
 }
 
@@ -109,7 +110,7 @@
 		func() clock { return clock(ledger.Monotonic()) },
 		func() *leaving { return &leaving{} },
 		func(s *settings.Hosted) *platform.Store { return platform.NewStore(s.TableAddress) },
-		hostedLedger, hostedPolicies, hostedOwner, hostedStore, hostedScheduler, hostedPeers, hostedRPC,
+		hostedLedger, hostedPolicies, hostedOwner, hostedStore, hostedScheduler, hostedPeers, hostedHandover, hostedRPC,
 		hostedRetention, hostedFront, hostedCallers, hostedProbes, hostedPages,
 	)
 	if err != nil {
@@ -135,6 +136,7 @@
 		{"owner", all.Owner},
 		{"scheduler", all.Scheduler},
 		{"retention", all.Retention},
+		{"handover", all.Handover},
 		{"leaving", all.Leaving},
 	} {
 		if err := k.Register(r.name, r.service); err != nil {
@@ -177,6 +179,10 @@
 	return graphs.NewPeers(entryAddress(s, s.IP), seeds, o, log)
 }
 
+func hostedHandover(o *owner.Service, l *ledger.Client, p *policy.Watcher, peers *graphs.Peers, log zerolog.Logger) *graphs.Handover {
+	return graphs.NewHandover(o, l, p, peers, log)
+}
+
 func hostedStore(l *ledger.Client) *graphs.Store { return graphs.NewStore(l) }
 
 func hostedScheduler(o *owner.Service, s *graphs.Store, p *policy.Watcher, c clock, registry metrics.Registry, log zerolog.Logger) *graphs.Scheduler {
@@ -187,8 +193,8 @@
 	return retention.New(l, sch, registry, log, store.Retention())
 }
 
-func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front) *graphs.Server {
-	return graphs.NewServer(entryAddress(s, s.IP), sch, o, f)
+func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front, h *graphs.Handover) *graphs.Server {
+	return graphs.NewServer(entryAddress(s, s.IP), sch, o, f, h)
 }
 
 func hostedFront(p *policy.Watcher, store *graphs.Store, sch *graphs.Scheduler, o *owner.Service, peers *graphs.Peers, registry metrics.Registry, log zerolog.Logger) *graphs.Front {
--- /dev/null
+++ b/internal/entry/graphs/handover.go
@@ -0,0 +1,112 @@
+package graphs
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+const (
+	// handoverPoll is the time between two looks at the owner's table.
+	handoverPoll = 100 * time.Millisecond
+	// rejectedLimit and outageLimit are how long the table may reject every
+	// call at once, or answer none, before an owner looks for a successor. A
+	// table that is slow, or one connection that is silent, stays below.
+	rejectedLimit = 300 * time.Millisecond
+	outageLimit   = time.Second
+	// handoverTimeout bounds one question to another entry.
+	handoverTimeout = 250 * time.Millisecond
+)
+
+// Resigner is the ownership that can be given up without the table.
+type Resigner interface {
+	Current() owner.Authority
+	Resign(epoch uint64)
+	HearResigned(epoch uint64)
+}
+
+// TableHealth tells how the table answers this process.
+type TableHealth interface {
+	Rejected() time.Duration
+	Outage() time.Duration
+}
+
+// Handover gives the ownership to an entry that reaches the table when this one
+// does not. In an outage that all entries see, the owner stays.
+type Handover struct {
+	owner Resigner
+	table TableHealth
+	lost  func() time.Duration // since when the configuration is not confirmed
+	peers *Peers
+	log   zerolog.Logger
+	loops kernel.Loops
+}
+
+// NewHandover returns a service that is not running yet.
+func NewHandover(o Resigner, t TableHealth, p Policies, peers *Peers, log zerolog.Logger) *Handover {
+	return &Handover{owner: o, table: t, lost: p.Lost, peers: peers, log: log}
+}
+
+// Start begins to watch the table.
+func (h *Handover) Start(context.Context) error {
+	h.loops.Begin()
+	h.loops.Every(handoverPoll, h.look)
+	return nil
+}
+
+// Stop ends the watch.
+func (h *Handover) Stop(context.Context) error {
+	h.loops.End()
+	return nil
+}
+
+// failing reports whether this process's table has failed for too long.
+func (h *Handover) failing() bool {
+	return h.table.Rejected() >= rejectedLimit || h.table.Outage() >= outageLimit
+}
+
+// look hands the ownership over if this process owns scheduling without a
+// table and another entry has one.
+func (h *Handover) look(ctx context.Context) {
+	a := h.owner.Current()
+	if !a.Owner || !h.failing() {
+		return
+	}
+	for _, address := range h.peers.candidates() {
+		if !h.tell(ctx, address, a.Epoch, false) {
+			continue
+		}
+		// The term ends here before any other entry may begin one.
+		h.owner.Resign(a.Epoch)
+		for _, p := range h.peers.candidates() {
+			h.tell(ctx, p, a.Epoch, true)
+		}
+		return
+	}
+}
+
+// tell asks an entry whether it could take over, or tells it that it may.
+func (h *Handover) tell(ctx context.Context, address string, epoch uint64, resigned bool) bool {
+	conn, err := h.peers.conn(address)
+	if err != nil {
+		h.log.Error().Err(err).Str("entry", address).Msg("address cannot be dialled")
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	reply, err := rpc.NewFleetClient(conn).HandOver(ctx, &rpc.HandOverRequest{Epoch: epoch, Resigned: resigned})
+	return err == nil && reply.Able // an entry that does not answer is no successor
+}
+
+// serve answers another entry's question.
+func (h *Handover) serve(r *rpc.HandOverRequest) *rpc.HandOverReply {
+	if r.Resigned {
+		h.owner.HearResigned(r.Epoch)
+	}
+	return &rpc.HandOverReply{Able: !h.failing() && h.lost() == 0}
+}
--- a/internal/entry/graphs/peers.go
+++ b/internal/entry/graphs/peers.go
@@ -30,13 +30,14 @@
 	scheduler *Scheduler
 	owner     Ownership
 	front     *Front
+	handover  *Handover
 	server    *grpc.Server
 	served    sync.WaitGroup
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(address string, s *Scheduler, o Ownership, f *Front) *Server {
-	return &Server{address: address, scheduler: s, owner: o, front: f}
+func NewServer(address string, s *Scheduler, o Ownership, f *Front, h *Handover) *Server {
+	return &Server{address: address, scheduler: s, owner: o, front: f, handover: h}
 }
 
 // Start listens and serves.
@@ -97,6 +98,11 @@
 	return serveRelayed(s.front, r)
 }
 
+// HandOver tells an owner without the table whether this entry has it.
+func (s *Server) HandOver(_ context.Context, r *rpc.HandOverRequest) (*rpc.HandOverReply, error) {
+	return s.handover.serve(r), nil
+}
+
 // Router asks the owner, in this process or in another entry.
 type Router struct {
 	scheduler *Scheduler
--- a/internal/entry/graphs/relay.go
+++ b/internal/entry/graphs/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	relayTimeout = 700 * time.Millisecond
 	// maxRelayTries bounds the entries that are tried for one request.
 	maxRelayTries = 2
+	// failedFor is how long an entry that did not answer is tried last.
+	failedFor = 5 * time.Second
 )
 
 // The verbs of relayed requests.
@@ -39,15 +42,16 @@
 	owner Ownership
 	log   zerolog.Logger
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	failed map[string]time.Time // when an entry last failed to answer
 }
 
 var _ Relay = (*Peers)(nil)
 
 // NewPeers returns a relay of the entry at self.
 func NewPeers(self string, seeds []string, o Ownership, log zerolog.Logger) *Peers {
-	return &Peers{self: self, seeds: seeds, owner: o, log: log, conns: map[string]*grpc.ClientConn{}}
+	return &Peers{self: self, seeds: seeds, owner: o, log: log, conns: map[string]*grpc.ClientConn{}, failed: map[string]time.Time{}}
 }
 
 // Serve asks other entries, one after the other.
@@ -63,10 +67,12 @@
 	}
 	for _, address := range p.candidates() {
 		reply, err := p.ask(ctx, address, request)
+		if news := p.note(address, err); news {
+			p.log.Warn().Err(err).Str("entry", address).Str("verb", verb).Str("path", call.Path).Msg("request not relayed")
+		}
 		if err == nil {
 			return answerOf(reply), true
 		}
-		p.log.Warn().Err(err).Str("entry", address).Str("verb", verb).Str("path", call.Path).Msg("request not relayed")
 		if mayHaveRun(err) && verb != verbLookup {
 			return Answer{Outcome: Unknown, Detail: "another entry did not answer"}, true
 		}
@@ -74,6 +80,20 @@
 	return Answer{}, false
 }
 
+// note remembers whether an entry has answered, and reports whether it has just
+// begun to fail.
+func (p *Peers) note(address string, err error) (news bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		delete(p.failed, address)
+		return false
+	}
+	last, failing := p.failed[address]
+	p.failed[address] = time.Now()
+	return !failing || time.Since(last) > failedFor
+}
+
 // mayHaveRun reports whether the other entry may have taken the request.
 func mayHaveRun(err error) bool { return status.Code(err) == codes.DeadlineExceeded }
 
@@ -88,9 +108,21 @@
 			out = append(out, a)
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slices.SortStableFunc(out, func(a, b string) int { return p.recency(a) - p.recency(b) })
 	return out[:min(len(out), maxRelayTries)]
 }
 
+// recency is 1 for an entry that has failed lately, else 0. The caller holds
+// the lock.
+func (p *Peers) recency(address string) int {
+	if at, ok := p.failed[address]; ok && time.Since(at) < failedFor {
+		return 1
+	}
+	return 0
+}
+
 func (p *Peers) ask(ctx context.Context, address string, r *rpc.RelayRequest) (*rpc.RelayReply, error) {
 	conn, err := p.conn(address)
 	if err != nil {
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -93,6 +93,9 @@
 // answers or when the outage was not observed without a gap.
 func (c *Client) Outage() time.Duration { return c.health.outage(c.cfg.Clock()) }
 
+// Rejected returns for how long the store has rejected every call at once.
+func (c *Client) Rejected() time.Duration { return c.health.rejected(c.cfg.Clock()) }
+
 func (c *Client) idle() bool {
 	for _, l := range c.lanes {
 		if !l.idle() {
@@ -303,7 +306,7 @@
 	case ctx.Err() != nil || now-start > maxCallFactor*c.cfg.OpTimeout:
 		c.breaker.abandoned()
 	default:
-		c.health.failure(now)
+		c.health.failure(start, now)
 		if c.breaker.failed(now) {
 			c.cfg.Log.Warn().Err(err).Msg("store does not answer")
 		}
--- a/internal/ledger/health.go
+++ b/internal/ledger/health.go
@@ -19,20 +19,26 @@
 	known    bool          // there was an answer
 	failed   bool          // a call has failed since
 	broken   bool          // the calls since then had a gap
+	slow     bool          // a failure since then was not an immediate one
 	lastEnd  time.Duration
 }
 
+// immediate is the time up to which a failure counts as a rejection: nothing
+// was waited for.
+const immediate = 200 * time.Millisecond
+
 func (h *health) answer(start, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.answered = max(h.answered, start)
-	h.known, h.failed, h.broken = true, false, false
+	h.known, h.failed, h.broken, h.slow = true, false, false, false
 	h.lastEnd = now
 }
 
-func (h *health) failure(now time.Duration) {
+func (h *health) failure(start, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.slow = h.slow || now-start > immediate
 	h.broken = h.broken || now-h.lastEnd > watchGap
 	h.failed = true
 	h.lastEnd = now
@@ -46,3 +52,15 @@
 	}
 	return now - h.answered
 }
+
+// rejected returns for how long every call has been rejected at once, 0 if the
+// store answers or some call was left without an answer.
+func (h *health) rejected(now time.Duration) time.Duration {
+	h.mu.Lock()
+	slow := h.slow
+	h.mu.Unlock()
+	if slow {
+		return 0
+	}
+	return h.outage(now)
+}
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -116,6 +116,13 @@
 // Release gives the ownership up for good, for a planned stop.
 type Release struct{}
 
+// Resign ends the term of this process without a write, as it cannot reach the
+// row. Whoever hears of it may claim the row at once.
+type Resign struct{}
+
+// PeerResigned says that the owner of an epoch has resigned.
+type PeerResigned struct{ Epoch uint64 }
+
 func (Tick) event()          {}
 func (ReadDone) event()      {}
 func (ReadFailed) event()    {}
@@ -125,6 +132,8 @@
 func (WriteUnknown) event()  {}
 func (PeerEpoch) event()     {}
 func (Release) event()       {}
+func (Resign) event()        {}
+func (PeerResigned) event()  {}
 
 // Action is an output of the core. At most one is in progress at a time.
 type Action interface{ action() }
@@ -165,6 +174,7 @@
 	validUntil time.Duration
 	startAfter time.Duration
 	highest    uint64 // highest epoch heard of
+	resigned   uint64 // epoch of the last term whose owner has resigned
 
 	busy     bool // an action is in progress
 	pending  Row
@@ -203,6 +213,13 @@
 		c.busy, c.mustRead, c.watching = false, true, false
 	case PeerEpoch:
 		c.hear(e.Epoch)
+	case Resign:
+		if c.epoch > 0 {
+			c.resigned = c.epoch
+			c.drop()
+		}
+	case PeerResigned:
+		c.resigned = max(c.resigned, e.Epoch)
 	case Release:
 		c.leaving = true
 		c.nextSend = now
@@ -269,7 +286,9 @@
 	return now-c.unchangedSince > c.times.Lease+c.times.Margin
 }
 
-func (c *Core) free() bool { return c.version == 0 || c.row.Released }
+func (c *Core) free() bool {
+	return c.version == 0 || c.row.Released || c.row.Epoch > 0 && c.row.Epoch == c.resigned
+}
 
 func (c *Core) claim(now time.Duration) []Action {
 	c.nextSend = now + c.times.Renew
@@ -288,7 +307,7 @@
 	clean := c.free()
 	claimed := c.epoch == 0
 	c.see(now, version, c.pending)
-	if c.pending.Released {
+	if c.pending.Released || c.pending.Epoch == c.resigned {
 		c.drop()
 		return
 	}
@@ -331,7 +350,7 @@
 // mine reports whether a row shows a term of this process that no later one has
 // followed.
 func (c *Core) mine(row Row) bool {
-	return row.Epoch > 0 && row.Epoch >= c.highest && row.Incarnation == c.self.Incarnation && !row.Released
+	return row.Epoch > 0 && row.Epoch != c.resigned && row.Epoch >= c.highest && row.Incarnation == c.self.Incarnation && !row.Released
 }
 
 func (c *Core) see(now time.Duration, version uint64, row Row) {
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -161,3 +161,36 @@
 		}
 	}
 }
+
+// TestResign shows that an owner which has resigned does not take its term up
+// again, whatever becomes of its last renewal, and that an entry which has
+// heard of it claims the row at once.
+func TestResign(t *testing.T) {
+	owner := NewCore(Self{ID: "a", Incarnation: "1"}, Times{})
+	owner.Step(0, Tick{})
+	owner.Step(0, ReadDone{})
+	owner.Step(0, Tick{})
+	owner.Step(0, WriteDone{Version: 1})
+	if !owner.Authority(time.Millisecond, Outage{}).Owner {
+		t.Fatal("no owner to begin with")
+	}
+	renewal := owner.Step(DefaultRenew, Tick{})
+	owner.Step(DefaultRenew, Resign{})
+	owner.Step(DefaultRenew, WriteDone{Version: 2})
+	row := renewal[0].(Write).Row
+	owner.Step(DefaultRenew, ReadDone{Version: 2, Row: row})
+	if owner.Authority(DefaultRenew, Outage{}).Owner {
+		t.Fatal("owner again after it has resigned")
+	}
+	other := NewCore(Self{ID: "b", Incarnation: "2"}, Times{})
+	other.Step(0, Tick{})
+	other.Step(0, ReadDone{Version: 2, Row: row})
+	if acts := other.Step(DefaultPoll/2, Tick{}); len(acts) > 0 {
+		t.Fatalf("claims before it has heard: %+v", acts)
+	}
+	other.Step(DefaultPoll/2, PeerResigned{Epoch: row.Epoch})
+	acts := other.Step(DefaultPoll/2, Tick{})
+	if w, ok := acts[0].(Write); !ok || w.Version != 2 || w.Row.Epoch != row.Epoch+1 {
+		t.Fatalf("after it has heard: %+v", acts)
+	}
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -97,6 +97,18 @@
 	return err
 }
 
+// Resign ends the term with the epoch at once, if it is the present one.
+func (s *Service) Resign(epoch uint64) {
+	if s.Current().Epoch != epoch {
+		return
+	}
+	s.step(Resign{})
+	s.cfg.Log.Warn().Uint64("epoch", epoch).Msg("ownership resigned")
+}
+
+// HearResigned takes the news that the owner of an epoch has resigned.
+func (s *Service) HearResigned(epoch uint64) { s.step(PeerResigned{epoch}) }
+
 func (s *Service) awaitRelease(ctx context.Context) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -152,9 +152,13 @@
 	entries []*entry
 	agents  []*agent
 	next    int
+	term    time.Duration
 	log     zerolog.Logger
 }
 
+// usualTerm is how long a renewal of the ownership lasts.
+const usualTerm = 900 * time.Millisecond
+
 func snapshot(version uint64) *policy.Snapshot {
 	return &policy.Snapshot{
 		Version:  version,
@@ -167,7 +171,12 @@
 // newFleet starts a deployment and waits until it serves.
 func newFleet(t *testing.T, entries, workers int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, table: standin.NewFeedTable(), log: zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Logger()}
+	return newFleetWithTerm(t, entries, workers, usualTerm)
+}
+
+func newFleetWithTerm(t *testing.T, entries, workers int, term time.Duration) *fleet {
+	t.Helper()
+	f := &fleet{t: t, term: term, table: standin.NewFeedTable(), log: zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Logger()}
 	addresses, err := process.FreeAddresses("127.0.0.1", entries)
 	if err != nil {
 		t.Fatal(err)
@@ -213,15 +222,16 @@
 	e.operator = &operator{path: e.path, current: snapshot(1)}
 	e.ledger = ledger.New(e.path, ledger.Config{Log: log, Clock: clock, OpTimeout: 300 * time.Millisecond})
 	watcher := policy.NewWatcher(e.operator, clock, registry, log)
-	times := owner.Times{Lease: 900 * time.Millisecond, Renew: 150 * time.Millisecond, Margin: 100 * time.Millisecond, Poll: 100 * time.Millisecond, PermitTTL: time.Millisecond}
+	times := owner.Times{Lease: f.term, Renew: 150 * time.Millisecond, Margin: 100 * time.Millisecond, Poll: 100 * time.Millisecond, PermitTTL: time.Millisecond}
 	e.owner = owner.New(e.ledger, cell, owner.Self{ID: id, Addr: address}, clock, owner.Config{Times: times, Log: log})
 	store := graphs.NewStore(e.ledger)
 	scheduler := graphs.NewScheduler(e.owner, store, watcher, clock, time.Now, registry, log)
 	e.schedule = scheduler
 	peers := graphs.NewPeers(address, all, e.owner, log)
 	e.front = graphs.NewFront(watcher, store, graphs.NewRouter(scheduler, e.owner), peers, time.Now, registry, log)
-	server := graphs.NewServer(address, scheduler, e.owner, e.front)
-	e.services = []kernel.Service{e.ledger, watcher, server, e.owner, scheduler}
+	handover := graphs.NewHandover(e.owner, e.ledger, watcher, peers, log)
+	server := graphs.NewServer(address, scheduler, e.owner, e.front, handover)
+	e.services = []kernel.Service{e.ledger, watcher, server, e.owner, scheduler, handover}
 	for _, s := range e.services {
 		if err := s.Start(context.Background()); err != nil {
 			f.t.Fatal(err)
--- a/test/graphs/graphs_test.go
+++ b/test/graphs/graphs_test.go
@@ -298,3 +298,35 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// TestOwnerWithoutTableHandsOver shows that an owner which alone is turned away
+// by the table is followed long before its term would have ended.
+func TestOwnerWithoutTableHandsOver(t *testing.T) {
+	const term = 6 * time.Second
+	f := newFleetWithTerm(t, 3, 2, term)
+	old := f.ownerEntry()
+	old.path.refuse.Store(true)
+	f.awaitWithin(term/3, "another owner", func() bool {
+		e := f.ownerEntry()
+		return e != nil && e != old
+	})
+	if old.owner.Current().Owner {
+		t.Fatal("two entries own scheduling")
+	}
+	id := f.submit(old, 2)
+	f.awaitState(old, id, graph.Completed)
+}
+
+// TestOwnerStaysWithoutTableEverywhere shows that the ownership is not given up
+// in an outage that all entries see.
+func TestOwnerStaysWithoutTableEverywhere(t *testing.T) {
+	f := newFleetWithTerm(t, 2, 1, 4*time.Second)
+	old := f.ownerEntry()
+	for _, e := range f.entries {
+		e.path.refuse.Store(true)
+	}
+	time.Sleep(2 * time.Second)
+	if f.ownerEntry() != old {
+		t.Fatal("the owner has given its term up")
+	}
+}
