--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -52,6 +52,7 @@
 	epoch    uint64
 	listed   uint64 // epoch of the lists below
 	listedAt time.Duration
+	silent   bool // the worker was found not to answer
 	runs     external.RunList
 	seen     uint64 // ends up to it are acknowledged
 	absent   []*rpc.AbsentTask
@@ -244,9 +245,10 @@
 func (k *Keeper) holdFailed(err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.answering() {
+	if k.answering() || k.silent {
 		return
 	}
+	k.silent = true
 	k.log.Warn().Err(err).Dur("answered_ago_ms", k.clock()-k.listedAt).Msg("worker does not answer")
 }
 
@@ -272,6 +274,10 @@
 	}
 	news := k.listed != t.epoch || differs(k.runs, list)
 	k.runs, k.listed, k.listedAt = list, t.epoch, now
+	if k.silent {
+		k.silent = false
+		k.log.Info().Msg("worker answers again")
+	}
 	if news {
 		wake(k.wakeSend)
 	}
