--- a/cmd/coltsfoot-agent/hosted.go
+++ b/cmd/coltsfoot-agent/hosted.go
@@ -33,7 +33,7 @@
 		return code
 	}
 	registry := metrics.NewRegistry()
-	log := procmain.HostedLogger(flags, "agent", s.Node, func(n int) {
+	log := procmain.HostedLogger(os.Stdout, flags, "agent", s.Node, func(n int) {
 		metrics.GetOrRegisterCounter("log.dropped", registry).Inc(int64(n))
 	})
 	k := kernel.New()
--- a/internal/procmain/hosted.go
+++ b/internal/procmain/hosted.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -61,10 +60,10 @@
 	return s, f, ExitOK
 }
 
-// HostedLogger returns a logger that never blocks: lines that standard output
-// does not take in time are dropped, and dropped is told how many.
-func HostedLogger(f HostedFlags, role, id string, dropped func(int)) zerolog.Logger {
-	w := diode.NewWriter(os.Stdout, logBacklog, 0, dropped)
+// HostedLogger returns a logger that never blocks: lines that the output does
+// not take in time are dropped, and dropped is told how many.
+func HostedLogger(output io.Writer, f HostedFlags, role, id string, dropped func(int)) zerolog.Logger {
+	w := diode.NewWriter(output, logBacklog, 0, dropped)
 	return NewLogger(w, settings.Level(f.LogLevel), settings.Role(role), id)
 }
 
