--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -41,6 +41,7 @@
 	done    bool          // a run of it has ended done
 	noted   bool          // such an end was acknowledged, and no lease ran out before
 	runs    []*simRun     // live
+	begun   map[int]bool  // tasks, by index
 	members int
 }
 
@@ -51,6 +52,8 @@
 	submitted time.Duration
 	cancelled time.Duration
 	final     graph.State
+	begunAt   time.Duration // when all tasks of the first step had begun
+	claims    bool          // its account's jobs of the first priority have never exceeded the guarantee
 	finishedAt,
 	truth time.Duration // longest chain of true work
 	worth float64
@@ -161,6 +164,8 @@
 	j.submitted = s.now
 	j.Submitted = time.Unix(0, 0).Add(s.now)
 	s.jobs = append(s.jobs, j)
+	j.claims = j.Priority == 0
+	s.noteClaims()
 	s.byID[j.ID] = j
 	s.rowSeen[j.ID] = true
 	s.step(Submitted{Job: j.Job})
@@ -296,6 +301,8 @@
 		w.news = true
 		return
 	}
+	u.begun[a.Task.Index] = true
+	s.noteBegun(u.job)
 	r := &simRun{task: a.Task, run: a.Run, unit: u}
 	if a.Checkpoint != "" {
 		fmt.Sscanf(a.Checkpoint, "%d", &r.resumed)
@@ -305,6 +312,41 @@
 	u.runs = append(u.runs, r)
 }
 
+// noteBegun notes when all tasks of a job's first step have begun.
+func (s *sim) noteBegun(j *simJob) {
+	n := 0
+	for _, u := range j.units[0] {
+		n += len(u.begun)
+	}
+	if j.begunAt == 0 && n == j.Steps[0].Count {
+		j.begunAt = s.now
+	}
+}
+
+// noteClaims notes which jobs of the first priority lie within a guarantee:
+// with all others of the account that have not ended they need no more.
+func (s *sim) noteClaims() {
+	need := map[string]int{}
+	for _, j := range s.jobs {
+		if j.Priority == 0 && j.final == "" {
+			need[j.Account] += j.widest()
+		}
+	}
+	for _, j := range s.jobs {
+		if j.final == "" && need[j.Account] > s.policy.Guaranteed(j.Account) {
+			j.claims = false
+		}
+	}
+}
+
+func (j *simJob) widest() int {
+	most := 0
+	for i := range j.Steps {
+		most = max(most, j.Steps[i].Width().Accelerators)
+	}
+	return most
+}
+
 // checkStart checks the promises that a start must keep.
 func (s *sim) checkStart(w *simWorker, u *simUnit, a Start) {
 	j := u.job
--- a/internal/graph/plan/load_test.go
+++ b/internal/graph/plan/load_test.go
@@ -103,7 +103,7 @@
 		units, members = 1, s.Count
 	}
 	for range units {
-		u := &simUnit{job: j, work: time.Duration(float64(work) * (1 + 0.15*(2*r.Float64()-1))), members: members}
+		u := &simUnit{job: j, begun: map[int]bool{}, work: time.Duration(float64(work) * (1 + 0.15*(2*r.Float64()-1))), members: members}
 		if r.Float64() < c.failing {
 			u.fails = 1
 		}
@@ -226,6 +226,32 @@
 	}
 }
 
+// reclaimBound is within which the first step of a job of the first priority
+// within its account's guarantee has to have begun, after its acceptance.
+const reclaimBound = 2900 * time.Millisecond
+
+// TestReclaimInTime plays overloaded days on which the workers are full of
+// other accounts' work, and checks the bound for all jobs within a guarantee.
+func TestReclaimInTime(t *testing.T) {
+	within := 0
+	for seed := range int64(30) {
+		s := playAssessments(t, 3000+seed, 2.2)
+		for _, j := range s.jobs {
+			if !j.claims || j.cancelled > 0 && j.cancelled < j.submitted+reclaimBound {
+				continue
+			}
+			within++
+			if j.begunAt == 0 || j.begunAt > j.submitted+reclaimBound {
+				t.Errorf("seed %d: %s of %s, %d accelerators, began %v after its submission", seed, j.ID, j.Account, j.widest(), j.begunAt-j.submitted)
+			}
+		}
+	}
+	t.Logf("%d jobs within guarantees", within)
+	if within < 30 {
+		t.Errorf("only %d jobs lay within guarantees", within)
+	}
+}
+
 // TestHeavyLoad plays days on which more is asked for than fits. Work of the
 // first priority has to take room where nothing is lost by it: without that, at
 // twice the usual load, a twentieth of the worth is missed.
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -49,7 +49,7 @@
 func (m *planMachine) redraw(c class, j *simJob) *simJob {
 	j.units[0] = nil
 	for range j.Steps[0].Count {
-		j.units[0] = append(j.units[0], &simUnit{job: j, work: c.work, members: 1})
+		j.units[0] = append(j.units[0], &simUnit{job: j, begun: map[int]bool{}, work: c.work, members: 1})
 	}
 	return j
 }
