--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BINARIES := coltsfoot-entry coltsfoot-agent coltsfootctl coltsfoot-standin
 GO ?= go
 
-.PHONY: all build generate fmt format-check lint unit test bench fuzz demo clean
+.PHONY: all build generate fmt format-check lint unit test bench fuzz demo report clean
 
 all: build
 
@@ -36,5 +36,9 @@
 demo: build
 	$(GO) run ./test/demo
 
+# The days of both sites with their reports, as a table: make report FILES="a.json b.json".
+report:
+	$(GO) run ./platform/report $(FILES)
+
 clean:
 	rm -rf bin
