Plan: runs that were not placed count against their worker's capacity

Found in reading: a worker that enforces nothing could be given more than it holds while a run of an earlier term is being stopped there. The test fails before and passes after.

--- /dev/null
+++ b/internal/graph/plan/core_test.go
@@ -0,0 +1,113 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// bed is a core with one or more workers of 8 accelerators, stepped by hand.
+type bed struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, core: New(Config{Token: 3, LeaseBound: simLease, TermStart: time.Unix(0, 0)})}
+	b.step(Configured{loadPolicy()})
+	return b
+}
+
+// step gives an event, answers the saves that follow at once and returns the
+// other actions but notices.
+func (b *bed) step(ev Event) []Action {
+	var out []Action
+	for _, a := range b.core.Step(b.now, ev) {
+		switch a := a.(type) {
+		case Notice:
+		case Save:
+			out = append(out, b.step(Saved{Job: a.Job, Number: a.Number})...)
+		default:
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (b *bed) report(id string, running []graph.RunState, ended ...graph.RunEnd) []Action {
+	return b.step(WorkerReport{Worker: WorkerInfo{ID: id, Instance: "i-" + id, Born: 1, Pool: "pool", Zone: "z0", Rack: "r0",
+		Capacity: graph.Resources{MilliCPU: 16000, Accelerators: 8}}, Session: "s", Running: running, Ended: ended, Beat: 1, Answering: true})
+}
+
+func (b *bed) submit(id graph.JobID, accelerators int) []Action {
+	return b.step(Submitted{Job: &graph.Job{ID: id, Queue: "q", Account: "a0", Pool: "pool", Priority: 1, Attempts: 2, Stretch: 2,
+		Submitted: time.Unix(0, 0).Add(b.now),
+		Steps:     []graph.Step{{Count: 1, Needs: graph.Resources{MilliCPU: 1000, Accelerators: accelerators}, Estimate: time.Second}}}})
+}
+
+func starts(actions []Action) []Start {
+	var out []Start
+	for _, a := range actions {
+		if s, ok := a.(Start); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// TestStrayRunsTakeRoom shows that a run which the owner has not placed counts
+// against its worker's capacity until it is gone: workers need not refuse what
+// does not fit.
+func TestStrayRunsTakeRoom(t *testing.T) {
+	b := newBed(t)
+	b.report("w0", nil)
+	b.submit("j0", 6)
+	first := starts(b.step(Tick{}))
+	if len(first) != 0 {
+		t.Fatalf("placed twice: %+v", first)
+	}
+	b.step(Cancel{"j0"})
+	// The worker runs another run of the job's task, which nobody knows any more.
+	stray := graph.RunState{Task: graph.TaskID{Job: "j0"}, Run: 1}
+	ended := graph.RunEnd{Number: 1, Task: graph.TaskID{Job: "j0"}, Run: 3*runsPerTerm + 1, How: graph.EndStopped}
+	b.report("w0", []graph.RunState{stray}, ended)
+	if s := starts(b.submit("j1", 4)); len(s) > 0 {
+		t.Fatalf("started beside a stray run: %+v", s)
+	}
+	if s := starts(b.report("w0", nil)); len(s) != 1 || s[0].Task.Job != "j1" {
+		t.Fatalf("after the stray run is gone: %+v", s)
+	}
+}
+
+// TestGrantsFollowAnswers shows that a worker which does not answer its agent
+// gets no grants, and that its lease counts from the last report with one.
+func TestGrantsFollowAnswers(t *testing.T) {
+	b := newBed(t)
+	granted := func(actions []Action) bool {
+		for _, a := range actions {
+			if _, ok := a.(Grant); ok {
+				return true
+			}
+		}
+		return false
+	}
+	if !granted(b.report("w0", nil)) {
+		t.Fatal("no grant for a worker that answers")
+	}
+	if s := starts(b.submit("j0", 8)); len(s) != 1 {
+		t.Fatalf("%+v", s)
+	}
+	silent := WorkerReport{Worker: b.core.workers["w0"].info, Session: "s", Beat: 2}
+	for b.now < simLease {
+		b.now += time.Second
+		if granted(b.step(silent)) {
+			t.Fatalf("grant at %v for a worker that does not answer", b.now)
+		}
+		b.step(Tick{})
+		if lost := b.core.workers["w0"].lost; lost != (b.now > simLease) {
+			t.Fatalf("at %v: lost %v", b.now, lost)
+		}
+	}
+}
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -247,7 +247,7 @@
 }
 
 func (c *Core) room(w *worker, u *unit) graph.Resources {
-	room := w.info.Capacity.Sub(w.used)
+	room := w.info.Capacity.Sub(w.used).Sub(w.strays)
 	for _, cl := range c.books.claims {
 		if cl.unit != u {
 			room = room.Sub(cl.on(w))
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -40,7 +40,7 @@
 		}
 	}
 	for _, p := range cl.parts {
-		if !cl.on(p.worker).Fits(p.worker.info.Capacity.Sub(p.worker.used)) {
+		if !cl.on(p.worker).Fits(p.worker.info.Capacity.Sub(p.worker.used).Sub(p.worker.strays)) {
 			return
 		}
 	}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -35,6 +35,7 @@
 
 	members []*member // not ended
 	used    graph.Resources
+	strays  graph.Resources // of runs that were not placed there
 
 	acks   []*pendingAck
 	listed uint64 // highest number of an end that was taken
@@ -148,6 +149,9 @@
 const noIncarnation = ""
 
 func (c *Core) takeRunning(w *worker, running []graph.RunState) {
+	before := w.strays
+	w.strays = graph.Resources{}
+	defer func() { c.stirred = c.stirred || before != w.strays }()
 	for _, r := range running {
 		m := w.find(r.Task, r.Run)
 		if m == nil {
@@ -160,6 +164,11 @@
 
 // strayRun stops a run that the owner has not placed there.
 func (c *Core) strayRun(w *worker, r graph.RunState) {
+	if j := c.jobs[r.Task.Job]; j != nil {
+		if u := j.unitOf(r.Task.Step, r.Task.Index); u != nil {
+			w.strays = w.strays.Add(u.spec.Needs)
+		}
+	}
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
 	c.emit(Stop{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
 }
