--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -297,6 +297,7 @@
 	s.checkStart(w, u, a)
 	if !w.used().Add(u.step.Needs).Fits(w.info.Capacity) {
 		s.rejected++
+		s.fail("%v does not fit on %s", a.Task, w.info.ID)
 		w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "room"})
 		w.news = true
 		return
