--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -26,11 +25,6 @@
 )
 
 const (
-	// hostedCell is the cell of a hosted deployment: one owner for all.
-	hostedCell = "all"
-	// storeTimeout bounds one call of the table, which answers within a few
-	// milliseconds, or sixty times that when it is slow.
-	storeTimeout = 600 * time.Millisecond
 	// hostedTerm is how long a renewal of the ownership lasts, hostedRenew the
 	// time between two: a store that is sixty times slower, or one connection
 	// that is silent, does not end it.
@@ -77,36 +71,20 @@
 	Leaving   *leaving
 }
 
+// runHosted runs a hosted entry.
 func runHosted(path string) int {
-	s, flags, code := procmain.LoadHosted("coltsfoot-entry", os.Args[1:], os.Stderr, path, platform.LoadSettings)
-	if s == nil {
-		return code
-	}
-	registry := metrics.NewRegistry()
-	log := procmain.HostedLogger(os.Stdout, flags, "entry", s.Node, func(n int) {
-		metrics.GetOrRegisterCounter("log.dropped", registry).Inc(int64(n))
-	})
-	k := kernel.New()
-	if err := wireHosted(k, s, flags, registry, log); err != nil {
-		log.Error().Err(err).Msg("wiring failed")
-		return procmain.ExitFailed
-	}
-	reload := func() error {
-		_, err := platform.LoadSettings(path)
-		return err
-	}
-	return procmain.Process{Kernel: k, Log: log, DrainTimeout: procmain.DrainTime(s), Reload: reload}.Run()
+	return procmain.RunHosted("coltsfoot-entry", "entry", path, platform.LoadSettings, wireHosted)
 }
 
-func wireHosted(k *kernel.Kernel, s *settings.Hosted, flags procmain.HostedFlags, registry metrics.Registry, log zerolog.Logger) error {
-	if s.ClientsListen == "" {
+func wireHosted(k *kernel.Kernel, h procmain.Hosted) error {
+	if h.Settings.ClientsListen == "" {
 		return errors.NotValidf("settings of an entry without an address for callers")
 	}
 	err := k.Provide(
-		func() *settings.Hosted { return s },
-		func() procmain.HostedFlags { return flags },
-		func() zerolog.Logger { return log },
-		func() metrics.Registry { return registry },
+		func() *settings.Hosted { return h.Settings },
+		func() procmain.HostedFlags { return h.Flags },
+		func() zerolog.Logger { return h.Log },
+		func() metrics.Registry { return h.Registry },
 		func() clock { return clock(ledger.Monotonic()) },
 		func() *leaving { return &leaving{} },
 		func(s *settings.Hosted) *platform.Store { return platform.NewStore(s.TableAddress) },
@@ -147,7 +125,7 @@
 }
 
 func hostedLedger(store *platform.Store, c clock, registry metrics.Registry, log zerolog.Logger) *ledger.Client {
-	return ledger.New(store, ledger.Config{Metrics: registry, Log: log, Clock: c, OpTimeout: storeTimeout})
+	return ledger.New(store, ledger.Config{Metrics: registry, Log: log, Clock: c, OpTimeout: settings.HostedTableTimeout})
 }
 
 func hostedPolicies(store *platform.Store, c clock, registry metrics.Registry, log zerolog.Logger) *policy.Watcher {
@@ -163,7 +141,7 @@
 		PermitTTL: time.Millisecond, // workers' leases are waited for one by one
 	}
 	self := owner.Self{ID: s.Node, Sole: true, Addr: entryAddress(s, s.IP)}
-	return owner.New(l, hostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
+	return owner.New(l, settings.HostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
 }
 
 // entryAddress is where the entry on a host serves agents and other entries.
--- a/internal/agent/keeper/finder.go
+++ b/internal/agent/keeper/finder.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/grpc"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
@@ -33,6 +32,7 @@
 // Finder finds the entry that owns scheduling: it asks the entries that it
 // knows and, if none of them tells, reads the row of the ownership.
 type Finder struct {
+	pool  rpc.Pool
 	rows  Rows
 	key   string
 	clock func() time.Duration
@@ -40,18 +40,17 @@
 
 	mu      sync.Mutex
 	entries []string // addresses, the last owner first
-	conns   map[string]*grpc.ClientConn
 	readAt  time.Duration
 	read    bool
 }
 
 // NewFinder returns a finder that knows some addresses to begin with.
 func NewFinder(rows Rows, cell string, entries []string, clock func() time.Duration, log zerolog.Logger) *Finder {
-	return &Finder{rows: rows, key: owner.RowKey(cell), entries: entries, clock: clock, log: log, conns: map[string]*grpc.ClientConn{}}
+	return &Finder{rows: rows, key: owner.RowKey(cell), entries: entries, clock: clock, log: log}
 }
 
-// Find returns a connection with the owner, nil if there is none now.
-func (f *Finder) Find(ctx context.Context) (*grpc.ClientConn, string) {
+// Find returns a client of the owner and its address, nil if there is none now.
+func (f *Finder) Find(ctx context.Context) (rpc.FleetClient, string) {
 	address := f.ask(ctx)
 	if address == "" {
 		address = f.readRow(ctx)
@@ -60,7 +59,7 @@
 		return nil, ""
 	}
 	f.remember(address)
-	return f.conn(address), address
+	return f.client(address), address
 }
 
 // ask asks all known entries at once and takes the answer with the highest epoch.
@@ -85,30 +84,24 @@
 }
 
 func (f *Finder) locate(ctx context.Context, address string) *rpc.LocateReply {
-	conn := f.conn(address)
-	if conn == nil {
+	client := f.client(address)
+	if client == nil {
 		return nil
 	}
-	reply, err := rpc.NewFleetClient(conn).Locate(ctx, &rpc.LocateRequest{})
+	reply, err := client.Locate(ctx, &rpc.LocateRequest{})
 	if err != nil {
 		return nil // it is asked again in the next round
 	}
 	return reply
 }
 
-func (f *Finder) conn(address string) *grpc.ClientConn {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if c := f.conns[address]; c != nil {
-		return c
-	}
-	c, err := rpc.Dial(address, rpc.QuickReconnect()...)
+func (f *Finder) client(address string) rpc.FleetClient {
+	client, err := f.pool.Fleet(address)
 	if err != nil {
 		f.log.Error().Err(err).Str("entry", address).Msg("address cannot be dialled")
 		return nil
 	}
-	f.conns[address] = c
-	return c
+	return client
 }
 
 func (f *Finder) remember(address string) {
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -32,13 +32,13 @@
 			kernel.Sleep(ctx, findRetry)
 			continue
 		}
-		conn, address := k.finder.Find(ctx)
-		if conn == nil {
+		client, address := k.finder.Find(ctx)
+		if client == nil {
 			kernel.Sleep(ctx, findRetry)
 			continue
 		}
 		began := k.clock()
-		err := k.attend(ctx, conn)
+		err := k.attend(ctx, client)
 		if ctx.Err() != nil {
 			return
 		}
@@ -67,10 +67,10 @@
 }
 
 // attend serves the owner until the connection ends, and returns why.
-func (k *Keeper) attend(ctx context.Context, conn grpc.ClientConnInterface) error {
+func (k *Keeper) attend(ctx context.Context, client rpc.FleetClient) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := rpc.NewFleetClient(conn).Attend(ctx)
+	stream, err := client.Attend(ctx)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/entry/graphs/handover.go
+++ b/internal/entry/graphs/handover.go
@@ -92,14 +92,14 @@
 
 // tell asks an entry whether it could take over, or tells it that it may.
 func (h *Handover) tell(ctx context.Context, address string, epoch uint64, resigned bool) bool {
-	conn, err := h.peers.conn(address)
+	client, err := h.peers.pool.Fleet(address)
 	if err != nil {
 		h.log.Error().Err(err).Str("entry", address).Msg("address cannot be dialled")
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	reply, err := rpc.NewFleetClient(conn).HandOver(ctx, &rpc.HandOverRequest{Epoch: epoch, Resigned: resigned})
+	reply, err := client.HandOver(ctx, &rpc.HandOverRequest{Epoch: epoch, Resigned: resigned})
 	return err == nil && reply.Able // an entry that does not answer is no successor
 }
 
--- a/internal/entry/graphs/peers.go
+++ b/internal/entry/graphs/peers.go
@@ -107,10 +107,7 @@
 type Router struct {
 	scheduler *Scheduler
 	owner     Ownership
-
-	mu      sync.Mutex
-	address string
-	conn    *grpc.ClientConn
+	pool      rpc.Pool
 }
 
 var _ Owner = (*Router)(nil)
@@ -124,21 +121,11 @@
 	if a.Owner || a.OwnerAddr == "" {
 		return nil
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.conn != nil && r.address == a.OwnerAddr {
-		return rpc.NewFleetClient(r.conn)
-	}
-	if r.conn != nil {
-		_ = r.conn.Close() // the owner has moved
-		r.conn = nil
-	}
-	conn, err := rpc.Dial(a.OwnerAddr, rpc.QuickReconnect()...)
+	client, err := r.pool.Fleet(a.OwnerAddr)
 	if err != nil {
-		return nil
+		return nil // an address that cannot be dialled is as good as none
 	}
-	r.address, r.conn = a.OwnerAddr, conn
-	return rpc.NewFleetClient(conn)
+	return client
 }
 
 // Status asks for a job's state.
--- a/internal/entry/graphs/relay.go
+++ b/internal/entry/graphs/relay.go
@@ -7,9 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -42,8 +40,9 @@
 	owner Ownership
 	log   zerolog.Logger
 
+	pool rpc.Pool
+
 	mu     sync.Mutex
-	conns  map[string]*grpc.ClientConn
 	failed map[string]time.Time // when an entry last failed to answer
 }
 
@@ -51,7 +50,7 @@
 
 // NewPeers returns a relay of the entry at self.
 func NewPeers(self string, seeds []string, o Ownership, log zerolog.Logger) *Peers {
-	return &Peers{self: self, seeds: seeds, owner: o, log: log, conns: map[string]*grpc.ClientConn{}, failed: map[string]time.Time{}}
+	return &Peers{self: self, seeds: seeds, owner: o, log: log, failed: map[string]time.Time{}}
 }
 
 // Serve asks other entries, one after the other.
@@ -124,27 +123,13 @@
 }
 
 func (p *Peers) ask(ctx context.Context, address string, r *rpc.RelayRequest) (*rpc.RelayReply, error) {
-	conn, err := p.conn(address)
+	client, err := p.pool.Fleet(address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	return rpc.NewFleetClient(conn).Relay(ctx, r)
-}
-
-func (p *Peers) conn(address string) (*grpc.ClientConn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c := p.conns[address]; c != nil {
-		return c, nil
-	}
-	c, err := rpc.Dial(address, rpc.QuickReconnect()...)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	p.conns[address] = c
-	return c, nil
+	return client.Relay(ctx, r)
 }
 
 func answerOf(r *rpc.RelayReply) Answer {
--- a/internal/graph/plan/bench_test.go
+++ b/internal/graph/plan/bench_test.go
@@ -18,7 +18,6 @@
 	runs  map[string][]graph.RunState
 	now   time.Duration
 	next  int
-	saves []Save
 }
 
 func newFilled(b *testing.B, workers int) *filled {
--- a/internal/procmain/hosted.go
+++ b/internal/procmain/hosted.go
@@ -4,12 +4,15 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"runtime/debug"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
 )
 
@@ -69,3 +72,34 @@
 
 // DrainTime is how long a planned stop may take.
 func DrainTime(s *settings.Hosted) time.Duration { return s.StopGrace - stopReserve }
+
+// RunHosted runs a hosted process: it loads the settings, wires the services
+// and serves until a signal ends it. It returns the exit code.
+func RunHosted(name, role, path string, load func(string) (*settings.Hosted, error), wire func(*kernel.Kernel, Hosted) error) int {
+	s, flags, code := LoadHosted(name, os.Args[1:], os.Stderr, path, load)
+	if s == nil {
+		return code
+	}
+	registry := metrics.NewRegistry()
+	log := HostedLogger(os.Stdout, flags, role, s.Node, func(n int) {
+		metrics.GetOrRegisterCounter("log.dropped", registry).Inc(int64(n))
+	})
+	k := kernel.New()
+	if err := wire(k, Hosted{Settings: s, Flags: flags, Registry: registry, Log: log}); err != nil {
+		log.Error().Err(err).Msg("wiring failed")
+		return ExitFailed
+	}
+	reload := func() error {
+		_, err := load(path)
+		return err
+	}
+	return Process{Kernel: k, Log: log, DrainTimeout: DrainTime(s), Reload: reload}.Run()
+}
+
+// Hosted is what the services of a hosted process are wired with.
+type Hosted struct {
+	Settings *settings.Hosted
+	Flags    HostedFlags
+	Registry metrics.Registry
+	Log      zerolog.Logger
+}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+const (
+	// HostedCell is the cell of a hosted deployment: one owner for all.
+	HostedCell = "all"
+	// HostedTableTimeout bounds one call of the table, which answers within a few
+	// milliseconds, or sixty times that when it is slow.
+	HostedTableTimeout = 600 * time.Millisecond
+)
+
 // Hosted are the settings of a process whose host tells it where it runs, in a
 // format of the host's own.
 type Hosted struct {
