--- a/internal/agent/keeper/finder.go
+++ b/internal/agent/keeper/finder.go
@@ -16,6 +16,9 @@
 const (
 	// locateTimeout bounds one round of questions to all known entries.
 	locateTimeout = 400 * time.Millisecond
+	// lateReplies is how long the others may take once one entry has named an
+	// owner: a host that is gone answers nothing.
+	lateReplies = 30 * time.Millisecond
 	// rowTimeout bounds one read of the ownership's row.
 	rowTimeout = 600 * time.Millisecond
 	// rowInterval is the least time between two reads of it.
@@ -73,14 +76,30 @@
 	for _, e := range entries {
 		go func() { replies <- f.locate(ctx, e) }()
 	}
-	var best *rpc.LocateReply
-	for range entries {
-		r := <-replies
-		if r.GetOwnerAddress() != "" && (best == nil || r.Epoch > best.Epoch) {
-			best = r
+	return newest(replies, len(entries)).GetOwnerAddress()
+}
+
+// newest returns the answer with the highest epoch among up to n. Once one
+// names an owner, those that are still missing have lateReplies.
+func newest(replies <-chan *rpc.LocateReply, n int) (best *rpc.LocateReply) {
+	var late <-chan time.Time
+	for range n {
+		select {
+		case r := <-replies:
+			if r.GetOwnerAddress() == "" {
+				continue
+			}
+			if best == nil || r.Epoch > best.Epoch {
+				best = r
+			}
+			if late == nil {
+				late = time.After(lateReplies)
+			}
+		case <-late:
+			return best
 		}
 	}
-	return best.GetOwnerAddress()
+	return best
 }
 
 func (f *Finder) locate(ctx context.Context, address string) *rpc.LocateReply {
--- /dev/null
+++ b/internal/agent/keeper/finder_test.go
@@ -0,0 +1,33 @@
+package keeper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+)
+
+// TestNewestDoesNotWaitForTheDead shows that an entry which never answers holds
+// nobody up, and that a later answer with a higher epoch is still taken.
+func TestNewestDoesNotWaitForTheDead(t *testing.T) {
+	replies := make(chan *rpc.LocateReply, 3)
+	replies <- &rpc.LocateReply{OwnerAddress: "old", Epoch: 4}
+	go func() {
+		time.Sleep(lateReplies / 3)
+		replies <- &rpc.LocateReply{OwnerAddress: "new", Epoch: 5}
+	}()
+	begin := time.Now()
+	best := newest(replies, 3)
+	if best.GetOwnerAddress() != "new" {
+		t.Errorf("took %+v", best)
+	}
+	if took := time.Since(begin); took > locateTimeout/2 {
+		t.Errorf("took %v", took)
+	}
+	silent := make(chan *rpc.LocateReply, 2)
+	silent <- nil
+	silent <- &rpc.LocateReply{Epoch: 9}
+	if best := newest(silent, 2); best != nil {
+		t.Errorf("an owner from answers without one: %+v", best)
+	}
+}
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -21,7 +21,7 @@
 	// the agent looks for it anew.
 	silenceLimit = 1200 * time.Millisecond
 	// findRetry is the time between two looks for the owner.
-	findRetry = 200 * time.Millisecond
+	findRetry = 100 * time.Millisecond
 )
 
 // attendLoop keeps a connection with the owner.
--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -24,8 +24,8 @@
 // within the time in which urgent work starts.
 const (
 	reconnectMin   = 50 * time.Millisecond
-	reconnectMax   = 300 * time.Millisecond
-	connectTimeout = 600 * time.Millisecond
+	reconnectMax   = 150 * time.Millisecond
+	connectTimeout = 250 * time.Millisecond
 	reconnectGrow  = 1.6
 	reconnectNoise = 0.2
 	// probeAfter is the shortest time that grpc-go allows.
