Owner stays while the table is slow for all entries

The owner saw an outage of 1 s, asked an entry whose last answer was a little newer, and resigned; the new owner took 1.9 s to load from the slow table, lost its own lease meanwhile, and no term was in force from 11.9 to 15.0 s. Ruled out: agents that do not reconnect (all were back 70 ms after the term began), epochs held twice. Change: an entry is a successor only if the table answers it within 100 ms at the time of the question.

--- a/internal/entry/graphs/handover.go
+++ b/internal/entry/graphs/handover.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
@@ -21,6 +22,10 @@
 	outageLimit   = time.Second
 	// handoverTimeout bounds one question to another entry.
 	handoverTimeout = 250 * time.Millisecond
+	// promptAnswer is how soon the table has to answer an entry that is to take
+	// over: a slower one would keep its term from beginning for seconds. It is
+	// below handoverTimeout and far above a healthy table's few milliseconds.
+	promptAnswer = 100 * time.Millisecond
 )
 
 // Resigner is the ownership that can be given up without the table.
@@ -34,10 +39,12 @@
 type TableHealth interface {
 	Rejected() time.Duration
 	Outage() time.Duration
+	Get(ctx context.Context, cause ledger.Cause, keys ...string) ([]ledger.Row, error)
 }
 
 // Handover gives the ownership to an entry that reaches the table when this one
-// does not. In an outage that all entries see, the owner stays.
+// does not. While the table fails or is slow for all entries, the owner stays:
+// its workers need nothing of the table.
 type Handover struct {
 	owner Resigner
 	table TableHealth
@@ -104,9 +111,21 @@
 }
 
 // serve answers another entry's question.
-func (h *Handover) serve(r *rpc.HandOverRequest) *rpc.HandOverReply {
+func (h *Handover) serve(ctx context.Context, r *rpc.HandOverRequest) *rpc.HandOverReply {
 	if r.Resigned {
 		h.owner.HearResigned(r.Epoch)
 	}
-	return &rpc.HandOverReply{Able: !h.failing() && h.lost() == 0}
+	return &rpc.HandOverReply{Able: !h.failing() && h.lost() == 0 && h.prompt(ctx)}
+}
+
+// prompt reports whether the table answers this process promptly now. What it
+// answered earlier says nothing about one that has just become slow.
+func (h *Handover) prompt(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, promptAnswer)
+	defer cancel()
+	_, err := h.table.Get(ctx, ledger.CauseOwner, fenceKey)
+	if err != nil {
+		h.log.Info().Err(err).Msg("no successor to the owner: the table does not answer promptly")
+	}
+	return err == nil
 }
--- a/internal/entry/graphs/peers.go
+++ b/internal/entry/graphs/peers.go
@@ -99,8 +99,8 @@
 }
 
 // HandOver tells an owner without the table whether this entry has it.
-func (s *Server) HandOver(_ context.Context, r *rpc.HandOverRequest) (*rpc.HandOverReply, error) {
-	return s.handover.serve(r), nil
+func (s *Server) HandOver(ctx context.Context, r *rpc.HandOverRequest) (*rpc.HandOverReply, error) {
+	return s.handover.serve(ctx, r), nil
 }
 
 // Router asks the owner, in this process or in another entry.
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -38,8 +38,9 @@
 // path is one process's way to the table, with faults of its own.
 type path struct {
 	*standin.Table
-	refuse atomic.Bool // every call is refused, nothing is done
-	silent atomic.Bool // no call is answered, nothing is done
+	refuse atomic.Bool  // every call is refused, nothing is done
+	silent atomic.Bool  // no call is answered, nothing is done
+	delay  atomic.Int64 // ns that each call waits first
 }
 
 func (p *path) pass(ctx context.Context) error {
@@ -50,6 +51,10 @@
 		<-ctx.Done()
 		return external.ErrUnavailable
 	}
+	kernel.Sleep(ctx, time.Duration(p.delay.Load()))
+	if ctx.Err() != nil {
+		return external.ErrUnavailable
+	}
 	return nil
 }
 
--- a/test/graphs/graphs_test.go
+++ b/test/graphs/graphs_test.go
@@ -330,3 +330,18 @@
 		t.Fatal("the owner has given its term up")
 	}
 }
+
+// TestOwnerStaysWhileTableIsSlow shows that the ownership is not given to an
+// entry that would be slow to begin its term, as the table is slow for it too.
+func TestOwnerStaysWhileTableIsSlow(t *testing.T) {
+	f := newFleetWithTerm(t, 3, 1, 4*time.Second)
+	old := f.ownerEntry()
+	for _, e := range f.entries {
+		e.path.delay.Store(int64(200 * time.Millisecond))
+	}
+	old.path.silent.Store(true)
+	time.Sleep(2500 * time.Millisecond)
+	if f.ownerEntry() != old {
+		t.Fatal("the owner has given its term up")
+	}
+}
