--- a/test/run.sh
+++ b/test/run.sh
@@ -2,7 +2,8 @@
 # Runs all Go tests. Tests that KNOWN-RED.txt lists are printed and passed
 # over; any other failure fails the run. A line "test: PACKAGE TESTNAME" in
 # KNOWN-RED.txt names one test; a line "fuzz: COMMAND" names a run that make
-# test does not include. Packages that use rapid run with a fixed seed.
+# test does not include, a line "hunt: COMMAND" a day of the kit's bench.
+# Packages that use rapid run with a fixed seed.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 skip=$(sed -n 's/^test: *[^ ]* *\([A-Za-z0-9_]*\).*$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
