One place for registration in order and for the addresses of entries

Found in reading the whole change once more: - Three mains had the same loop over names and services. Kernel.RegisterAll serves them; the order and the names are as before. - Agent and entry each made the addresses of the seed hosts' entries. Hosted.EntryAddress and Hosted.SeedAddresses serve both. - An entry that was told of a resignation read the table for an answer that nobody uses, up to 100 ms for each one told.

Behaviour is as before; no test has changed.

--- a/cmd/coltsfoot-agent/hosted.go
+++ b/cmd/coltsfoot-agent/hosted.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,23 +45,15 @@
 	return k.Invoke(func(kept *keeper.Keeper) error {
 		heartbeats := httpx.NewServer(httpx.ServerOptions{Listen: s.WorkerListen, Handler: platform.HeartbeatHandler(kept)})
 		pages := httpx.NewPages(s.IP, h.Flags.MetricsPort, h.Registry, func() any { return k.DumpState() })
-		for _, r := range []struct {
-			name    string
-			service kernel.Service
-		}{{"pages", pages}, {"heartbeats", heartbeats}, {"keeper", kept}} {
-			if err := k.Register(r.name, r.service); err != nil {
-				return err
-			}
-		}
-		return nil
+		return k.RegisterAll(
+			kernel.Registration{Name: "pages", Service: pages},
+			kernel.Registration{Name: "heartbeats", Service: heartbeats},
+			kernel.Registration{Name: "keeper", Service: kept},
+		)
 	})
 }
 
 func hostedFinder(s *settings.Hosted, clock func() time.Duration, registry metrics.Registry, log zerolog.Logger) *keeper.Finder {
 	rows := ledger.New(platform.NewStore(s.TableAddress), ledger.Config{Metrics: registry, Log: log, Clock: clock, OpTimeout: settings.HostedTableTimeout})
-	var entries []string
-	for _, host := range s.SeedHosts {
-		entries = append(entries, net.JoinHostPort(host, strconv.Itoa(s.FirstPort)))
-	}
-	return keeper.NewFinder(rows, settings.HostedCell, entries, clock, log)
+	return keeper.NewFinder(rows, settings.HostedCell, s.SeedAddresses(), clock, log)
 }
--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -101,27 +99,19 @@
 // in reverse: the entry stops being ready, gives the ownership up, answers what
 // still comes, and then ends its connections.
 func registerHosted(k *kernel.Kernel, all hosted) error {
-	for _, r := range []struct {
-		name    string
-		service kernel.Service
-	}{
-		{"ledger", all.Ledger},
-		{"policies", all.Policies},
-		{"rpc", all.RPC},
-		{"pages", all.Pages},
-		{"probes", all.Probes},
-		{"callers", all.Callers},
-		{"owner", all.Owner},
-		{"scheduler", all.Scheduler},
-		{"retention", all.Retention},
-		{"handover", all.Handover},
-		{"leaving", all.Leaving},
-	} {
-		if err := k.Register(r.name, r.service); err != nil {
-			return err
-		}
-	}
-	return nil
+	return k.RegisterAll(
+		kernel.Registration{Name: "ledger", Service: all.Ledger},
+		kernel.Registration{Name: "policies", Service: all.Policies},
+		kernel.Registration{Name: "rpc", Service: all.RPC},
+		kernel.Registration{Name: "pages", Service: all.Pages},
+		kernel.Registration{Name: "probes", Service: all.Probes},
+		kernel.Registration{Name: "callers", Service: all.Callers},
+		kernel.Registration{Name: "owner", Service: all.Owner},
+		kernel.Registration{Name: "scheduler", Service: all.Scheduler},
+		kernel.Registration{Name: "retention", Service: all.Retention},
+		kernel.Registration{Name: "handover", Service: all.Handover},
+		kernel.Registration{Name: "leaving", Service: all.Leaving},
+	)
 }
 
 func hostedLedger(store *platform.Store, c clock, registry metrics.Registry, log zerolog.Logger) *ledger.Client {
@@ -140,21 +130,12 @@
 		Poll:      250 * time.Millisecond,
 		PermitTTL: time.Millisecond, // workers' leases are waited for one by one
 	}
-	self := owner.Self{ID: s.Node, Sole: true, Addr: entryAddress(s, s.IP)}
+	self := owner.Self{ID: s.Node, Sole: true, Addr: s.EntryAddress(s.IP)}
 	return owner.New(l, settings.HostedCell, self, c, owner.Config{Times: times, Metrics: registry, Log: log})
 }
 
-// entryAddress is where the entry on a host serves agents and other entries.
-func entryAddress(s *settings.Hosted, ip string) string {
-	return net.JoinHostPort(ip, strconv.Itoa(s.FirstPort))
-}
-
 func hostedPeers(s *settings.Hosted, o *owner.Service, log zerolog.Logger) *graphs.Peers {
-	var seeds []string
-	for _, host := range s.SeedHosts {
-		seeds = append(seeds, entryAddress(s, host))
-	}
-	return graphs.NewPeers(entryAddress(s, s.IP), seeds, o, log)
+	return graphs.NewPeers(s.EntryAddress(s.IP), s.SeedAddresses(), o, log)
 }
 
 func hostedHandover(o *owner.Service, l *ledger.Client, p *policy.Watcher, peers *graphs.Peers, log zerolog.Logger) *graphs.Handover {
@@ -172,7 +153,7 @@
 }
 
 func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front, h *graphs.Handover) *graphs.Server {
-	return graphs.NewServer(entryAddress(s, s.IP), sch, o, f, h)
+	return graphs.NewServer(s.EntryAddress(s.IP), sch, o, f, h)
 }
 
 func hostedFront(p *policy.Watcher, store *graphs.Store, sch *graphs.Scheduler, o *owner.Service, peers *graphs.Peers, registry metrics.Registry, log zerolog.Logger) *graphs.Front {
--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -79,28 +79,20 @@
 }
 
 func register(k *kernel.Kernel, all services) error {
-	for _, r := range []struct {
-		name    string
-		service kernel.Service
-	}{
-		{"ledger", all.Ledger},
-		{"config", all.Config},
-		{"membership", all.Membership},
-		{"owner", all.Owner},
-		{"waiters", all.Waiters},
-		{"links", all.Links},
-		{"rpc", all.RPC},
-		{"scheduler", all.Scheduler},
-		{"requests", all.Requests},
-		{"notifier", all.Notifier},
-		{"retention", all.Retention},
-		{"http", all.HTTP},
-	} {
-		if err := k.Register(r.name, r.service); err != nil {
-			return err
-		}
-	}
-	return nil
+	return k.RegisterAll(
+		kernel.Registration{Name: "ledger", Service: all.Ledger},
+		kernel.Registration{Name: "config", Service: all.Config},
+		kernel.Registration{Name: "membership", Service: all.Membership},
+		kernel.Registration{Name: "owner", Service: all.Owner},
+		kernel.Registration{Name: "waiters", Service: all.Waiters},
+		kernel.Registration{Name: "links", Service: all.Links},
+		kernel.Registration{Name: "rpc", Service: all.RPC},
+		kernel.Registration{Name: "scheduler", Service: all.Scheduler},
+		kernel.Registration{Name: "requests", Service: all.Requests},
+		kernel.Registration{Name: "notifier", Service: all.Notifier},
+		kernel.Registration{Name: "retention", Service: all.Retention},
+		kernel.Registration{Name: "http", Service: all.HTTP},
+	)
 }
 
 func newTable(s *settings.Entry) external.Table {
--- a/internal/entry/graphs/handover.go
+++ b/internal/entry/graphs/handover.go
@@ -16,8 +16,9 @@
 	// handoverPoll is the time between two looks at the owner's table.
 	handoverPoll = 100 * time.Millisecond
 	// rejectedLimit and outageLimit are how long the table may reject every
-	// call at once, or answer none, before an owner looks for a successor. A
-	// table that is slow, or one connection that is silent, stays below.
+	// call at once, or answer none, before an owner looks for a successor. One
+	// connection that is silent stays below; a slow table may not, which is why
+	// a successor has to be prompt.
 	rejectedLimit = 300 * time.Millisecond
 	outageLimit   = time.Second
 	// handoverTimeout bounds one question to another entry.
@@ -114,6 +115,7 @@
 func (h *Handover) serve(ctx context.Context, r *rpc.HandOverRequest) *rpc.HandOverReply {
 	if r.Resigned {
 		h.owner.HearResigned(r.Epoch)
+		return &rpc.HandOverReply{} // told, not asked
 	}
 	return &rpc.HandOverReply{Able: !h.failing() && h.lost() == 0 && h.prompt(ctx)}
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -27,9 +27,10 @@
 // ErrNoService says that no service has the name and type asked for.
 const ErrNoService = errors.ConstError("no such service")
 
-type registration struct {
-	name    string
-	service Service
+// Registration is a service under a name of its own.
+type Registration struct {
+	Name    string
+	Service Service
 }
 
 // Kernel holds the services of one process.
@@ -37,7 +38,7 @@
 	container *dig.Container
 
 	mu       sync.Mutex
-	services []registration
+	services []Registration
 	started  int
 }
 
@@ -69,11 +70,22 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range k.services {
-		if r.name == name {
+		if r.Name == name {
 			return errors.AlreadyExistsf("service %q", name)
 		}
 	}
-	k.services = append(k.services, registration{name, s})
+	k.services = append(k.services, Registration{name, s})
+	return nil
+}
+
+// RegisterAll adds services in the order of their start, up to the first
+// whose name is taken.
+func (k *Kernel) RegisterAll(all ...Registration) error {
+	for _, r := range all {
+		if err := k.Register(r.Name, r.Service); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -83,13 +95,13 @@
 	defer k.mu.Unlock()
 	var zero T
 	for _, r := range k.services {
-		if r.name != name {
+		if r.Name != name {
 			continue
 		}
-		if t, ok := r.service.(T); ok {
+		if t, ok := r.Service.(T); ok {
 			return t, nil
 		}
-		return zero, errors.Annotatef(ErrNoService, "service %q is a %T", name, r.service)
+		return zero, errors.Annotatef(ErrNoService, "service %q is a %T", name, r.Service)
 	}
 	return zero, errors.Annotatef(ErrNoService, "service %q", name)
 }
@@ -98,12 +110,12 @@
 // started ones are stopped again.
 func (k *Kernel) Start(ctx context.Context) error {
 	for i, r := range k.list() {
-		if err := r.service.Start(ctx); err != nil {
+		if err := r.Service.Start(ctx); err != nil {
 			stopErr := k.Stop(ctx)
 			if stopErr != nil {
-				return errors.Annotatef(err, "starting service %q (and stopping failed: %v)", r.name, stopErr)
+				return errors.Annotatef(err, "starting service %q (and stopping failed: %v)", r.Name, stopErr)
 			}
-			return errors.Annotatef(err, "starting service %q", r.name)
+			return errors.Annotatef(err, "starting service %q", r.Name)
 		}
 		k.mu.Lock()
 		k.started = i + 1
@@ -122,8 +134,8 @@
 	k.mu.Unlock()
 	var first error
 	for i := n - 1; i >= 0; i-- {
-		if err := services[i].service.Stop(ctx); err != nil && first == nil {
-			first = errors.Annotatef(err, "stopping service %q", services[i].name)
+		if err := services[i].Service.Stop(ctx); err != nil && first == nil {
+			first = errors.Annotatef(err, "stopping service %q", services[i].Name)
 		}
 	}
 	return first
@@ -133,15 +145,15 @@
 func (k *Kernel) DumpState() map[string]any {
 	out := map[string]any{}
 	for _, r := range k.list() {
-		if d, ok := r.service.(Dumper); ok {
-			out[r.name] = d.DumpState()
+		if d, ok := r.Service.(Dumper); ok {
+			out[r.Name] = d.DumpState()
 		}
 	}
 	return out
 }
 
-func (k *Kernel) list() []registration {
+func (k *Kernel) list() []Registration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return append([]registration(nil), k.services...)
+	return append([]Registration(nil), k.services...)
 }
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"net"
+	"strconv"
+	"time"
+)
 
 const (
 	// HostedCell is the cell of a hosted deployment: one owner for all.
@@ -44,3 +48,17 @@
 	StopGrace time.Duration
 	MemoryMB  int
 }
+
+// EntryAddress is where the entry on a host serves agents and other entries.
+func (h *Hosted) EntryAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(h.FirstPort))
+}
+
+// SeedAddresses are the addresses of the entries on the seed hosts.
+func (h *Hosted) SeedAddresses() []string {
+	var out []string
+	for _, host := range h.SeedHosts {
+		out = append(out, h.EntryAddress(host))
+	}
+	return out
+}
