--- a/internal/graph/plan/core_test.go
+++ b/internal/graph/plan/core_test.go
@@ -111,3 +111,64 @@
 		}
 	}
 }
+
+// TestFailedRunCountsAcrossTerms shows that the failure of one member of a gang
+// counts as an attempt, once, if the owner changes before the other members
+// have ended: the end may have been acknowledged by then.
+func TestFailedRunCountsAcrossTerms(t *testing.T) {
+	for _, other := range []graph.EndKind{graph.EndBroken, graph.EndFailed} {
+		t.Run(string(other), func(t *testing.T) {
+			b := newBed(t)
+			job := gangOfTwo()
+			first := b.startGang(job)
+			b.report(first[0].Worker, nil, ended(first[0], graph.EndFailed))
+
+			row := b.core.jobs[job.ID].progress()
+			next := newBed(t)
+			next.step(Submitted{Job: job, Progress: &row})
+			next.report(first[0].Worker, nil)
+			next.report(first[1].Worker, nil, ended(first[1], other))
+			if got := next.core.jobs[job.ID].units[0].failures; got != 1 {
+				t.Fatalf("%d failures of one run", got)
+			}
+			next.now += suspectFor + time.Millisecond
+			next.report(first[0].Worker, nil)
+			next.report(first[1].Worker, nil)
+			next.step(Tick{})
+			u := next.core.jobs[job.ID].units[0]
+			if len(u.members) != 2 {
+				t.Fatalf("second attempt has %d members", len(u.members))
+			}
+			for _, m := range u.members {
+				next.report(m.worker.info.ID, nil, graph.RunEnd{Number: 2, Task: m.task, Run: m.run, How: graph.EndFailed})
+			}
+			if v, _ := next.core.View(job.ID); v.State != graph.Failed {
+				t.Fatalf("after two failed runs: %+v", v)
+			}
+		})
+	}
+}
+
+// gangOfTwo is a job of one gang that fills two workers and has two attempts.
+func gangOfTwo() *graph.Job {
+	return &graph.Job{ID: "j0", Queue: "q", Account: "a0", Pool: "pool", Priority: 1, Attempts: 2, Stretch: 2, Submitted: time.Unix(0, 0),
+		Steps: []graph.Step{{Count: 2, Gang: true, Needs: graph.Resources{MilliCPU: 1000, Accelerators: 8}, Estimate: time.Second}}}
+}
+
+// startGang starts a gang on two workers, which list it as running.
+func (b *bed) startGang(job *graph.Job) []Start {
+	b.report("w0", nil)
+	b.report("w1", nil)
+	out := starts(b.step(Submitted{Job: job}))
+	if len(out) != 2 {
+		b.t.Fatalf("started %+v", out)
+	}
+	for _, s := range out {
+		b.report(s.Worker, []graph.RunState{{Task: s.Task, Run: s.Run}})
+	}
+	return out
+}
+
+func ended(s Start, how graph.EndKind) graph.RunEnd {
+	return graph.RunEnd{Number: 1, Task: s.Task, Run: s.Run, How: how}
+}
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -34,15 +34,18 @@
 
 // simUnit is the truth about a unit: its work, and whether it fails.
 type simUnit struct {
-	job     *simJob
-	step    *graph.Step
-	work    time.Duration // of one task on a sound worker
-	fails   int           // runs that fail by their own fault before one is done
-	done    bool          // a run of it has ended done
-	noted   bool          // such an end was acknowledged, and no lease ran out before
-	runs    []*simRun     // live
-	begun   map[int]bool  // tasks, by index
-	members int
+	job   *simJob
+	step  *graph.Step
+	work  time.Duration // of one task on a sound worker
+	fails int           // runs that fail by their own fault before one is done
+	done  bool          // a run of it has ended done
+	noted bool          // such an end was acknowledged, and no lease ran out before
+	// failed and notedFailed hold the runs that have ended failed, and those of
+	// them whose end was acknowledged before a lease ran out.
+	failed, notedFailed map[uint64]bool
+	runs                []*simRun    // live
+	begun               map[int]bool // tasks, by index
+	members             int
 }
 
 // simJob is a submitted job and what became of it.
@@ -256,15 +259,31 @@
 	return nil
 }
 
-// note marks the units whose ends are acknowledged as done for good.
+// note marks the units whose ends are acknowledged for good.
 func (s *sim) note(w *simWorker, number uint64) {
 	for _, e := range w.ended {
-		if e.Number <= number && e.Number > w.void && e.How == graph.EndDone {
-			s.unitOf(e.Task).noted = true
+		if e.Number > number || e.Number <= w.void {
+			continue
+		}
+		u := s.unitOf(e.Task)
+		switch e.How {
+		case graph.EndDone:
+			u.noted = true
+		case graph.EndFailed:
+			u.notedFailed = with(u.notedFailed, e.Run)
 		}
 	}
 }
 
+// with adds a run to a set, which may be nil.
+func with(set map[uint64]bool, run uint64) map[uint64]bool {
+	if set == nil {
+		set = map[uint64]bool{}
+	}
+	set[run] = true
+	return set
+}
+
 func (s *sim) unitOf(t graph.TaskID) *simUnit {
 	units := s.byID[t.Job].units[t.Step]
 	if len(units) == 1 {
@@ -357,6 +376,9 @@
 	if u.noted {
 		s.fail("%v starts after it was done", a.Task)
 	}
+	if len(u.notedFailed) >= max(1, j.Attempts) {
+		s.fail("%v starts after %d of %d attempts have failed", a.Task, len(u.notedFailed), j.Attempts)
+	}
 	if a.Spec != j.Spec {
 		s.fail("%v starts with spec %q", a.Task, a.Spec)
 	}
@@ -500,6 +522,9 @@
 	w.stopped[r.task.String()] = max(w.stopped[r.task.String()], r.run)
 	w.ended = append(w.ended, graph.RunEnd{Number: w.seen + uint64(len(w.ended)) + 1, Task: r.task, Run: r.run, How: how, Checkpoint: saved})
 	w.news = true
+	if how == graph.EndFailed {
+		u.failed = with(u.failed, r.run)
+	}
 	if how == graph.EndDone {
 		return
 	}
@@ -572,7 +597,23 @@
 		if v.State == graph.Cancelled && j.cancelled == 0 {
 			s.fail("%s is shown as cancelled", j.ID)
 		}
+		if v.State == graph.Failed && !j.outOfAttempts() {
+			s.fail("%s is shown as failed", j.ID)
+		}
+	}
+}
+
+// outOfAttempts reports whether as many runs of a unit have ended failed as the
+// job has attempts.
+func (j *simJob) outOfAttempts() bool {
+	for _, units := range j.units {
+		for _, u := range units {
+			if len(u.failed) >= max(1, j.Attempts) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 func (j *simJob) allDone() bool {
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -179,12 +179,12 @@
 		out = append(out, graph.TaskProgress{Step: u.step, Index: m.task.Index, Run: m.run,
 			Worker: m.worker.info.ID, Incarnation: m.incarnation})
 	}
-	common := graph.TaskProgress{Step: u.step, Index: u.index, Failures: u.failures,
+	common := graph.TaskProgress{Step: u.step, Index: u.index, Failures: u.failures, Failed: u.failed,
 		Done: u.phase == unitDone || u.done, Checkpoint: u.checkpoint}
 	switch {
 	case len(out) > 0 && out[0].Index == u.index:
-		out[0].Failures, out[0].Done, out[0].Checkpoint = common.Failures, common.Done, common.Checkpoint
-	case common.Failures > 0 || common.Done || common.Checkpoint != "":
+		out[0].Failures, out[0].Failed, out[0].Done, out[0].Checkpoint = common.Failures, common.Failed, common.Done, common.Checkpoint
+	case common.Failures > 0 || common.Failed || common.Done || common.Checkpoint != "":
 		out = append([]graph.TaskProgress{common}, out...)
 	}
 	return out
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		if t.Index == u.index {
-			u.failures, u.checkpoint = t.Failures, t.Checkpoint
+			u.failures, u.failed, u.checkpoint = t.Failures, t.Failed, t.Checkpoint
 			if t.Done {
 				u.phase, u.done = unitDone, true
 			}
@@ -61,7 +61,7 @@
 		if len(u.members) > 0 && u.phase != unitDone {
 			u.phase = unitPlaced
 		}
-		if j.state.Final() {
+		if j.state.Final() || u.failed {
 			c.endRun(u)
 		}
 	}
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -28,7 +28,7 @@
 }
 
 // TaskProgress is the progress of one task, or of all tasks of a gang when it
-// describes Index 0 (Failures, Done and Checkpoint are the gang's then).
+// describes Index 0 (Failures, Failed, Done and Checkpoint are the gang's then).
 type TaskProgress struct {
 	Step  int `json:"s"`
 	Index int `json:"i"`
@@ -38,6 +38,9 @@
 	Worker      string `json:"w,omitempty"`
 	Incarnation string `json:"b,omitempty"`
 	Failures    int    `json:"f,omitempty"`
-	Done        bool   `json:"d,omitempty"`
-	Checkpoint  string `json:"c,omitempty"`
+	// Failed says that a member of the gang's present run has failed: the run
+	// counts among Failures once its other members have ended.
+	Failed     bool   `json:"x,omitempty"`
+	Done       bool   `json:"d,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
 }
