--- a/internal/graph/plan/bench_test.go
+++ b/internal/graph/plan/bench_test.go
@@ -20,8 +20,7 @@
 	next  int
 }
 
-func newFilled(b *testing.B, workers int) *filled {
-	b.Helper()
+func newFilled(workers int) *filled {
 	f := &filled{core: New(Config{Token: 1, LeaseBound: simLease, TermStart: time.Unix(0, 0)}), runs: map[string][]graph.RunState{}}
 	f.step(Configured{loadPolicy()})
 	for i := range workers {
@@ -69,7 +68,7 @@
 func benchSizes(b *testing.B, run func(b *testing.B, f *filled)) {
 	for _, workers := range []int{10, 100, 1000, 4400} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
-			f := newFilled(b, workers)
+			f := newFilled(workers)
 			b.ReportAllocs()
 			b.ResetTimer()
 			run(b, f)
@@ -103,3 +102,82 @@
 		}
 	})
 }
+
+// overloadGang is the size of the gangs that wait within a guarantee, and
+// overloadAccount the account that it belongs to.
+const (
+	overloadGang    = 4
+	overloadAccount = "a0"
+)
+
+// overloaded is a full fleet of 52 workers, as at a burst of the larger sites:
+// jobs of 30 tasks wait, single tasks and gangs by turns, and a gang within a
+// guarantee waits for room to be reclaimed.
+func overloaded(waiting int) *filled {
+	f := newFilled(52)
+	for range waiting / 30 {
+		f.submit(30)
+		f.submitGang(3, "", 1)
+	}
+	f.submitGang(overloadGang, overloadAccount, 0)
+	for i := range f.infos {
+		f.beat(i)
+	}
+	return f
+}
+
+// pass lets so much time go by that a claim is given up and made anew.
+func (f *filled) pass() {
+	f.now += claimTimeout
+	for _, w := range f.core.ordered {
+		w.heardAt, w.leaseFrom = f.now, f.now
+	}
+	f.step(Tick{})
+}
+
+func BenchmarkOverload(b *testing.B) {
+	for _, waiting := range []int{30, 300, 900} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			f := overloaded(waiting)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				f.pass()
+			}
+		})
+	}
+}
+
+// TestPassDoesNotGrowWithWaitingTasks shows that a pass over a full fleet costs
+// about the same for three times as many waiting tasks of as many more jobs, by
+// its allocations, which do not depend on the machine.
+func TestPassDoesNotGrowWithWaitingTasks(t *testing.T) {
+	allocations := func(waiting int) float64 { return testing.AllocsPerRun(20, overloaded(waiting).pass) }
+	few, many := allocations(300), allocations(900)
+	if many > 1.5*few {
+		t.Errorf("%v allocations with 300 waiting tasks, %v with 900", few, many)
+	}
+}
+
+// BenchmarkClaim measures how a gang within a guarantee picks its victims among
+// hundreds of running tasks.
+func BenchmarkClaim(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		f := newFilled(52)
+		f.now = time.Second
+		for i := range f.infos {
+			f.beat(i)
+		}
+		b.StartTimer()
+		f.submitGang(overloadGang, overloadAccount, 0)
+	}
+}
+
+// submitGang submits a gang of whole workers.
+func (f *filled) submitGang(tasks int, account string, priority int) {
+	f.next++
+	f.step(Submitted{Job: &graph.Job{ID: graph.JobID(fmt.Sprintf("%016x", f.next)), Queue: "q", Account: account, Pool: "pool", Priority: priority,
+		Attempts: 3, Stretch: 3, Submitted: time.Unix(0, 0),
+		Steps: []graph.Step{{Count: tasks, Gang: true, SameRack: account == "", Needs: graph.Resources{MilliCPU: 2000, Accelerators: 8}, Estimate: time.Hour}}}})
+}
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -237,7 +237,7 @@
 // sites returns the places that a unit may use now. Room that is set aside for
 // others is left out, unless the unit is expected to be gone by then.
 func (c *Core) sites(u *unit) []site {
-	var out []site
+	out := make([]site, 0, len(c.ordered))
 	for _, w := range c.ordered {
 		if c.usable(w, u) {
 			out = append(out, site{w, c.room(w, u)})
@@ -246,8 +246,11 @@
 	return out
 }
 
+// free is what a worker has beside what runs there.
+func (w *worker) free() graph.Resources { return w.info.Capacity.Sub(w.used).Sub(w.strays) }
+
 func (c *Core) room(w *worker, u *unit) graph.Resources {
-	room := w.info.Capacity.Sub(w.used).Sub(w.strays)
+	room := w.free()
 	for _, cl := range c.books.claims {
 		if cl.unit != u {
 			room = room.Sub(cl.on(w))
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -26,6 +26,7 @@
 		return
 	}
 	c.books.claims = slices.DeleteFunc(c.books.claims, func(o *claim) bool { return o == u.claim })
+	c.books.full = map[kind]bool{}
 	u.claim = nil
 }
 
@@ -40,7 +41,7 @@
 		}
 	}
 	for _, p := range cl.parts {
-		if !cl.on(p.worker).Fits(p.worker.info.Capacity.Sub(p.worker.used).Sub(p.worker.strays)) {
+		if !cl.on(p.worker).Fits(p.worker.free()) {
 			return
 		}
 	}
@@ -80,81 +81,115 @@
 // they are added one by one, those with the least loss for what they free
 // first, and then those that turned out not to be needed are left out.
 func (c *Core) clear(u *unit, g group, why Reason) *option {
-	candidates := c.victims(u, g, why)
-	slices.SortStableFunc(candidates, func(a, b *unit) int {
-		return cmp.Compare(c.loss(a)/freed(a, g), c.loss(b)/freed(b, g))
-	})
-	var chosen []*unit
-	parts := c.placeWithout(u, g, chosen)
-	for _, v := range candidates {
-		if parts != nil {
-			break
-		}
-		chosen = append(chosen, v)
-		parts = c.placeWithout(u, g, chosen)
+	cl := newClearing(u, g)
+	candidates := c.victims(u, g, why, cl)
+	slices.SortStableFunc(candidates, func(a, b victim) int { return cmp.Compare(a.rate, b.rate) })
+	parts := cl.pack()
+	taken := 0
+	for ; parts == nil && taken < len(candidates); taken++ {
+		cl.stop(candidates[taken].unit)
+		parts = cl.pack()
 	}
 	if parts == nil {
 		return nil
 	}
-	for i := len(chosen) - 1; i >= 0; i-- {
-		fewer := slices.Delete(slices.Clone(chosen), i, i+1)
-		if p := c.placeWithout(u, g, fewer); p != nil {
-			chosen, parts = fewer, p
+	o := &option{}
+	for i := taken - 1; i >= 0; i-- {
+		v := candidates[i]
+		cl.keep(v.unit)
+		if p := cl.pack(); p != nil {
+			parts = p
+			continue
 		}
+		cl.stop(v.unit)
+		o.victims = append(o.victims, v.unit)
+		o.loss += v.loss
 	}
-	o := &option{parts: parts, victims: chosen}
-	for _, v := range chosen {
-		o.loss += c.loss(v)
-	}
+	slices.Reverse(o.victims)
+	o.parts = parts
 	return o
 }
 
+// victim is a unit that may be stopped. rate is its loss for each core that it
+// frees.
+type victim struct {
+	unit       *unit
+	loss, rate float64
+}
+
 // victims returns the units with work on a group that may be stopped for a
 // unit: those outside of every guarantee, and for a unit that has none itself
 // only those of a lower priority.
-func (c *Core) victims(u *unit, g group, why Reason) []*unit {
-	entitled := c.entitled()
-	var out []*unit
+func (c *Core) victims(u *unit, g group, why Reason, cl *clearing) []victim {
+	seen := map[*unit]bool{}
+	var out []victim
 	for _, s := range g.sites {
 		for _, m := range s.members {
 			v := m.unit
-			if entitled[v.job] || v.phase != unitPlaced || v.ending || slices.Contains(out, v) {
+			if seen[v] || c.books.entitled[v.job] || v.phase != unitPlaced || v.ending {
 				continue
 			}
+			seen[v] = true
 			if why == ReasonPreempted && v.job.Priority <= u.job.Priority {
 				continue
 			}
-			out = append(out, v)
+			loss := c.loss(v)
+			out = append(out, victim{v, loss, loss / cl.freed(v)})
 		}
 	}
 	return out
 }
 
-// freed is the size in cores of what stopping a unit frees within a group.
-func freed(u *unit, g group) float64 {
-	total := 0.1 // keeps units without need from dividing by zero
-	for _, m := range u.members {
-		if !m.ended && slices.ContainsFunc(g.sites, func(s site) bool { return s.worker == m.worker }) {
-			total += u.spec.Needs.Cores()
+// clearing is a group's room as if some units had ended.
+type clearing struct {
+	unit    *unit
+	sites   []site
+	index   map[*worker]int
+	present map[*worker]int
+}
+
+// newClearing returns the room without all that is ending already.
+func newClearing(u *unit, g group) *clearing {
+	cl := &clearing{unit: u, sites: slices.Clone(g.sites), index: map[*worker]int{}, present: u.present()}
+	for i, s := range cl.sites {
+		cl.index[s.worker] = i
+		for _, m := range s.members {
+			if m.unit.ending {
+				cl.sites[i].room = cl.sites[i].room.Add(m.unit.spec.Needs)
+			}
 		}
 	}
-	return total
+	return cl
 }
 
-// placeWithout places a unit in a group as if the victims, and all that is
-// ending already, had ended.
-func (c *Core) placeWithout(u *unit, g group, victims []*unit) []part {
-	sites := slices.Clone(g.sites)
-	for i := range sites {
-		for _, m := range sites[i].members {
-			if m.unit.ending || slices.Contains(victims, m.unit) {
-				sites[i].room = sites[i].room.Add(m.unit.spec.Needs)
-			}
+// stop adds a unit's needs to the room, and keep takes them out again.
+func (cl *clearing) stop(v *unit) {
+	cl.eachSite(v, func(s *site) { s.room = s.room.Add(v.spec.Needs) })
+}
+
+func (cl *clearing) keep(v *unit) {
+	cl.eachSite(v, func(s *site) { s.room = s.room.Sub(v.spec.Needs) })
+}
+
+// eachSite calls fn with the site of each member of a unit that lies here.
+func (cl *clearing) eachSite(v *unit, fn func(*site)) {
+	for _, m := range v.members {
+		if i, ok := cl.index[m.worker]; ok && !m.ended {
+			fn(&cl.sites[i])
 		}
 	}
-	return pack(sites, u.spec, u.tasks, u.present())
 }
 
+// freed is the size in cores of what stopping a unit frees here.
+func (cl *clearing) freed(v *unit) float64 {
+	total := 0.1 // keeps units without need from dividing by zero
+	cl.eachSite(v, func(*site) { total += v.spec.Needs.Cores() })
+	return total
+}
+
+// pack returns where the unit fits, nil if it does not.
+func (cl *clearing) pack() []part { return pack(cl.sites, cl.unit.spec, cl.unit.tasks, cl.present) }
+
 // Weights of lost core-seconds against each other. Work that is thrown away
 // counts once; work of a job that misses its objective counts by the job's
 // priority, as a short job of the first priority is worth several times as much
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -24,6 +24,17 @@
 type books struct {
 	claims   []*claim
 	reserved []*reservation // of this pass
+	// full holds the kinds of units that have found no place in this pass. Room
+	// only shrinks within a pass, unless a claim is dropped.
+	full map[kind]bool
+	// entitled is the result of Core.entitled in this pass.
+	entitled map[*job]bool
+}
+
+// kind is what the places of a unit depend on, besides the workers it avoids.
+type kind struct {
+	spec    *graph.Step
+	lastTry bool
 }
 
 // schedule places what can be placed.
@@ -32,9 +43,10 @@
 		return
 	}
 	c.books.reserved = nil
-	entitled := c.entitled()
-	for _, u := range c.waiting(entitled) {
-		c.place(u, entitled[u.job])
+	c.books.full = map[kind]bool{}
+	c.books.entitled = c.entitled()
+	for _, u := range c.waiting(c.books.entitled) {
+		c.place(u, c.books.entitled[u.job])
 	}
 }
 
@@ -110,8 +122,7 @@
 		c.useClaim(u)
 		return
 	}
-	sites := c.sites(u)
-	if parts := find(u, sites, !c.rackCouldHold(u)); parts != nil {
+	if parts := c.findPlace(u); parts != nil {
 		c.begin(u, parts)
 		return
 	}
@@ -124,6 +135,36 @@
 	}
 }
 
+// findPlace returns where a unit fits now, nil if it does not.
+func (c *Core) findPlace(u *unit) []part {
+	k := kind{u.spec, u.lastTry()}
+	if c.books.full[k] {
+		return nil
+	}
+	if c.mayFit(u) {
+		if parts := find(u, c.sites(u), !c.rackCouldHold(u)); parts != nil {
+			return parts
+		}
+	}
+	if len(u.avoid) == 0 {
+		c.books.full[k] = true
+	}
+	return nil
+}
+
+// mayFit reports whether the workers have room for a unit if nothing is set
+// aside and all of them may be used; most passes of a busy fleet end here.
+func (c *Core) mayFit(u *unit) bool {
+	n := 0
+	for _, w := range c.ordered {
+		n += count(w.free(), u.spec)
+		if n >= u.tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // rackCouldHold reports whether some rack could hold a gang if it were empty.
 func (c *Core) rackCouldHold(u *unit) bool {
 	if !u.spec.SameRack {
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -13,7 +13,7 @@
 package plan
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
@@ -55,7 +55,7 @@
 	if w.Instance == "" {
 		return ""
 	}
-	return fmt.Sprintf("%s@%d", w.Instance, w.Born)
+	return w.Instance + "@" + strconv.FormatInt(w.Born, 10)
 }
 
 // RunAbsent says that a run is not on the worker and never will be.
