--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -27,7 +27,13 @@
 	// time between two: a store that is sixty times slower, or one connection
 	// that is silent, does not end it.
 	hostedTerm  = 1700 * time.Millisecond
-	hostedRenew = 400 * time.Millisecond
+	hostedRenew = 250 * time.Millisecond
+	// hostedTakeOver is how long the ownership's row has to be unchanged before
+	// another entry claims it: three renewals. Workers are fenced by the term's
+	// token and their leases are waited for, so the earlier owner need not have
+	// stopped. hostedPoll is the time between two looks at the row.
+	hostedTakeOver = 750 * time.Millisecond
+	hostedPoll     = 200 * time.Millisecond
 	// hostedLameDuck is how long a leaving entry goes on accepting connections:
 	// the balancer probes every second and takes it out after two misses.
 	hostedLameDuck = 2500 * time.Millisecond
@@ -127,7 +133,8 @@
 		Lease:     hostedTerm,
 		Renew:     hostedRenew,
 		Margin:    200 * time.Millisecond,
-		Poll:      250 * time.Millisecond,
+		Poll:      hostedPoll,
+		TakeOver:  hostedTakeOver,
 		PermitTTL: time.Millisecond, // workers' leases are waited for one by one
 	}
 	self := owner.Self{ID: s.Node, Sole: true, Addr: s.EntryAddress(s.IP)}
--- a/internal/agent/keeper/finder.go
+++ b/internal/agent/keeper/finder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,7 @@
 
 // Find returns a client of the owner and its address, nil if there is none now.
 func (f *Finder) Find(ctx context.Context) (rpc.FleetClient, string) {
-	address := f.ask(ctx)
+	address := f.ask(ctx, "")
 	if address == "" {
 		address = f.readRow(ctx)
 	}
@@ -65,12 +66,13 @@
 	return f.client(address), address
 }
 
-// ask asks all known entries at once and takes the answer with the highest epoch.
-func (f *Finder) ask(ctx context.Context) string {
+// ask asks all known entries but one at once and takes the answer with the
+// highest epoch.
+func (f *Finder) ask(ctx context.Context, except string) string {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
 	f.mu.Lock()
-	entries := append([]string(nil), f.entries...)
+	entries := slices.DeleteFunc(slices.Clone(f.entries), func(e string) bool { return e == except })
 	f.mu.Unlock()
 	replies := make(chan *rpc.LocateReply, len(entries))
 	for _, e := range entries {
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -13,13 +13,18 @@
 )
 
 const (
-	// beatInterval is the time between two reports without news.
-	beatInterval = time.Second
+	// beatInterval is the time between two reports without news. An owner that is
+	// gone is noticed by the report that it does not answer.
+	beatInterval = 600 * time.Millisecond
 	// beatSpacing is the least time between two reports.
 	beatSpacing = 20 * time.Millisecond
 	// silenceLimit is how long the owner may take to answer a report before
 	// the agent looks for it anew.
 	silenceLimit = 1200 * time.Millisecond
+	// answerWait is how long the owner may take before the agent asks the other
+	// entries whether there is another one, and between two such questions. An
+	// owner answers each report within milliseconds.
+	answerWait = 300 * time.Millisecond
 	// findRetry is the time between two looks for the owner.
 	findRetry = 100 * time.Millisecond
 )
@@ -38,7 +43,7 @@
 			continue
 		}
 		began := k.clock()
-		err := k.attend(ctx, client)
+		err := k.attend(ctx, client, address)
 		if ctx.Err() != nil {
 			return
 		}
@@ -46,7 +51,9 @@
 			last = err.Error()
 			k.log.Info().Err(err).Str("owner", address).Dur("lasted_ms", lasted).Msg("connection with the owner ended")
 		}
-		kernel.Sleep(ctx, findRetry)
+		if !errors.Is(err, errSucceeded) {
+			kernel.Sleep(ctx, findRetry)
+		}
 	}
 }
 
@@ -59,6 +66,7 @@
 // link is one connection with an owner.
 type link struct {
 	keeper *Keeper
+	owner  string // address
 	stream grpc.BidiStreamingClient[rpc.WorkerReport, rpc.WorkerOrders]
 	beat   uint64
 	// heard is signalled for each message of the owner.
@@ -67,7 +75,7 @@
 }
 
 // attend serves the owner until the connection ends, and returns why.
-func (k *Keeper) attend(ctx context.Context, client rpc.FleetClient) error {
+func (k *Keeper) attend(ctx context.Context, client rpc.FleetClient, owner string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.Attend(ctx)
@@ -78,7 +86,7 @@
 	k.absent = nil // the owner settles anew what an earlier connection was to tell
 	k.lease.forgetBeats()
 	k.mu.Unlock()
-	l := &link{keeper: k, stream: stream, heard: make(chan struct{}, 1), ended: make(chan error, 1)}
+	l := &link{keeper: k, owner: owner, stream: stream, heard: make(chan struct{}, 1), ended: make(chan error, 1)}
 	go l.receive(ctx)
 	return l.send(ctx)
 }
@@ -94,6 +102,8 @@
 	defer silence.Stop()
 	beat := time.NewTimer(beatInterval)
 	defer beat.Stop()
+	answer := time.NewTimer(answerWait)
+	defer answer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,6 +114,13 @@
 			return errors.Timeoutf("answer of the owner")
 		case <-l.heard:
 			silence.Reset(silenceLimit + beatInterval)
+			answer.Stop()
+			continue
+		case <-answer.C:
+			if err := l.successor(ctx); err != nil {
+				return err
+			}
+			answer.Reset(answerWait)
 			continue
 		case <-k.wakeSend:
 		case <-beat.C:
@@ -112,12 +129,25 @@
 			if err := l.report(true); err != nil {
 				return err
 			}
+			answer.Reset(answerWait)
 		}
 		beat.Reset(beatInterval)
 		kernel.Sleep(ctx, beatSpacing)
 	}
 }
 
+// errSucceeded says that another entry has become the owner.
+const errSucceeded = errors.ConstError("another entry owns scheduling")
+
+// successor returns an error if the other entries know another owner.
+func (l *link) successor(ctx context.Context) error {
+	address := l.keeper.finder.ask(ctx, l.owner)
+	if address == "" || address == l.owner {
+		return nil
+	}
+	return errors.Annotatef(errSucceeded, "%s instead of %s", address, l.owner)
+}
+
 // current reports whether the lists come from a call with the highest epoch.
 func (k *Keeper) current() bool {
 	k.mu.Lock()
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -48,6 +48,9 @@
 type Ownership interface {
 	Current() owner.Authority
 	Subscribe(fn func(owner.Authority))
+	// Overlap is for how long an earlier owner may still act after this process
+	// has become the owner.
+	Overlap() time.Duration
 }
 
 // Scheduler runs a term whenever this process owns scheduling.
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -49,7 +49,7 @@
 		registry: s.registry,
 		log:      s.log.With().Uint64("epoch", epoch).Uint64("token", token).Logger(),
 		end:      end,
-		core:     plan.New(plan.Config{Token: token, TermStart: s.now(), LeaseBound: leaseBound()}),
+		core:     plan.New(plan.Config{Token: token, TermStart: s.now(), LeaseBound: leaseBound(), Overlap: s.owner.Overlap()}),
 		versions: map[graph.JobID]uint64{},
 		sessions: map[string]*session{},
 	}
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -17,12 +17,19 @@
 	// LeaseBound is how long after the last report of a worker its lease has
 	// run out for certain.
 	LeaseBound time.Duration
+	// Overlap is for how long after time zero the earlier owner may still grant
+	// leases to workers that have not reported to this one.
+	Overlap time.Duration
 }
 
 const (
 	// quietAfter is the age of the last report from which a worker gets no new
 	// work; agents report every second.
 	quietAfter = 2500 * time.Millisecond
+	// settleTime is how long after the first report of a term nothing is stopped
+	// to make room: the other agents of a calm fleet report within it, and their
+	// workers may be free.
+	settleTime = 600 * time.Millisecond
 	// runsPerTerm is the number of run numbers of one term.
 	runsPerTerm = 1 << 24
 )
@@ -38,6 +45,9 @@
 	workers map[string]*worker
 	ordered []*worker // by ID
 	runs    uint64
+	// heard is set by the first report, settled is settleTime after it.
+	heard   bool
+	settled time.Duration
 	unsaved []*job
 	books   books
 	// stirred is set when something has changed on which places depend.
--- a/internal/graph/plan/core_test.go
+++ b/internal/graph/plan/core_test.go
@@ -172,3 +172,68 @@
 func ended(s Start, how graph.EndKind) graph.RunEnd {
 	return graph.RunEnd{Number: 1, Task: s.Task, Run: s.Run, How: how}
 }
+
+// TestOverlappingTermKeepsLeases shows that work on a worker that has not
+// reported is taken for running as long as the earlier owner may have granted
+// it a lease after this term began.
+func TestOverlappingTermKeepsLeases(t *testing.T) {
+	const overlap = time.Second
+	job := gangOfTwo()
+	b := newBed(t)
+	b.startGang(job)
+	row := b.core.jobs[job.ID].progress()
+
+	next := newBed(t)
+	next.core.cfg.Overlap = overlap
+	next.step(Submitted{Job: job, Progress: &row})
+	for _, at := range []time.Duration{simLease + overlap, simLease + overlap + time.Millisecond} {
+		next.now = at
+		next.step(Tick{})
+		running := next.core.jobs[job.ID].units[0].phase == unitPlaced
+		if want := at <= simLease+overlap; running != want {
+			t.Errorf("at %v: still placed %v, want %v", at, running, want)
+		}
+	}
+}
+
+// TestNothingIsStoppedBeforeTheFleetHasReported shows that a new owner does not
+// stop work on the first worker that reports, for a job within a guarantee, while
+// a free worker is about to report; and that it does once the time for it is over.
+func TestNothingIsStoppedBeforeTheFleetHasReported(t *testing.T) {
+	for _, second := range []bool{true, false} {
+		before := newBed(t)
+		before.report("w0", nil)
+		s := starts(before.submit("j0", 8))
+		row := before.core.jobs["j0"].progress()
+		running := []graph.RunState{{Task: s[0].Task, Run: s[0].Run}}
+
+		b := newBed(t)
+		b.step(Submitted{Job: before.core.jobs["j0"].Job, Progress: &row})
+		claim := *before.core.jobs["j0"].Job
+		claim.ID, claim.Account, claim.Priority = "j1", "a0", 0
+		b.step(Submitted{Job: &claim})
+		actions := b.report("w0", running)
+		b.now += settleTime / 2
+		actions = append(actions, b.step(Tick{})...)
+		if second {
+			actions = append(actions, b.report("w1", nil)...)
+		}
+		if stops(actions) > 0 || second && len(starts(actions)) != 1 {
+			t.Errorf("second worker %v: %+v", second, actions)
+		}
+		b.now += settleTime
+		if n := stops(b.step(Tick{})); second && n > 0 || !second && n != 1 {
+			t.Errorf("second worker %v: %d stops after the fleet has settled", second, n)
+		}
+	}
+}
+
+func stops(actions []Action) int {
+	n := 0
+	for _, a := range actions {
+		if _, ok := a.(Stop); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -57,8 +57,11 @@
 }
 
 // claimRoom stops the work whose loss is least so that a unit fits, unless the
-// loss exceeds the limit.
+// loss exceeds the limit or the term has just begun.
 func (c *Core) claimRoom(u *unit, limit float64, why Reason) bool {
+	if c.now < c.settled {
+		return false
+	}
 	var best *option
 	for _, g := range c.groupsFor(u) {
 		if o := c.clear(u, g, why); o != nil && (best == nil || o.loss < best.loss) {
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -65,7 +65,7 @@
 	if w != nil {
 		return w
 	}
-	w = &worker{info: WorkerInfo{ID: id}, heardAt: c.now, leaseFrom: c.now}
+	w = &worker{info: WorkerInfo{ID: id}, heardAt: c.now, leaseFrom: c.now + c.cfg.Overlap}
 	c.workers[id] = w
 	i, _ := slices.BinarySearchFunc(c.ordered, id, func(o *worker, id string) int { return strings.Compare(o.info.ID, id) })
 	c.ordered = slices.Insert(c.ordered, i, w)
@@ -85,6 +85,9 @@
 
 // report takes over what a worker's agent has reported.
 func (c *Core) report(e WorkerReport) {
+	if !c.heard {
+		c.heard, c.settled = true, c.now+settleTime
+	}
 	w := c.worker(e.Worker.ID)
 	if w.info.Incarnation() != e.Worker.Incarnation() {
 		c.reborn(w, e.Worker.Incarnation())
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -43,6 +43,19 @@
 	Margin    time.Duration
 	Poll      time.Duration
 	PermitTTL time.Duration
+	// TakeOver is how long the row has to be unchanged before another process
+	// claims it; 0 for until the lease is over on any clock. With a shorter time
+	// the term of the earlier owner may go on for Overlap: whoever acts for the
+	// cell has to be safe by its epochs alone.
+	TakeOver time.Duration
+}
+
+// Overlap is for how long an earlier owner may still act after a claim.
+func (t Times) Overlap() time.Duration {
+	if t.TakeOver == 0 {
+		return 0
+	}
+	return max(0, t.Lease-t.TakeOver)
 }
 
 func (t Times) withDefaults() Times {
@@ -167,6 +180,8 @@
 	lastRead       time.Duration
 	watching       bool
 	watchSince     time.Duration // start of the series
+	readSent       time.Duration
+	readTook       time.Duration // by the last read that was answered
 
 	// epoch is that of the term held, 0 for none. The term is valid until
 	// validUntil and may start work from startAfter on.
@@ -197,6 +212,7 @@
 		return c.tick(now)
 	case ReadDone:
 		c.busy, c.mustRead = false, false
+		c.readTook = now - c.readSent
 		c.observe(now, e.Version, e.Row)
 	case ReadFailed:
 		c.busy, c.watching = false, false
@@ -248,6 +264,7 @@
 		return nil
 	}
 	c.busy = true
+	c.readSent = now
 	c.nextRead = now + c.times.Poll
 	return []Action{Read{}}
 }
@@ -272,7 +289,7 @@
 }
 
 // mayClaim reports whether the row is free: absent, released, or unchanged
-// for so long that its owner's lease is over on any clock.
+// for long enough.
 func (c *Core) mayClaim(now time.Duration) bool {
 	if !c.seen || c.leaving || now < c.nextSend {
 		return false
@@ -280,10 +297,27 @@
 	if c.free() || c.self.Sole && c.row.EntryID == c.self.ID {
 		return true
 	}
-	if !c.watching || now-c.lastRead > watchGap || now-c.watchSince <= minWatch {
+	if !c.watching || now-c.lastRead > watchGap {
+		return false
+	}
+	if c.times.TakeOver == 0 && now-c.watchSince <= minWatch {
 		return false
 	}
-	return now-c.unchangedSince > c.times.Lease+c.times.Margin
+	return now-c.unchangedSince > c.patience()
+}
+
+// slowReads is the number of this process's reads for which an owner whose
+// table is as slow may take longer to renew: it sends a renewal only after the
+// last one was answered, and the row is seen when a read returns.
+const slowReads = 3
+
+// patience is how long the row has to be unchanged before it is claimed.
+func (c *Core) patience() time.Duration {
+	over := c.times.Lease + c.times.Margin
+	if c.times.TakeOver == 0 {
+		return over
+	}
+	return min(over, c.times.TakeOver+slowReads*c.readTook)
 }
 
 func (c *Core) free() bool {
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -100,6 +100,8 @@
 		return fmt.Sprintf("%T", ev)
 	case "short-times":
 		s.times = shortTimes
+	case "early-times":
+		s.times = earlyTimes
 	case "sleep":
 		s.now += wait
 	case "rounds":
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,6 +21,9 @@
 	tickInterval = 50 * time.Millisecond
 	// opTimeout bounds one read or write of the row.
 	opTimeout = 1500 * time.Millisecond
+	// promptTimeout bounds one while the table is prompt: an answer that was lost
+	// is noticed before the row is taken for abandoned.
+	promptTimeout = 500 * time.Millisecond
 )
 
 // Peers tells what the other entries report. The service asks for the outage
@@ -49,7 +53,9 @@
 	core *Core
 	subs []func(Authority)
 
-	last    Authority // as last told to subscribers
+	last    Authority   // as last told to subscribers
+	slow    atomic.Bool // the last operations have timed out
+	lost    atomic.Bool // the last one has
 	results chan Event
 	loops   kernel.Loops
 	running bool
@@ -171,14 +177,32 @@
 }
 
 func (s *Service) perform(ctx context.Context, a Action) Event {
-	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout())
 	defer cancel()
+	defer func() { s.noteTimeout(ctx.Err() != nil) }()
 	if w, ok := a.(Write); ok {
 		return s.write(ctx, w)
 	}
 	return s.read(ctx)
 }
 
+// timeout is short unless two operations in a row have needed longer: one may
+// have lost its answer, two tell that the table is slow.
+func (s *Service) timeout() time.Duration {
+	if s.cfg.Times.TakeOver == 0 || s.slow.Load() {
+		return opTimeout
+	}
+	return promptTimeout
+}
+
+func (s *Service) noteTimeout(timedOut bool) {
+	s.slow.Store(timedOut && (s.lost.Load() || s.slow.Load()))
+	s.lost.Store(timedOut)
+}
+
+// Overlap is for how long an earlier owner may still act after a claim.
+func (s *Service) Overlap() time.Duration { return s.cfg.Times.withDefaults().Overlap() }
+
 func (s *Service) read(ctx context.Context) Event {
 	rows, err := s.ledger.Get(ctx, ledger.CauseOwner, s.key)
 	if err != nil {
--- a/internal/owner/store_machine_test.go
+++ b/internal/owner/store_machine_test.go
@@ -22,6 +22,17 @@
 	PermitTTL: time.Second,
 }
 
+// earlyTimes are those of an entry that takes over before the earlier term is
+// over.
+var earlyTimes = Times{
+	Lease:     1700 * time.Millisecond,
+	Renew:     200 * time.Millisecond,
+	Margin:    200 * time.Millisecond,
+	Poll:      200 * time.Millisecond,
+	PermitTTL: time.Millisecond,
+	TakeOver:  700 * time.Millisecond,
+}
+
 // storeMachine drives a world by drawn actions.
 type storeMachine struct{ w *world }
 
--- a/test/graphs/graphs_test.go
+++ b/test/graphs/graphs_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/entry/graphs"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 )
 
@@ -62,6 +63,38 @@
 	}
 }
 
+// TestTakeoverBeforeTheTermIsOver shows that an owner without the table is
+// followed long before its term is over, and that no task runs twice while both
+// serve workers.
+func TestTakeoverBeforeTheTermIsOver(t *testing.T) {
+	const term, takeOver = 6 * time.Second, 700 * time.Millisecond
+	f := newFleetWithTimes(t, 3, 4, owner.Times{Lease: term, TakeOver: takeOver})
+	f.setWork(3 * time.Second)
+	id := f.submit(f.entries[0], 12)
+	f.await("twelve starts", func() bool { return len(f.starts(id)) == 12 })
+	first := f.ownerEntry()
+	first.path.silent.Store(true)
+	var next *entry
+	f.awaitWithin(term/2, "another owner", func() bool {
+		for _, e := range f.entries {
+			if e != first && e.owner.Current().Owner {
+				next = e
+			}
+		}
+		return next != nil
+	})
+	more := f.submit(next, 8)
+	f.awaitState(next, id, graph.Completed)
+	f.awaitState(next, more, graph.Completed)
+	for _, job := range []graph.JobID{id, more} {
+		for task, n := range f.starts(job) {
+			if n != 1 {
+				t.Errorf("%v began %d times", task, n)
+			}
+		}
+	}
+}
+
 // TestOwnershipLostForAMoment shows that an owner whose term has lapsed in an
 // outage, and which nobody has followed, goes on afterwards.
 func TestOwnershipLostForAMoment(t *testing.T) {
