--- a/internal/graph/plan/bench_test.go
+++ b/internal/graph/plan/bench_test.go
@@ -22,6 +22,7 @@
 
 func newFilled(workers int) *filled {
 	f := &filled{core: New(Config{Token: 1, LeaseBound: simLease, TermStart: time.Unix(0, 0)}), runs: map[string][]graph.RunState{}}
+	f.core.hasListened()
 	f.step(Configured{loadPolicy()})
 	for i := range workers {
 		f.infos = append(f.infos, WorkerInfo{ID: fmt.Sprintf("w%05d", i), Instance: "i", Born: 1, Pool: "pool", Zone: fmt.Sprint("z", i%9),
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -26,9 +26,12 @@
 	// quietAfter is the age of the last report from which a worker gets no new
 	// work; agents report every second.
 	quietAfter = 2500 * time.Millisecond
-	// settleTime is how long after the first report of a term nothing is stopped
-	// to make room: the other agents of a calm fleet report within it, and their
-	// workers may be free.
+	// placeDelay is how long after the first report of a term nothing is placed:
+	// most agents of a calm fleet report within it, and what comes first should
+	// have its choice among their workers.
+	placeDelay = 100 * time.Millisecond
+	// settleTime is how long nothing is stopped to make room: nearly all agents
+	// report within it, and their workers may be free.
 	settleTime = 600 * time.Millisecond
 	// runsPerTerm is the number of run numbers of one term.
 	runsPerTerm = 1 << 24
@@ -45,11 +48,11 @@
 	workers map[string]*worker
 	ordered []*worker // by ID
 	runs    uint64
-	// heard is set by the first report, settled is settleTime after it.
-	heard   bool
-	settled time.Duration
-	unsaved []*job
-	books   books
+	// heard is set by the first report, firstHeard is when it came.
+	heard      bool
+	firstHeard time.Duration
+	unsaved    []*job
+	books      books
 	// stirred is set when something has changed on which places depend.
 	stirred  bool
 	forgotAt time.Duration
@@ -94,6 +97,16 @@
 	}
 }
 
+// noteReport notes the first report of the term.
+func (c *Core) noteReport() {
+	if !c.heard {
+		c.heard, c.firstHeard = true, c.now
+	}
+}
+
+// hearing reports whether so much time has passed since the first report.
+func (c *Core) hearing(d time.Duration) bool { return c.heard && c.now >= c.firstHeard+d }
+
 func (c *Core) emit(a Action) { c.out = append(c.out, a) }
 
 func (c *Core) tick() {
--- a/internal/graph/plan/core_test.go
+++ b/internal/graph/plan/core_test.go
@@ -14,7 +14,19 @@
 	now  time.Duration
 }
 
+// newBed returns a bed whose term has lasted for long enough to place and stop
+// work at once.
 func newBed(t *testing.T) *bed {
+	b := newTermBed(t)
+	b.core.hasListened()
+	return b
+}
+
+// hasListened makes a core that has heard of its fleet long ago.
+func (c *Core) hasListened() { c.heard, c.firstHeard = true, -settleTime }
+
+// newTermBed returns a bed at the begin of a term.
+func newTermBed(t *testing.T) *bed {
 	b := &bed{t: t, core: New(Config{Token: 3, LeaseBound: simLease, TermStart: time.Unix(0, 0)})}
 	b.step(Configured{loadPolicy()})
 	return b
@@ -196,10 +208,11 @@
 	}
 }
 
-// TestNothingIsStoppedBeforeTheFleetHasReported shows that a new owner does not
-// stop work on the first worker that reports, for a job within a guarantee, while
-// a free worker is about to report; and that it does once the time for it is over.
-func TestNothingIsStoppedBeforeTheFleetHasReported(t *testing.T) {
+// TestTermBeginsByListening shows that a new owner neither places work on the
+// first worker that reports, while what comes first may need it, nor stops work
+// there for a job within a guarantee, while a free worker is about to report; and
+// that it does both once the time for it is over.
+func TestTermBeginsByListening(t *testing.T) {
 	for _, second := range []bool{true, false} {
 		before := newBed(t)
 		before.report("w0", nil)
@@ -207,17 +220,20 @@
 		row := before.core.jobs["j0"].progress()
 		running := []graph.RunState{{Task: s[0].Task, Run: s[0].Run}}
 
-		b := newBed(t)
+		b := newTermBed(t)
 		b.step(Submitted{Job: before.core.jobs["j0"].Job, Progress: &row})
 		claim := *before.core.jobs["j0"].Job
 		claim.ID, claim.Account, claim.Priority = "j1", "a0", 0
 		b.step(Submitted{Job: &claim})
 		actions := b.report("w0", running)
-		b.now += settleTime / 2
-		actions = append(actions, b.step(Tick{})...)
 		if second {
 			actions = append(actions, b.report("w1", nil)...)
 		}
+		if len(starts(actions)) > 0 {
+			t.Errorf("second worker %v: placed with the first reports: %+v", second, actions)
+		}
+		b.now += placeDelay
+		actions = b.step(Tick{})
 		if stops(actions) > 0 || second && len(starts(actions)) != 1 {
 			t.Errorf("second worker %v: %+v", second, actions)
 		}
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -59,7 +59,7 @@
 // claimRoom stops the work whose loss is least so that a unit fits, unless the
 // loss exceeds the limit or the term has just begun.
 func (c *Core) claimRoom(u *unit, limit float64, why Reason) bool {
-	if c.now < c.settled {
+	if !c.hearing(settleTime) {
 		return false
 	}
 	var best *option
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -39,7 +39,7 @@
 
 // schedule places what can be placed.
 func (c *Core) schedule() {
-	if c.policy == nil {
+	if c.policy == nil || !c.hearing(placeDelay) {
 		return
 	}
 	c.books.reserved = nil
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -85,9 +85,7 @@
 
 // report takes over what a worker's agent has reported.
 func (c *Core) report(e WorkerReport) {
-	if !c.heard {
-		c.heard, c.settled = true, c.now+settleTime
-	}
+	c.noteReport()
 	w := c.worker(e.Worker.ID)
 	if w.info.Incarnation() != e.Worker.Incarnation() {
 		c.reborn(w, e.Worker.Incarnation())
