--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -23,28 +23,31 @@
 
 // order is a start or a stop that is being carried out.
 type order struct {
-	stop bool // the run is to be stopped, after the start that is in progress
+	// stopEpoch is the epoch of the last owner that has ordered the run's stop,
+	// 0 for none: it follows the order that is in progress.
+	stopEpoch uint64
 }
 
 // begin marks an order as being carried out; nil if one for the run is in
 // progress already, which then also carries the stop out.
-func (k *Keeper) begin(ref runRef, stop bool) *order {
+func (k *Keeper) begin(ref runRef, stopEpoch uint64) *order {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if o := k.orders[ref]; o != nil {
-		o.stop = o.stop || stop
+		o.stopEpoch = max(o.stopEpoch, stopEpoch)
 		return nil
 	}
-	o := &order{stop: stop}
+	o := &order{stopEpoch: stopEpoch}
 	k.orders[ref] = o
 	return o
 }
 
-// mayEnd ends an order unless its run has to be stopped first.
-func (k *Keeper) mayEnd(ref runRef, o *order) bool {
+// mayEnd ends an order unless an owner with a higher epoch than settled has
+// ordered its run's stop.
+func (k *Keeper) mayEnd(ref runRef, o *order, settled uint64) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if o.stop {
+	if k.orders[ref] == o && o.stopEpoch > settled {
 		return false
 	}
 	k.drop(ref, o)
@@ -58,36 +61,44 @@
 	}
 }
 
-func (k *Keeper) finish(ref runRef, o *order) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.drop(ref, o)
+// settleAll settles a run for the owner of t, and anew for each later owner that
+// orders its stop meanwhile.
+func (k *Keeper) settleAll(ctx context.Context, t target, ref runRef, o *order, reason string) {
+	for {
+		k.settle(ctx, t, ref, reason)
+		if ctx.Err() != nil || k.mayEnd(ref, o, t.epoch) {
+			return
+		}
+		t = k.target()
+	}
 }
 
 // start carries out a start order.
 func (k *Keeper) start(ctx context.Context, o *rpc.StartTask) {
 	task, run := rpc.TaskOf(o.Ref)
 	ref := runRef{task, run}
-	doing := k.begin(ref, false)
+	doing := k.begin(ref, 0)
 	if doing == nil {
 		return
 	}
-	defer k.finish(ref, doing)
+	t := k.target()
 	if k.draining() {
 		k.refused(ref, "worker drains")
+		if !k.mayEnd(ref, doing, t.epoch) {
+			k.settleAll(ctx, k.target(), ref, doing, "worker drains")
+		}
 		return
 	}
-	t := k.target()
 	err := k.tryStart(ctx, t, o, ref)
-	if err == nil && k.mayEnd(ref, doing) {
+	if err == nil && k.mayEnd(ref, doing, 0) {
 		return
 	}
 	if err == nil {
-		k.settle(ctx, t, ref, "stopped")
+		k.settleAll(ctx, t, ref, doing, "stopped")
 		return
 	}
 	k.log.Info().Err(err).Str("job", string(task.Job)).Str("task", task.String()).Uint64("run", run).Msg("start refused or in doubt")
-	k.settle(ctx, t, ref, err.Error())
+	k.settleAll(ctx, t, ref, doing, err.Error())
 }
 
 // tryStart returns nil once the worker has the run.
@@ -120,15 +131,14 @@
 }
 
 // stop carries out a stop order.
-func (k *Keeper) stop(ctx context.Context, r *rpc.TaskRef) {
+func (k *Keeper) stop(ctx context.Context, epoch uint64, r *rpc.TaskRef) {
 	task, run := rpc.TaskOf(r)
 	ref := runRef{task, run}
-	doing := k.begin(ref, true)
+	doing := k.begin(ref, epoch)
 	if doing == nil {
 		return
 	}
-	defer k.finish(ref, doing)
-	k.settle(ctx, k.target(), ref, "stopped")
+	k.settleAll(ctx, k.target(), ref, doing, "stopped")
 }
 
 // settle stops a run, which also keeps one from beginning that is still on its
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -234,7 +234,7 @@
 		return nil
 	}
 	for _, s := range o.Stops {
-		go k.stop(ctx, s)
+		go k.stop(ctx, o.Epoch, s)
 	}
 	for _, s := range o.Starts {
 		go k.start(ctx, s)
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -114,6 +114,7 @@
 	c.forget()
 	for _, w := range c.ordered {
 		c.watchWorker(w)
+		c.watchOrders(w)
 	}
 	for _, j := range c.live {
 		c.watchRuns(j)
--- a/internal/graph/plan/core_test.go
+++ b/internal/graph/plan/core_test.go
@@ -253,3 +253,28 @@
 	}
 	return n
 }
+
+// TestOrderWithoutOutcomeIsStoppedAgain shows that a start or a stop of whose
+// outcome the agent never tells is settled by another stop on the same
+// connection, and not before an agent may need that long.
+func TestOrderWithoutOutcomeIsStoppedAgain(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		b := newBed(t)
+		b.report("w0", nil)
+		s := starts(b.submit("j0", 8))
+		if stopped {
+			b.step(Cancel{"j0"})
+		}
+		var at time.Duration
+		for b.now < 3*outcomeLimit && at == 0 {
+			b.now += 200 * time.Millisecond
+			actions := append(b.report("w0", nil), b.step(Tick{})...)
+			if stops(actions) > 0 {
+				at = b.now
+			}
+		}
+		if at < outcomeLimit || at > outcomeLimit+time.Second {
+			t.Errorf("stopped %v: another stop at %v, started %+v", stopped, at, s)
+		}
+	}
+}
--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -55,7 +55,7 @@
 	if !m.worker.linked() || m.incarnation != m.worker.info.Incarnation() {
 		return
 	}
-	m.session = m.worker.session
+	m.session, m.orderedAt = m.worker.session, c.now
 	c.emit(Stop{Worker: m.worker.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run})
 }
 
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -49,7 +49,8 @@
 	running     bool // the worker has listed it
 	stopping    bool
 	ended       bool
-	session     string // in which the last order was sent
+	session     string        // in which the last order was sent
+	orderedAt   time.Duration // when it was sent
 
 	percent    int
 	movedAt    time.Duration // when percent last grew
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -211,7 +211,7 @@
 		if w := m.worker; !m.ended {
 			m.ordered = true
 			m.session = w.session
-			m.movedAt = c.now
+			m.orderedAt, m.movedAt = c.now, c.now
 			first := !u.job.begun
 			u.job.begun = true
 			c.emit(Start{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resume(),
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -187,6 +187,7 @@
 	ReasonPreempted   Reason = "preempted"
 	ReasonDraining    Reason = "worker-draining"
 	ReasonHung        Reason = "no-progress"
+	ReasonNoOutcome   Reason = "order-without-outcome"
 	ReasonWorkerUp    Reason = "worker-up"
 	ReasonWorkerLost  Reason = "worker-lost"
 	ReasonWorkerNew   Reason = "worker-incarnation-changed"
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -20,6 +20,27 @@
 	}
 }
 
+// outcomeLimit is how long an agent may take to tell what became of an order:
+// it tries a start three times for 0.6 s and then stops it.
+const outcomeLimit = 5 * time.Second
+
+// watchOrders stops the runs again of whose last order the agent has not told
+// the outcome: it may have been lost with an earlier owner's.
+func (c *Core) watchOrders(w *worker) {
+	if !w.linked() {
+		return
+	}
+	for _, m := range w.members {
+		pending := m.stopping || m.ordered && !m.running
+		if m.ended || !pending || m.session != w.session || c.now-m.orderedAt < outcomeLimit {
+			continue
+		}
+		c.emit(Notice{Reason: ReasonNoOutcome, Job: m.unit.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
+		m.session = ""
+		c.stop(m)
+	}
+}
+
 // hangTime is how long a run may stand still at least, and hangPart the part of
 // its estimate: one percent of it is the grain of what workers report.
 const (
