--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,11 @@
 	// maxCallFactor is how many timeouts a call may take; one that has taken
 	// longer tells that this process was paused, and nothing about the store.
 	maxCallFactor = 2
+	// slowCommit is how many times as long as the last read a transaction may
+	// take: a store that is slow has others waiting before it. maxSlowCommit
+	// bounds that, in timeouts.
+	slowCommit    = 4
+	maxSlowCommit = 3
 )
 
 // Client is the Ledger over the platform's table.
@@ -32,6 +38,8 @@
 	graves  *graves
 	lanes   map[laneName]*lane
 	reads   chan struct{}
+	// readTook is how long the last read that was answered has taken.
+	readTook atomic.Int64
 
 	mu      sync.Mutex
 	stopped bool
@@ -290,9 +298,26 @@
 	return c.call(ctx, call)
 }
 
-// call makes one allowed call to the store and notes how it went.
+// call makes one allowed read of the store and notes how it went.
 func (c *Client) call(ctx context.Context, call func(context.Context) error) error {
-	opCtx, cancel := context.WithTimeout(ctx, c.cfg.OpTimeout)
+	start := c.cfg.Clock()
+	err := c.callWithin(ctx, c.cfg.OpTimeout, call)
+	if err == nil {
+		c.readTook.Store(int64(c.cfg.Clock() - start))
+	}
+	return err
+}
+
+// commitTimeout bounds one transaction: a transaction that is given up while it
+// waits in a slow store is sent again and makes the others wait longer.
+func (c *Client) commitTimeout() time.Duration {
+	slow := slowCommit * time.Duration(c.readTook.Load())
+	return max(c.cfg.OpTimeout, min(slow, maxSlowCommit*c.cfg.OpTimeout))
+}
+
+// callWithin makes one allowed call to the store and notes how it went.
+func (c *Client) callWithin(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
+	opCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := c.cfg.Clock()
 	err := call(opCtx)
@@ -303,7 +328,7 @@
 		if c.breaker.succeeded() {
 			c.cfg.Log.Info().Msg("store answers again")
 		}
-	case ctx.Err() != nil || now-start > maxCallFactor*c.cfg.OpTimeout:
+	case ctx.Err() != nil || now-start > maxCallFactor*timeout:
 		c.breaker.abandoned()
 	default:
 		c.health.failure(start, now)
--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
 
 func put(key string, version uint64, data string) Write {
@@ -177,3 +180,39 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// lateTable answers after fixed times; a call that is given up before has no
+// effect.
+type lateTable struct {
+	*fakeTable
+	read, commit time.Duration
+}
+
+func (s *lateTable) Get(ctx context.Context, keys ...string) ([]external.Row, error) {
+	if kernel.Sleep(ctx, s.read); ctx.Err() != nil {
+		return nil, external.ErrUnavailable
+	}
+	return s.fakeTable.Get(ctx, keys...)
+}
+
+func (s *lateTable) Commit(ctx context.Context, txn external.Txn) (external.TxnResult, error) {
+	if kernel.Sleep(ctx, s.commit); ctx.Err() != nil {
+		return external.TxnResult{}, external.ErrUnavailable
+	}
+	return s.fakeTable.Commit(ctx, txn)
+}
+
+// TestSlowTransactionsAreWaitedFor shows that transactions which take longer
+// than the timeout of a call, while reads take long too, are waited for.
+func TestSlowTransactionsAreWaitedFor(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	table := &lateTable{newFakeTable(), timeout / 2, timeout * 3 / 2}
+	c := New(table, Config{Budgets: map[Cause]Budget{}, OpTimeout: timeout})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*timeout)
+	defer cancel()
+	for i := range 3 {
+		if _, err := c.Commit(ctx, CauseJob, put(fmt.Sprint("k", i), 0, `1`)); err != nil {
+			t.Fatalf("commit %d: %v", i, err)
+		}
+	}
+}
--- a/internal/ledger/send.go
+++ b/internal/ledger/send.go
@@ -132,7 +132,7 @@
 	c.spendWrites(ws)
 	txn := g.txn()
 	var res external.TxnResult
-	err := c.call(context.Background(), func(ctx context.Context) (err error) {
+	err := c.callWithin(context.Background(), c.commitTimeout(), func(ctx context.Context) (err error) {
 		res, err = c.table.Commit(ctx, txn)
 		return err
 	})
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -21,9 +20,10 @@
 	tickInterval = 50 * time.Millisecond
 	// opTimeout bounds one read or write of the row.
 	opTimeout = 1500 * time.Millisecond
-	// promptTimeout bounds one while the table is prompt: an answer that was lost
-	// is noticed before the row is taken for abandoned.
-	promptTimeout = 500 * time.Millisecond
+	// lookAfter is how long a write may go unanswered before the row is read: an
+	// answer that was lost is made up for before others take the row for
+	// abandoned, while a slow one is still waited for.
+	lookAfter = 300 * time.Millisecond
 )
 
 // Peers tells what the other entries report. The service asks for the outage
@@ -54,8 +54,6 @@
 	subs []func(Authority)
 
 	last    Authority   // as last told to subscribers
-	slow    atomic.Bool // the last operations have timed out
-	lost    atomic.Bool // the last one has
 	results chan Event
 	loops   kernel.Loops
 	running bool
@@ -177,27 +175,30 @@
 }
 
 func (s *Service) perform(ctx context.Context, a Action) Event {
-	ctx, cancel := context.WithTimeout(ctx, s.timeout())
+	ctx, cancel := context.WithTimeout(ctx, opTimeout)
 	defer cancel()
-	defer func() { s.noteTimeout(ctx.Err() != nil) }()
 	if w, ok := a.(Write); ok {
-		return s.write(ctx, w)
+		return s.writeOrLook(ctx, w)
 	}
 	return s.read(ctx)
 }
 
-// timeout is short unless two operations in a row have needed longer: one may
-// have lost its answer, two tell that the table is slow.
-func (s *Service) timeout() time.Duration {
-	if s.cfg.Times.TakeOver == 0 || s.slow.Load() {
-		return opTimeout
+// writeOrLook writes the row and, once that is overdue, reads it beside: a row
+// that is as written answers for the write.
+func (s *Service) writeOrLook(ctx context.Context, w Write) Event {
+	written := make(chan Event, 1)
+	go func() { written <- s.write(ctx, w) }()
+	overdue := time.NewTimer(lookAfter)
+	defer overdue.Stop()
+	select {
+	case ev := <-written:
+		return ev
+	case <-overdue.C:
 	}
-	return promptTimeout
-}
-
-func (s *Service) noteTimeout(timedOut bool) {
-	s.slow.Store(timedOut && (s.lost.Load() || s.slow.Load()))
-	s.lost.Store(timedOut)
+	if r, ok := s.read(ctx).(ReadDone); ok && r.Row == w.Row {
+		return WriteDone{r.Version}
+	}
+	return <-written
 }
 
 // Overlap is for how long an earlier owner may still act after a claim.
