--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -124,8 +124,8 @@
 	return ledger.New(store, ledger.Config{Metrics: registry, Log: log, Clock: c, OpTimeout: settings.HostedTableTimeout})
 }
 
-func hostedPolicies(store *platform.Store, c clock, registry metrics.Registry, log zerolog.Logger) *policy.Watcher {
-	return policy.NewWatcher(platform.NewOperator(store), c, registry, log)
+func hostedPolicies(store *platform.Store, s *settings.Hosted, c clock, registry metrics.Registry, log zerolog.Logger) *policy.Watcher {
+	return policy.NewWatcher(platform.NewOperator(store), policy.Limits{KeyEnd: s.KeyEnd, ApplyTime: s.ApplyTime}, c, registry, log)
 }
 
 func hostedOwner(l *ledger.Client, s *settings.Hosted, c clock, registry metrics.Registry, log zerolog.Logger) *owner.Service {
@@ -151,8 +151,9 @@
 
 func hostedStore(l *ledger.Client) *graphs.Store { return graphs.NewStore(l) }
 
-func hostedScheduler(o *owner.Service, s *graphs.Store, p *policy.Watcher, c clock, registry metrics.Registry, log zerolog.Logger) *graphs.Scheduler {
-	return graphs.NewScheduler(o, s, p, c, time.Now, registry, log)
+func hostedScheduler(o *owner.Service, s *graphs.Store, p *policy.Watcher, hosted *settings.Hosted, c clock, registry metrics.Registry, log zerolog.Logger) *graphs.Scheduler {
+	limits := graphs.Limits{MaxLease: hosted.MaxLease, StopTime: hosted.StopTime}
+	return graphs.NewScheduler(o, s, p, limits, c, time.Now, registry, log)
 }
 
 func hostedRetention(l *ledger.Client, store *graphs.Store, sch *graphs.Scheduler, registry metrics.Registry, log zerolog.Logger) *retention.Service {
--- a/internal/entry/graphs/front.go
+++ b/internal/entry/graphs/front.go
@@ -77,6 +77,8 @@
 type Policies interface {
 	Fresh() (*policy.Snapshot, time.Duration)
 	Lost() time.Duration
+	// WatchLimit is the age that the last confirmation reaches while all is well.
+	WatchLimit() time.Duration
 }
 
 // Relay serves requests through another entry.
@@ -120,7 +122,7 @@
 
 // Ready returns nil while callers can be served from here.
 func (f *Front) Ready() error {
-	if lost := f.policies.Lost(); lost > policy.WatchLimit+lostLimit {
+	if lost := f.policies.Lost(); lost > f.policies.WatchLimit()+lostLimit {
 		return errors.Errorf("the store has not answered for %v", lost)
 	}
 	if s, age := f.policies.Fresh(); s == nil {
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -38,10 +38,26 @@
 	loadTimeout = 8 * time.Second
 )
 
+// Limits are the bounds that a deployment sets to what its workers do.
+type Limits struct {
+	// MaxLease is the longest lease that a worker grants; 0 for any.
+	MaxLease time.Duration
+	// StopTime is how long a worker may take to stop a run; 0 for the usual time.
+	StopTime time.Duration
+}
+
+// lease is how long a worker runs on without a grant.
+func (l Limits) lease() time.Duration {
+	if l.MaxLease == 0 {
+		return Lease
+	}
+	return min(Lease, l.MaxLease)
+}
+
 // leaseBound is how long after a worker's last report its lease has ended on
 // any clock.
-func leaseBound() time.Duration {
-	return time.Duration(float64(Lease)*(1+2*clockRate)) + leaseSlack
+func (l Limits) leaseBound() time.Duration {
+	return time.Duration(float64(l.lease())*(1+2*clockRate)) + leaseSlack
 }
 
 // Ownership tells whether this process owns scheduling.
@@ -58,6 +74,7 @@
 	owner    Ownership
 	store    *Store
 	policies *policy.Watcher
+	limits   Limits
 	clock    func() time.Duration
 	now      func() time.Time // time of day
 	registry metrics.Registry
@@ -70,8 +87,8 @@
 }
 
 // NewScheduler returns a scheduler that is not running yet.
-func NewScheduler(o Ownership, s *Store, p *policy.Watcher, clock func() time.Duration, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Scheduler {
-	return &Scheduler{owner: o, store: s, policies: p, clock: clock, now: now, registry: registry, log: log, wake: make(chan struct{}, 1)}
+func NewScheduler(o Ownership, s *Store, p *policy.Watcher, limits Limits, clock func() time.Duration, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Scheduler {
+	return &Scheduler{owner: o, store: s, policies: p, limits: limits, clock: clock, now: now, registry: registry, log: log, wake: make(chan struct{}, 1)}
 }
 
 // Start starts to follow the ownership.
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -25,6 +25,7 @@
 	clock    func() time.Duration
 	owner    Ownership
 	store    *Store
+	limits   Limits
 	registry metrics.Registry
 	log      zerolog.Logger
 	ctx      context.Context
@@ -49,7 +50,14 @@
 		registry: s.registry,
 		log:      s.log.With().Uint64("epoch", epoch).Uint64("token", token).Logger(),
 		end:      end,
-		core:     plan.New(plan.Config{Token: token, TermStart: s.now(), LeaseBound: leaseBound(), Overlap: s.owner.Overlap()}),
+		limits:   s.limits,
+		core: plan.New(plan.Config{
+			Token:      token,
+			TermStart:  s.now(),
+			LeaseBound: s.limits.leaseBound(),
+			StopTime:   s.limits.StopTime,
+			Overlap:    s.owner.Overlap(),
+		}),
 		versions: map[graph.JobID]uint64{},
 		sessions: map[string]*session{},
 	}
@@ -125,7 +133,7 @@
 		})
 		t.logRun(a.Task.Job, "stop ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
 	case plan.Grant:
-		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) { o.GrantedBeat, o.LeaseMs = a.Beat, Lease.Milliseconds() })
+		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) { o.GrantedBeat, o.LeaseMs = a.Beat, t.limits.lease().Milliseconds() })
 	case plan.Acknowledge:
 		t.to(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) { o.Acknowledged = max(o.Acknowledged, a.Number) })
 	}
--- a/internal/graph/plan/bench_test.go
+++ b/internal/graph/plan/bench_test.go
@@ -129,7 +129,7 @@
 
 // pass lets so much time go by that a claim is given up and made anew.
 func (f *filled) pass() {
-	f.now += claimTimeout
+	f.now += f.core.claimTimeout()
 	for _, w := range f.core.ordered {
 		w.heardAt, w.leaseFrom = f.now, f.now
 	}
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -17,6 +17,8 @@
 	// LeaseBound is how long after the last report of a worker its lease has
 	// run out for certain.
 	LeaseBound time.Duration
+	// StopTime is how long a worker may take to stop a run; 0 for usualStop.
+	StopTime time.Duration
 	// Overlap is for how long after time zero the earlier owner may still grant
 	// leases to workers that have not reported to this one.
 	Overlap time.Duration
@@ -33,6 +35,8 @@
 	// settleTime is how long nothing is stopped to make room: nearly all agents
 	// report within it, and their workers may be free.
 	settleTime = 600 * time.Millisecond
+	// usualStop is the time of a stop on the deployments known so far.
+	usualStop = 400 * time.Millisecond
 	// runsPerTerm is the number of run numbers of one term.
 	runsPerTerm = 1 << 24
 )
@@ -60,6 +64,9 @@
 
 // New returns a core without jobs and workers.
 func New(cfg Config) *Core {
+	if cfg.StopTime == 0 {
+		cfg.StopTime = usualStop
+	}
 	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}}
 }
 
--- a/internal/graph/plan/core_test.go
+++ b/internal/graph/plan/core_test.go
@@ -278,3 +278,31 @@
 		}
 	}
 }
+
+// TestClaimWaitsForSlowStops shows that a claim outlasts the time that the
+// deployment's workers may take to stop a run, and is given up after it.
+func TestClaimWaitsForSlowStops(t *testing.T) {
+	for _, stop := range []time.Duration{0, 400 * time.Millisecond, 1500 * time.Millisecond} {
+		b := newBed(t)
+		b.core = New(Config{Token: 3, LeaseBound: simLease, TermStart: time.Unix(0, 0), StopTime: stop})
+		b.core.hasListened()
+		b.step(Configured{loadPolicy()})
+		b.report("w0", nil)
+		victim := starts(b.submit("j0", 8))[0]
+		claim := *b.core.jobs["j0"].Job
+		claim.ID, claim.Account, claim.Priority = "j1", "a0", 0
+		b.step(Submitted{Job: &claim})
+		u := b.core.jobs["j1"].units[0]
+		if u.claim == nil {
+			t.Fatalf("stop %v: no claim", stop)
+		}
+		b.now += max(stop, usualStop) + claimSlack/2
+		b.step(Tick{})
+		if u.claim == nil {
+			t.Errorf("stop %v: claim given up before the stop is overdue", stop)
+		}
+		if s := starts(b.report("w0", nil, ended(victim, graph.EndStopped))); len(s) != 1 || s[0].Task.Job != "j1" {
+			t.Errorf("stop %v: started %+v", stop, s)
+		}
+	}
+}
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -8,9 +8,13 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
-// claimTimeout is how long a claim waits for its victims: a stop takes half a
-// second, and a claim on a worker that does not answer is made elsewhere.
-const claimTimeout = 1200 * time.Millisecond
+// claimSlack is how long a claim waits for its victims beyond the time of a
+// stop, for orders and reports on their way; a claim on a worker that does not
+// answer is made elsewhere then.
+const claimSlack = 800 * time.Millisecond
+
+// claimTimeout is how long a claim waits for its victims.
+func (c *Core) claimTimeout() time.Duration { return c.cfg.StopTime + claimSlack }
 
 // claim is a place for a unit where other work is being stopped.
 type claim struct {
@@ -35,7 +39,7 @@
 func (c *Core) useClaim(u *unit) {
 	cl := u.claim
 	for _, p := range cl.parts {
-		if !c.usable(p.worker, u) || c.now-cl.since > claimTimeout {
+		if !c.usable(p.worker, u) || c.now-cl.since > c.claimTimeout() {
 			c.dropClaim(u)
 			return
 		}
@@ -249,10 +253,10 @@
 // objective if it waited until the given time, where nothing is lost by it:
 // the gain rests on estimates that are often wrong, a loss is certain.
 func (c *Core) preempt(u *unit, until time.Duration) bool {
-	gain := c.lateLoss(u.job, until+u.spec.Estimate) - c.lateLoss(u.job, c.now+stopTime+u.spec.Estimate)
+	gain := c.lateLoss(u.job, until+u.spec.Estimate) - c.lateLoss(u.job, c.now+c.cfg.StopTime+reportTime+u.spec.Estimate)
 	return gain > 0 && c.claimRoom(u, 0, ReasonPreempted)
 }
 
-// stopTime is how long it takes until the room of a unit that is stopped can
-// be used.
-const stopTime = 500 * time.Millisecond
+// reportTime is how long after a stop its room can be used: the end has to be
+// reported.
+const reportTime = 100 * time.Millisecond
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -53,7 +53,7 @@
 	core *Core
 	subs []func(Authority)
 
-	last    Authority   // as last told to subscribers
+	last    Authority // as last told to subscribers
 	results chan Event
 	loops   kernel.Loops
 	running bool
--- a/internal/policy/watcher.go
+++ b/internal/policy/watcher.go
@@ -13,23 +13,63 @@
 )
 
 const (
-	// watchWait is how long one call waits for a change. A silent connection is
-	// found after it and watchSlack, within the time in which a change has to
-	// be in force.
-	watchWait  = 700 * time.Millisecond
-	watchSlack = 500 * time.Millisecond
-	// WatchLimit is the age that a confirmation reaches while all is well.
-	WatchLimit = watchWait + watchSlack
+	// watchPart is the part of the time in which a change has to be in force that
+	// one call waits for a change, and slackPart the part that its answer may take
+	// beyond that: a silent connection is found after both, and the change has to
+	// be read then.
+	watchPart = 0.35
+	slackPart = 0.25
+	// maxWatch bounds the wait, so that an entry without the store is known soon.
+	maxWatch = 700 * time.Millisecond
+	// usualKeyEnd and usualApply are the limits where none are set.
+	usualKeyEnd = 5 * time.Second
+	usualApply  = 2 * time.Second
+	// keyMargin is the part of the time in which a key has to end that a snapshot
+	// is not used in, for calls on their way and a clock's rate.
+	keyMargin = 0.06
 	// readTimeout bounds one read of the whole configuration.
 	readTimeout = 1200 * time.Millisecond
 	// retryWait is the time between two calls after a failure.
 	retryWait = 100 * time.Millisecond
-	// FreshLimit is the age of the last confirmation up to which a snapshot may
-	// be used for callers: keys have to end 5 s after their removal, and a watch
-	// may miss a change for a second.
-	FreshLimit = 3500 * time.Millisecond
 )
 
+// Limits are the times in which operators' changes have to take effect. Zero
+// values take the usual ones.
+type Limits struct {
+	// KeyEnd is within which a key has to end after its removal, also at an entry
+	// that does not reach the store.
+	KeyEnd time.Duration
+	// ApplyTime is within which any change has to be in force.
+	ApplyTime time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.KeyEnd == 0 {
+		l.KeyEnd = usualKeyEnd
+	}
+	if l.ApplyTime == 0 {
+		l.ApplyTime = usualApply
+	}
+	return l
+}
+
+// wait is how long one call waits for a change.
+func (l Limits) wait() time.Duration {
+	return min(maxWatch, part(watchPart, min(l.ApplyTime, l.KeyEnd/2)))
+}
+
+// slack is how long the answer may take beyond that.
+func (l Limits) slack() time.Duration { return part(slackPart, min(l.ApplyTime, l.KeyEnd/2)) }
+
+// watch is the age that a confirmation reaches while all is well.
+func (l Limits) watch() time.Duration { return l.wait() + l.slack() }
+
+// fresh is the age of the last confirmation up to which a snapshot may be used
+// for callers. A watch may have missed a change for as long as one call lasts.
+func (l Limits) fresh() time.Duration { return l.KeyEnd - l.watch() - part(keyMargin, l.KeyEnd) }
+
+func part(of float64, d time.Duration) time.Duration { return time.Duration(of * float64(d)) }
+
 // ErrHistoryGone says that the store no longer tells what has changed since a
 // revision; the configuration has to be read anew.
 const ErrHistoryGone = errors.ConstError("history is gone")
@@ -46,6 +86,7 @@
 // version.
 type Watcher struct {
 	source Source
+	limits Limits
 	clock  func() time.Duration
 	log    zerolog.Logger
 	reads  metrics.Counter
@@ -60,9 +101,10 @@
 }
 
 // NewWatcher returns a watcher that is not running yet.
-func NewWatcher(source Source, clock func() time.Duration, registry metrics.Registry, log zerolog.Logger) *Watcher {
+func NewWatcher(source Source, limits Limits, clock func() time.Duration, registry metrics.Registry, log zerolog.Logger) *Watcher {
 	return &Watcher{
 		source: source,
+		limits: limits.withDefaults(),
 		clock:  clock,
 		log:    log,
 		reads:  metrics.GetOrRegisterCounter("policy.reads", registry),
@@ -98,12 +140,15 @@
 	return w.current
 }
 
+// WatchLimit is the age that a confirmation reaches while all is well.
+func (w *Watcher) WatchLimit() time.Duration { return w.limits.watch() }
+
 // Fresh returns the newest snapshot if it has been confirmed lately, else nil.
 func (w *Watcher) Fresh() (s *Snapshot, age time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	age = w.clock() - w.confirmed
-	if w.current == nil || age > FreshLimit {
+	if w.current == nil || age > w.limits.fresh() {
 		return nil, age
 	}
 	return w.current, age
@@ -152,9 +197,9 @@
 
 func (w *Watcher) wait(ctx context.Context, revision uint64) (bool, error) {
 	start := w.clock()
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, w.limits.watch())
 	defer cancel()
-	changed, err := w.source.Wait(ctx, revision, watchWait)
+	changed, err := w.source.Wait(ctx, revision, w.limits.wait())
 	if err != nil {
 		return false, errors.Annotatef(err, "watching the configuration after revision %d", revision)
 	}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -42,8 +42,12 @@
 
 	// MaxLease bounds the lease that a worker grants.
 	MaxLease time.Duration
-	// DrainNotice is how long after its notice a draining worker may get work.
-	DrainNotice time.Duration
+	// StopTime bounds how long a worker takes to stop a run.
+	StopTime time.Duration
+	// KeyEnd is within which a key has to end after its removal, and ApplyTime
+	// within which a change of the configuration has to be in force.
+	KeyEnd    time.Duration
+	ApplyTime time.Duration
 	// StopGrace is the time between the request to stop and the kill.
 	StopGrace time.Duration
 	MemoryMB  int
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -232,10 +232,10 @@
 	e := &entry{address: address, path: &path{Table: f.table}}
 	e.operator = &operator{path: e.path, current: snapshot(1)}
 	e.ledger = ledger.New(e.path, ledger.Config{Log: log, Clock: clock, OpTimeout: 300 * time.Millisecond})
-	watcher := policy.NewWatcher(e.operator, clock, registry, log)
+	watcher := policy.NewWatcher(e.operator, policy.Limits{}, clock, registry, log)
 	e.owner = owner.New(e.ledger, cell, owner.Self{ID: id, Addr: address}, clock, owner.Config{Times: f.times, Log: log})
 	store := graphs.NewStore(e.ledger)
-	scheduler := graphs.NewScheduler(e.owner, store, watcher, clock, time.Now, registry, log)
+	scheduler := graphs.NewScheduler(e.owner, store, watcher, graphs.Limits{}, clock, time.Now, registry, log)
 	e.schedule = scheduler
 	peers := graphs.NewPeers(address, all, e.owner, log)
 	e.front = graphs.NewFront(watcher, store, graphs.NewRouter(scheduler, e.owner), peers, time.Now, registry, log)
