--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// finish ends an order whose run was never handed to the worker.
+func (k *Keeper) finish(ref runRef, o *order) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.drop(ref, o)
+}
+
 // settleAll settles a run for the owner of t, and anew for each later owner that
 // orders its stop meanwhile.
 func (k *Keeper) settleAll(ctx context.Context, t target, ref runRef, o *order, reason string) {
@@ -81,14 +88,12 @@
 	if doing == nil {
 		return
 	}
-	t := k.target()
 	if k.draining() {
 		k.refused(ref, "worker drains")
-		if !k.mayEnd(ref, doing, t.epoch) {
-			k.settleAll(ctx, k.target(), ref, doing, "worker drains")
-		}
+		k.finish(ref, doing)
 		return
 	}
+	t := k.target()
 	err := k.tryStart(ctx, t, o, ref)
 	if err == nil && k.mayEnd(ref, doing, 0) {
 		return
