--- a/internal/graph/plan/clearing.go
+++ b/internal/graph/plan/clearing.go
@@ -1,8 +1,6 @@
 package plan
 
-import (
-	"slices"
-)
+import "slices"
 
 // victim is a unit that may be stopped. rate is its loss for each core that it
 // frees.
