--- a/internal/agent/keeper/finder.go
+++ b/internal/agent/keeper/finder.go
@@ -44,6 +44,7 @@
 
 	mu      sync.Mutex
 	entries []string // addresses, the last owner first
+	epoch   uint64   // of the ownership that was found last
 	readAt  time.Duration
 	read    bool
 }
@@ -55,20 +56,32 @@
 
 // Find returns a client of the owner and its address, nil if there is none now.
 func (f *Finder) Find(ctx context.Context) (rpc.FleetClient, string) {
-	address := f.ask(ctx, "")
-	if address == "" {
-		address = f.readRow(ctx)
+	owner := f.ask(ctx, "")
+	if owner == nil {
+		owner = f.readRow(ctx)
 	}
-	if address == "" {
+	if owner == nil {
 		return nil, ""
 	}
-	f.remember(address)
-	return f.client(address), address
+	f.remember(owner)
+	return f.client(owner.OwnerAddress), owner.OwnerAddress
+}
+
+// Successor returns the address of an owner with a higher epoch than the one that
+// was found last, as the entries besides it know; empty if they know of none.
+func (f *Finder) Successor(ctx context.Context, present string) string {
+	owner := f.ask(ctx, present)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if owner == nil || owner.OwnerAddress == present || owner.Epoch <= f.epoch {
+		return ""
+	}
+	return owner.OwnerAddress
 }
 
 // ask asks all known entries but one at once and takes the answer with the
-// highest epoch.
-func (f *Finder) ask(ctx context.Context, except string) string {
+// highest epoch, nil if none names an owner.
+func (f *Finder) ask(ctx context.Context, except string) *rpc.LocateReply {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
 	f.mu.Lock()
@@ -78,7 +91,7 @@
 	for _, e := range entries {
 		go func() { replies <- f.locate(ctx, e) }()
 	}
-	return newest(replies, len(entries)).GetOwnerAddress()
+	return newest(replies, len(entries))
 }
 
 // newest returns the answer with the highest epoch among up to n. Once one
@@ -125,20 +138,21 @@
 	return client
 }
 
-func (f *Finder) remember(address string) {
+func (f *Finder) remember(owner *rpc.LocateReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	entries := []string{address}
+	f.epoch = owner.Epoch
+	entries := []string{owner.OwnerAddress}
 	for _, e := range f.entries {
-		if e != address && len(entries) < maxEntries {
+		if e != owner.OwnerAddress && len(entries) < maxEntries {
 			entries = append(entries, e)
 		}
 	}
 	f.entries = entries
 }
 
-// readRow reads the owner's address from the table.
-func (f *Finder) readRow(ctx context.Context) string {
+// readRow reads the owner from the table, nil if it names none.
+func (f *Finder) readRow(ctx context.Context) *rpc.LocateReply {
 	f.mu.Lock()
 	due := !f.read || f.clock()-f.readAt >= rowInterval
 	if due {
@@ -146,19 +160,22 @@
 	}
 	f.mu.Unlock()
 	if !due {
-		return ""
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
 	defer cancel()
 	rows, err := f.rows.Get(ctx, ledger.CauseOwner, f.key)
 	if err != nil || rows[0].Version == 0 {
 		f.log.Info().Err(err).Msg("no entry tells who owns scheduling, nor does the table")
-		return ""
+		return nil
 	}
 	var row owner.Row
 	if err := json.Unmarshal(rows[0].Data, &row); err != nil {
 		f.log.Error().Err(err).Str("row", f.key).Msg("row cannot be read")
-		return ""
+		return nil
+	}
+	if row.Addr == "" {
+		return nil
 	}
-	return row.Addr
+	return &rpc.LocateReply{OwnerAddress: row.Addr, Epoch: row.Epoch}
 }
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -141,8 +141,8 @@
 
 // successor returns an error if the other entries know another owner.
 func (l *link) successor(ctx context.Context) error {
-	address := l.keeper.finder.ask(ctx, l.owner)
-	if address == "" || address == l.owner {
+	address := l.keeper.finder.Successor(ctx, l.owner)
+	if address == "" {
 		return nil
 	}
 	return errors.Annotatef(errSucceeded, "%s instead of %s", address, l.owner)
--- a/internal/agent/keeper/session_test.go
+++ b/internal/agent/keeper/session_test.go
@@ -89,6 +89,13 @@
 	case <-time.After(silenceLimit * 3 / 4):
 	}
 	await(t, first.attended, 5*time.Second)
+	// An entry that has not heard of the present owner names an earlier one.
+	located.Store(&rpc.LocateReply{OwnerAddress: second.address, Epoch: 1})
+	select {
+	case <-second.attended:
+		t.Fatal("left the owner for an earlier one")
+	case <-time.After(answerWait * 3 / 2):
+	}
 	located.Store(&rpc.LocateReply{OwnerAddress: second.address, Epoch: 2})
 	await(t, second.attended, silenceLimit*3/4)
 }
