--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -79,6 +79,7 @@
 	reports time.Duration // of the next beat
 	news    bool
 	lease   time.Duration // when what runs is killed
+	movesAt time.Duration // when its agent leaves an earlier owner
 	void    uint64        // ends up to it were listed when the lease ran out
 }
 
@@ -90,19 +91,24 @@
 
 // sim plays a load against a core and checks what workers and callers see.
 type sim struct {
-	now     time.Duration
-	core    *Core
-	start   time.Duration // of the term
-	token   uint64
-	workers []*simWorker
-	jobs    []*simJob
-	byID    map[graph.JobID]*simJob
-	rows    map[graph.JobID]graph.Progress
-	rowSeen map[graph.JobID]bool
-	orders  []simOrder
-	policy  *policy.Snapshot
-	fail    func(format string, args ...any)
-	noStore bool
+	now   time.Duration
+	core  *Core
+	start time.Duration // of the term
+	// earlier is an owner that has been followed and acts on until it has
+	// noticed, nil if there is none.
+	earlier      *Core
+	earlierStart time.Duration
+	earlierUntil time.Duration
+	token        uint64
+	workers      []*simWorker
+	jobs         []*simJob
+	byID         map[graph.JobID]*simJob
+	rows         map[graph.JobID]graph.Progress
+	rowSeen      map[graph.JobID]bool
+	orders       []simOrder
+	policy       *policy.Snapshot
+	fail         func(format string, args ...any)
+	noStore      bool
 
 	wasted   float64 // core-seconds
 	starts   int
@@ -123,12 +129,65 @@
 	return s
 }
 
-// takeOver begins a new term from the rows.
+// takeOver begins a new term from the rows, after the earlier owner has ended.
 func (s *sim) takeOver() {
+	s.earlier = nil
+	s.orders = slices.DeleteFunc(s.orders, func(o simOrder) bool { _, isSave := o.action.(Save); return !isSave })
+	s.begin(0)
+	for _, w := range s.workers {
+		w.join()
+		w.reports = s.now + 300*time.Millisecond
+	}
+}
+
+// simOverlap is for how long an earlier owner may act after it was followed.
+const simOverlap = 900 * time.Millisecond
+
+// takeOverEarly begins a new term while the earlier owner acts on, unfenced at
+// the workers whose agents have not moved yet.
+func (s *sim) takeOverEarly(moves func() time.Duration) {
+	s.earlier, s.earlierStart, s.earlierUntil = s.core, s.start, s.now+simOverlap
+	s.begin(simOverlap)
+	for _, w := range s.workers {
+		w.movesAt = s.now + moves()
+	}
+}
+
+// move lets the agents go that leave the earlier owner now.
+func (s *sim) move() {
+	if s.earlier == nil {
+		return
+	}
+	for _, w := range s.workers {
+		if w.movesAt > 0 && s.now >= min(w.movesAt, s.earlierUntil) {
+			w.movesAt = 0
+			w.join()
+			w.news = true
+		}
+	}
+	if s.now >= s.earlierUntil {
+		s.earlier = nil
+	}
+}
+
+// join begins a connection with the owner that the agent follows.
+func (w *simWorker) join() {
+	w.session++
+	w.absent = nil
+}
+
+// ownerOf returns the owner that a worker's agent follows.
+func (s *sim) ownerOf(w *simWorker) *Core {
+	if s.earlier != nil && w.movesAt > 0 {
+		return s.earlier
+	}
+	return s.core
+}
+
+func (s *sim) begin(overlap time.Duration) {
 	s.token++
 	s.start = s.now
-	s.orders = slices.DeleteFunc(s.orders, func(o simOrder) bool { _, isSave := o.action.(Save); return !isSave })
-	s.core = New(Config{Token: s.token, TermStart: time.Unix(0, 0).Add(s.now), LeaseBound: simLease})
+	s.core = New(Config{Token: s.token, TermStart: time.Unix(0, 0).Add(s.now), LeaseBound: simLease, Overlap: overlap})
 	s.step(Configured{s.policy})
 	for _, j := range s.jobs {
 		if !s.rowSeen[j.ID] {
@@ -139,11 +198,6 @@
 			s.step(Cancel{j.ID})
 		}
 	}
-	for _, w := range s.workers {
-		w.session++
-		w.absent = nil
-		w.reports = s.now + 300*time.Millisecond
-	}
 }
 
 func (s *sim) progressOf(id graph.JobID) *graph.Progress {
@@ -154,12 +208,14 @@
 	return &p
 }
 
-func (s *sim) step(ev Event) {
-	for _, a := range s.core.Step(s.now-s.start, ev) {
+func (s *sim) step(ev Event) { s.stepOwner(s.core, s.start, ev) }
+
+func (s *sim) stepOwner(core *Core, start time.Duration, ev Event) {
+	for _, a := range core.Step(s.now-start, ev) {
 		if _, ok := a.(Notice); ok {
 			continue
 		}
-		s.orders = append(s.orders, simOrder{s.now + simStep, a, s.core})
+		s.orders = append(s.orders, simOrder{s.now + simStep, a, core})
 	}
 }
 
@@ -183,6 +239,7 @@
 func (s *sim) runUntil(end time.Duration) {
 	for s.now < end {
 		s.now += simStep
+		s.move()
 		s.deliver()
 		for _, w := range s.workers {
 			s.work(w)
@@ -192,6 +249,9 @@
 		}
 		if (s.now-s.start)%simTick == 0 {
 			s.step(Tick{})
+			if s.earlier != nil {
+				s.stepOwner(s.earlier, s.earlierStart, Tick{})
+			}
 		}
 		s.watch()
 	}
@@ -248,11 +308,8 @@
 
 // worker returns the worker that an order reaches, nil if it does not.
 func (s *sim) worker(id, incarnation string, o simOrder) *simWorker {
-	if o.core != s.core {
-		return nil
-	}
 	for _, w := range s.workers {
-		if w.info.ID == id && w.info.Incarnation() == incarnation && w.linked && !w.cut {
+		if o.core == s.ownerOf(w) && w.info.ID == id && w.info.Incarnation() == incarnation && w.linked && !w.cut {
 			return w
 		}
 	}
@@ -539,7 +596,10 @@
 
 // beat reports to the owner when there is news, and every simBeat.
 func (s *sim) beat(w *simWorker) {
-	if !w.linked || w.cut || !w.news && s.now < w.reports || s.now < s.start+300*time.Millisecond {
+	if !w.linked || w.cut || !w.news && s.now < w.reports {
+		return
+	}
+	if s.earlier == nil && s.now < s.start+300*time.Millisecond {
 		return
 	}
 	w.news = false
@@ -555,6 +615,10 @@
 		e.Running = append(e.Running, graph.RunState{Task: r.task, Run: r.run, Checkpoint: saved, Percent: min(percent, 99)})
 	}
 	e.Ended = slices.Clone(w.ended)
+	if owner := s.ownerOf(w); owner != s.core {
+		s.stepOwner(owner, s.earlierStart, e)
+		return
+	}
 	s.step(e)
 }
 
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -114,6 +114,12 @@
 			m.toggleZone("z0")
 		},
 		"take over": func(*rapid.T) { m.calmAt = m.now; m.takeOver() },
+		"take over early": func(t *rapid.T) {
+			m.calmAt = m.now
+			m.takeOverEarly(func() time.Duration {
+				return time.Duration(rapid.IntRange(1, int(simOverlap/simStep)).Draw(t, "moves")) * simStep
+			})
+		},
 	}
 }
 
@@ -192,3 +198,38 @@
 		m.heal(t)
 	})
 }
+
+// TestLeaseOfAnEarlierOwner shows that work is not begun again while it runs on
+// under a lease that an earlier owner has granted after it was followed, by an
+// agent that the new owner has never heard.
+func TestLeaseOfAnEarlierOwner(t *testing.T) {
+	s := newSim(8, assessmentWorker, loadPolicy(), t.Errorf)
+	s.runUntil(time.Second)
+	j := assessments()[0].draw(rand.New(rand.NewSource(1)), 0)
+	j.Steps = j.Steps[:1]
+	j.Steps[0].Count, j.Steps[0].Gang, j.Steps[0].Estimate = 1, false, time.Minute
+	u := &simUnit{job: j, begun: map[int]bool{}, work: 30 * time.Second, members: 1}
+	j.units = map[int][]*simUnit{0: {u}}
+	j.fix()
+	s.submit(j)
+	s.runUntil(s.now + time.Second)
+	if len(u.runs) != 1 {
+		t.Fatalf("%d runs", len(u.runs))
+	}
+	s.takeOverEarly(func() time.Duration { return simOverlap })
+	for _, w := range s.workers {
+		w.news = len(w.runs) > 0
+	}
+	s.runUntil(s.now + simOverlap - 4*simStep)
+	for _, w := range s.workers {
+		w.news = len(w.runs) > 0 // the last report to the earlier owner
+	}
+	s.runUntil(s.now + 2*simStep)
+	for _, w := range s.workers {
+		w.cut = len(w.runs) > 0
+	}
+	s.runUntil(s.now + 2*simLease)
+	if s.starts < 2 {
+		t.Error("the task was not begun again once the lease was over")
+	}
+}
