plan: count room instead of packing tasks for each expected end and each victim

Cause: on 160 to 208 workers a decision waited for the owner's processor. A profile of a real entry with 160 agents under a load above the fleet's capacity (new: BenchmarkOwner in test/graphs) showed 7.0 of the entry's 7.9 processor seconds in reserve: a reservation packed the unit's tasks anew, over all workers, for each expected end of a run, and a claim did so for each victim.

Change: taskRoom keeps the number of tasks that fit on each candidate and their sum, so that one more end or victim costs one worker's count; tasks are packed once, at the end.

--- a/internal/graph/plan/eviction.go
+++ b/internal/graph/plan/eviction.go
@@ -32,59 +32,60 @@
 	return out
 }
 
-// evictionTrial is the availability of a group under the assumption that some units
-// have ended.
+// evictionTrial is the room in a group for a unit under the assumption that some
+// other units have ended.
 type evictionTrial struct {
 	unit           *unit
-	candidates     []candidate
+	room           *taskRoom
 	candidateIndex map[*worker]int
-	perWorker      map[*worker]int
 }
 
 // newEvictionTrial returns a trial in which the units that are being stopped
 // already have ended.
 func newEvictionTrial(u *unit, g workerGroup) *evictionTrial {
-	trial := &evictionTrial{unit: u, candidates: slices.Clone(g.candidates), candidateIndex: map[*worker]int{}, perWorker: u.tasksPerWorker()}
-	for i, s := range trial.candidates {
-		trial.candidateIndex[s.worker] = i
+	candidates := slices.Clone(g.candidates)
+	index := make(map[*worker]int, len(candidates))
+	for i, s := range candidates {
+		index[s.worker] = i
 		for _, m := range s.members {
 			if m.unit.stopping {
-				trial.candidates[i].available = trial.candidates[i].available.Add(m.unit.step.Needs)
+				candidates[i].available = candidates[i].available.Add(m.unit.step.Needs)
 			}
 		}
 	}
-	return trial
+	return &evictionTrial{unit: u, room: newTaskRoom(u.step, candidates, u.tasksPerWorker()), candidateIndex: index}
 }
 
-// evict adds the unit's resources to the availability. restore undoes it.
-func (cl *evictionTrial) evict(v *unit) {
-	cl.forEachCandidate(v, func(s *candidate) { s.available = s.available.Add(v.step.Needs) })
+// evict adds the unit's resources to the room. restore undoes it.
+func (trial *evictionTrial) evict(v *unit) {
+	trial.forEachCandidate(v, func(i int) { trial.room.add(i, v.step.Needs) })
 }
 
-func (cl *evictionTrial) restore(v *unit) {
-	cl.forEachCandidate(v, func(s *candidate) { s.available = s.available.Sub(v.step.Needs) })
+func (trial *evictionTrial) restore(v *unit) {
+	trial.forEachCandidate(v, func(i int) { trial.room.remove(i, v.step.Needs) })
 }
 
-// forEachCandidate calls fn with the candidate of each active member of a unit that
-// is in the group.
-func (cl *evictionTrial) forEachCandidate(v *unit, fn func(*candidate)) {
+// forEachCandidate calls fn with the candidate's index for each active member of a
+// unit that is in the group.
+func (trial *evictionTrial) forEachCandidate(v *unit, fn func(index int)) {
 	for _, m := range v.members {
-		if i, ok := cl.candidateIndex[m.worker]; ok && !m.ended {
-			fn(&cl.candidates[i])
+		if i, ok := trial.candidateIndex[m.worker]; ok && !m.ended {
+			fn(i)
 		}
 	}
 }
 
 // freedCores returns the size in cores of the resources that stopping a unit frees
 // in the group.
-func (cl *evictionTrial) freedCores(v *unit) float64 {
+func (trial *evictionTrial) freedCores(v *unit) float64 {
 	total := 0.1 // avoids a division by zero for units without resource needs
-	cl.forEachCandidate(v, func(*candidate) { total += v.step.Needs.Cores() })
+	trial.forEachCandidate(v, func(int) { total += v.step.Needs.Cores() })
 	return total
 }
 
+// fits reports whether the unit fits in the trial.
+func (trial *evictionTrial) fits() bool { return trial.room.holds(trial.unit.taskCount) }
+
 // allocate returns the placement of the unit in the trial, or nil if it does not
 // fit.
-func (cl *evictionTrial) allocate() []allocation {
-	return packTasks(cl.candidates, cl.unit.step, cl.unit.taskCount, cl.perWorker)
-}
+func (trial *evictionTrial) allocate() []allocation { return trial.room.pack(trial.unit.taskCount) }
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -115,6 +115,11 @@
 	wasted   float64 // core-seconds
 	starts   int
 	rejected int
+
+	// coreTime is the processor time of all coreSteps steps of the core, and
+	// coreTimeMax that of the longest one.
+	coreTime, coreTimeMax time.Duration
+	coreSteps             int
 }
 
 func newSim(workers int, capacity graph.Resources, p *policy.Snapshot, fail func(string, ...any)) *sim {
@@ -213,7 +218,13 @@
 func (s *sim) step(ev Event) { s.stepOwner(s.core, s.termStart, ev) }
 
 func (s *sim) stepOwner(core *Core, start time.Duration, ev Event) {
-	for _, a := range core.Step(s.now-start, ev) {
+	began := time.Now()
+	actions := core.Step(s.now-start, ev)
+	took := time.Since(began)
+	s.coreTime += took
+	s.coreTimeMax = max(s.coreTimeMax, took)
+	s.coreSteps++
+	for _, a := range actions {
 		if _, ok := a.(Notice); ok {
 			continue
 		}
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
@@ -40,6 +39,16 @@
 	return n
 }
 
+// tasksThatFitBeside returns the number of further tasks of a step that may be
+// placed on a candidate. perWorker is the number of its tasks already on each worker.
+func tasksThatFitBeside(c candidate, step *graph.Step, perWorker map[*worker]int) int {
+	n := tasksThatFit(c.available, step)
+	if step.MaxPerWorker > 0 {
+		n = max(0, min(n, step.MaxPerWorker-perWorker[c.worker]))
+	}
+	return n
+}
+
 // packTasks allocates tasks to as few candidates as possible, preferring the
 // tightest fit. perWorker is the number of tasks of the step already on each
 // worker. It returns nil if the tasks do not fit.
@@ -50,11 +59,7 @@
 	}
 	var fits []fit
 	for _, c := range candidates {
-		most := tasksThatFit(c.available, step)
-		if step.MaxPerWorker > 0 {
-			most = min(most, step.MaxPerWorker-perWorker[c.worker])
-		}
-		if most > 0 {
+		if most := tasksThatFitBeside(c, step, perWorker); most > 0 {
 			fits = append(fits, fit{c, most})
 		}
 	}
@@ -176,7 +181,7 @@
 	best := -1
 	bestLeft := 0.0
 	for i, s := range candidates {
-		if tasksThatFit(s.available, u.step) < 1 || u.step.MaxPerWorker > 0 && perWorker[s.worker] >= u.step.MaxPerWorker {
+		if tasksThatFitBeside(s, u.step, perWorker) < 1 {
 			continue
 		}
 		left := unusedFraction(s, u.step, 1)
@@ -271,16 +276,6 @@
 	return available
 }
 
-// reservation holds resources back for a waiting unit that is expected to start at
-// expectedStart.
-type reservation struct {
-	unit          *unit
-	allocs        []allocation
-	expectedStart time.Duration
-}
-
-func (r *reservation) neededOn(w *worker) graph.Resources { return needsOn(r.allocs, r.unit.step, w) }
-
 func needsOn(allocs []allocation, step *graph.Step, w *worker) graph.Resources {
 	var out graph.Resources
 	for _, p := range allocs {
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -92,21 +92,18 @@
 	trial := newEvictionTrial(u, g)
 	victims := c.evictableUnits(u, g, reason, trial)
 	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.lossPerCore, b.lossPerCore) })
-	allocs := trial.allocate()
 	evicted := 0
-	for ; allocs == nil && evicted < len(victims); evicted++ {
+	for ; !trial.fits() && evicted < len(victims); evicted++ {
 		trial.evict(victims[evicted].unit)
-		allocs = trial.allocate()
 	}
-	if allocs == nil {
+	if !trial.fits() {
 		return nil
 	}
 	plan := &evictionPlan{}
 	for i := evicted - 1; i >= 0; i-- {
 		v := victims[i]
 		trial.restore(v.unit)
-		if p := trial.allocate(); p != nil {
-			allocs = p
+		if trial.fits() {
 			continue
 		}
 		trial.evict(v.unit)
@@ -114,7 +111,7 @@
 		plan.loss += v.loss
 	}
 	slices.Reverse(plan.victims)
-	plan.allocs = allocs
+	plan.allocs = trial.allocate()
 	return plan
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -9,16 +9,9 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
-const (
-	// maxReservations limits the number of waiting units with a reservation.
-	maxReservations = 4
-	// worthlessFactor times the objective is the latency beyond which completing a
-	// job has no value.
-	worthlessFactor = 3
-	// overrunDivisor determines the remaining time expected of a run that has
-	// exceeded its estimate: estimate/overrunDivisor.
-	overrunDivisor = 4
-)
+// worthlessFactor times the objective is the latency beyond which completing a job
+// has no value.
+const worthlessFactor = 3
 
 // schedulingState holds the claims, and the reservations and cached results of the
 // current scheduling pass.
@@ -249,70 +242,3 @@
 	}
 	return u.checkpoint
 }
-
-// reserve reserves the placement where the unit is expected to fit earliest, and
-// returns it. It returns nil if there is none, or if maxReservations is reached.
-func (c *Core) reserve(u *unit) *reservation {
-	if len(c.sched.reservations) >= maxReservations {
-		return nil
-	}
-	var best *reservation
-	for _, g := range c.candidateGroups(u) {
-		if r := c.earliestFit(u, g); r != nil && (best == nil || r.expectedStart < best.expectedStart) {
-			best = r
-		}
-	}
-	if best != nil {
-		c.sched.reservations = append(c.sched.reservations, best)
-	}
-	return best
-}
-
-// candidateGroups returns the groups of workers over which a unit may be spread:
-// the racks for a same-rack unit that fits one, else a single group.
-func (c *Core) candidateGroups(u *unit) []workerGroup {
-	candidates := c.candidates(u)
-	if u.step.SameRack && c.fitsEmptyRack(u) {
-		return groupByRack(candidates)
-	}
-	return []workerGroup{{candidates: candidates}}
-}
-
-// earliestFit returns a reservation at the time when a unit is expected to fit into
-// a group, given the expected ends of the runs there. It returns nil if the unit
-// does not fit even then.
-func (c *Core) earliestFit(u *unit, g workerGroup) *reservation {
-	type release struct {
-		at     time.Duration
-		member *member
-		index  int
-	}
-	var releases []release
-	for i, s := range g.candidates {
-		for _, m := range s.members {
-			releases = append(releases, release{c.expectedEnd(m), m, i})
-		}
-	}
-	slices.SortStableFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
-	candidates := slices.Clone(g.candidates)
-	for _, next := range releases {
-		candidates[next.index].available = candidates[next.index].available.Add(next.member.unit.step.Needs)
-		if allocs := packTasks(candidates, u.step, u.taskCount, nil); allocs != nil {
-			return &reservation{unit: u, allocs: allocs, expectedStart: next.at}
-		}
-	}
-	return nil
-}
-
-// expectedEnd estimates the time at which a member ends.
-func (c *Core) expectedEnd(m *member) time.Duration {
-	estimate := m.unit.step.Estimate
-	if !m.running {
-		return c.now + estimate
-	}
-	if m.percent > 0 {
-		ran := c.now - m.runningSince
-		return c.now + ran*time.Duration(100-m.percent)/time.Duration(m.percent)
-	}
-	return max(m.runningSince+estimate, c.now+estimate/overrunDivisor)
-}
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/pprof"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -156,7 +157,7 @@
 
 // fleet is a deployment of entries and agents that share one table.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	table   *standin.Table
 	entries []*entry
 	agents  []*agent
@@ -177,6 +178,11 @@
 	}
 }
 
+// fleetTimes returns the timing of ownership with the given lease.
+func fleetTimes(lease time.Duration) owner.Timing {
+	return owner.Timing{Lease: lease, RenewInterval: 150 * time.Millisecond, ClockMargin: 100 * time.Millisecond, PollInterval: 100 * time.Millisecond, PermitTTL: time.Millisecond}
+}
+
 // newFleet starts a fleet and waits until the owner serves all workers.
 func newFleet(t *testing.T, entries, workers int) *fleet {
 	t.Helper()
@@ -191,13 +197,21 @@
 func newFleetWithTimes(t *testing.T, entries, workers int, times owner.Timing) *fleet {
 	t.Helper()
 	times.RenewInterval, times.ClockMargin, times.PollInterval, times.PermitTTL = 150*time.Millisecond, 100*time.Millisecond, 100*time.Millisecond, time.Millisecond
-	f := &fleet{t: t, times: times, table: standin.NewFeedTable(), log: zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Logger()}
+	return startFleet(t, entries, workers, times, zerolog.New(zerolog.NewTestWriter(t)).With().Timestamp().Logger())
+}
+
+// startFleet starts a fleet that logs to log.
+func startFleet(t testing.TB, entries, workers int, times owner.Timing, log zerolog.Logger) *fleet {
+	t.Helper()
+	f := &fleet{t: t, times: times, table: standin.NewFeedTable(), log: log}
 	addresses, err := process.FreeAddresses("127.0.0.1", entries)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for i := range entries {
-		f.entries = append(f.entries, f.startEntry(fmt.Sprintf("e%d", i), addresses[i], addresses))
+		underRole("entry", func() {
+			f.entries = append(f.entries, f.startEntry(fmt.Sprintf("e%d", i), addresses[i], addresses))
+		})
 	}
 	for i := range workers {
 		f.agents = append(f.agents, f.startAgent(i, addresses))
@@ -254,6 +268,12 @@
 	return e
 }
 
+// underRole runs fn with a profiler label, which the goroutines that it starts
+// inherit.
+func underRole(role string, fn func()) {
+	pprof.Do(context.Background(), pprof.Labels("role", role), func(context.Context) { fn() })
+}
+
 func (f *fleet) startAgent(i int, entryAddresses []string) *agent {
 	clock := ledger.NewMonotonicClock()
 	id := fmt.Sprintf("w%d", i)
