ledger: keep transactions within the table's number of entries

Cause: a group held up to 128 rows, but a hosted table takes at most 100 conditions, writes and deletes in one transaction and refuses more. 64 saves of progress that wait together, as after a takeover on a large fleet, make 129 entries; the refusal was taken for an unhealthy store, and the same group was sent again until the breaker opened. TestGroupsKeepTheTablesLimit failed so before the change.

Change: Config.MaxGroupEntries; hosted processes set 100.

--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -65,6 +65,40 @@
 	}
 }
 
+// TestGroupsKeepTheTablesLimit checks that commits which wait together are all
+// written to a table that refuses transactions above a number of entries.
+func TestGroupsKeepTheTablesLimit(t *testing.T) {
+	const callers, entries = 90, 100
+	table := newFakeTable()
+	table.maxEntries = entries
+	c := New(table, Config{Budgets: map[Cause]Budget{}, MaxGroupEntries: entries})
+	fence, err := c.Commit(context.Background(), CauseOwner, newWrite("fence", 0, `1`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := Write{Key: "fence", Version: fence[0].Version, Check: true}
+	table.mu.Lock() // holds the first transaction back
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			if _, err := c.Commit(context.Background(), CauseJob, newWrite(fmt.Sprintf("k%d", i), 0, `1`), check); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	lane := c.lanes[laneBulk]
+	waitFor(t, "all commits wait", func() bool {
+		lane.mu.Lock()
+		defer lane.mu.Unlock()
+		return lane.activeSenders > 0 && len(lane.queue) >= callers-1
+	})
+	table.mu.Unlock()
+	wg.Wait()
+	if want := 3 + 2*callers/(entries-1); table.commits > want {
+		t.Errorf("%d transactions for %d commits, expected at most %d", table.commits, callers, want)
+	}
+}
+
 // TestStalledStoreIsBounded guards against unbounded goroutines or queues while the
 // store answers no call, and against callers that never return.
 func TestStalledStoreIsBounded(t *testing.T) {
--- a/internal/ledger/config.go
+++ b/internal/ledger/config.go
@@ -57,6 +57,9 @@
 	// exceeds them is sent alone.
 	MaxGroupRows  int
 	MaxGroupBytes int
+	// MaxGroupEntries is the number of conditions, writes and deletes that the
+	// table accepts in one transaction; 0 if unlimited.
+	MaxGroupEntries int
 	// MaxQueue and MaxQueueBytes bound the commits queued in one lane.
 	MaxQueue      int
 	MaxQueueBytes int
--- a/internal/ledger/lane.go
+++ b/internal/ledger/lane.go
@@ -103,10 +103,11 @@
 	defer l.mu.Unlock()
 	cfg := &l.client.cfg
 	keys := map[string]keyUse{}
-	rows, bytes := 0, 0
+	var size groupSize
 	var commits, remaining []*queuedCommit
 	for i, qc := range l.queue {
-		if len(commits) > 0 && (rows+len(qc.writes) > cfg.MaxGroupRows || bytes+qc.bytes > cfg.MaxGroupBytes) {
+		next := size.with(qc, keys)
+		if len(commits) > 0 && next.exceeds(cfg) {
 			remaining = append(remaining, l.queue[i:]...)
 			break
 		}
@@ -114,12 +115,11 @@
 			remaining = append(remaining, qc)
 			continue
 		}
-		rows += len(qc.writes)
-		bytes += qc.bytes
+		size = next
 		commits = append(commits, qc)
 	}
 	l.queue = remaining
-	l.bytes -= bytes
+	l.bytes -= size.bytes
 	if len(commits) == 0 {
 		l.activeSenders--
 		return nil
@@ -127,6 +127,34 @@
 	return commits
 }
 
+// groupSize is the size of the transaction of a group.
+type groupSize struct {
+	rows  int // writes and checks, counted for each commit
+	bytes int
+	// entries counts a condition for each key and a write or delete for each key
+	// that is not only checked.
+	entries int
+}
+
+// with returns the size with one more commit. keys are the keys that the group uses.
+func (s groupSize) with(qc *queuedCommit, keys map[string]keyUse) groupSize {
+	s.rows += len(qc.writes)
+	s.bytes += qc.bytes
+	for _, w := range qc.writes {
+		switch {
+		case !w.Check:
+			s.entries += 2
+		case keys[w.Key] == keyUnused:
+			s.entries++
+		}
+	}
+	return s
+}
+
+func (s groupSize) exceeds(cfg *Config) bool {
+	return s.rows > cfg.MaxGroupRows || s.bytes > cfg.MaxGroupBytes || cfg.MaxGroupEntries > 0 && s.entries > cfg.MaxGroupEntries
+}
+
 // keyUse is the use of a key by the commits of a group.
 type keyUse int
 
--- a/internal/ledger/table_test.go
+++ b/internal/ledger/table_test.go
@@ -31,9 +31,12 @@
 	down   bool
 	late   []external.Txn
 	// oneCounter makes all rows share one version counter.
-	oneCounter   bool
-	counter      uint64
-	commits      int
+	oneCounter bool
+	counter    uint64
+	commits    int
+	// maxEntries bounds the conditions, writes and deletes of one transaction
+	// together; larger ones are refused. 0 for no bound.
+	maxEntries   int
 	reads        int
 	beforeCommit func() // runs before a transaction is applied
 	beforeRead   func() // runs before a read
@@ -121,6 +124,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
+	if n := len(txn.Conds) + len(txn.Puts) + len(txn.Deletes); t.maxEntries > 0 && n > t.maxEntries {
+		return external.TxnResult{}, external.ErrRefused
+	}
 	switch f {
 	case faultDown:
 		return external.TxnResult{}, external.ErrUnavailable
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -13,6 +13,9 @@
 	// HostedTableTimeout bounds one call to the table service. The table normally
 	// answers within a few milliseconds and, when slow, within sixty times that.
 	HostedTableTimeout = 600 * time.Millisecond
+	// HostedTableEntries is the largest number of conditions, writes and deletes
+	// in one transaction of the table service.
+	HostedTableEntries = 100
 )
 
 // Hosted holds the settings of a process that runs on the platform. The host
