Scheduling passes are joined over 5 ms; claims and reservations are looked up by worker

Cause: each end, report with news and save ran a pass of its own. The ends of a gang of 20 arrive from 20 agents within a few milliseconds, so 20 passes ran where one does. Within a pass, the room of a worker was found by walking all places of all claims and reservations.

Change: Core.Step is Handle and Schedule; the term runs the pass at once if the last one is 5 ms ago or the event is a new job of the first priority, else when the 5 ms are over. Saves wait for the pass, since a job's next save waits for the one before. Claims are counted in their workers, reservations kept by worker. TestPlanMachine draws whether passes are joined.

--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -35,6 +35,8 @@
 	core             *plan.Core
 	progressVersions map[graph.JobID]uint64 // versions of the progress rows, by job
 	sessions         map[string]*session    // by worker ID
+	lastPassAt       time.Duration          // time of the last scheduling pass on the core's clock
+	passArranged     bool                   // a timer will run the next pass
 	closed           bool
 }
 
@@ -87,16 +89,59 @@
 	}
 }
 
-// step passes one event to the core and applies the resulting actions.
+// passInterval is the shortest time between two scheduling passes. The ends of a
+// wide gang arrive one by one within a few milliseconds and share a pass.
+const passInterval = 5 * time.Millisecond
+
+// step passes one event to the core and applies the resulting actions. A scheduling
+// pass that the event calls for follows at once if the event is urgent or the last
+// pass is passInterval ago, otherwise when that time is over.
 func (t *term) step(ev plan.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		return
 	}
-	t.applyActions(t.core.Step(t.clock()-t.startedAt, ev))
+	t.applyActions(t.core.Handle(t.now(), ev))
+	t.schedule(isUrgent(ev))
+}
+
+// isUrgent reports whether an event is a new job of the first priority.
+func isUrgent(ev plan.Event) bool {
+	submitted, ok := ev.(plan.JobSubmitted)
+	return ok && submitted.Job.Priority == 0
+}
+
+// schedule runs the scheduling pass that the core needs, or arranges for it. The
+// caller holds the lock.
+func (t *term) schedule(urgent bool) {
+	if !t.core.NeedsScheduling() {
+		return
+	}
+	now := t.now()
+	wait := t.lastPassAt + passInterval - now
+	switch {
+	case urgent || wait <= 0:
+		t.lastPassAt = now
+		t.applyActions(t.core.Schedule(now))
+	case !t.passArranged:
+		t.passArranged = true
+		time.AfterFunc(wait, t.runArrangedPass)
+	}
 }
 
+func (t *term) runArrangedPass() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.passArranged = false
+	if !t.closed {
+		t.schedule(true)
+	}
+}
+
+// now returns the time on the core's clock.
+func (t *term) now() time.Duration { return t.clock() - t.startedAt }
+
 // applyActions applies the core's actions. If the ownership has ended, the
 // remaining orders are dropped along with the term: the next owner decides.
 func (t *term) applyActions(actions []plan.Action) {
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -55,6 +55,11 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
 // acceleratorCores is the number of CPU cores that one accelerator counts as
 // when demands with different resource mixes are compared.
 const acceleratorCores = 8
@@ -158,10 +163,7 @@
 }
 
 // TotalNeeds returns the resources that all tasks of the step need together.
-func (s *Step) TotalNeeds() Resources {
-	n := s.Needs
-	return Resources{n.MilliCPU * s.Count, n.MemoryMB * s.Count, n.Accelerators * s.Count}
-}
+func (s *Step) TotalNeeds() Resources { return s.Needs.Times(s.Count) }
 
 // CriticalPath returns the length of the longest chain of dependent steps by
 // their estimates.
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -75,12 +75,33 @@
 	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}}
 }
 
-// Step handles one event and returns the resulting actions in order. A time
-// before that of an earlier call counts as the latter.
+// Step handles one event, runs a scheduling pass if the event calls for one, and
+// returns the resulting actions in order. A time before that of an earlier call
+// counts as the latter.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
-	c.now = max(c.now, now)
-	c.actions = nil
+	return append(c.Handle(now, ev), c.Schedule(now)...)
+}
+
+// Handle is Step without the scheduling pass, so that one pass may serve several
+// events. If NeedsScheduling is true afterwards, the caller calls Schedule soon:
+// saves wait for the pass, because a job's next save has to wait for the one before.
+func (c *Core) Handle(now time.Duration, ev Event) []Action {
+	c.begin(now)
 	c.handle(ev)
+	if !c.needsScheduling {
+		c.emitSaves()
+	}
+	return c.actions
+}
+
+// NeedsScheduling reports whether something that placement depends on has changed
+// since the last scheduling pass.
+func (c *Core) NeedsScheduling() bool { return c.needsScheduling }
+
+// Schedule runs a scheduling pass if NeedsScheduling is true, and returns the
+// resulting actions in order.
+func (c *Core) Schedule(now time.Duration) []Action {
+	c.begin(now)
 	if c.needsScheduling {
 		c.needsScheduling = false
 		c.schedule()
@@ -89,6 +110,11 @@
 	return c.actions
 }
 
+func (c *Core) begin(now time.Duration) {
+	c.now = max(c.now, now)
+	c.actions = nil
+}
+
 func (c *Core) handle(ev Event) {
 	switch e := ev.(type) {
 	case JobSubmitted:
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -111,6 +111,8 @@
 	policy       *policy.Snapshot
 	fail         func(format string, args ...any)
 	storeDown    bool
+	// joinPasses makes all events of one simStep share a scheduling pass.
+	joinPasses bool
 
 	wasted   float64 // core-seconds
 	starts   int
@@ -219,8 +221,33 @@
 
 func (s *sim) stepOwner(core *Core, start time.Duration, ev Event) {
 	began := time.Now()
-	actions := core.Step(s.now-start, ev)
-	took := time.Since(began)
+	var actions []Action
+	if s.joinPasses {
+		actions = core.Handle(s.now-start, ev)
+	} else {
+		actions = core.Step(s.now-start, ev)
+	}
+	s.collect(core, actions, time.Since(began))
+}
+
+// runPasses runs the scheduling passes that joinPasses has put off.
+func (s *sim) runPasses() {
+	for _, core := range []*Core{s.core, s.earlierOwner} {
+		if core == nil || !core.NeedsScheduling() {
+			continue
+		}
+		start := s.termStart
+		if core == s.earlierOwner {
+			start = s.earlierStart
+		}
+		began := time.Now()
+		actions := core.Schedule(s.now - start)
+		s.collect(core, actions, time.Since(began))
+	}
+}
+
+// collect queues the actions of one step of a core that took the given time.
+func (s *sim) collect(core *Core, actions []Action, took time.Duration) {
 	s.coreTime += took
 	s.coreTimeMax = max(s.coreTimeMax, took)
 	s.coreSteps++
@@ -266,6 +293,7 @@
 				s.stepOwner(s.earlierOwner, s.earlierStart, Tick{})
 			}
 		}
+		s.runPasses()
 		s.checkFinalJobs()
 	}
 }
--- a/internal/graph/plan/large_test.go
+++ b/internal/graph/plan/large_test.go
@@ -53,6 +53,7 @@
 func playLarge(t testing.TB, seed int64, workers, seconds int, factor float64) *sim {
 	r := rand.New(rand.NewSource(seed))
 	s := newSim(workers, largeWorker, largePolicy(workers), func(f string, args ...any) { t.Helper(); t.Errorf(f, args...) })
+	s.joinPasses = true
 	for i, w := range s.workers {
 		rack := i / largeWorkersPerRack
 		w.info.Zone, w.info.Rack = fmt.Sprintf("z%d", rack%largeZones), fmt.Sprintf("r%d", rack)
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -193,6 +193,7 @@
 func TestPlanMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(8, assessmentWorker, loadPolicy(), t.Fatalf)
+		s.joinPasses = rapid.Bool().Draw(t, "join passes")
 		m := &planMachine{sim: s, rnd: rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))}
 		m.runUntil(time.Second)
 		t.Repeat(m.actions())
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -262,29 +262,23 @@
 func (w *worker) free() graph.Resources { return w.info.Capacity.Sub(w.used).Sub(w.unknownUse) }
 
 func (c *Core) availableFor(w *worker, u *unit) graph.Resources {
-	available := w.free()
-	for _, cl := range c.sched.claims {
-		if cl.unit != u {
-			available = available.Sub(cl.neededOn(w))
-		}
+	available := w.free().Sub(w.claimed)
+	if u.claim != nil {
+		available = available.Add(u.claim.needs[w])
 	}
 	for _, r := range c.sched.reservations {
 		if r.unit != u && c.now+u.step.Estimate > r.expectedStart {
-			available = available.Sub(r.neededOn(w))
+			available = available.Sub(r.needs[w])
 		}
 	}
 	return available
 }
 
-func needsOn(allocs []allocation, step *graph.Step, w *worker) graph.Resources {
-	var out graph.Resources
+// needsByWorker returns the resources that allocations take on each worker.
+func needsByWorker(allocs []allocation, step *graph.Step) map[*worker]graph.Resources {
+	out := make(map[*worker]graph.Resources, len(allocs))
 	for _, p := range allocs {
-		if p.worker != w {
-			continue
-		}
-		for range p.tasks {
-			out = out.Add(step.Needs)
-		}
+		out[p.worker] = out[p.worker].Add(step.Needs.Times(p.tasks))
 	}
 	return out
 }
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -18,18 +18,25 @@
 
 // claim holds a placement for a unit while other runs are being stopped there.
 type claim struct {
-	unit   *unit
 	allocs []allocation
+	needs  map[*worker]graph.Resources
 	madeAt time.Duration
 }
 
-func (cl *claim) neededOn(w *worker) graph.Resources { return needsOn(cl.allocs, cl.unit.step, w) }
+func (c *Core) makeClaim(u *unit, allocs []allocation) {
+	u.claim = &claim{allocs: allocs, needs: needsByWorker(allocs, u.step), madeAt: c.now}
+	for w, needs := range u.claim.needs {
+		w.claimed = w.claimed.Add(needs)
+	}
+}
 
 func (c *Core) dropClaim(u *unit) {
 	if u.claim == nil {
 		return
 	}
-	c.sched.claims = slices.DeleteFunc(c.sched.claims, func(o *claim) bool { return o == u.claim })
+	for w, needs := range u.claim.needs {
+		w.claimed = w.claimed.Sub(needs)
+	}
 	c.sched.noRoom = map[unitKind]bool{}
 	u.claim = nil
 }
@@ -45,7 +52,7 @@
 		}
 	}
 	for _, p := range cl.allocs {
-		if !cl.neededOn(p.worker).Fits(p.worker.free()) {
+		if !cl.needs[p.worker].Fits(p.worker.free()) {
 			return
 		}
 	}
@@ -76,8 +83,7 @@
 	if best == nil || best.loss > maxLoss {
 		return false
 	}
-	u.claim = &claim{unit: u, allocs: best.allocs, madeAt: c.now}
-	c.sched.claims = append(c.sched.claims, u.claim)
+	c.makeClaim(u, best.allocs)
 	for _, v := range best.victims {
 		c.emit(Notice{Reason: reason, Job: v.job.ID, Task: v.taskID(0).String(), Run: v.run, Detail: "for " + string(u.job.ID)})
 		c.stopRun(v)
--- a/internal/graph/plan/reserve.go
+++ b/internal/graph/plan/reserve.go
@@ -15,12 +15,10 @@
 // expectedStart.
 type reservation struct {
 	unit          *unit
-	allocs        []allocation
+	needs         map[*worker]graph.Resources
 	expectedStart time.Duration
 }
 
-func (r *reservation) neededOn(w *worker) graph.Resources { return needsOn(r.allocs, r.unit.step, w) }
-
 // reserve reserves the placement where the unit is expected to fit earliest, and
 // returns it. It returns nil if there is none, or if maxReservations is reached.
 func (c *Core) reserve(u *unit) *reservation {
@@ -59,7 +57,7 @@
 		next := heap.Pop(&releases).(release)
 		room.add(next.index, next.needs)
 		if allocs := room.pack(u.taskCount); allocs != nil {
-			return &reservation{unit: u, allocs: allocs, expectedStart: next.at}
+			return &reservation{unit: u, needs: needsByWorker(allocs, u.step), expectedStart: next.at}
 		}
 	}
 	return nil
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -13,11 +13,10 @@
 // has no value.
 const worthlessFactor = 3
 
-// schedulingState holds the claims, and the reservations and cached results of the
-// current scheduling pass.
+// schedulingState holds the reservations and cached results of the current
+// scheduling pass.
 type schedulingState struct {
-	claims       []*claim
-	reservations []*reservation // of the current pass
+	reservations []*reservation
 	// noRoom holds the kinds of units that could not be placed in this pass.
 	// Available resources only shrink within a pass, unless a claim is dropped.
 	noRoom map[unitKind]bool
@@ -169,13 +168,18 @@
 	if !u.step.SameRack {
 		return true
 	}
-	var candidates []candidate
+	perWorker := u.tasksPerWorker()
+	roomByRack := map[string]int{}
 	for _, w := range c.sortedWorkers {
-		if c.eligible(w, u) {
-			candidates = append(candidates, candidate{w, w.info.Capacity})
+		if !c.eligible(w, u) {
+			continue
+		}
+		roomByRack[w.info.Rack] += tasksThatFitBeside(candidate{w, w.info.Capacity}, u.step, perWorker)
+		if roomByRack[w.info.Rack] >= u.taskCount {
+			return true
 		}
 	}
-	return bestPlacement(u, candidates, false) != nil
+	return false
 }
 
 // bind assigns a unit to its workers. The starts are ordered once the placement is
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -39,6 +39,7 @@
 	members    []*member // members that have not ended
 	used       graph.Resources
 	unknownUse graph.Resources // used by runs that the owner did not place here
+	claimed    graph.Resources // held by claims
 
 	pendingAcks  []*pendingAck
 	lastEndSeen  uint64 // highest number of a processed end
