owner: entries on slower hosts leave the claim to faster ones

Cause: on a fleet whose entries have 0.8 or 0.192 of a core, whoever polled first owned scheduling.

Change: the ownership row names the speed of the owner's host. An entry on a slower one waits 250 ms longer before it claims; for a row that does not exist yet it waits by its own speed. Where hosts are alike, or only slow ones have owned, nothing waits. TestFasterHostsClaimFirst fails without the delay.

--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -35,6 +35,12 @@
 	// row every hostedPollInterval.
 	hostedTakeoverDelay = 750 * time.Millisecond
 	hostedPollInterval  = 200 * time.Millisecond
+	// hostedSlowerHostDelay lets each entry on a faster host read the row before
+	// one on a slower host claims it. Entries start within 300 ms of each other;
+	// hostedFirstClaimDelay separates hosts of a fifth and four fifths of a core
+	// by twice that.
+	hostedSlowerHostDelay = 250 * time.Millisecond
+	hostedFirstClaimDelay = time.Second
 	// hostedLameDuckDuration is the time for which a stopping entry still accepts
 	// connections. The balancer probes every second and removes an entry after
 	// two failed probes.
@@ -134,14 +140,16 @@
 
 func hostedOwner(l *ledger.Client, s *settings.Hosted, c clock, registry metrics.Registry, log zerolog.Logger) *owner.Service {
 	times := owner.Timing{
-		Lease:         hostedTermDuration,
-		RenewInterval: hostedRenewInterval,
-		ClockMargin:   200 * time.Millisecond,
-		PollInterval:  hostedPollInterval,
-		TakeoverDelay: hostedTakeoverDelay,
-		PermitTTL:     time.Millisecond, // the new owner waits for each worker's lease instead
+		Lease:           hostedTermDuration,
+		RenewInterval:   hostedRenewInterval,
+		ClockMargin:     200 * time.Millisecond,
+		PollInterval:    hostedPollInterval,
+		TakeoverDelay:   hostedTakeoverDelay,
+		SlowerHostDelay: hostedSlowerHostDelay,
+		FirstClaimDelay: hostedFirstClaimDelay,
+		PermitTTL:       time.Millisecond, // the new owner waits for each worker's lease instead
 	}
-	self := owner.Self{ID: s.Node, ExclusiveID: true, Addr: s.EntryAddress(s.IP)}
+	self := owner.Self{ID: s.Node, ExclusiveID: true, Addr: s.EntryAddress(s.IP), Speed: s.Cores}
 	return owner.New(l, settings.HostedCell, self, c, owner.Config{Timing: times, Metrics: registry, Log: log})
 }
 
--- a/internal/owner/core.go
+++ b/internal/owner/core.go
@@ -51,6 +51,15 @@
 	// With a shorter delay the term of the previous owner may continue for
 	// Overlap, so whoever acts for the cell must be safe by its epochs alone.
 	TakeoverDelay time.Duration
+	// SlowerHostDelay is the time by which an entry on a slower host than that of
+	// the last owner waits longer before it claims, so that an equally fast one
+	// comes first if there is any. Above PollInterval each of those has read the row
+	// by then.
+	SlowerHostDelay time.Duration
+	// FirstClaimDelay is the time for which an entry without any processor time
+	// would wait before it claims a row that does not exist. An entry with a whole
+	// core does not wait.
+	FirstClaimDelay time.Duration
 }
 
 // Overlap returns the longest time for which the previous owner may still act
@@ -86,6 +95,8 @@
 	// ExclusiveID states that no earlier process with this ID is alive, so its
 	// ownership may be claimed at once.
 	ExclusiveID bool
+	// Speed is the processor time of the host in cores; 0 if unknown.
+	Speed float64
 }
 
 // Row is the stored record of a cell's ownership.
@@ -96,6 +107,8 @@
 	Epoch       uint64 `json:"epoch"`
 	Beat        uint64 `json:"beat"`
 	Released    bool   `json:"released,omitempty"`
+	// Speed is Self.Speed of the owner.
+	Speed float64 `json:"speed,omitempty"`
 }
 
 // Event is an input of Core.
@@ -198,8 +211,9 @@
 	heldEpoch     uint64
 	validUntil    time.Duration
 	startAfter    time.Duration
-	highestEpoch  uint64 // highest known epoch of any owner
-	resignedEpoch uint64 // epoch of the latest term known to have been resigned
+	highestEpoch  uint64        // highest known epoch of any owner
+	resignedEpoch uint64        // epoch of the latest term known to have been resigned
+	resignedAt    time.Duration // when the resignation became known
 
 	inFlight    bool // an action is in progress
 	pendingRow  Row
@@ -245,7 +259,9 @@
 			c.endTerm()
 		}
 	case PeerResigned:
-		c.resignedEpoch = max(c.resignedEpoch, e.Epoch)
+		if e.Epoch > c.resignedEpoch {
+			c.resignedEpoch, c.resignedAt = e.Epoch, now
+		}
 	case Release:
 		c.releasing = true
 		c.nextWrite = now
@@ -301,21 +317,40 @@
 
 // mayClaim reports whether this process may claim the row: it is available, it
 // belongs to an earlier incarnation of an exclusive ID, or it has been unchanged
-// for longer than unchangedLimit in an unbroken watch.
+// for longer than unchangedLimit in an unbroken watch. An entry on a slow host waits
+// longer by claimDelay.
 func (c *Core) mayClaim(now time.Duration) bool {
 	if !c.rowKnown || c.releasing || now < c.nextWrite {
 		return false
 	}
-	if c.rowAvailable() || c.self.ExclusiveID && c.row.EntryID == c.self.ID {
+	if c.self.ExclusiveID && c.row.EntryID == c.self.ID {
 		return true
 	}
+	if c.rowAvailable() {
+		return now >= max(c.unchangedSince, c.resignedAt)+c.claimDelay()
+	}
 	if !c.watchUnbroken || now-c.lastObserved > maxWatchGap {
 		return false
 	}
 	if c.timing.TakeoverDelay == 0 && now-c.watchStart <= minWatchDuration {
 		return false
 	}
-	return now-c.unchangedSince > c.unchangedLimit()
+	return now-c.unchangedSince > c.unchangedLimit()+c.claimDelay()
+}
+
+// claimDelay returns the time for which this entry leaves the claim to entries on
+// faster hosts. There is none if hosts are not known to differ.
+func (c *Core) claimDelay() time.Duration {
+	switch {
+	case c.self.Speed == 0:
+		return 0
+	case c.version == 0:
+		return time.Duration(max(0, 1-c.self.Speed) * float64(c.timing.FirstClaimDelay))
+	case c.self.Speed < c.row.Speed:
+		return c.timing.SlowerHostDelay
+	default:
+		return 0
+	}
 }
 
 // renewalReads bounds the time in which an owner renews, in read latencies of
@@ -348,6 +383,7 @@
 		Incarnation: c.self.Incarnation,
 		Epoch:       max(c.row.Epoch, c.highestEpoch) + 1,
 		Beat:        1,
+		Speed:       c.self.Speed,
 	})
 }
 
--- a/internal/owner/core_test.go
+++ b/internal/owner/core_test.go
@@ -198,3 +198,48 @@
 		t.Fatalf("after it learned of the resignation: %+v", acts)
 	}
 }
+
+// firstClaim returns when an entry claims a row that does not change, if it ticks
+// and reads all the time, within limit; 0 if it does not.
+func firstClaim(c *Core, version uint64, row Row, limit time.Duration) time.Duration {
+	const step = 10 * time.Millisecond
+	for now := step; now < limit; now += step {
+		for _, a := range c.Step(now, Tick{}) {
+			if _, ok := a.(Write); ok {
+				return now
+			}
+			c.Step(now, ReadDone{Version: version, Row: row})
+		}
+	}
+	return 0
+}
+
+// TestFasterHostsClaimFirst checks that an entry on a slow host leaves the claim to
+// one on a host like the last owner's, and that it claims the row nevertheless.
+func TestFasterHostsClaimFirst(t *testing.T) {
+	timing := Timing{PollInterval: 200 * time.Millisecond, TakeoverDelay: 750 * time.Millisecond, SlowerHostDelay: 300 * time.Millisecond, FirstClaimDelay: time.Second}
+	held := Row{EntryID: "x", Incarnation: "1", Epoch: 3, Beat: 9, Speed: 0.8}
+	released := held
+	released.Released = true
+	bySlowHost := held
+	bySlowHost.Speed = 0.2
+	for _, tc := range []struct {
+		name    string
+		version uint64
+		row     Row
+		// gap is the least time by which the slow host claims later; its claim
+		// comes within limit.
+		gap, limit time.Duration
+	}{
+		{"no row", 0, Row{}, 500 * time.Millisecond, time.Second},
+		{"released", 7, released, timing.PollInterval, 600 * time.Millisecond},
+		{"abandoned", 7, held, timing.PollInterval, 1400 * time.Millisecond},
+		{"abandoned by a slow host", 7, bySlowHost, 0, 1100 * time.Millisecond},
+	} {
+		fast := firstClaim(NewCore(Self{ID: "f", Incarnation: "2", Speed: 0.8}, timing), tc.version, tc.row, tc.limit)
+		slow := firstClaim(NewCore(Self{ID: "s", Incarnation: "3", Speed: 0.2}, timing), tc.version, tc.row, tc.limit)
+		if fast == 0 || slow == 0 || slow-fast < tc.gap {
+			t.Errorf("%s: claimed after %v by the fast host, %v by the slow one", tc.name, fast, slow)
+		}
+	}
+}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -56,6 +56,8 @@
 	// kills it.
 	StopGrace time.Duration
 	MemoryMB  int
+	// Cores is the processor time of the host; 0 if it does not tell.
+	Cores float64
 }
 
 // EntryAddress returns the address at which the entry on a host serves agents
