plan: learn which workers are slow from their gangs, and keep gangs on workers of one speed

A gang of five on workers chosen by room alone is on fast ones only one time in eight; the first priority has half of its run time to spare.

Change: the progress of a gang's members shows the relative speed of their workers. Placement tries workers of one speed first: fast ones for the first priority, slow ones for the others. Reports carry the age of their list, and agents report when they have a new one.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -23,7 +23,7 @@
 const (
 	// holdWait is how long a Hold call waits for a run to end; it is also the
 	// interval at which the lease is extended.
-	holdWait = time.Second
+	holdWait = reportInterval
 	// holdReplyMargin is how long the reply may take beyond the requested wait.
 	holdReplyMargin = 500 * time.Millisecond
 	// holdRetryInterval is the delay before the next call after a failure or
@@ -279,8 +279,8 @@
 		k.unresponsive = false
 		k.log.Info().Msg("worker is responsive again")
 	}
-	if changed {
-		wake(k.wakeSend)
+	if changed || len(list.Running) > 0 {
+		wake(k.wakeSend) // with the progress while it is recent
 	}
 }
 
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -177,6 +177,7 @@
 	r.Answering, r.Gone = k.workerResponsive(), k.workerGone()
 	if listed {
 		r.Running = rpc.RunningTasksOf(k.runs.Running)
+		r.ListAgeMs = (now - k.listedAt).Milliseconds()
 		r.Ended = rpc.EndedTasksOf(k.runs.Ended)
 		r.Absent, k.absent = k.absent, nil
 		k.lease.recordReport(l.reportNumber, now)
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"google.golang.org/grpc"
@@ -116,7 +117,7 @@
 		t.setSession(r.Worker, sess)
 		if r.Listed {
 			t.step(plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: sess.id,
-				Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentRuns(r.Absent),
+				Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentRuns(r.Absent), ListAge: time.Duration(r.ListAgeMs) * time.Millisecond,
 				Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone})
 		}
 		t.acknowledgeReport(r, sess)
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -16,7 +16,7 @@
 	// simTickInterval and simReportInterval are the intervals between ticks of the
 	// owner and between reports of a worker.
 	simTickInterval   = 200 * time.Millisecond
-	simReportInterval = time.Second
+	simReportInterval = 600 * time.Millisecond
 	// simLeaseBound is Config.LeaseBound of the cores.
 	simLeaseBound = 6500 * time.Millisecond
 	simStopTime   = 100 * time.Millisecond
@@ -551,7 +551,7 @@
 			s.endRun(w, r, graph.EndFailed)
 			continue
 		}
-		if r.progress < u.work {
+		if !u.workDone(r.run) {
 			continue
 		}
 		if u.failuresLeft > 0 {
@@ -595,6 +595,16 @@
 	return n == u.memberCount
 }
 
+// workDone reports whether all members of a run have done their work.
+func (u *simUnit) workDone(run uint64) bool {
+	for _, r := range u.runs {
+		if r.run == run && r.progress < u.work {
+			return false
+		}
+	}
+	return true
+}
+
 // finishRun ends all members of a run with EndDone.
 func (s *sim) finishRun(u *simUnit, run uint64) {
 	if u.doneAcked {
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -24,17 +24,19 @@
 	taskCount  int
 	step       *graph.Step
 
-	phase      unitPhase
-	members    []*member // one per task of the current run
-	run        uint64
-	runDone    bool // a member of the current run ended with EndDone
-	runFailed  bool // a member of the current run ended with EndFailed
-	stopping   bool // the current run is being stopped
-	failures   int
-	checkpoint string
-	notBefore  time.Duration
-	avoidUntil map[string]time.Duration // by worker ID
-	claim      *claim
+	phase     unitPhase
+	members   []*member // one per task of the current run
+	run       uint64
+	runDone   bool // a member of the current run ended with EndDone
+	runFailed bool // a member of the current run ended with EndFailed
+	stopping  bool // the current run is being stopped
+	// speedsLearned is set once the members of the current run were compared.
+	speedsLearned bool
+	failures      int
+	checkpoint    string
+	notBefore     time.Duration
+	avoidUntil    map[string]time.Duration // by worker ID
+	claim         *claim
 }
 
 // member is one task of a unit's current run.
@@ -55,9 +57,15 @@
 
 	percent        int
 	lastProgressAt time.Duration // when percent last changed; at first when the start was sent
-	runningSince   time.Duration
-	checkpointAt   time.Duration // when checkpoint last changed
-	checkpoint     string
+	// listedAt is when the worker listed percent.
+	listedAt time.Duration
+	// startedAt is when the start was sent. startedAfresh is set if that was in this
+	// term and without a checkpoint.
+	startedAt     time.Duration
+	startedAfresh bool
+	runningSince  time.Duration
+	checkpointAt  time.Duration // when checkpoint last changed
+	checkpoint    string
 }
 
 type job struct {
--- a/internal/graph/plan/large_test.go
+++ b/internal/graph/plan/large_test.go
@@ -18,6 +18,9 @@
 	largeWorkersPerRack = 8
 	largeZones          = 5
 	largeAccounts       = 24
+	// largeSlowness is the run time of a task on every third worker relative to that
+	// on the others.
+	largeSlowness = 1.3
 	// largeGuaranteedShare is the fraction of the accelerators that is guaranteed
 	// to accounts.
 	largeGuaranteedShare = 0.5
@@ -56,6 +59,9 @@
 	s.joinPasses = true
 	for i, w := range s.workers {
 		rack := i / largeWorkersPerRack
+		if i%3 == 2 {
+			w.speed = 1 / largeSlowness
+		}
 		w.info.Zone, w.info.Rack = fmt.Sprintf("z%d", rack%largeZones), fmt.Sprintf("r%d", rack)
 	}
 	load := arrivals(r, largeAssessments(), seconds, factor*float64(workers)/largeWorkers)
@@ -71,17 +77,34 @@
 func BenchmarkLargeDay(b *testing.B) {
 	for _, workers := range []int{48, 160, 304} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			sums := map[string]float64{}
 			for i := range b.N {
 				s := playLarge(b, int64(i+1), workers, 20, 1.8)
 				r := s.result()
-				b.ReportMetric(s.coreTime.Seconds()*1000, "core-ms/day")
-				b.ReportMetric(float64(s.coreTime.Microseconds())/float64(s.coreSteps), "core-µs/event")
-				b.ReportMetric(float64(s.coreTimeMax.Microseconds()), "core-µs-max")
-				b.ReportMetric(r.value, "value")
-				b.ReportMetric(r.wasted, "wasted-core-s")
-				b.ReportMetric(r.p50.Seconds(), "p50-s")
-				b.ReportMetric(r.p95.Seconds(), "p95-s")
+				sums["core-ms/day"] += s.coreTime.Seconds() * 1000
+				sums["core-µs/event"] += float64(s.coreTime.Microseconds()) / float64(s.coreSteps)
+				sums["core-µs-max"] += float64(s.coreTimeMax.Microseconds())
+				sums["value"] += r.value
+				sums["wasted-core-s"] += r.wasted
+				for priority := range 3 {
+					sums[fmt.Sprintf("late-%d", priority)] += float64(s.late(priority))
+				}
+			}
+			for unit, sum := range sums {
+				b.ReportMetric(sum/float64(b.N), unit)
 			}
 		})
 	}
 }
+
+// late returns the number of jobs of a priority that were not cancelled and missed
+// their objective.
+func (s *sim) late(priority int) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.Priority == priority && j.cancelled == 0 && j.earnedValue() < j.value {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -138,8 +138,11 @@
 		return nil
 	}
 	if c.mightFit(u) {
-		if allocs := bestPlacement(u, c.candidates(u), !c.fitsEmptyRack(u)); allocs != nil {
-			return allocs
+		acrossRacks := !c.fitsEmptyRack(u)
+		for _, candidates := range c.bySpeed(u, c.candidates(u)) {
+			if allocs := bestPlacement(u, candidates, acrossRacks); allocs != nil {
+				return allocs
+			}
 		}
 	}
 	if len(u.avoidUntil) == 0 {
@@ -187,7 +190,7 @@
 func (c *Core) bind(u *unit, allocs []allocation) {
 	u.phase = unitPlaced
 	u.run = c.nextRunNumber()
-	u.runDone, u.runFailed, u.stopping = false, false, false
+	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	i := 0
 	for _, p := range allocs {
 		for range p.tasks {
@@ -216,6 +219,7 @@
 			m.startSent = true
 			m.orderSession = w.session
 			m.lastOrderAt, m.lastProgressAt = c.now, c.now
+			m.startedAt, m.startedAfresh = c.now, u.resumeCheckpoint() == ""
 			first := !u.job.started
 			u.job.started = true
 			c.emit(StartRun{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resumeCheckpoint(),
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -75,6 +75,8 @@
 	Running []graph.RunState
 	Ended   []graph.RunEnd
 	Absent  []RunAbsent
+	// ListAge is the age of Running when the report was sent.
+	ListAge time.Duration
 	// Number is the sequence number of the report within the session. GrantLease
 	// refers to it.
 	Number uint64
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -11,6 +11,7 @@
 		if u.phase != unitPlaced || u.stopping || len(u.members) == 0 {
 			continue
 		}
+		c.learnSpeeds(u)
 		c.watchDraining(u)
 		if m := c.stalledMember(u); m != nil && !u.stopping {
 			c.emit(Notice{Reason: ReasonNoProgress, Job: j.ID, Task: m.task.String(), Run: m.run, Worker: m.worker.info.ID})
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -45,6 +45,7 @@
 	lastEndSeen  uint64 // highest number of a processed end
 	lastEndAcked uint64
 
+	speed            speedRecord
 	recentFailures   []failure
 	quarantinedUntil time.Duration
 	quarantineCount  int
@@ -115,7 +116,7 @@
 	}
 	newSession := w.session != report.Session
 	w.session = report.Session
-	c.updateRunning(w, report.Running)
+	c.updateRunning(w, report.Running, c.now-report.ListAge)
 	c.processEnds(w, report.Ended)
 	for _, a := range report.Absent {
 		c.handleAbsent(w, a)
@@ -136,6 +137,7 @@
 	}
 	w.pendingAcks, w.lastEndSeen, w.lastEndAcked = nil, 0, 0
 	w.recentFailures, w.quarantinedUntil = nil, 0
+	w.speed = speedRecord{}
 	c.endLostMembers(w, incarnation)
 }
 
@@ -154,7 +156,8 @@
 // noIncarnation matches no incarnation of a worker.
 const noIncarnation = ""
 
-func (c *Core) updateRunning(w *worker, running []graph.RunState) {
+// updateRunning records the runs that a worker listed at the given time.
+func (c *Core) updateRunning(w *worker, running []graph.RunState, listedAt time.Duration) {
 	before := w.unknownUse
 	w.unknownUse = graph.Resources{}
 	defer func() { c.needsScheduling = c.needsScheduling || before != w.unknownUse }()
@@ -164,7 +167,7 @@
 			c.stopUnknownRun(w, r)
 			continue
 		}
-		c.updateProgress(m, r)
+		c.updateProgress(m, r, listedAt)
 	}
 }
 
@@ -180,7 +183,7 @@
 	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
 }
 
-func (c *Core) updateProgress(m *member, r graph.RunState) {
+func (c *Core) updateProgress(m *member, r graph.RunState, listedAt time.Duration) {
 	if !m.running {
 		m.running = true
 		m.runningSince, m.lastProgressAt = c.now, c.now
@@ -188,6 +191,7 @@
 	}
 	m.startSent = true
 	m.unit.job.started = true
+	m.listedAt = listedAt
 	if r.Percent != m.percent {
 		m.percent, m.lastProgressAt = r.Percent, c.now
 	}
