plan: punctual jobs before late ones of their priority; ends by progress; waits learned

Change: orderOf puts jobs that can still meet their objective first, then, near their last chance to have any value, those that can't; the other late ones wait. A gang ends when its slowest member does, by the rate since the start. The cost of stopping a unit for another one uses the waits seen before. Single tasks of a step show the speed of their workers as well.

--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -65,6 +65,7 @@
 	// on.
 	needsScheduling bool
 	lastPruneAt     time.Duration
+	requeueWaits    map[int]time.Duration // by priority; see requeueWait
 }
 
 // New returns a core without jobs and workers.
@@ -72,7 +73,7 @@
 	if cfg.StopTime == 0 {
 		cfg.StopTime = defaultStopTime
 	}
-	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}}
+	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{}}
 }
 
 // Step handles one event, runs a scheduling pass if the event calls for one, and
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -37,6 +37,12 @@
 	notBefore     time.Duration
 	avoidUntil    map[string]time.Duration // by worker ID
 	claim         *claim
+	// estimatedEnd is the expected end of the current run as of endEstimatedAt.
+	estimatedEnd, endEstimatedAt time.Duration
+	// evicted is set from evictedAt, when the unit was stopped for another one, until
+	// its next start.
+	evicted   bool
+	evictedAt time.Duration
 }
 
 // member is one task of a unit's current run.
@@ -57,8 +63,11 @@
 
 	percent        int
 	lastProgressAt time.Duration // when percent last changed; at first when the start was sent
-	// listedAt is when the worker listed percent.
-	listedAt time.Duration
+	// listedAt is when the worker listed percent, firstListedAt when it listed
+	// firstPercent, the first one of the run.
+	listedAt      time.Duration
+	firstPercent  int
+	firstListedAt time.Duration
 	// startedAt is when the start was sent. startedAfresh is set if that was in this
 	// term and without a checkpoint.
 	startedAt     time.Duration
@@ -72,9 +81,10 @@
 	*graph.Job
 	units       []*unit
 	unitsByStep [][]*unit
-	state       graph.State // as decided, possibly not yet saved
-	started     bool        // a task has been started
-	finishedAt  time.Time   // when the state became final
+	taskTimes   [][]taskTime // by step, of the single tasks that are done
+	state       graph.State  // as decided, possibly not yet saved
+	started     bool         // a task has been started
+	finishedAt  time.Time    // when the state became final
 
 	durableState     graph.State // as stored in the table
 	stateInSave      graph.State // as written by the save in progress
@@ -87,7 +97,7 @@
 }
 
 func newJob(g *graph.Job) *job {
-	j := &job{Job: g, state: graph.Queued, durableState: graph.Queued}
+	j := &job{Job: g, state: graph.Queued, durableState: graph.Queued, taskTimes: make([][]taskTime, len(g.Steps))}
 	for i := range g.Steps {
 		s := &g.Steps[i]
 		var units []*unit
--- a/internal/graph/plan/large_test.go
+++ b/internal/graph/plan/large_test.go
@@ -86,6 +86,7 @@
 				sums["core-µs-max"] += float64(s.coreTimeMax.Microseconds())
 				sums["value"] += r.value
 				sums["wasted-core-s"] += r.wasted
+				sums["missed"] += float64(r.missed)
 				for priority := range 3 {
 					sums[fmt.Sprintf("late-%d", priority)] += float64(s.late(priority))
 				}
--- /dev/null
+++ b/internal/graph/plan/order.go
@@ -0,0 +1,84 @@
+package plan
+
+import (
+	"cmp"
+	"time"
+)
+
+// jobOrder is the place of a job in the scheduling order: by rank, then by urgency,
+// then by the time until which the job should be completed.
+type jobOrder struct {
+	rank    int
+	urgency urgency
+	until   time.Duration
+}
+
+func (o jobOrder) compare(p jobOrder) int {
+	return cmp.Or(cmp.Compare(o.rank, p.rank), cmp.Compare(o.urgency, p.urgency), cmp.Compare(o.until, p.until))
+}
+
+// urgency tells what a start now achieves for a job.
+type urgency int
+
+const (
+	// urgent jobs meet their objective if they start now, or have some value only
+	// if they start soon.
+	urgent urgency = iota
+	// deferrable jobs miss their objective but keep the rest of their value if they
+	// start later.
+	deferrable
+)
+
+// Ranks outside of the priorities.
+const (
+	rankGuaranteed = -1
+	rankWorthless  = 1 << 20
+)
+
+// lastChanceFraction is the time before the last start of value from which a late job
+// is urgent again, as a fraction of the job's objective. It covers the wait for room.
+const lastChanceFraction = 1.3
+
+// orderOf returns the place of a job: jobs within a guarantee first, then by
+// priority, and last those that are too late to have any value. Among jobs of one
+// priority those come first for which time matters, so that an overload makes some
+// jobs late instead of all of them.
+func (c *Core) orderOf(j *job, withinGuarantee bool) jobOrder {
+	due := c.dueAt(j)
+	worthlessAt := j.arrivedAt + worthlessFactor*j.Objective()
+	left := j.remainingPath()
+	switch {
+	case withinGuarantee:
+		return jobOrder{rank: rankGuaranteed, until: due}
+	case c.now > worthlessAt:
+		return jobOrder{rank: rankWorthless, until: due}
+	case c.now+left <= due:
+		return jobOrder{rank: j.Priority, urgency: urgent, until: due}
+	case c.now+left >= worthlessAt-time.Duration(lastChanceFraction*float64(j.Objective())):
+		return jobOrder{rank: j.Priority, urgency: urgent, until: worthlessAt}
+	default:
+		return jobOrder{rank: j.Priority, urgency: deferrable, until: due}
+	}
+}
+
+// dueAt returns the time by which a job should be completed.
+func (c *Core) dueAt(j *job) time.Duration { return j.arrivedAt + j.Objective() }
+
+// remainingPath estimates the time from the start of a job's waiting steps until
+// its end: the longest chain of steps that are not done.
+func (j *job) remainingPath() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i := range j.Steps {
+		if j.stepDone(i) {
+			continue
+		}
+		var start time.Duration
+		for _, a := range j.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -86,6 +86,7 @@
 	c.makeClaim(u, best.allocs)
 	for _, v := range best.victims {
 		c.emit(Notice{Reason: reason, Job: v.job.ID, Task: v.taskID(0).String(), Run: v.run, Detail: "for " + string(u.job.ID)})
+		v.evicted, v.evictedAt = true, c.now
 		c.stopRun(v)
 	}
 	return true
@@ -157,12 +158,33 @@
 	if u.step.Checkpointable {
 		left = u.remaining()
 	}
-	return lost + c.lateLoss(u.job, c.now+requeueDelay+left) - c.lateLoss(u.job, c.now+u.remaining())
+	return lost + c.lateLoss(u.job, c.now+c.requeueWait(u.job.Priority)+left) - c.lateLoss(u.job, c.now+u.remaining())
 }
 
-// requeueDelay is the time that a stopped unit is expected to wait for its next
-// start.
-const requeueDelay = 1500 * time.Millisecond
+const (
+	// minRequeueWait is the least time that a unit stopped for another one is
+	// expected to wait for its next start.
+	minRequeueWait = 1500 * time.Millisecond
+	// requeueSmoothing is the weight of one wait in the expected wait.
+	requeueSmoothing = 0.1
+)
+
+// requeueWait returns the time that a unit of a priority which is stopped for
+// another one is expected to wait for its next start, from the waits of those before.
+func (c *Core) requeueWait(priority int) time.Duration {
+	return max(minRequeueWait, c.requeueWaits[priority])
+}
+
+// learnRequeueWait records the wait of a unit that starts again after it was stopped
+// for another one.
+func (c *Core) learnRequeueWait(u *unit) {
+	if !u.evicted {
+		return
+	}
+	u.evicted = false
+	known := c.requeueWait(u.job.Priority)
+	c.requeueWaits[u.job.Priority] = known + time.Duration(requeueSmoothing*float64(c.now-u.evictedAt-known))
+}
 
 // lateLoss estimates the value that a job loses if it completes at the given time.
 func (c *Core) lateLoss(j *job, at time.Duration) float64 {
--- a/internal/graph/plan/reserve.go
+++ b/internal/graph/plan/reserve.go
@@ -104,15 +104,33 @@
 // its estimate: estimate/overrunDivisor.
 const overrunDivisor = 4
 
-// expectedEnd estimates the time at which a member ends.
+// expectedEnd estimates the time at which a member ends. The members of a gang end
+// together, when the slowest of them is done.
 func (c *Core) expectedEnd(m *member) time.Duration {
+	u := m.unit
+	if u.taskCount == 1 {
+		return c.expectedWorkEnd(m)
+	}
+	if u.endEstimatedAt != c.now {
+		u.endEstimatedAt, u.estimatedEnd = c.now, 0
+		for _, o := range u.members {
+			if !o.ended {
+				u.estimatedEnd = max(u.estimatedEnd, c.expectedWorkEnd(o))
+			}
+		}
+	}
+	return u.estimatedEnd
+}
+
+// expectedWorkEnd estimates the time at which a member has done its own work.
+func (c *Core) expectedWorkEnd(m *member) time.Duration {
 	estimate := m.unit.step.Estimate
 	if !m.running {
 		return c.now + estimate
 	}
-	if m.percent > 0 {
-		ran := c.now - m.runningSince
-		return c.now + ran*time.Duration(100-m.percent)/time.Duration(m.percent)
+	if rate := m.rate(); rate > 0 {
+		left := time.Duration(float64(100-m.percent) / rate * float64(time.Second))
+		return max(c.now, m.listedAt+left)
 	}
 	return max(m.runningSince+estimate, c.now+estimate/overrunDivisor)
 }
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -1,10 +1,8 @@
 package plan
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
@@ -44,43 +42,25 @@
 	}
 }
 
-// waitingUnits returns the units that are ready to start, in scheduling order:
-// by rank, then by the time at which their job is due.
+// waitingUnits returns the units that are ready to start, in scheduling order.
 func (c *Core) waitingUnits(withinGuarantee map[*job]bool) []*unit {
 	var out []*unit
+	orders := map[*job]jobOrder{}
 	for _, j := range c.activeJobs {
 		for _, u := range j.units {
 			if u.phase == unitWaiting && u.notBefore <= c.now && u.dependenciesDone() {
 				out = append(out, u)
+				orders[j] = jobOrder{}
 			}
 		}
 	}
-	ranks := map[*job]int{}
-	for _, u := range out {
-		ranks[u.job] = c.rank(u.job, withinGuarantee[u.job])
+	for j := range orders {
+		orders[j] = c.orderOf(j, withinGuarantee[j])
 	}
-	slices.SortStableFunc(out, func(a, b *unit) int {
-		return cmp.Or(cmp.Compare(ranks[a.job], ranks[b.job]), cmp.Compare(c.dueAt(a.job), c.dueAt(b.job)))
-	})
+	slices.SortStableFunc(out, func(a, b *unit) int { return orders[a.job].compare(orders[b.job]) })
 	return out
 }
 
-// rank returns the scheduling rank of a job, lowest first: jobs within a guarantee,
-// then by priority, then jobs that are too late to have any value.
-func (c *Core) rank(j *job, withinGuarantee bool) int {
-	switch {
-	case withinGuarantee:
-		return -1
-	case c.now > j.arrivedAt+worthlessFactor*j.Objective():
-		return 1 << 20
-	default:
-		return j.Priority
-	}
-}
-
-// dueAt returns the time by which a job should be completed.
-func (c *Core) dueAt(j *job) time.Duration { return j.arrivedAt + j.Objective() }
-
 // jobsWithinGuarantee returns the jobs of priority 0 that fit into the guarantee of
 // their account, which is assigned to the oldest jobs first.
 func (c *Core) jobsWithinGuarantee() map[*job]bool {
@@ -188,9 +168,11 @@
 // bind assigns a unit to its workers. The starts are ordered once the placement is
 // saved.
 func (c *Core) bind(u *unit, allocs []allocation) {
+	c.learnRequeueWait(u)
 	u.phase = unitPlaced
 	u.run = c.nextRunNumber()
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
+	u.endEstimatedAt = 0
 	i := 0
 	for _, p := range allocs {
 		for range p.tasks {
--- a/internal/graph/plan/speed.go
+++ b/internal/graph/plan/speed.go
@@ -4,7 +4,9 @@
 
 // Members of a gang do the same amount of work, each at the speed of its worker, and
 // the gang is done when the slowest one is. Their progress therefore shows how fast
-// their workers are relative to each other, while durations of different jobs don't.
+// their workers are relative to each other. The run times of the single tasks of a step
+// show it less precisely, as their work differs somewhat, and those of different jobs
+// don't show it.
 
 const (
 	// minSpeedWindow and minSpeedPercent are the time and the progress over which
@@ -12,8 +14,12 @@
 	// percent.
 	minSpeedWindow  = 700 * time.Millisecond
 	minSpeedPercent = 10
-	// speedSmoothing is the weight of a new comparison in a worker's slowness.
-	speedSmoothing = 0.5
+	// gangSpeedWeight and taskSpeedWeight are the weights of a new comparison of
+	// gang members and of single tasks in a worker's slowness.
+	gangSpeedWeight = 0.5
+	taskSpeedWeight = 0.15
+	// minTasksCompared is the least number of single tasks of a step to compare.
+	minTasksCompared = 8
 	// slowThreshold is the slowness above which a worker counts as slow.
 	slowThreshold = 1.15
 	// speedMemory is the time after which an old comparison is forgotten.
@@ -22,8 +28,8 @@
 
 // speedRecord is what comparisons have shown of a worker's speed.
 type speedRecord struct {
-	// slowness is the run time of a task relative to that on a fast worker; 0 if
-	// unknown.
+	// slowness is the run time of a task relative to that on a fast worker, at least
+	// 1; 0 if unknown.
 	slowness  float64
 	learnedAt time.Duration
 }
@@ -40,11 +46,41 @@
 }
 
 // observeSpeed records a comparison in which the worker had the given slowness.
-func (w *worker) observeSpeed(now time.Duration, slowness float64) {
-	if known := w.slowness(now); w.speed.slowness > 0 {
-		slowness = known + speedSmoothing*(slowness-known)
+func (w *worker) observeSpeed(now time.Duration, slowness, weight float64) {
+	known := w.slowness(now)
+	w.speed = speedRecord{slowness: max(1, known+weight*(slowness-known)), learnedAt: now}
+}
+
+// taskTime is the run time of a single task that is done.
+type taskTime struct {
+	worker  *worker
+	seconds float64
+}
+
+// learnFromTask records the run time of a single task that is done. Once the last
+// task of the step is done it compares all of them: the first ones to end are also
+// those with the least work.
+func (c *Core) learnFromTask(m *member) {
+	u := m.unit
+	if u.taskCount > 1 || !m.startedAfresh {
+		return
+	}
+	times := append(u.job.taskTimes[u.stepIndex], taskTime{m.worker, (c.now - m.startedAt).Seconds()})
+	u.job.taskTimes[u.stepIndex] = times
+	if len(times) < u.step.Count {
+		return
+	}
+	u.job.taskTimes[u.stepIndex] = nil
+	if len(times) < minTasksCompared {
+		return
+	}
+	onFastWorker := 0.0
+	for _, t := range times {
+		onFastWorker += t.seconds / t.worker.slowness(c.now) / float64(len(times))
+	}
+	for _, t := range times {
+		t.worker.observeSpeed(c.now, t.seconds/onFastWorker, taskSpeedWeight)
 	}
-	w.speed = speedRecord{slowness: slowness, learnedAt: now}
 }
 
 // learnSpeeds compares the members of a gang's run, once a run, as soon as all of
@@ -55,7 +91,7 @@
 	}
 	var fastest *member
 	for _, m := range u.members {
-		if m.rate() == 0 || m.ended {
+		if !m.comparable() {
 			return
 		}
 		if fastest == nil || m.rate() > fastest.rate() {
@@ -65,18 +101,26 @@
 	u.speedsLearned = true
 	base := fastest.worker.slowness(c.now)
 	for _, m := range u.members {
-		m.worker.observeSpeed(c.now, base*fastest.rate()/m.rate())
+		m.worker.observeSpeed(c.now, base*fastest.rate()/m.rate(), gangSpeedWeight)
 	}
 }
 
-// rate returns the progress of a member in percent per second since its start, 0 if
-// it has not been observed for long enough or did not start from the beginning.
+// rate returns the progress of a member in percent per second, 0 if it is not known.
 func (m *member) rate() float64 {
-	ran := m.listedAt - m.startedAt
-	if !m.startedAfresh || ran < minSpeedWindow || m.percent < minSpeedPercent {
+	since, gained := m.startedAt, m.percent
+	if !m.startedAfresh {
+		since, gained = m.firstListedAt, m.percent-m.firstPercent
+	}
+	if gained <= 0 || m.listedAt <= since {
 		return 0
 	}
-	return float64(m.percent) / ran.Seconds()
+	return float64(gained) / (m.listedAt - since).Seconds()
+}
+
+// comparable reports whether the rate of a member is precise enough to compare it
+// with those of other members.
+func (m *member) comparable() bool {
+	return m.startedAfresh && !m.ended && m.listedAt-m.startedAt >= minSpeedWindow && m.percent >= minSpeedPercent
 }
 
 // bySpeed returns the sets of candidates to try for a unit, in order. A gang is as
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -187,6 +187,7 @@
 	if !m.running {
 		m.running = true
 		m.runningSince, m.lastProgressAt = c.now, c.now
+		m.firstPercent, m.firstListedAt = r.Percent, listedAt
 		m.percent = r.Percent
 	}
 	m.startSent = true
