A malformed row, message or panic ends what it belongs to, and nothing else

TestUnreadableRowsStopNoOtherJob failed: one row that could not be decoded made the feed fail for good, and no later term could begin, so no job ran any more. A panic in a caller's request of a hosted entry, in a call between processes or in the scheduling core ended the process.

Change: scans and the feed of the ledger skip rows that they cannot decode, with a line and a counter; a job with such a row is left out, never taken for one without progress. HTTP servers and the gRPC server answer a panic and go on; a panic of the core ends the term. New tests also show that a paused owner orders nothing after its term, that a restart brings neither a withdrawn key nor a worker that left back (passed at once).

--- a/cmd/coltsfoot-entry/hosted.go
+++ b/cmd/coltsfoot-entry/hosted.go
@@ -172,21 +172,22 @@
 	return retention.New(l, sch, registry, log, store.RetentionRule())
 }
 
-func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front, h *graphs.Handover) *graphs.Server {
-	return graphs.NewServer(s.EntryAddress(s.IP), sch, o, f, h)
+func hostedRPC(s *settings.Hosted, sch *graphs.Scheduler, o *owner.Service, f *graphs.Front, h *graphs.Handover, log zerolog.Logger) *graphs.Server {
+	return graphs.NewServer(s.EntryAddress(s.IP), sch, o, f, h, log)
 }
 
 func hostedFront(p *policy.Watcher, store *graphs.Store, sch *graphs.Scheduler, o *owner.Service, peers *graphs.Peers, registry metrics.Registry, log zerolog.Logger) *graphs.Front {
 	return graphs.NewFront(p, store, graphs.NewOwnerClient(sch, o), peers, time.Now, registry, log)
 }
 
-func hostedCallers(s *settings.Hosted, f *graphs.Front, registry metrics.Registry) *callerServer {
+func hostedCallers(s *settings.Hosted, f *graphs.Front, registry metrics.Registry, log zerolog.Logger) *callerServer {
 	return &callerServer{httpx.NewServer(httpx.ServerOptions{
 		Listen:       s.ClientsListen,
 		Handler:      platform.CallerHandler(f),
 		MaxBodyBytes: maxCallerBodyBytes,
 		LameDuck:     hostedLameDuckDuration,
 		Registry:     registry,
+		OnPanic:      procmain.LogPanic(log),
 	})}
 }
 
--- a/cmd/coltsfoot-entry/wiring.go
+++ b/cmd/coltsfoot-entry/wiring.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/membership"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/procmain"
 	"github.com/coltsfootlug/coltsfootlug/internal/route"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/internal/settings"
@@ -234,9 +235,10 @@
 }
 
 func newHTTP(k *kernel.Kernel, s *settings.Entry, a *httpapi.API, ready *node.Readiness, registry metrics.Registry, log zerolog.Logger) *httpx.Server {
+	logPanic := procmain.LogPanic(log)
 	r := httpx.NewRouter(func(path string, value any) {
 		metrics.GetOrRegisterCounter("http.panics", registry).Inc(1)
-		log.Error().Str("path", path).Interface("panic", value).Msg("handler panicked")
+		logPanic(path, value)
 	})
 	a.Mount(r)
 	var server *httpx.Server
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -296,10 +296,5 @@
 }
 
 func (t *term) applyRows(rows []ledger.Row) {
-	jobs, err := decodeJobs(rows)
-	if err != nil {
-		t.log.Error().Err(err).Msg("failed to decode rows of job feed")
-		return
-	}
-	t.loadJobs(jobs)
+	t.loadJobs(decodeJobs(rows))
 }
--- a/internal/entry/graphs/server.go
+++ b/internal/entry/graphs/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
@@ -31,13 +32,18 @@
 	owner     Ownership
 	front     *Front
 	handover  *Handover
+	log       zerolog.Logger
 	server    *grpc.Server
 	serving   sync.WaitGroup
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(address string, s *Scheduler, o Ownership, f *Front, h *Handover) *Server {
-	return &Server{address: address, scheduler: s, owner: o, front: f, handover: h}
+func NewServer(address string, s *Scheduler, o Ownership, f *Front, h *Handover, log zerolog.Logger) *Server {
+	return &Server{address: address, scheduler: s, owner: o, front: f, handover: h, log: log}
+}
+
+func (s *Server) reportPanic(r rpc.PanicReport) {
+	s.log.Error().Str("method", r.Method).Interface("panic", r.Value).Bytes("stack", r.Stack).Msg("handler panicked")
 }
 
 // Start listens and serves.
@@ -46,10 +52,11 @@
 	if err != nil {
 		return errors.Annotatef(err, "listening on %q", s.address)
 	}
-	s.server = grpc.NewServer(
+	options := append(rpc.RecoverPanics(s.reportPanic),
 		grpc.MaxRecvMsgSize(rpc.MaxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))
+	s.server = grpc.NewServer(options...)
 	rpc.RegisterFleetServer(s.server, s)
 	s.serving.Add(1)
 	go func() {
--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -85,9 +85,12 @@
 	if err != nil {
 		return "", false, errors.Annotatef(err, "state of job %q", id)
 	}
-	loaded, err := decodeJobs(rows)
-	if err != nil || len(loaded) == 0 || loaded[0].job == nil {
-		return "", false, err
+	loaded := decodeJobs(rows)
+	if len(loaded) == 0 || loaded[0].err == nil && loaded[0].job == nil {
+		return "", false, nil
+	}
+	if err := loaded[0].err; err != nil {
+		return "", false, errors.Annotatef(err, "state of job %q", id)
 	}
 	return loaded[0].state(), true, nil
 }
@@ -99,6 +102,7 @@
 	cancelled       bool
 	progress        *graph.Progress
 	progressVersion uint64
+	err             error // of the first row that could not be decoded
 }
 
 func (s *storedJob) state() graph.State {
@@ -115,7 +119,7 @@
 }
 
 // decodeJobs groups rows by job, in the order of each job's first row.
-func decodeJobs(rows []ledger.Row) ([]*storedJob, error) {
+func decodeJobs(rows []ledger.Row) []*storedJob {
 	var out []*storedJob
 	byID := map[graph.JobID]*storedJob{}
 	for _, r := range rows {
@@ -129,11 +133,11 @@
 			byID[id] = s
 			out = append(out, s)
 		}
-		if err := s.decodeRow(id, kind, r); err != nil {
-			return nil, err
+		if err := s.decodeRow(id, kind, r); err != nil && s.err == nil {
+			s.err = err
 		}
 	}
-	return out, nil
+	return out
 }
 
 func (s *storedJob) decodeRow(id graph.JobID, kind string, r ledger.Row) error {
@@ -167,7 +171,8 @@
 	return graph.JobID(rest[:i]), rest[i:], true
 }
 
-// LoadJobs returns all jobs, ordered by ID.
+// LoadJobs returns all jobs, ordered by ID, also those with rows that could not be
+// decoded.
 func (s *Store) LoadJobs(ctx context.Context) ([]*storedJob, error) {
 	var rows []ledger.Row
 	after := ""
@@ -178,7 +183,7 @@
 		}
 		rows = append(rows, page...)
 		if len(page) < scanPageRows {
-			return decodeJobs(rows)
+			return decodeJobs(rows), nil
 		}
 		after = page[len(page)-1].Key
 	}
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -72,9 +73,15 @@
 }
 
 // loadJobs passes jobs from the table to the core, which ignores jobs that it
-// knows already.
+// knows already. It leaves out those with rows that could not be decoded: without its
+// progress, a job that is done would run again.
 func (t *term) loadJobs(jobs []*storedJob) {
 	for _, j := range jobs {
+		if j.err != nil {
+			metrics.GetOrRegisterCounter("plan.unreadable_jobs", t.registry).Inc(1)
+			t.log.Error().Err(j.err).Str("job", string(j.id)).Msg("job skipped: a row of it cannot be decoded")
+			continue
+		}
 		if j.job != nil {
 			t.mu.Lock()
 			if j.progress != nil && t.progressVersions[j.job.ID] == 0 {
@@ -99,6 +106,7 @@
 func (t *term) step(ev plan.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.endAfterPanic()
 	if t.closed {
 		return
 	}
@@ -133,12 +141,26 @@
 func (t *term) runArrangedPass() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer t.endAfterPanic()
 	t.passArranged = false
 	if !t.closed {
 		t.schedule(true)
 	}
 }
 
+// endAfterPanic, if deferred, ends the term after a panic of the core, whose state is
+// not reliable any more. The next term rebuilds it from the table and the reports.
+func (t *term) endAfterPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	metrics.GetOrRegisterCounter("plan.panics", t.registry).Inc(1)
+	t.log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Msg("scheduling core panicked")
+	t.closed = true
+	t.cancel(errors.Errorf("scheduling core panicked: %v", v))
+}
+
 // now returns the time on the core's clock.
 func (t *term) now() time.Duration { return t.clock() - t.startedAt }
 
--- /dev/null
+++ b/internal/entry/graphs/term_test.go
@@ -0,0 +1,80 @@
+package graphs
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+)
+
+// fakeOwnership is an ownership under epoch 1 that ends at a time of its clock.
+type fakeOwnership struct{ now, ends time.Duration }
+
+func (o *fakeOwnership) Current() owner.Authority {
+	return owner.Authority{Owner: o.now < o.ends, Epoch: 1}
+}
+func (o *fakeOwnership) Subscribe(func(owner.Authority)) {}
+func (o *fakeOwnership) Overlap() time.Duration          { return 0 }
+
+// newTestTerm returns a term with one connected worker, and its context.
+func newTestTerm(o *fakeOwnership) (*term, *session, context.Context) {
+	s := NewScheduler(o, nil, nil, Limits{}, func() time.Duration { return o.now }, time.Now, metrics.NewRegistry(), zerolog.Nop())
+	ctx, cancel := context.WithCancelCause(context.Background())
+	t := newTerm(s, 1, 7, 1, cancel)
+	t.ctx = ctx
+	sess := newSession()
+	t.setSession("w", sess)
+	return t, sess, ctx
+}
+
+func reportOf(number uint64) plan.WorkerReport {
+	return plan.WorkerReport{Worker: plan.WorkerInfo{ID: "w", Instance: "i", StartUnixMillis: 1, Pool: "p"}, Session: "s", Number: number, WorkerResponsive: true}
+}
+
+// TestNoOrderAfterOwnershipEnded checks that a process which was paused past the end
+// of its ownership orders nothing, neither for an event nor in a pass that it had
+// arranged before.
+func TestNoOrderAfterOwnershipEnded(t *testing.T) {
+	o := &fakeOwnership{now: time.Second, ends: 2 * time.Second}
+	term, sess, ctx := newTestTerm(o)
+	term.step(reportOf(1))
+	if len(sess.takeOrders()) == 0 {
+		t.Fatal("no lease granted by the owner")
+	}
+	o.now = 3 * time.Second
+	term.step(reportOf(2))
+	term.runArrangedPass()
+	if orders := sess.takeOrders(); len(orders) > 0 {
+		t.Errorf("orders after the end of the ownership: %v", orders)
+	}
+	if ctx.Err() == nil {
+		t.Error("the term goes on")
+	}
+}
+
+// TestPanicOfTheCoreEndsTheTerm checks that an unexpected error in the core ends the
+// term, so that the next one rebuilds the state, and not the process.
+func TestPanicOfTheCoreEndsTheTerm(t *testing.T) {
+	o := &fakeOwnership{ends: time.Hour}
+	term, sess, ctx := newTestTerm(o)
+	term.step(plan.JobSubmitted{}) // without a job, which no caller can send
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.Canceled) {
+		t.Fatalf("the term goes on: %v", context.Cause(ctx))
+	}
+	term.step(reportOf(1))
+	if orders := sess.takeOrders(); len(orders) > 0 {
+		t.Errorf("orders after a panic: %v", orders)
+	}
+	term.close()
+	select {
+	case <-sess.done:
+	default:
+		t.Error("the session stays open")
+	}
+}
--- a/internal/httpx/httpx_test.go
+++ b/internal/httpx/httpx_test.go
@@ -217,3 +217,33 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestPanicEndsTheRequestOnly checks that a server whose handler panics, without a
+// router that recovers, answers and goes on.
+func TestPanicEndsTheRequestOnly(t *testing.T) {
+	registry := metrics.NewRegistry()
+	reported := 0
+	s := NewServer(ServerOptions{
+		Listen:   "127.0.0.1:0",
+		Handler:  func(*fasthttp.RequestCtx) { panic("test") },
+		Registry: registry,
+		OnPanic:  func(string, any) { reported++ },
+	})
+	if err := s.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Stop(context.Background())
+	for range 2 {
+		reply, err := http.Get("http://" + s.Addr() + "/x")
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply.Body.Close()
+		if reply.StatusCode != http.StatusInternalServerError {
+			t.Fatalf("status %d", reply.StatusCode)
+		}
+	}
+	if n := metrics.GetOrRegisterCounter("http.panics", registry).Count(); n != 2 || reported != 2 {
+		t.Errorf("%d panics counted, %d reported, want 2", n, reported)
+	}
+}
--- a/internal/httpx/server.go
+++ b/internal/httpx/server.go
@@ -65,9 +65,11 @@
 	// LameDuck is how long Stop keeps accepting connections before it closes the
 	// listener. Responses in that time ask clients to close their connections.
 	LameDuck time.Duration
-	// Registry, if not nil, counts responses by status class ("http.2xx") and
-	// requests that could not be read ("http.unreadable").
+	// Registry, if not nil, counts responses by status class ("http.2xx"), requests
+	// that could not be read ("http.unreadable") and panics ("http.panics").
 	Registry metrics.Registry
+	// OnPanic, if not nil, is called for each panic of Handler.
+	OnPanic func(path string, value any)
 }
 
 // Server is an HTTP server that is a kernel service.
@@ -81,6 +83,7 @@
 
 	classes    [6]metrics.Counter // by the first digit of the status
 	unreadable metrics.Counter
+	panics     metrics.Counter
 }
 
 // discardLogger discards the library's log line for each broken connection; the
@@ -120,6 +123,7 @@
 		}
 	}
 	s.unreadable = metrics.GetOrRegisterCounter("http.unreadable", registry)
+	s.panics = metrics.GetOrRegisterCounter("http.panics", registry)
 }
 
 // Start opens the listener and serves requests in the background.
@@ -169,12 +173,27 @@
 	if s.Draining() {
 		ctx.SetConnectionClose()
 	}
-	s.options.Handler(ctx)
+	s.serve(ctx)
 	if class := ctx.Response.StatusCode() / 100; class < len(s.classes) {
 		s.classes[class].Inc(1)
 	}
 }
 
+// serve runs the handler. A panic ends the request only, with an internal error.
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.panics.Inc(1)
+			if s.options.OnPanic != nil {
+				s.options.OnPanic(string(ctx.Path()), v)
+			}
+			ctx.Response.Reset()
+			WriteProblem(ctx, Problemf(fasthttp.StatusInternalServerError, "internal error"))
+		}
+	}()
+	s.options.Handler(ctx)
+}
+
 // handleError responds to requests that could not be read and so were not run.
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
 	s.unreadable.Inc(1)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
@@ -247,8 +248,7 @@
 		if err != nil {
 			return nil, errors.Annotatef(err, "scanning rows %q", prefix)
 		}
-		for _, s := range page {
-			after = s.key
+		for _, s := range c.decodeReadable(page) {
 			if !s.isAbsent() {
 				out = append(out, s.visibleRow())
 			}
@@ -256,20 +256,34 @@
 		if len(page) < want {
 			break
 		}
+		after = page[len(page)-1].Key
 	}
 	return out, nil
 }
 
-func (c *Client) scanPage(ctx context.Context, cause Cause, prefix, after string, limit int) ([]storedRow, error) {
+func (c *Client) scanPage(ctx context.Context, cause Cause, prefix, after string, limit int) ([]external.Row, error) {
 	var rows []external.Row
 	err := c.read(ctx, cause, func(ctx context.Context) (err error) {
 		rows, err = c.table.Scan(ctx, prefix, after, limit)
 		return err
 	})
-	if err != nil {
-		return nil, err
+	return rows, err
+}
+
+// decodeReadable is decodeAndCache without the rows that cannot be decoded, which it
+// logs and counts: a row that another program has written must not hide the others.
+func (c *Client) decodeReadable(rows []external.Row) []storedRow {
+	var out []storedRow
+	for _, r := range rows {
+		found, err := c.decodeAndCache([]external.Row{r})
+		if err != nil {
+			metrics.GetOrRegisterCounter("ledger.unreadable_rows", c.cfg.Metrics).Inc(1)
+			c.cfg.Log.Error().Err(err).Msg("row skipped: it cannot be decoded")
+			continue
+		}
+		out = append(out, found...)
 	}
-	return c.decodeAndCache(rows)
+	return out
 }
 
 // decodeAndCache decodes rows and records their histories and tombstones.
--- a/internal/ledger/feed.go
+++ b/internal/ledger/feed.go
@@ -27,10 +27,7 @@
 	if err != nil {
 		return nil, 0, errors.Annotatef(err, "feed of rows %q after %d", prefix, after)
 	}
-	found, err := c.decodeAndCache(rows)
-	if err != nil {
-		return nil, 0, err
-	}
+	found := c.decodeReadable(rows)
 	out := make([]Row, len(found))
 	for i, s := range found {
 		out[i] = s.visibleRow()
--- a/internal/procmain/procmain.go
+++ b/internal/procmain/procmain.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -229,3 +230,11 @@
 		p.Log.Error().Err(err).Msg("failed to encode state dump as JSON")
 	}
 }
+
+// LogPanic returns a function that logs the panic of an HTTP handler with its stack.
+// It must be called while the panic is recovered.
+func LogPanic(log zerolog.Logger) func(path string, value any) {
+	return func(path string, value any) {
+		log.Error().Str("path", path).Interface("panic", value).Bytes("stack", debug.Stack()).Msg("handler panicked")
+	}
+}
--- /dev/null
+++ b/test/graphs/faults_test.go
@@ -0,0 +1,100 @@
+package graphs_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/entry/graphs"
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
+)
+
+// putRow writes a row to the table as another program would.
+func (f *fleet) putRow(key, value string) {
+	f.t.Helper()
+	txn := external.Txn{Conds: []external.Cond{{Key: key}}, Puts: []external.Row{{Key: key, Value: json.RawMessage(value)}}}
+	if r, err := f.table.Commit(context.Background(), txn); err != nil || !r.Committed {
+		f.t.Fatalf("row %q: %+v, %v", key, r, err)
+	}
+}
+
+// TestUnreadableRowsStopNoOtherJob checks that rows which cannot be decoded neither
+// hold back the jobs that follow them in the feed nor keep a term from beginning.
+func TestUnreadableRowsStopNoOtherJob(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	for i, value := range []string{`7`, `{"stamps":[],"data":"text"}`, `{"stamps":[],"data":{"steps":7}}`} {
+		for _, kind := range []string{"job", "progress"} {
+			f.putRow(fmt.Sprintf("graph/j/bad%d/%s", i, kind), value)
+		}
+	}
+	id := f.submit(f.entries[0], 2)
+	f.awaitJobState(f.entries[0], id, graph.Completed)
+	f.stopEntry(f.ownerEntry(), true)
+	f.await("another owner", func() bool { return f.ownerEntry() != nil })
+	e := f.ownerEntry()
+	id = f.submit(e, 2)
+	f.awaitJobState(e, id, graph.Completed)
+}
+
+// TestRestartBringsNoWithdrawnKeyBack checks that an entry which starts while the
+// store fails accepts nothing, and that it then knows that a key is withdrawn.
+func TestRestartBringsNoWithdrawnKeyBack(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	withdrawn := snapshot(2)
+	withdrawn.Accounts = []policy.ClientAccount{{Name: "a", Keys: []string{"key-2"}}}
+	for _, e := range f.entries {
+		e.config.set(withdrawn)
+	}
+	for _, e := range f.entries {
+		f.await("the key to be withdrawn", func() bool {
+			return e.front.SubmitLocal(f.callFor(f.newID()), jobWithTasks(1)).Outcome == graphs.Unauthorized
+		})
+	}
+	f.stopEntry(f.entries[0], true)
+	restarted := f.prepareEntry("e0", f.entries[0].address, f.entryAddresses())
+	restarted.config.set(withdrawn)
+	restarted.table.refuse.Store(true)
+	f.startServices(restarted)
+	f.entries[0] = restarted
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if a := restarted.front.SubmitLocal(f.callFor(f.newID()), jobWithTasks(1)); a.Outcome != graphs.Refused {
+			t.Fatalf("submit without a configuration: %+v", a)
+		}
+	}
+	restarted.table.refuse.Store(false)
+	f.await("an answer by the configuration", func() bool {
+		a := restarted.front.SubmitLocal(f.callFor(f.newID()), jobWithTasks(1))
+		if a.Outcome != graphs.Refused && a.Outcome != graphs.Unauthorized {
+			t.Fatalf("submit with a withdrawn key: %+v", a)
+		}
+		return a.Outcome == graphs.Unauthorized
+	})
+}
+
+// TestRestartBringsNoWorkerBack checks that the next owner starts nothing on a worker
+// that has left, although rows still name it.
+func TestRestartBringsNoWorkerBack(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.setTaskDuration(time.Minute)
+	id := f.submit(f.entries[0], 12)
+	f.await("twelve starts", func() bool { return len(f.startCounts(id)) == 12 })
+	left := f.agents[0]
+	left.keeper.HandleWorkerLeft(left.runner.Instance())
+	left.stop()
+	if err := left.keeper.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	started := len(left.runner.StartedTasks())
+	f.agents = f.agents[1:]
+	f.stopEntry(f.ownerEntry(), true)
+	f.await("another owner", func() bool { return f.ownerEntry() != nil })
+	f.submit(f.ownerEntry(), 12)
+	time.Sleep(time.Second)
+	if n := len(left.runner.StartedTasks()); n != started {
+		t.Errorf("%d tasks started on a worker that has left", n-started)
+	}
+}
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -210,7 +210,9 @@
 	}
 	for i := range entries {
 		underRole("entry", func() {
-			f.entries = append(f.entries, f.startEntry(fmt.Sprintf("e%d", i), addresses[i], addresses))
+			e := f.prepareEntry(fmt.Sprintf("e%d", i), addresses[i], addresses)
+			f.startServices(e)
+			f.entries = append(f.entries, e)
 		})
 	}
 	for i := range workers {
@@ -243,7 +245,8 @@
 	return n
 }
 
-func (f *fleet) startEntry(id, address string, entryAddresses []string) *entry {
+// prepareEntry returns an entry whose services are not started.
+func (f *fleet) prepareEntry(id, address string, entryAddresses []string) *entry {
 	clock := ledger.NewMonotonicClock()
 	registry := metrics.NewRegistry()
 	log := f.log.With().Str("id", id).Logger()
@@ -258,14 +261,25 @@
 	peers := graphs.NewPeers(address, entryAddresses, e.owner, log)
 	e.front = graphs.NewFront(watcher, store, graphs.NewOwnerClient(scheduler, e.owner), peers, time.Now, registry, log)
 	handover := graphs.NewHandover(e.owner, e.ledger, watcher, peers, log)
-	server := graphs.NewServer(address, scheduler, e.owner, e.front, handover)
+	server := graphs.NewServer(address, scheduler, e.owner, e.front, handover, log)
 	e.services = []kernel.Service{e.ledger, watcher, server, e.owner, scheduler, handover}
+	return e
+}
+
+func (f *fleet) startServices(e *entry) {
 	for _, s := range e.services {
 		if err := s.Start(context.Background()); err != nil {
 			f.t.Fatal(err)
 		}
 	}
-	return e
+}
+
+func (f *fleet) entryAddresses() []string {
+	var out []string
+	for _, e := range f.entries {
+		out = append(out, e.address)
+	}
+	return out
 }
 
 // underRole runs fn with a profiler label, which the goroutines that it starts
