--- a/internal/graph/plan/large_test.go
+++ b/internal/graph/plan/large_test.go
@@ -109,3 +109,24 @@
 	}
 	return n
 }
+
+// TestLargePassesAreCheap checks that a scheduling pass in which wide gangs wait for
+// room grows no faster than the fleet. It compares allocations, which do not depend
+// on the machine.
+func TestLargePassesAreCheap(t *testing.T) {
+	const ratio, smallFleet = 4, 40
+	allocations := func(workers int) float64 {
+		f := newFullFleet(workers)
+		for range maxReservations {
+			f.submitGang(workers/2, "", 1)
+		}
+		for i := range f.infos {
+			f.report(i)
+		}
+		return testing.AllocsPerRun(10, func() { f.step(Tick{}) })
+	}
+	few, many := allocations(smallFleet), allocations(ratio*smallFleet)
+	if many > ratio*few {
+		t.Errorf("%v allocations on %d workers, %v on %d", few, smallFleet, many, ratio*smallFleet)
+	}
+}
