plan: sixteen reservations, from one list of expected ends a pass

Cause: four waiting units held reservations on 11 workers and on 208 alike. On large fleets the wide gangs behind them lost their room to whatever fitted, started late or never.

Change: sixteen reservations; the expected ends are listed and sorted once a pass, by rack too, until a unit is placed.

--- a/internal/graph/plan/reserve.go
+++ b/internal/graph/plan/reserve.go
@@ -1,15 +1,16 @@
 package plan
 
 import (
-	"container/heap"
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
-// maxReservations limits the number of waiting units with a reservation.
-const maxReservations = 4
+// maxReservations limits the number of waiting units with a reservation. Each one
+// costs a look at the expected ends of the runs.
+const maxReservations = 16
 
 // reservation holds resources back for a waiting unit that is expected to start at
 // expectedStart.
@@ -52,10 +53,16 @@
 // does not fit even then.
 func (c *Core) earliestFit(u *unit, g workerGroup) *reservation {
 	room := newTaskRoom(u.step, slices.Clone(g.candidates), nil)
-	releases := c.expectedReleases(g)
-	for len(releases) > 0 {
-		next := heap.Pop(&releases).(release)
-		room.add(next.index, next.needs)
+	index := make(map[*worker]int, len(g.candidates))
+	for i, s := range g.candidates {
+		index[s.worker] = i
+	}
+	for _, next := range c.expectedReleases(g) {
+		i, ok := index[next.worker]
+		if !ok {
+			continue
+		}
+		room.add(i, next.needs)
 		if allocs := room.pack(u.taskCount); allocs != nil {
 			return &reservation{unit: u, needs: needsByWorker(allocs, u.step), expectedStart: next.at}
 		}
@@ -63,40 +70,52 @@
 	return nil
 }
 
-// release is the expected end of a run on a candidate of a group.
+// release is the expected end of a run.
 type release struct {
-	at    time.Duration
-	index int // of the candidate
-	order int // among all releases of the group; breaks ties
-	needs graph.Resources
+	at     time.Duration
+	order  int // among all runs; breaks ties
+	worker *worker
+	needs  graph.Resources
 }
 
-// releaseQueue is a heap of releases, the earliest first. Few of them are needed as
-// a rule, so a sort would cost more.
-type releaseQueue []release
-
-func (q releaseQueue) Len() int { return len(q) }
-func (q releaseQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+// releaseList holds the expected ends of all runs in order, and those of each rack.
+// It serves all reservations of a pass until the next unit is placed.
+type releaseList struct {
+	valid  bool
+	all    []release
+	byRack map[string][]release
 }
-func (q releaseQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *releaseQueue) Push(x any)   { *q = append(*q, x.(release)) }
-func (q *releaseQueue) Pop() any {
-	n := len(*q) - 1
-	last := (*q)[n]
-	*q = (*q)[:n]
-	return last
+
+// expectedReleases returns the expected ends of the runs in a group, and possibly of
+// others, the earliest first.
+func (c *Core) expectedReleases(g workerGroup) []release {
+	list := &c.sched.releases
+	if !list.valid {
+		*list = releaseList{valid: true, all: c.collectReleases(), byRack: map[string][]release{}}
+		for _, r := range list.all {
+			rack := r.worker.info.Rack
+			list.byRack[rack] = append(list.byRack[rack], r)
+		}
+	}
+	if g.name == "" {
+		return list.all
+	}
+	return list.byRack[g.name]
 }
 
-// expectedReleases returns the expected ends of all runs in a group.
-func (c *Core) expectedReleases(g workerGroup) releaseQueue {
-	var out releaseQueue
-	for i, s := range g.candidates {
-		for _, m := range s.members {
-			out = append(out, release{at: c.expectedEnd(m), index: i, order: len(out), needs: m.unit.step.Needs})
+func (c *Core) collectReleases() []release {
+	var out []release
+	for _, w := range c.sortedWorkers {
+		for _, m := range w.members {
+			out = append(out, release{at: c.expectedEnd(m), order: len(out), worker: w, needs: m.unit.step.Needs})
 		}
 	}
-	heap.Init(&out)
+	slices.SortFunc(out, func(a, b release) int {
+		if a.at != b.at {
+			return cmp.Compare(a.at, b.at)
+		}
+		return a.order - b.order
+	})
 	return out
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -15,6 +15,7 @@
 // scheduling pass.
 type schedulingState struct {
 	reservations []*reservation
+	releases     releaseList
 	// noRoom holds the kinds of units that could not be placed in this pass.
 	// Available resources only shrink within a pass, unless a claim is dropped.
 	noRoom map[unitKind]bool
@@ -34,7 +35,7 @@
 	if c.policy == nil || !c.firstReportOlderThan(placementDelay) {
 		return
 	}
-	c.sched.reservations = nil
+	c.sched.reservations, c.sched.releases = nil, releaseList{}
 	c.sched.noRoom = map[unitKind]bool{}
 	c.sched.withinGuarantee = c.jobsWithinGuarantee()
 	for _, u := range c.waitingUnits(c.sched.withinGuarantee) {
@@ -169,6 +170,7 @@
 // saved.
 func (c *Core) bind(u *unit, allocs []allocation) {
 	c.learnRequeueWait(u)
+	c.sched.releases.valid = false
 	u.phase = unitPlaced
 	u.run = c.nextRunNumber()
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
