--- a/internal/graph/plan/speed.go
+++ b/internal/graph/plan/speed.go
@@ -1,6 +1,9 @@
 package plan
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Members of a gang do the same amount of work, each at the speed of its worker, and
 // the gang is done when the slowest one is. Their progress therefore shows how fast
@@ -45,10 +48,17 @@
 	return w.speed.slowness
 }
 
-// observeSpeed records a comparison in which the worker had the given slowness.
-func (w *worker) observeSpeed(now time.Duration, slowness, weight float64) {
-	known := w.slowness(now)
-	w.speed = speedRecord{slowness: max(1, known+weight*(slowness-known)), learnedAt: now}
+// observeSpeed records a comparison in which a worker had the given slowness.
+func (c *Core) observeSpeed(w *worker, slowness, weight float64) {
+	known, wasSlow := w.slowness(c.now), w.slow(c.now)
+	w.speed = speedRecord{slowness: max(1, known+weight*(slowness-known)), learnedAt: c.now}
+	if slow := w.slow(c.now); slow != wasSlow {
+		reason := ReasonWorkerSlow
+		if !slow {
+			reason = ReasonWorkerFast
+		}
+		c.emit(Notice{Reason: reason, Worker: w.info.ID, Detail: fmt.Sprintf("slowness %.2f", w.speed.slowness)})
+	}
 }
 
 // taskTime is the run time of a single task that is done.
@@ -79,7 +89,7 @@
 		onFastWorker += t.seconds / t.worker.slowness(c.now) / float64(len(times))
 	}
 	for _, t := range times {
-		t.worker.observeSpeed(c.now, t.seconds/onFastWorker, taskSpeedWeight)
+		c.observeSpeed(t.worker, t.seconds/onFastWorker, taskSpeedWeight)
 	}
 }
 
@@ -101,7 +111,7 @@
 	u.speedsLearned = true
 	base := fastest.worker.slowness(c.now)
 	for _, m := range u.members {
-		m.worker.observeSpeed(c.now, base*fastest.rate()/m.rate(), gangSpeedWeight)
+		c.observeSpeed(m.worker, base*fastest.rate()/m.rate(), gangSpeedWeight)
 	}
 }
 
--- a/internal/graph/plan/speed_test.go
+++ b/internal/graph/plan/speed_test.go
@@ -30,7 +30,7 @@
 	for i := range 6 {
 		w := &worker{}
 		if i%2 == 1 {
-			w.observeSpeed(0, 1.3, 1)
+			c.observeSpeed(w, 1.3, 1)
 		}
 		candidates = append(candidates, candidate{worker: w})
 	}
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -201,5 +201,7 @@
 	ReasonWorkerLost         Reason = "worker-lost"
 	ReasonIncarnationChanged Reason = "worker-incarnation-changed"
 	ReasonWorkerQuarantined  Reason = "worker-quarantined"
+	ReasonWorkerSlow         Reason = "worker-slow"
+	ReasonWorkerFast         Reason = "worker-fast"
 	ReasonUnknownRun         Reason = "unknown-run-stopped"
 )
