Ledger: rows that cannot be decoded are shown as such, not hidden

Cause: with an unreadable progress row hidden in the ledger, the next owner took a job that was done for one that never ran. Only its save, which could not be made either, kept it from starting. TestUnreadableProgressRunsNothingAgain failed before: the owner scheduled it.

Change: Scan and Feed mark such rows; a job with one is left out. Also: one function for the index of candidates.

--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -141,6 +141,9 @@
 }
 
 func (s *storedJob) decodeRow(id graph.JobID, kind string, r ledger.Row) error {
+	if r.Unreadable {
+		return errors.NotValidf("row %q", r.Key)
+	}
 	switch kind {
 	case jobSuffix:
 		s.job = &graph.Job{}
--- a/internal/graph/plan/eviction.go
+++ b/internal/graph/plan/eviction.go
@@ -44,16 +44,14 @@
 // already have ended.
 func newEvictionTrial(u *unit, g workerGroup) *evictionTrial {
 	candidates := slices.Clone(g.candidates)
-	index := make(map[*worker]int, len(candidates))
 	for i, s := range candidates {
-		index[s.worker] = i
 		for _, m := range s.members {
 			if m.unit.stopping {
 				candidates[i].available = candidates[i].available.Add(m.unit.step.Needs)
 			}
 		}
 	}
-	return &evictionTrial{unit: u, room: newTaskRoom(u.step, candidates, u.tasksPerWorker()), candidateIndex: index}
+	return &evictionTrial{unit: u, room: newTaskRoom(u.step, candidates, u.tasksPerWorker()), candidateIndex: indexByWorker(candidates)}
 }
 
 // evict adds the unit's resources to the room. restore undoes it.
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -14,6 +14,15 @@
 	available graph.Resources
 }
 
+// indexByWorker returns the index of each candidate.
+func indexByWorker(candidates []candidate) map[*worker]int {
+	out := make(map[*worker]int, len(candidates))
+	for i, s := range candidates {
+		out[s.worker] = i
+	}
+	return out
+}
+
 // allocation assigns a number of a unit's tasks to one worker.
 type allocation struct {
 	worker *worker
--- a/internal/graph/plan/reserve.go
+++ b/internal/graph/plan/reserve.go
@@ -53,10 +53,7 @@
 // does not fit even then.
 func (c *Core) earliestFit(u *unit, g workerGroup) *reservation {
 	room := newTaskRoom(u.step, slices.Clone(g.candidates), nil)
-	index := make(map[*worker]int, len(g.candidates))
-	for i, s := range g.candidates {
-		index[s.worker] = i
-	}
+	index := indexByWorker(g.candidates)
 	for _, next := range c.expectedReleases(g) {
 		i, ok := index[next.worker]
 		if !ok {
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -248,9 +248,9 @@
 		if err != nil {
 			return nil, errors.Annotatef(err, "scanning rows %q", prefix)
 		}
-		for _, s := range c.decodeReadable(page) {
-			if !s.isAbsent() {
-				out = append(out, s.visibleRow())
+		for _, row := range c.visibleRows(page) {
+			if row.Version > 0 {
+				out = append(out, row)
 			}
 		}
 		if len(page) < want {
@@ -270,18 +270,19 @@
 	return rows, err
 }
 
-// decodeReadable is decodeAndCache without the rows that cannot be decoded, which it
-// logs and counts: a row that another program has written must not hide the others.
-func (c *Client) decodeReadable(rows []external.Row) []storedRow {
-	var out []storedRow
-	for _, r := range rows {
+// visibleRows decodes rows one by one: one that another program has written must not
+// hide the others. Deleted rows have version 0.
+func (c *Client) visibleRows(rows []external.Row) []Row {
+	out := make([]Row, len(rows))
+	for i, r := range rows {
 		found, err := c.decodeAndCache([]external.Row{r})
 		if err != nil {
 			metrics.GetOrRegisterCounter("ledger.unreadable_rows", c.cfg.Metrics).Inc(1)
-			c.cfg.Log.Error().Err(err).Msg("row skipped: it cannot be decoded")
+			c.cfg.Log.Error().Err(err).Msg("row cannot be decoded")
+			out[i] = Row{Key: r.Key, Version: r.Version, Unreadable: true}
 			continue
 		}
-		out = append(out, found...)
+		out[i] = found[0].visibleRow()
 	}
 	return out
 }
--- a/internal/ledger/feed.go
+++ b/internal/ledger/feed.go
@@ -27,12 +27,7 @@
 	if err != nil {
 		return nil, 0, errors.Annotatef(err, "feed of rows %q after %d", prefix, after)
 	}
-	found := c.decodeReadable(rows)
-	out := make([]Row, len(found))
-	for i, s := range found {
-		out[i] = s.visibleRow()
-	}
-	return out, upTo, nil
+	return c.visibleRows(rows), upTo, nil
 }
 
 // Newest returns the latest version of the table. A feed continues from it if the
--- a/test/graphs/faults_test.go
+++ b/test/graphs/faults_test.go
@@ -98,3 +98,35 @@
 		t.Errorf("%d tasks started on a worker that has left", n-started)
 	}
 }
+
+// TestUnreadableProgressRunsNothingAgain checks that the next owner does not start a
+// job again whose progress it cannot read.
+func TestUnreadableProgressRunsNothingAgain(t *testing.T) {
+	for _, value := range []string{`7`, `{"stamps":[],"data":7}`} {
+		f := newFleet(t, 2, 2)
+		id := f.submit(f.entries[0], 2)
+		f.awaitJobState(f.entries[0], id, graph.Completed)
+		f.await("the progress to be replaced", func() bool {
+			key := "graph/j/" + string(id) + "/progress"
+			rows, err := f.table.Get(context.Background(), key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := f.table.Commit(context.Background(), external.Txn{Conds: []external.Cond{{Key: key, Version: rows[0].Version}},
+				Puts: []external.Row{{Key: key, Value: json.RawMessage(value)}}})
+			return err == nil && r.Committed
+		})
+		f.stopEntry(f.ownerEntry(), true)
+		f.await("another owner", func() bool { return f.ownerEntry() != nil })
+		next := f.submit(f.ownerEntry(), 2)
+		f.awaitJobState(f.ownerEntry(), next, graph.Completed)
+		if _, known := f.ownerEntry().scheduler.JobState(id); known {
+			t.Errorf("progress %s: the next owner schedules the job", value)
+		}
+		for task, n := range f.startCounts(id) {
+			if n != 1 {
+				t.Errorf("progress %s: %v started %d times", value, task, n)
+			}
+		}
+	}
+}
