plan: reservations kept by their workers; room counted without divisions

Change: a worker holds what reservations take of it, so that the room for a unit costs no lookup for each of them; a count of tasks divides only where some but not all fit.

--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -32,22 +32,28 @@
 // tasksThatFit returns the number of tasks of a step that fit into the available
 // resources of one worker, at most step.Count.
 func tasksThatFit(available graph.Resources, step *graph.Step) int {
-	n := step.Count
-	for _, d := range [][2]int{
-		{available.MilliCPU, step.Needs.MilliCPU},
-		{available.MemoryMB, step.Needs.MemoryMB},
-		{available.Accelerators, step.Needs.Accelerators},
-	} {
-		if d[1] > 0 {
-			n = min(n, max(0, d[0])/d[1])
-		}
-	}
+	n := limitTasks(step.Count, available.Accelerators, step.Needs.Accelerators)
+	n = limitTasks(n, available.MilliCPU, step.Needs.MilliCPU)
+	n = limitTasks(n, available.MemoryMB, step.Needs.MemoryMB)
 	if step.MaxPerWorker > 0 {
 		n = min(n, step.MaxPerWorker)
 	}
 	return n
 }
 
+// limitTasks returns how many of n tasks fit that need so much of one resource each.
+// It divides only if some but not all of them fit.
+func limitTasks(n, available, need int) int {
+	switch {
+	case need <= 0 || available >= n*need:
+		return n
+	case available < need:
+		return 0
+	default:
+		return available / need
+	}
+}
+
 // tasksThatFitBeside returns the number of further tasks of a step that may be
 // placed on a candidate. perWorker is the number of its tasks already on each worker.
 func tasksThatFitBeside(c candidate, step *graph.Step, perWorker map[*worker]int) int {
@@ -275,9 +281,9 @@
 	if u.claim != nil {
 		available = available.Add(u.claim.needs[w])
 	}
-	for _, r := range c.sched.reservations {
-		if r.unit != u && c.now+u.step.Estimate > r.expectedStart {
-			available = available.Sub(r.needs[w])
+	for _, r := range w.reserved {
+		if r.unit != u && c.now+u.step.Estimate > r.from {
+			available = available.Sub(r.needs)
 		}
 	}
 	return available
--- a/internal/graph/plan/reserve.go
+++ b/internal/graph/plan/reserve.go
@@ -33,11 +33,34 @@
 		}
 	}
 	if best != nil {
-		c.sched.reservations = append(c.sched.reservations, best)
+		c.addReservation(best)
 	}
 	return best
 }
 
+// reservedRoom is the part of a reservation on one worker.
+type reservedRoom struct {
+	unit  *unit
+	needs graph.Resources
+	from  time.Duration // expected start of the unit
+}
+
+func (c *Core) addReservation(r *reservation) {
+	c.sched.reservations = append(c.sched.reservations, r)
+	for w, needs := range r.needs {
+		w.reserved = append(w.reserved, reservedRoom{r.unit, needs, r.expectedStart})
+	}
+}
+
+func (c *Core) clearReservations() {
+	for _, r := range c.sched.reservations {
+		for w := range r.needs {
+			w.reserved = w.reserved[:0]
+		}
+	}
+	c.sched.reservations = nil
+}
+
 // candidateGroups returns the groups of workers over which a unit may be spread:
 // the racks for a same-rack unit that fits one, else a single group.
 func (c *Core) candidateGroups(u *unit) []workerGroup {
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -35,7 +35,8 @@
 	if c.policy == nil || !c.firstReportOlderThan(placementDelay) {
 		return
 	}
-	c.sched.reservations, c.sched.releases = nil, releaseList{}
+	c.clearReservations()
+	c.sched.releases = releaseList{}
 	c.sched.noRoom = map[unitKind]bool{}
 	c.sched.withinGuarantee = c.jobsWithinGuarantee()
 	for _, u := range c.waitingUnits(c.sched.withinGuarantee) {
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -40,6 +40,7 @@
 	used       graph.Resources
 	unknownUse graph.Resources // used by runs that the owner did not place here
 	claimed    graph.Resources // held by claims
+	reserved   []reservedRoom  // by reservations of the current pass
 
 	pendingAcks  []*pendingAck
 	lastEndSeen  uint64 // highest number of a processed end
