--- a/internal/rpc/recover_test.go
+++ b/internal/rpc/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 
@@ -16,9 +17,7 @@
 func (brokenFleet) Locate(context.Context, *LocateRequest) (*LocateReply, error) { panic("broken") }
 
 func (brokenFleet) Attend(grpc.BidiStreamingServer[WorkerReport, WorkerOrders]) error {
-	var unset map[string]int
-	unset["x"] = 1
-	return nil
+	panic(io.ErrUnexpectedEOF)
 }
 
 // TestPanicsEndTheCallOnly checks that a handler's panic is reported and answered,
