Metrics and log lines that show how far an owner is behind its inputs

Whether LOST at scale comes from late inputs could not be told from the logs. The owner now records how long events wait for the core (plan.event_wait) and how long passes take (plan.pass), and logs 'scheduling is behind its inputs'. An answer to a report names its number, so that an agent records the time to the answer (keeper.answer) and logs 'owner is slow to answer reports'.

--- /dev/null
+++ b/internal/agent/keeper/answers.go
@@ -0,0 +1,51 @@
+package keeper
+
+import (
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// slowAnswer is the time to an answer from which on an owner counts as slow. A
+	// healthy owner answers within milliseconds.
+	slowAnswer = 500 * time.Millisecond
+	// slowAnswerLogInterval is the least time between two log lines about slow answers.
+	slowAnswerLogInterval = time.Second
+)
+
+// answerMonitor records how long an owner takes to answer the reports of one
+// connection.
+type answerMonitor struct {
+	clock    func() time.Duration
+	registry metrics.Registry
+	log      zerolog.Logger
+
+	mu         sync.Mutex
+	unanswered []sentReport
+	loggedAt   time.Duration
+}
+
+func (m *answerMonitor) recordReport(number uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unanswered = append(m.unanswered, sentReport{number: number, sentAt: m.clock()})
+}
+
+// recordAnswer records that the owner has handled all reports up to a number.
+func (m *answerMonitor) recordAnswer(number uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	for len(m.unanswered) > 0 && m.unanswered[0].number <= number {
+		took := now - m.unanswered[0].sentAt
+		m.unanswered = m.unanswered[1:]
+		metrics.GetOrRegisterTimer("keeper.answer", m.registry).Update(took)
+		if took >= slowAnswer && now-m.loggedAt >= slowAnswerLogInterval {
+			m.loggedAt = now
+			m.log.Warn().Dur("took_ms", took).Uint64("report", number).Int("unanswered", len(m.unanswered)).Msg("owner is slow to answer reports")
+		}
+	}
+}
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -70,6 +70,7 @@
 	owner        string // address of the owner
 	stream       grpc.BidiStreamingClient[rpc.WorkerReport, rpc.WorkerOrders]
 	reportNumber uint64
+	answers      answerMonitor
 	// received is signalled for each message from the owner.
 	received chan struct{}
 	ended    chan error
@@ -89,6 +90,7 @@
 	k.lease.forgetReports()
 	k.mu.Unlock()
 	l := &ownerLink{keeper: k, owner: owner, stream: stream, received: make(chan struct{}, 1), ended: make(chan error, 1)}
+	l.answers = answerMonitor{clock: k.clock, registry: k.registry, log: k.log}
 	go l.receiveOrders(ctx)
 	return l.reportLoop(ctx)
 }
@@ -173,6 +175,7 @@
 	l.reportNumber++
 	r := rpc.ReportOf(*k.worker)
 	r.Beat, r.Listed = l.reportNumber, listed
+	l.answers.recordReport(l.reportNumber)
 	now := k.clock()
 	r.Answering, r.Gone = k.workerResponsive(), k.workerGone()
 	if listed {
@@ -192,6 +195,7 @@
 	for {
 		o, err := l.stream.Recv()
 		if err == nil {
+			l.answers.recordAnswer(o.AnsweredBeat)
 			err = l.keeper.applyOrders(l.keeper.loops.Context(), o)
 		}
 		if first {
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -132,7 +132,7 @@
 	if t.closed || !t.ownsScheduling() {
 		return
 	}
-	sess.addOrder(t.token, rpc.WorkerInfoOf(r).Incarnation(), func(*rpc.WorkerOrders) {})
+	sess.addOrder(t.token, rpc.WorkerInfoOf(r).Incarnation(), func(o *rpc.WorkerOrders) { o.AnsweredBeat = r.Beat })
 	sess.flush()
 }
 
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -33,6 +33,7 @@
 	cancel       context.CancelCauseFunc
 	outlook      outlookBoard
 	learned      *learnedWriter // nil without feature.SavedLearning
+	lag          lagMonitor
 
 	mu               sync.Mutex
 	core             *plan.Core
@@ -44,6 +45,7 @@
 }
 
 func newTerm(s *Scheduler, epoch, token, fenceVersion uint64, cancel context.CancelCauseFunc) *term {
+	log := s.log.With().Uint64("epoch", epoch).Uint64("token", token).Logger()
 	return &term{
 		epoch:            epoch,
 		token:            token,
@@ -53,7 +55,8 @@
 		owner:            s.owner,
 		store:            s.store,
 		registry:         s.registry,
-		log:              s.log.With().Uint64("epoch", epoch).Uint64("token", token).Logger(),
+		log:              log,
+		lag:              lagMonitor{clock: s.clock, registry: s.registry, log: log},
 		cancel:           cancel,
 		limits:           s.limits,
 		core:             plan.New(s.coreConfig(token)),
@@ -111,8 +114,10 @@
 // pass that the event calls for follows at once if the event is urgent or the last
 // pass is passInterval ago, otherwise when that time is over.
 func (t *term) step(ev plan.Event) {
+	arrivedAt := t.lag.arrive()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.lag.admit(arrivedAt)
 	defer t.endAfterPanic()
 	if t.closed {
 		return
@@ -139,6 +144,7 @@
 	case urgent || wait <= 0:
 		t.lastPassAt = now
 		t.applyActions(t.core.Schedule(now))
+		t.lag.recordPass(t.now() - now)
 	case !t.passArranged:
 		t.passArranged = true
 		time.AfterFunc(wait, t.runArrangedPass)
