keeper: at most one unanswered report on a connection

Callers saw jobs stand still and cancelled tasks start late (LOST, UNASKED) once the owner of a large fleet had fallen behind, also long after the reason was over.

Cause: an agent sent the next report whether or not the owner had answered the last one, up to every 20 ms while its worker ran tasks; and it polled its worker every 100 ms while the owner had not acknowledged ends. A late owner thus got more reports the later it was, and decided by reports that had waited in the connection for seconds.

An agent now sends its next report, with its newest state, once the owner has answered the last one. What waits at the owner is bounded by one report for each worker and is never older than the one before took. The owner closes a connection on which it cannot answer. An owner of an earlier version names no report: any message of it counts as an answer.

--- a/internal/agent/keeper/answers.go
+++ b/internal/agent/keeper/answers.go
@@ -25,19 +25,34 @@
 
 	mu         sync.Mutex
 	unanswered []sentReport
+	numbered   bool // the owner names the report that it answers
 	loggedAt   time.Duration
 }
 
+// pending reports whether a report has not been answered yet.
+func (m *answerMonitor) pending() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.unanswered) > 0
+}
+
 func (m *answerMonitor) recordReport(number uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.unanswered = append(m.unanswered, sentReport{number: number, sentAt: m.clock()})
 }
 
-// recordAnswer records that the owner has handled all reports up to a number.
+// recordAnswer records a message in which the owner names the last report that it has
+// handled, or 0. Owners of earlier versions never name one: each of their messages
+// counts as an answer.
 func (m *answerMonitor) recordAnswer(number uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.numbered = m.numbered || number > 0
+	if !m.numbered {
+		m.unanswered = nil
+		return
+	}
 	now := m.clock()
 	for len(m.unanswered) > 0 && m.unanswered[0].number <= number {
 		took := now - m.unanswered[0].sentAt
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -97,6 +97,9 @@
 
 // reportLoop reports to the owner until the connection ends or the owner does not
 // answer. The first report carries no run list; it only requests the owner's epoch.
+//
+// At most one report is unanswered. A late owner would otherwise get more reports than
+// it handles, all of them older than the next.
 func (l *ownerLink) reportLoop(ctx context.Context) error {
 	k := l.keeper
 	if err := l.sendReport(false); err != nil {
@@ -108,6 +111,7 @@
 	defer reportTimer.Stop()
 	successorTimer := time.NewTimer(successorCheckDelay)
 	defer successorTimer.Stop()
+	due := false // a report is to be sent
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,22 +123,25 @@
 		case <-l.received:
 			replyTimer.Reset(ownerReplyTimeout + reportInterval)
 			successorTimer.Stop()
-			continue
 		case <-successorTimer.C:
 			if err := l.checkSuccessor(ctx); err != nil {
 				return err
 			}
 			successorTimer.Reset(successorCheckDelay)
-			continue
 		case <-k.wakeSend:
+			due = true
 		case <-reportTimer.C:
+			due = true
+			reportTimer.Reset(reportInterval)
 		}
-		if k.listIsCurrent() {
-			if err := l.sendReport(true); err != nil {
-				return err
-			}
-			successorTimer.Reset(successorCheckDelay)
+		if !due || l.answers.pending() || !k.listIsCurrent() {
+			continue
+		}
+		due = false
+		if err := l.sendReport(true); err != nil {
+			return err
 		}
+		successorTimer.Reset(successorCheckDelay)
 		reportTimer.Reset(reportInterval)
 		kernel.Sleep(ctx, minReportSpacing)
 	}
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -120,20 +120,24 @@
 				Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentRuns(r.Absent), ListAge: time.Duration(r.ListAgeMs) * time.Millisecond,
 				Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone})
 		}
-		t.acknowledgeReport(r, sess)
+		if !t.acknowledgeReport(r, sess) {
+			return errNotOwner
+		}
 	}
 }
 
 // acknowledgeReport answers a report even if there are no orders, so that the
-// agent learns the term's token and that the owner receives its reports.
-func (t *term) acknowledgeReport(r *rpc.WorkerReport, sess *session) {
+// agent learns the term's token and that the owner receives its reports. It returns
+// false if the term is over.
+func (t *term) acknowledgeReport(r *rpc.WorkerReport, sess *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed || !t.ownsScheduling() {
-		return
+		return false
 	}
 	sess.addOrder(t.token, rpc.WorkerInfoOf(r).Incarnation(), func(o *rpc.WorkerOrders) { o.AnsweredBeat = r.Beat })
 	sess.flush()
+	return true
 }
 
 // setSession makes sess the worker's current session and closes the previous one.
