graphs: a replaced session of an agent stays replaced

Callers saw runs that had ended counted as running, and stops repeated, after agents had connected anew to a late owner.

Cause: each report made its connection the worker's current session, also one of a connection that had been replaced or had ended but still held unread reports. Older reports then undid newer ones, and each change of sides closed the live connection.

A closed session cannot become current again, and its connection is ended.

--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -61,6 +61,12 @@
 	return out
 }
 
+func (s *session) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 func (s *session) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,21 +117,30 @@
 		if err != nil {
 			return err
 		}
-		if !t.ownsScheduling() {
-			return errNotOwner
-		}
-		t.setSession(r.Worker, sess)
-		if r.Listed {
-			t.step(plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: sess.id,
-				Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentRuns(r.Absent), ListAge: time.Duration(r.ListAgeMs) * time.Millisecond,
-				Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone})
-		}
-		if !t.acknowledgeReport(r, sess) {
+		if !t.handleReport(r, sess) {
 			return errNotOwner
 		}
 	}
 }
 
+// handleReport passes a report to the core and answers it. It returns false if the
+// term is over or the session has been replaced.
+func (t *term) handleReport(r *rpc.WorkerReport, sess *session) bool {
+	if !t.ownsScheduling() || !t.setSession(r.Worker, sess) {
+		return false
+	}
+	if r.Listed {
+		t.step(reportEvent(r, sess))
+	}
+	return t.acknowledgeReport(r, sess)
+}
+
+func reportEvent(r *rpc.WorkerReport, sess *session) plan.WorkerReport {
+	return plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: sess.id,
+		Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentRuns(r.Absent), ListAge: time.Duration(r.ListAgeMs) * time.Millisecond,
+		Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone}
+}
+
 // acknowledgeReport answers a report even if there are no orders, so that the
 // agent learns the term's token and that the owner receives its reports. It returns
 // false if the term is over.
@@ -140,19 +155,25 @@
 	return true
 }
 
-// setSession makes sess the worker's current session and closes the previous one.
-func (t *term) setSession(worker string, sess *session) {
+// setSession makes sess the worker's current session and closes the previous one. It
+// returns false if sess is closed: reports that a replaced session still holds are older
+// than those of the session that replaced it.
+func (t *term) setSession(worker string, sess *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.sessions[worker]
 	if old == sess {
-		return
+		return true
+	}
+	if sess.isClosed() {
+		return false
 	}
 	if old != nil {
 		old.close()
 	}
 	t.sessions[worker] = sess
 	t.log.Info().Str("worker", worker).Str("session", sess.id).Msg("agent connected")
+	return true
 }
 
 func (t *term) removeSession(sess *session) {
@@ -164,6 +185,7 @@
 			delete(t.sessions, w)
 		}
 	}
+	sess.close()
 	t.mu.Unlock()
 	if worker != "" {
 		t.log.Info().Str("worker", worker).Str("session", sess.id).Msg("agent disconnected")
