graphs: scheduling passes take at most half of the owner's time

Cause: the 5 ms between two passes counted from the start of the last one. A new job of the first priority had a pass of its own at any rate.

The next pass now starts no sooner after the end of the last one than that took (at most 0.5 s), and no sooner than 5 ms unless it is for a new job of the first priority. The decision is in a pure passPacer.

TestPassesLeaveTimeForEvents failed with the old rule: at 500 events a second and passes of 20 ms an event waits for 27 s after 30 s.

--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -43,8 +43,8 @@
 	core             *plan.Core
 	progressVersions map[graph.JobID]uint64 // versions of the progress rows, by job
 	sessions         map[string]*session    // by worker ID
-	lastPassAt       time.Duration          // time of the last scheduling pass on the core's clock
-	passArranged     bool                   // a timer will run the next pass
+	pacer            passPacer
+	passArranged     bool // a timer will run the next pass
 	closed           bool
 }
 
@@ -112,10 +112,6 @@
 	})
 }
 
-// passInterval is the shortest time between two scheduling passes. The ends of a
-// wide gang arrive one by one within a few milliseconds and share a pass.
-const passInterval = 5 * time.Millisecond
-
 // step passes one event to the core and applies the resulting actions.
 func (t *term) step(ev plan.Event) { t.withCore(func() { t.handle(ev) }) }
 
@@ -132,8 +128,8 @@
 }
 
 // handle passes events to the core and applies the resulting actions. A scheduling pass
-// that they call for follows at once if one of them is urgent or the last pass is
-// passInterval ago, otherwise when that time is over. The caller holds the lock.
+// that they call for follows at once or when the pacer allows it. The caller holds the
+// lock.
 func (t *term) handle(events ...plan.Event) {
 	urgent := false
 	for _, ev := range events {
@@ -155,26 +151,31 @@
 	if !t.core.NeedsScheduling() {
 		return
 	}
-	now := t.now()
-	wait := t.lastPassAt + passInterval - now
+	wait := t.pacer.wait(t.now(), urgent)
 	switch {
-	case urgent || wait <= 0:
-		t.lastPassAt = now
-		t.applyActions(t.core.Schedule(now))
-		t.lag.recordPass(t.now() - now)
+	case wait <= 0:
+		t.runPass()
 	case !t.passArranged:
 		t.passArranged = true
 		time.AfterFunc(wait, t.runArrangedPass)
 	}
 }
 
+func (t *term) runPass() {
+	startedAt := t.now()
+	t.applyActions(t.core.Schedule(startedAt))
+	endedAt := t.now()
+	t.pacer.record(startedAt, endedAt)
+	t.lag.recordPass(endedAt - startedAt)
+}
+
 func (t *term) runArrangedPass() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.endAfterPanic()
 	t.passArranged = false
 	if !t.closed {
-		t.schedule(true)
+		t.schedule(false)
 	}
 }
 
