plan: a claim whose room is free is used however late that is seen

Callers of guaranteed jobs would see them wait for as long as the owner is late (RECLAIM): a claim of room that other runs are stopped for timed out 1.2 s after it was made, also if the room was free by then.

The room is looked at before the time. TestClaimSurvivesLateEnds failed before (the stopped run was started again).

--- a/internal/graph/plan/late_test.go
+++ b/internal/graph/plan/late_test.go
@@ -33,3 +33,21 @@
 		t.Errorf("acknowledged %v, starts %+v after run %d", acknowledged, s, run.Run)
 	}
 }
+
+// TestClaimSurvivesLateEnds guards against a guaranteed job that never begins, as its claim has timed out when the ends of its victims are handled.
+func TestClaimSurvivesLateEnds(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	victim := starts(h.submit("j0", 8))[0]
+	claimant := *h.core.jobs["j0"].Job
+	claimant.ID, claimant.Account, claimant.Priority = "j1", "a0", 0
+	h.step(JobSubmitted{Job: &claimant})
+	if h.core.jobs["j1"].units[0].claim == nil {
+		t.Fatal("no claim")
+	}
+	h.now += h.core.claimTimeout() + time.Millisecond
+	s := starts(h.report("w0", nil, runEnd(victim, graph.EndStopped)))
+	if len(s) != 1 || s[0].Task.Job != "j1" {
+		t.Errorf("started %+v, want the guaranteed job", s)
+	}
+}
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -44,22 +44,26 @@
 }
 
 // useClaim places a unit on its claim once the resources there are free. It drops
-// the claim when a worker is no longer eligible or the claim has timed out.
+// the claim when a worker is no longer eligible, or when the claim has timed out and the
+// resources are not free: an owner that handles their ends late would otherwise give them
+// back to the units that it has stopped, and claim them again.
 func (c *Core) useClaim(u *unit) {
 	cl := u.claim
+	free := true
 	for _, p := range cl.allocs {
-		if !c.eligible(p.worker, u) || c.now-cl.madeAt > c.claimTimeout() {
+		if !c.eligible(p.worker, u) {
 			c.dropClaim(u)
 			return
 		}
+		free = free && cl.needs[p.worker].Fits(p.worker.free())
 	}
-	for _, p := range cl.allocs {
-		if !cl.needs[p.worker].Fits(p.worker.free()) {
-			return
-		}
+	switch {
+	case free:
+		c.dropClaim(u)
+		c.bind(u, cl.allocs)
+	case c.now-cl.madeAt > c.claimTimeout():
+		c.dropClaim(u)
 	}
-	c.dropClaim(u)
-	c.bind(u, cl.allocs)
 }
 
 // evictionPlan is a placement together with the units to stop for it.
