--- a/internal/entry/graphs/pacer.go
+++ b/internal/entry/graphs/pacer.go
@@ -7,8 +7,9 @@
 	// wide gang arrive one by one within a few milliseconds and share a pass.
 	passInterval = 5 * time.Millisecond
 	// maxPassDelay bounds the time between two passes, for a process that was suspended
-	// during the first one.
-	maxPassDelay = 500 * time.Millisecond
+	// during the first one. A job within a guarantee may wait for three passes and has to
+	// begin within 2.9 s.
+	maxPassDelay = 200 * time.Millisecond
 )
 
 // passPacer decides when scheduling passes run. Passes take at most half of the time, so
