--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -169,7 +169,8 @@
 	times   owner.Timing
 	log     zerolog.Logger
 
-	features feature.Set
+	features  feature.Set
+	processor processor // of the owner
 }
 
 // defaultTerm is the duration of the ownership lease.
@@ -262,7 +263,7 @@
 	watcher := policy.NewWatcher(e.config, policy.Limits{}, clock, registry, log)
 	e.owner = owner.New(e.ledger, cell, owner.Self{ID: id, Addr: address}, clock, owner.Config{Timing: f.times, Log: log})
 	store := graphs.NewStore(e.ledger)
-	scheduler := graphs.NewScheduler(e.owner, store, watcher, graphs.Limits{}, f.features, clock, time.Now, registry, log)
+	scheduler := graphs.NewScheduler(slowOwnership{e.owner, &f.processor}, store, watcher, graphs.Limits{}, f.features, clock, time.Now, registry, log)
 	e.scheduler = scheduler
 	peers := graphs.NewPeers(address, entryAddresses, e.owner, log)
 	e.front = graphs.NewFront(watcher, store, graphs.NewOwnerClient(scheduler, e.owner), peers, time.Now, registry, log)
