plan: a run is stalled only if a list shows it

The time without progress ends with the last list. TestOldListShowsNoStall failed before (stopped at 3.2 s by a list of 0.1 s).

--- a/internal/graph/plan/late_test.go
+++ b/internal/graph/plan/late_test.go
@@ -51,3 +51,33 @@
 		t.Errorf("started %+v, want the guaranteed job", s)
 	}
 }
+
+// TestOldListShowsNoStall guards against stopping sound runs whose progress the owner has not seen yet.
+func TestOldListShowsNoStall(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	info := h.core.workers["w0"].info
+	report := func(number uint64, listAge time.Duration) []Action {
+		return append(h.step(WorkerReport{Worker: info, Session: "s", Running: []graph.RunState{{Task: run.Task, Run: run.Run, Percent: 10}},
+			ListAge: listAge, Number: number, WorkerResponsive: true}), h.step(Tick{})...)
+	}
+	for n := range uint64(60) {
+		h.now += 100 * time.Millisecond
+		if stops := stopsOf(report(n, h.now-100*time.Millisecond)); len(stops) > 0 {
+			t.Fatalf("stopped at %v by a list of 100 ms", h.now)
+		}
+	}
+	if stops := stopsOf(report(100, 0)); len(stops) != 1 {
+		t.Errorf("%d stops by a list without progress, want 1", len(stops))
+	}
+}
+
+func stopsOf(actions []Action) (out []StopRun) {
+	for _, a := range actions {
+		if s, ok := a.(StopRun); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -51,7 +51,7 @@
 
 // A run is stalled if its progress does not change for stallFraction of its
 // estimate, and for minStallTime at least. Workers report progress in steps of one
-// percent.
+// percent. The lists show it, not the time since: an owner that is late has old lists.
 const (
 	minStallTime  = 3 * time.Second
 	stallFraction = 0.3
@@ -67,7 +67,7 @@
 		if !m.running || m.ended || m.stopping || !m.worker.connected() || c.now-m.worker.lastReportAt > maxReportAge {
 			return nil
 		}
-		if c.now-m.lastProgressAt <= limit || m.percent >= 100 {
+		if m.listedAt-m.lastProgressAt <= limit || m.percent >= 100 {
 			continue
 		}
 		if worst == nil || m.percent < worst.percent || m.percent == worst.percent && m.worker.failures.Count() > worst.worker.failures.Count() {
