plan: a run unknown to the owner is stopped once

Each report that still listed a run which the owner did not place brought another stop, each stop another report: orders, calls to the worker and log lines as fast as agent and owner answer each other, mostly after takeovers and lost leases, when there is most to do.

The stop is repeated in a new session, or when it has had no outcome for the time of an order (5 s), as for placed runs. TestUnknownRunIsStoppedOnce failed before (20 stops by 20 reports within 0.4 s).

--- a/internal/graph/plan/late_test.go
+++ b/internal/graph/plan/late_test.go
@@ -81,3 +81,22 @@
 	}
 	return out
 }
+
+// TestUnknownRunIsStoppedOnce guards against a stop order for each report that still lists a run which is being stopped.
+func TestUnknownRunIsStoppedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	unknown := []graph.RunState{{Task: graph.TaskID{Job: "x"}, Run: 1}}
+	stops := 0
+	for range 20 {
+		h.now += 20 * time.Millisecond
+		stops += len(stopsOf(h.report("w0", unknown)))
+	}
+	if stops != 1 {
+		t.Errorf("%d stops by 20 reports within 0.4 s, want 1", stops)
+	}
+	h.now += orderTimeout
+	if stops := len(stopsOf(h.report("w0", unknown))); stops != 1 {
+		t.Errorf("%d stops after the time of an order, want 1", stops)
+	}
+}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -28,8 +28,10 @@
 	members    []*member // members that have not ended
 	used       graph.Resources
 	unknownUse graph.Resources // used by runs that the owner did not place here
-	claimed    graph.Resources // held by claims
-	reserved   []reservedRoom  // by reservations of the current pass
+	// unknownStops holds the last stop ordered for each such run.
+	unknownStops map[runKey]orderedStop
+	claimed      graph.Resources // held by claims
+	reserved     []reservedRoom  // by reservations of the current pass
 
 	pendingAcks  []*pendingAck
 	lastEndSeen  uint64 // highest number of a processed end
@@ -41,6 +43,18 @@
 	drainReportedAt time.Duration
 }
 
+// runKey identifies a run of a task.
+type runKey struct {
+	task graph.TaskID
+	run  uint64
+}
+
+// orderedStop is a stop that was ordered in a session.
+type orderedStop struct {
+	session string
+	at      time.Duration
+}
+
 // pendingAck is a run end that is acknowledged once its effect is saved.
 type pendingAck struct {
 	number uint64
@@ -146,11 +160,13 @@
 func (c *Core) updateRunning(w *worker, running []graph.RunState, listedAt time.Duration) {
 	before := w.unknownUse
 	w.unknownUse = graph.Resources{}
+	stopsBefore := w.unknownStops
+	w.unknownStops = nil
 	defer func() { c.needsScheduling = c.needsScheduling || before != w.unknownUse }()
 	for _, r := range running {
 		m := w.findMember(r.Task, r.Run)
 		if m == nil {
-			c.stopUnknownRun(w, r)
+			c.stopUnknownRun(w, r, stopsBefore[runKey{r.Task, r.Run}])
 			continue
 		}
 		c.updateProgress(m, r, listedAt)
@@ -158,13 +174,22 @@
 }
 
 // stopUnknownRun stops a reported run that the owner did not place on the worker,
-// and counts its resources as used until it is gone.
-func (c *Core) stopUnknownRun(w *worker, r graph.RunState) {
+// and counts its resources as used until it is gone. It repeats the last stop only in
+// another session or after orderTimeout, as the run is listed until it has ended.
+func (c *Core) stopUnknownRun(w *worker, r graph.RunState, last orderedStop) {
 	if j := c.jobs[r.Task.Job]; j != nil {
 		if u := j.unitOf(r.Task.Step, r.Task.Index); u != nil {
 			w.unknownUse = w.unknownUse.Add(u.step.Needs)
 		}
 	}
+	if w.unknownStops == nil {
+		w.unknownStops = map[runKey]orderedStop{}
+	}
+	if last.session == w.session && c.now-last.at < orderTimeout {
+		w.unknownStops[runKey{r.Task, r.Run}] = last
+		return
+	}
+	w.unknownStops[runKey{r.Task, r.Run}] = orderedStop{w.session, c.now}
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
 	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
 }
