links: an entry that is late does not close the links of agents that send

Callers would see workers and minions drop out while the entry is late, and come back with a new session that it has to handle too.

Cause: the receive loop restarted the watchdog of 1.5 s before the listeners were called, and they wait for the scheduler's lock. A call that took longer closed the link, although the agent's next messages were already there. Found by reading.

The watchdog now runs only while the entry waits for the agent. The end of the connection still ends the session at once.

--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// idleTimeout is how long a session may go without a message from its agent
-	// before it is closed. Agents send at least their heartbeats.
+	// idleTimeout is how long the entry waits for the next message of an agent
+	// before it closes the session. Agents send at least their heartbeats.
 	idleTimeout      = 1500 * time.Millisecond
 	sessionQueueSize = 8192 // messages
 	maxSessions      = 20000
@@ -157,10 +157,12 @@
 		if err != nil {
 			return
 		}
-		watchdog.Reset(idleTimeout)
+		// The listeners may be late for reasons that are not the agent's.
+		watchdog.Stop()
 		if !s.dispatch(sess, m) {
 			return
 		}
+		watchdog.Reset(idleTimeout)
 	}
 }
 
