links: agents hear an entry that is late

Callers would see workers and minions connect again and again to an entry that is late, so that it has ever more sessions to handle.

Cause: the entry sent nothing before it had handled the hello, and answered a heartbeat only after the listeners had. An agent closes a link on which it hears nothing for 1.5 s, and opens the next. Found by reading.

The entry now sends a heartbeat on a link, from the hello on, when it has sent nothing for 0.75 s. It carries the agent's last handled clock value, from which the agent computes permissions and leases, so that a late entry permits nothing for longer. Agents send heartbeats every 0.3 or 0.5 s, whose answers suffice while the entry is not late: no messages are added then.

TestAgentHearsEntryWhoseListenersAreSlow failed before (the entry was silent for 2.0 s after the hello and between two heartbeats, with listeners that take 2 s). A heartbeat before the hello is handled, alone, would not do: the next came after the same 2 s.

--- a/internal/entry/links/late_test.go
+++ b/internal/entry/links/late_test.go
@@ -17,17 +17,21 @@
 // written to in. Recv and Open end with ctx.
 type fakeStream struct {
 	grpc.ServerStream
-	ctx context.Context
-	in  chan *rpc.AgentMessage
+	ctx  context.Context
+	in   chan *rpc.AgentMessage
+	sent chan time.Time
 }
 
 func newFakeStream(ctx context.Context) *fakeStream {
-	return &fakeStream{ctx: ctx, in: make(chan *rpc.AgentMessage)}
+	return &fakeStream{ctx: ctx, in: make(chan *rpc.AgentMessage), sent: make(chan time.Time, 1000)}
 }
 
 func (f *fakeStream) Context() context.Context { return f.ctx }
 
-func (f *fakeStream) Send(*rpc.EntryMessage) error { return nil }
+func (f *fakeStream) Send(*rpc.EntryMessage) error {
+	f.sent <- time.Now()
+	return nil
+}
 
 func (f *fakeStream) Recv() (*rpc.AgentMessage, error) {
 	select {
@@ -54,17 +58,44 @@
 	}
 }
 
+// longestSilence returns the longest time without a message from the entry,
+// within the given time from now.
+func (f *fakeStream) longestSilence(within time.Duration) time.Duration {
+	last, longest := time.Now(), time.Duration(0)
+	for end := time.After(within); ; {
+		select {
+		case at := <-f.sent:
+			longest = max(longest, at.Sub(last))
+			last = at
+		case <-end:
+			return max(longest, time.Since(last))
+		}
+	}
+}
+
 func helloOf(agent, incarnation string) *rpc.AgentMessage {
 	return &rpc.AgentMessage{Body: &rpc.AgentMessage_Hello{Hello: &rpc.Hello{AgentId: agent, Incarnation: incarnation, Zone: "z"}}}
 }
 
-// slowListener calls its function for each heartbeat.
+// slowListener calls its functions, as far as they are set, before it records.
 type slowListener struct {
 	*eventLog
+	onUp        func(Agent)
 	onHeartbeat func()
 }
 
-func (l *slowListener) AgentHeartbeat(Agent, *rpc.AgentHeartbeat) { l.onHeartbeat() }
+func (l *slowListener) AgentUp(a Agent, groups []*rpc.GroupReport) {
+	if l.onUp != nil {
+		l.onUp(a)
+	}
+	l.eventLog.AgentUp(a, groups)
+}
+
+func (l *slowListener) AgentHeartbeat(Agent, *rpc.AgentHeartbeat) {
+	if l.onHeartbeat != nil {
+		l.onHeartbeat()
+	}
+}
 
 func open(s *Server, f *fakeStream) (closed chan struct{}) {
 	closed = make(chan struct{})
@@ -92,3 +123,27 @@
 	case <-time.After(slowBy + idleTimeout):
 	}
 }
+
+// Guards against agents that take a late entry for a silent one and connect again.
+func TestAgentHearsEntryWhoseListenersAreSlow(t *testing.T) {
+	for name, l := range map[string]*slowListener{
+		"hello":     {onUp: func(Agent) { time.Sleep(slowBy) }},
+		"heartbeat": {onHeartbeat: func() { time.Sleep(slowBy) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, j := newTestServer()
+			l.eventLog = j
+			s.AddListener(l)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f := newFakeStream(ctx)
+			open(s, f)
+			f.write(helloOf("a", "1"))
+			go f.beat()
+			if got := f.longestSilence(2 * slowBy); got >= idleTimeout {
+				t.Errorf("the entry is silent for %v, agents close a link after %v", got, idleTimeout)
+			}
+		})
+	}
+}
--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -19,9 +19,13 @@
 const (
 	// idleTimeout is how long the entry waits for the next message of an agent
 	// before it closes the session. Agents send at least their heartbeats.
-	idleTimeout      = 1500 * time.Millisecond
-	sessionQueueSize = 8192 // messages
-	maxSessions      = 20000
+	idleTimeout = 1500 * time.Millisecond
+	// keepaliveInterval is the longest time between two messages to an agent. It
+	// is longer than the time between an agent's heartbeats, so that their
+	// answers suffice unless the entry is late.
+	keepaliveInterval = idleTimeout / 2
+	sessionQueueSize  = 8192 // messages
+	maxSessions       = 20000
 	// entryListPeriod is the number of heartbeats from one that carries the list
 	// of entries to the next. The first heartbeat of a session carries it.
 	entryListPeriod = 10
@@ -109,12 +113,12 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	sess := &session{agent: agentFromHello(hello), out: make(chan *rpc.EntryMessage, sessionQueueSize), cancel: cancel}
+	go s.sendLoop(ctx, stream, sess)
 	if err := s.addSession(sess, hello.Groups); err != nil {
 		return err
 	}
 	defer s.removeSession(sess)
 	go s.receiveLoop(ctx, stream, sess)
-	go sendLoop(ctx, stream, sess)
 	<-ctx.Done()
 	return status.Error(codes.Unavailable, "link closed")
 }
@@ -132,19 +136,27 @@
 	}
 }
 
-// sendLoop writes queued messages until ctx ends. A write may block on a peer
-// that has stopped reading; it is unblocked when Open returns.
-func sendLoop(ctx context.Context, stream rpc.Link_OpenServer, sess *session) {
+// sendLoop writes queued messages until ctx ends, and a heartbeat when there was
+// none for keepaliveInterval, so that the agent keeps the link while its messages
+// wait for the listeners. Such a heartbeat repeats the agent's last clock value,
+// so that it permits nothing for longer. A write may block on a peer that has
+// stopped reading; it is unblocked when Open returns.
+func (s *Server) sendLoop(ctx context.Context, stream rpc.Link_OpenServer, sess *session) {
 	defer sess.cancel()
+	keepalive := time.NewTimer(keepaliveInterval)
+	defer keepalive.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-keepalive.C:
+			s.sendHeartbeat(sess)
 		case m := <-sess.out:
 			if err := stream.Send(m); err != nil {
 				return
 			}
 		}
+		keepalive.Reset(keepaliveInterval)
 	}
 }
 
