links: streams that have ended do not reach the listeners

Callers would see an entry that is late become later still: agents that had given up a connection were handled all the same, each with a loss and a new session for the listeners.

Cause: all changes of sessions wait for one lock, which is held while the listeners are notified, and a stream did not look whether it had ended meanwhile. Each connection that an agent gave up while the entry was late added a replay of its groups to the scheduler's work. Found by reading.

A stream that ends now stops waiting at once. The lock is a channel for that; those who wait are still served in order. The tests that add a session pass a context, otherwise they are as before.

--- a/internal/entry/links/late_test.go
+++ b/internal/entry/links/late_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -147,3 +149,45 @@
 		})
 	}
 }
+
+// Guards against connections that agents have given up making a late entry later still.
+func TestClosedStreamsDoNotReachListeners(t *testing.T) {
+	s, j := newTestServer()
+	busy, release := make(chan struct{}), make(chan struct{})
+	l := &slowListener{eventLog: &eventLog{}, onUp: func(a Agent) {
+		if a.ID == "b" {
+			close(busy)
+			<-release
+		}
+	}}
+	s.AddListener(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	other := newFakeStream(ctx)
+	open(s, other)
+	other.write(helloOf("b", "other"))
+	<-busy
+	var opened []chan struct{}
+	for i := range 5 {
+		ctx, giveUp := context.WithCancel(context.Background())
+		f := newFakeStream(ctx)
+		opened = append(opened, open(s, f))
+		f.write(helloOf("a", fmt.Sprint("given up ", i)))
+		giveUp()
+	}
+	for _, closed := range opened {
+		select {
+		case <-closed:
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	close(release)
+	for _, closed := range opened {
+		<-closed
+	}
+	for _, line := range j.list() {
+		if strings.Contains(line, "given up") {
+			t.Errorf("listeners were notified of %q, whose stream had ended before", line)
+		}
+	}
+}
--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -82,10 +82,11 @@
 	registry   metrics.Registry
 	log        zerolog.Logger
 
-	// sessionChangeMu is held while a session is added or removed and the
+	// sessionChange holds a value while a session is added or removed and the
 	// listeners are notified, so that they are notified of an agent's sessions
-	// in order. It is locked before any dispatchMu.
-	sessionChangeMu sync.Mutex
+	// in order. It is acquired before any dispatchMu. It is a channel so that a
+	// stream that ends stops waiting for it.
+	sessionChange chan struct{}
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -94,7 +95,13 @@
 
 // New returns a server. heartbeats fills in its replies to heartbeats.
 func New(heartbeats HeartbeatFiller, registry metrics.Registry, log zerolog.Logger) *Server {
-	return &Server{heartbeats: heartbeats, registry: registry, log: log, sessions: map[string]*session{}}
+	return &Server{
+		heartbeats:    heartbeats,
+		registry:      registry,
+		log:           log,
+		sessionChange: make(chan struct{}, 1),
+		sessions:      map[string]*session{},
+	}
 }
 
 // AddListener adds a listener. It must be called before the server serves.
@@ -114,7 +121,7 @@
 	defer cancel()
 	sess := &session{agent: agentFromHello(hello), out: make(chan *rpc.EntryMessage, sessionQueueSize), cancel: cancel}
 	go s.sendLoop(ctx, stream, sess)
-	if err := s.addSession(sess, hello.Groups); err != nil {
+	if err := s.addSession(ctx, sess, hello.Groups); err != nil {
 		return err
 	}
 	defer s.removeSession(sess)
@@ -237,9 +244,17 @@
 	return s.sessions[sess.agent.ID] == sess
 }
 
-func (s *Server) addSession(sess *session, groups []*rpc.GroupReport) error {
-	s.sessionChangeMu.Lock()
-	defer s.sessionChangeMu.Unlock()
+// addSession makes sess the current session of its agent and notifies the
+// listeners, unless ctx ends before.
+func (s *Server) addSession(ctx context.Context, sess *session, groups []*rpc.GroupReport) error {
+	select {
+	case s.sessionChange <- struct{}{}:
+		defer func() { <-s.sessionChange }()
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		return status.FromContextError(ctx.Err()).Err()
+	}
 	s.mu.Lock()
 	if s.closed || len(s.sessions) >= maxSessions {
 		s.mu.Unlock()
@@ -265,8 +280,8 @@
 }
 
 func (s *Server) removeSession(sess *session) {
-	s.sessionChangeMu.Lock()
-	defer s.sessionChangeMu.Unlock()
+	s.sessionChange <- struct{}{}
+	defer func() { <-s.sessionChange }()
 	s.mu.Lock()
 	current := s.sessions[sess.agent.ID] == sess
 	if current {
--- a/internal/entry/links/links_test.go
+++ b/internal/entry/links/links_test.go
@@ -75,7 +75,7 @@
 func TestAgentStaysUpWhenNewSessionReplacesLostOne(t *testing.T) {
 	s, j := newTestServer()
 	old, next := newTestSession("1"), newTestSession("2")
-	if err := s.addSession(old, nil); err != nil {
+	if err := s.addSession(context.Background(), old, nil); err != nil {
 		t.Fatal(err)
 	}
 	old.dispatchMu.Lock() // a call of a listener is in progress
@@ -85,7 +85,7 @@
 	added := make(chan struct{})
 	both.Go(func() {
 		defer close(added)
-		if err := s.addSession(next, nil); err != nil {
+		if err := s.addSession(context.Background(), next, nil); err != nil {
 			t.Error(err)
 		}
 	})
