agent: a slow worker is sent only the newest renewal of each task

Callers would see tasks end with expired leases on a worker that is slow, though their owner renews them.

Cause: renewals of leases waited in a queue without a bound, and each was sent in its turn, within up to 2 s. The owner sends one each 2 s, and while the store is down each heartbeat of each entry makes one too. The worker was sent leases that began when the renewal was queued, ever shorter ones, and spent its time on those that were replaced already. Found by reading.

At most one renewal of each task is now pending, the newest. One call renews the task that waited longest and those whose leases have the same end. A call for all pending tasks with the latest end would let tasks outlive the lease of their group, which is what the owner relies on when it starts them elsewhere.

TestRenewalDelayedByAPauseDoesNotOutliveTheLease calls renew with the same values as before.

--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -34,6 +34,7 @@
 	missedLists map[string]int  // by ID of a started task: consecutive lists that lack it
 	seenEnded   map[string]bool // IDs of listed tasks whose end was passed to the core
 	adopted     bool            // whether the tasks found at the agent's start were adopted
+	renewals    pendingRenewals // a call of renewNext is queued while it is not empty
 	ops         opQueues
 }
 
@@ -73,7 +74,11 @@
 	case groups.CheckpointTask:
 		h.ops.push(act.ID, func() { h.endTask(act.ID, h.worker.Checkpoint) })
 	case groups.RenewTasks:
-		h.ops.push(renewalQueueKey, func() { h.renew(act) })
+		queued := !h.renewals.empty()
+		h.renewals.add(act)
+		if !queued {
+			h.ops.push(renewalQueueKey, h.renewNext)
+		}
 	case groups.Report:
 		report := reportMessage(act)
 		h.agent.links.broadcast(&rpc.AgentMessage{Body: &rpc.AgentMessage_Group{Group: report}})
@@ -112,20 +117,31 @@
 	h.step(groups.TaskUpdate{Status: status})
 }
 
+// renewNext sends one of the pending renewals, and queues the next call.
+func (h *taskHost) renewNext() {
+	h.mu.Lock()
+	ids, leaseEnd := h.renewals.take()
+	if !h.renewals.empty() {
+		h.ops.push(renewalQueueKey, h.renewNext)
+	}
+	h.mu.Unlock()
+	h.renew(ids, leaseEnd)
+}
+
 // renew renews the worker's own leases. They run from the receipt at the worker,
 // so that a renewal sent after a pause of this process would last beyond
-// LeaseEnd. The lease is therefore shortened by pauseLimit, and the call is not
+// leaseEnd. The lease is therefore shortened by pauseLimit, and the call is not
 // made later than pauseLimit from now.
-func (h *taskHost) renew(act groups.RenewTasks) {
+func (h *taskHost) renew(ids []string, leaseEnd time.Duration) {
 	now := h.agent.now()
-	lease := act.LeaseEnd - now - pauseLimit
+	lease := leaseEnd - now - pauseLimit
 	if lease <= 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
 	ctx = external.WithStartBy(ctx, h.agent.started.Add(now+pauseLimit))
-	if err := h.worker.Renew(ctx, act.IDs, lease.Milliseconds()); err != nil {
+	if err := h.worker.Renew(ctx, ids, lease.Milliseconds()); err != nil {
 		metrics.GetOrRegisterCounter("tasks.renew_failed", h.agent.registry).Inc(1)
 	}
 }
--- a/internal/agent/tasks_test.go
+++ b/internal/agent/tasks_test.go
@@ -74,7 +74,7 @@
 	w := &renewalWorker{}
 	a := New(Config{ID: "a", Kind: KindWorker}, nil, w, metrics.NewRegistry(), zerolog.Nop())
 	by := a.now() + sched.GroupLease
-	a.tasks.renew(groups.RenewTasks{IDs: []string{"t"}, Lease: sched.GroupLease, LeaseEnd: by})
+	a.tasks.renew([]string{"t"}, by)
 	if !w.hasStartBy {
 		t.Fatal("the renewal may be sent at any time after a pause")
 	}
