graphs: agents wait at an owner that loads its jobs

Callers would see a takeover take the longer the more agents there are: entries name the new owner from its claim on, but it refused agents until its term had begun. Each of them looked for the owner and connected again every 0.1 s, which slows down the load.

ServeAgent now waits for the term for up to 1 s, less than the 1.2 s after which agents close a connection without an answer, or until the agent closes the connection. An entry that does not own scheduling still refuses at once.

TestAgentIsServedOnceTermBegins failed before (refused at once). TestWaitForTermIsBounded holds before and after.

--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -34,6 +34,9 @@
 	// termRetryInterval is the delay before the next attempt to begin a term or
 	// to read the feed after a failure.
 	termRetryInterval = 150 * time.Millisecond
+	// termWait is how long an agent's connection waits for the term of an owner to begin.
+	// Agents take an owner that does not answer within 1.2 s for dead.
+	termWait = time.Second
 	// feedPollTimeout is how long one call of the feed waits for a row.
 	feedPollTimeout = 2 * time.Second
 	// saveRetryInterval is the delay before the next attempt to save a job's
@@ -89,15 +92,16 @@
 	// followers is the number of entries that follow the outlook.
 	followers atomic.Int32
 
-	mu    sync.Mutex
-	term  *term
-	wake  chan struct{}
-	loops kernel.Loops
+	mu          sync.Mutex
+	term        *term
+	termChanged chan struct{} // closed when term changes
+	wake        chan struct{}
+	loops       kernel.Loops
 }
 
 // NewScheduler returns a scheduler that is not running yet.
 func NewScheduler(o Ownership, s *Store, p *policy.Watcher, limits Limits, features feature.Set, clock func() time.Duration, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Scheduler {
-	return &Scheduler{owner: o, store: s, policies: p, limits: limits, features: features, clock: clock, now: now, registry: registry, log: log, wake: make(chan struct{}, 1)}
+	return &Scheduler{owner: o, store: s, policies: p, limits: limits, features: features, clock: clock, now: now, registry: registry, log: log, termChanged: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Start begins to follow changes of ownership and policy.
@@ -138,6 +142,39 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.term = t
+	close(s.termChanged)
+	s.termChanged = make(chan struct{})
+}
+
+// owningTerm returns the term in progress if this process owns scheduling under its
+// epoch, nil otherwise, and a channel that is closed when the term changes.
+func (s *Scheduler) owningTerm() (*term, <-chan struct{}) {
+	s.mu.Lock()
+	t, changed := s.term, s.termChanged
+	s.mu.Unlock()
+	if t == nil || !t.ownsScheduling() {
+		return nil, changed
+	}
+	return t, changed
+}
+
+// awaitTerm returns the term in progress. If this process owns scheduling but its term
+// has not begun, it waits for the term until termWait has passed or ctx is done. The
+// result is nil without a term.
+func (s *Scheduler) awaitTerm(ctx context.Context) *term {
+	ctx, cancel := context.WithTimeout(ctx, termWait)
+	defer cancel()
+	for {
+		t, changed := s.owningTerm()
+		if t != nil || !s.owner.Current().Owner {
+			return t
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
 }
 
 func (s *Scheduler) run(ctx context.Context) {
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -80,10 +80,11 @@
 var errNotOwner = status.Error(codes.FailedPrecondition, "this entry does not own scheduling")
 
 // ServeAgent exchanges reports and orders with one agent until the connection or
-// the term ends.
+// the term ends. While the owner loads its jobs the agent waits for the term: refused
+// agents would connect anew, and the more often the longer the load takes.
 func (s *Scheduler) ServeAgent(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]) error {
-	t := s.currentTerm()
-	if t == nil || !t.ownsScheduling() {
+	t := s.awaitTerm(stream.Context())
+	if t == nil {
 		return errNotOwner
 	}
 	sess := newSession()
--- a/internal/entry/graphs/session_test.go
+++ b/internal/entry/graphs/session_test.go
@@ -1,9 +1,12 @@
 package graphs
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
 
@@ -32,3 +35,88 @@
 		t.Error("the connection that has ended is the current one")
 	}
 }
+
+// agentStream is the connection of an agent that sends one report.
+type agentStream struct {
+	grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]
+	ctx     context.Context
+	reports chan *rpc.WorkerReport
+	orders  chan *rpc.WorkerOrders
+}
+
+func newAgentStream(ctx context.Context) *agentStream {
+	s := &agentStream{ctx: ctx, reports: make(chan *rpc.WorkerReport, 1), orders: make(chan *rpc.WorkerOrders, 4)}
+	s.reports <- &rpc.WorkerReport{Beat: 1, Worker: "w", Instance: "i", Born: 1, Pool: "p"}
+	return s
+}
+
+func (s *agentStream) Context() context.Context { return s.ctx }
+
+func (s *agentStream) Recv() (*rpc.WorkerReport, error) {
+	select {
+	case r := <-s.reports:
+		return r, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+func (s *agentStream) Send(o *rpc.WorkerOrders) error {
+	s.orders <- o
+	return nil
+}
+
+// TestAgentIsServedOnceTermBegins guards against agents that connect again and again while the owner loads its jobs.
+func TestAgentIsServedOnceTermBegins(t *testing.T) {
+	term, _, _ := newTestTerm(&fakeOwnership{now: time.Second, ends: time.Hour})
+	s := newTestScheduler(term.owner.(*fakeOwnership))
+	ctx, cancel := context.WithCancel(context.Background())
+	stream := newAgentStream(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- s.ServeAgent(stream) }()
+	select {
+	case err := <-ended:
+		t.Fatalf("agent refused while the term has not begun: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	s.setTerm(term)
+	select {
+	case o := <-stream.orders:
+		if o.AnsweredBeat != 1 {
+			t.Errorf("report not answered: %v", o)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no answer after the term has begun")
+	}
+	cancel()
+	<-ended
+}
+
+// TestWaitForTermIsBounded guards against connections that stay at an entry which does not begin a term.
+func TestWaitForTermIsBounded(t *testing.T) {
+	o := &fakeOwnership{now: time.Second, ends: time.Hour}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	serve := func(ctx context.Context) { ended <- newTestScheduler(o).ServeAgent(newAgentStream(ctx)) }
+	await := func(what string, bound time.Duration) {
+		t.Helper()
+		select {
+		case err := <-ended:
+			if err == nil {
+				t.Errorf("%s: served without a term", what)
+			}
+		case <-time.After(bound):
+			t.Fatalf("%s: still waiting after %v", what, bound)
+		}
+	}
+	go serve(ctx)
+	await("no term", 1200*time.Millisecond) // after which the agent closes the connection
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	go serve(gone)
+	await("agent gone", 500*time.Millisecond)
+	o.ends = 0
+	go serve(ctx)
+	await("not the owner", 500*time.Millisecond)
+}
--- a/internal/entry/graphs/term_test.go
+++ b/internal/entry/graphs/term_test.go
@@ -27,9 +27,14 @@
 func (o *fakeOwnership) Subscribe(func(owner.Authority)) {}
 func (o *fakeOwnership) Overlap() time.Duration          { return 0 }
 
+// newTestScheduler returns a scheduler without a term.
+func newTestScheduler(o *fakeOwnership) *Scheduler {
+	return NewScheduler(o, nil, nil, Limits{}, feature.Set{}, func() time.Duration { return o.now }, time.Now, metrics.NewRegistry(), zerolog.Nop())
+}
+
 // newTestTerm returns a term with one connected worker, and its context.
 func newTestTerm(o *fakeOwnership) (*term, *session, context.Context) {
-	s := NewScheduler(o, nil, nil, Limits{}, feature.Set{}, func() time.Duration { return o.now }, time.Now, metrics.NewRegistry(), zerolog.Nop())
+	s := newTestScheduler(o)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t := newTerm(s, 1, 7, 1, cancel)
 	t.ctx = ctx
