keeper: attempts to reach the owner back off

Callers would see the start of a new term delayed by the agents that wait for it: an agent that was refused, or found no owner, asked up to 16 entries and connected again every 0.1 s, all agents at the same pace and for as long as the load takes.

The delay now doubles from 0.1 to 0.4 s, half of it random, until an owner has answered a report. The backoff of the store's circuit breaker is used for this and moves to kernel.Backoff.

Not longer than 0.4 s, as agents have to follow a new owner within 0.6 s.

--- a/internal/agent/keeper/answers.go
+++ b/internal/agent/keeper/answers.go
@@ -26,6 +26,7 @@
 	mu         sync.Mutex
 	unanswered []sentReport
 	numbered   bool // the owner names the report that it answers
+	answered   bool // a report has been answered
 	loggedAt   time.Duration
 }
 
@@ -36,6 +37,13 @@
 	return len(m.unanswered) > 0
 }
 
+// any reports whether a report has been answered.
+func (m *answerMonitor) any() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered
+}
+
 func (m *answerMonitor) recordReport(number uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -50,13 +58,13 @@
 	defer m.mu.Unlock()
 	m.numbered = m.numbered || number > 0
 	if !m.numbered {
-		m.unanswered = nil
+		m.unanswered, m.answered = nil, true
 		return
 	}
 	now := m.clock()
 	for len(m.unanswered) > 0 && m.unanswered[0].number <= number {
 		took := now - m.unanswered[0].sentAt
-		m.unanswered = m.unanswered[1:]
+		m.unanswered, m.answered = m.unanswered[1:], true
 		metrics.GetOrRegisterTimer("keeper.answer", m.registry).Update(took)
 		if took >= slowAnswer && now-m.loggedAt >= slowAnswerLogInterval {
 			m.loggedAt = now
--- /dev/null
+++ b/internal/agent/keeper/backoff_test.go
@@ -0,0 +1,108 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+)
+
+// refusingEntry names itself as the owner but refuses agents while refuses is set. It
+// ends the other connections after it has answered one report.
+type refusingEntry struct {
+	rpc.UnimplementedFleetServer
+	address  string
+	refuses  atomic.Bool
+	located  atomic.Int32
+	refused  atomic.Int32
+	answered chan struct{}
+
+	mu          sync.Mutex
+	lastRefused time.Time
+	longestGap  time.Duration // between two refused connections
+}
+
+func (e *refusingEntry) recordRefused() {
+	e.refused.Add(1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if !e.lastRefused.IsZero() {
+		e.longestGap = max(e.longestGap, now.Sub(e.lastRefused))
+	}
+	e.lastRefused = now
+}
+
+func startRefusingEntry(t *testing.T) *refusingEntry {
+	t.Helper()
+	e := &refusingEntry{answered: make(chan struct{}, 64)}
+	e.refuses.Store(true)
+	e.address = serveFleet(t, e)
+	return e
+}
+
+func (e *refusingEntry) Locate(context.Context, *rpc.LocateRequest) (*rpc.LocateReply, error) {
+	e.located.Add(1)
+	return &rpc.LocateReply{OwnerAddress: e.address, Epoch: 1}, nil
+}
+
+func (e *refusingEntry) Attend(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]) error {
+	if e.refuses.Load() {
+		e.recordRefused()
+		return status.Error(codes.FailedPrecondition, "no term")
+	}
+	r, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	err = stream.Send(&rpc.WorkerOrders{Epoch: 1, Incarnation: rpc.WorkerInfoOf(r).Incarnation(), AnsweredBeat: r.Beat})
+	e.answered <- struct{}{}
+	return err
+}
+
+// TestRefusedAgentBacksOff guards against agents that slow a new owner down by connecting again every 100 ms.
+func TestRefusedAgentBacksOff(t *testing.T) {
+	const (
+		duration = 4 * time.Second
+		maxCalls = 24 // half of the maximum delay at least, from the third retry on
+	)
+	e := startRefusingEntry(t)
+	startKeeper(t, standin.NewRunner(), e.address)
+	time.Sleep(duration)
+	refused, located := e.refused.Load(), e.located.Load()
+	t.Logf("%d connections and %d Locate calls within %v", refused, located, duration)
+	if refused < 3 || refused > maxCalls || located > maxCalls {
+		t.Errorf("%d connections and %d Locate calls within %v, want 3 to %d", refused, located, duration, maxCalls)
+	}
+}
+
+// TestAgentFollowsOwnerSoonAfterRefusals guards against a backoff that makes a takeover longer than users are promised.
+func TestAgentFollowsOwnerSoonAfterRefusals(t *testing.T) {
+	const followTime = 600 * time.Millisecond // docs/design/platform.md
+	e := startRefusingEntry(t)
+	startKeeper(t, standin.NewRunner(), e.address)
+	time.Sleep(4 * time.Second)
+	e.refuses.Store(false)
+	e.mu.Lock()
+	longest := e.longestGap
+	e.mu.Unlock()
+	if longest > followTime {
+		t.Errorf("%v between two connections, want at most %v", longest, followTime)
+	}
+	await(t, e.answered, followTime)
+	start := time.Now()
+	for range 5 { // connections that have worked, so that the delays stay at the shortest
+		await(t, e.answered, followTime)
+	}
+	if took := time.Since(start); took > 900*time.Millisecond {
+		t.Errorf("5 connections after answers took %v", took)
+	}
+}
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,12 +27,18 @@
 	// of repeated checks. A healthy owner answers each report within
 	// milliseconds.
 	successorCheckDelay = 300 * time.Millisecond
-	// findRetryInterval is the delay between two attempts to find the owner.
+	// findRetryInterval is the longest first delay between two attempts to connect to the
+	// owner.
 	findRetryInterval = 100 * time.Millisecond
+	// maxFindRetryInterval is the longest delay between two attempts. Agents have to
+	// follow a new owner within 600 ms.
+	maxFindRetryInterval = 400 * time.Millisecond
 )
 
-// ownerLoop maintains a connection with the owner.
+// ownerLoop maintains a connection with the owner. Attempts back off until an owner has
+// answered a report.
 func (k *Keeper) ownerLoop(ctx context.Context) {
+	retry := kernel.Backoff{Min: findRetryInterval, Max: maxFindRetryInterval, Jitter: rand.Float64}
 	lastReason := "" // reason of the last disconnect; repetitions are not logged
 	for ctx.Err() == nil {
 		if !k.workerKnown() {
@@ -40,20 +47,23 @@
 		}
 		client, address := k.finder.Find(ctx)
 		if client == nil {
-			kernel.Sleep(ctx, findRetryInterval)
+			kernel.Sleep(ctx, retry.Next())
 			continue
 		}
 		began := k.clock()
-		err := k.serveOwner(ctx, client, address)
+		answered, err := k.serveOwner(ctx, client, address)
 		if ctx.Err() != nil {
 			return
 		}
+		if answered {
+			retry.Reset()
+		}
 		if lasted := k.clock() - began; lasted > findRetryInterval || err.Error() != lastReason {
 			lastReason = err.Error()
 			k.log.Info().Err(err).Str("owner", address).Dur("lasted_ms", lasted).Msg("connection to owner ended")
 		}
 		if !errors.Is(err, errOwnerSuperseded) {
-			kernel.Sleep(ctx, findRetryInterval)
+			kernel.Sleep(ctx, retry.Next())
 		}
 	}
 }
@@ -77,13 +87,13 @@
 }
 
 // serveOwner reports to the owner and executes its orders until the connection
-// ends. It returns the reason.
-func (k *Keeper) serveOwner(ctx context.Context, client rpc.FleetClient, owner string) error {
+// ends. It returns whether the owner has answered a report, and the reason for the end.
+func (k *Keeper) serveOwner(ctx context.Context, client rpc.FleetClient, owner string) (answered bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.Attend(ctx)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	k.mu.Lock()
 	k.absent = nil // the owner orders again what an earlier connection left unreported
@@ -92,7 +102,8 @@
 	l := &ownerLink{keeper: k, owner: owner, stream: stream, received: make(chan struct{}, 1), ended: make(chan error, 1)}
 	l.answers = answerMonitor{clock: k.clock, registry: k.registry, log: k.log}
 	go l.receiveOrders(ctx)
-	return l.reportLoop(ctx)
+	err = l.reportLoop(ctx)
+	return l.answers.any(), err
 }
 
 // reportLoop reports to the owner until the connection ends or the owner does not
--- a/internal/ledger/breaker.go
+++ b/internal/ledger/breaker.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
 
 // Parameters of the breaker.
@@ -18,13 +20,16 @@
 // it.
 type breaker struct {
 	mu       sync.Mutex
-	jitter   func() float64
 	failures int
-	backoff  time.Duration
+	backoff  kernel.Backoff
 	retryAt  time.Duration
 	probing  bool
 }
 
+func newBreaker(jitter func() float64) *breaker {
+	return &breaker{backoff: kernel.Backoff{Min: backoffMin, Max: backoffMax, Jitter: jitter}}
+}
+
 func (b *breaker) isOpen() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,7 +70,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	wasOpen := b.failures >= breakerThreshold
-	b.failures, b.backoff, b.probing = 0, 0, false
+	b.failures, b.probing = 0, false
+	b.backoff.Reset()
 	return wasOpen
 }
 
@@ -79,9 +85,7 @@
 	}
 	b.failures++
 	b.probing = false
-	b.backoff = min(max(2*b.backoff, backoffMin), backoffMax)
-	half := b.backoff / 2
-	b.retryAt = now + half + time.Duration(b.jitter()*float64(half))
+	b.retryAt = now + b.backoff.Next()
 	return b.failures == breakerThreshold
 }
 
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -57,7 +57,7 @@
 	c := &Client{
 		table:        table,
 		cfg:          cfg,
-		breaker:      &breaker{jitter: cfg.Jitter},
+		breaker:      newBreaker(cfg.Jitter),
 		meter:        newMeter(cfg),
 		historyCache: newHistoryCache(),
 		tombstones:   newTombstoneSet(),
