graphs: queries of job states end with their callers

Callers would see an owner that is late get later while they look at jobs: a query waited for the term's lock without a bound, but its caller gives up after 0.2 to 0.4 s and asks again, which added a goroutine and a turn of the lock each time.

A query now takes a turn of its own before the lock, and waits for it only as long as its caller does. At most one query waits for the lock at a time. The 0.4 s of a query to the owner now hold at the owner's own entry too, which then answers from the table like others.

--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -270,33 +270,45 @@
 // Owns reports whether this process has a term in progress and still owns
 // scheduling.
 func (s *Scheduler) Owns() bool {
-	t := s.currentTerm()
-	return t != nil && t.ownsScheduling()
+	t, _ := s.owningTerm()
+	return t != nil
 }
 
 // JobState returns a job's state; the result is false if this process is not the
-// owner or does not know the job.
-func (s *Scheduler) JobState(id graph.JobID) (graph.State, bool) {
-	t := s.currentTerm()
-	if t == nil || !t.ownsScheduling() {
-		return "", false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v, ok := t.core.JobStatus(id)
-	return v.State, ok
+// owner, does not know the job or ctx ends before the query's turn.
+func (s *Scheduler) JobState(ctx context.Context, id graph.JobID) (state graph.State, known bool) {
+	s.query(ctx, func(c *plan.Core) {
+		var status plan.JobStatus
+		status, known = c.JobStatus(id)
+		state = status.State
+	})
+	return state, known
 }
 
 // PendingJobs returns the number of a queue's pending jobs; the result is false if
-// this process is not the owner.
-func (s *Scheduler) PendingJobs(queue string) (int, bool) {
-	t := s.currentTerm()
-	if t == nil || !t.ownsScheduling() {
-		return 0, false
+// this process is not the owner or ctx ends before the query's turn.
+func (s *Scheduler) PendingJobs(ctx context.Context, queue string) (n int, known bool) {
+	known = s.query(ctx, func(c *plan.Core) { n = c.PendingJobs(queue) })
+	return n, known
+}
+
+// query passes the core to read, which must not change it. It returns false if this
+// process is not the owner or ctx ends before the query's turn.
+func (s *Scheduler) query(ctx context.Context, read func(*plan.Core)) bool {
+	t, _ := s.owningTerm()
+	if t == nil || ctx.Err() != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case t.queryTurn <- struct{}{}:
 	}
+	defer func() { <-t.queryTurn }()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.PendingJobs(queue), true
+	read(t.core)
+	return true
 }
 
 // DumpState returns the core's state for the state dump, nil without a term.
--- a/internal/entry/graphs/server.go
+++ b/internal/entry/graphs/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
@@ -86,15 +87,21 @@
 }
 
 // JobStatus returns the state of a job, if this entry knows it as the owner.
-func (s *Server) JobStatus(_ context.Context, r *rpc.JobStatusRequest) (*rpc.JobStatusReply, error) {
-	state, known := s.scheduler.JobState(graph.JobID(r.Job))
+func (s *Server) JobStatus(ctx context.Context, r *rpc.JobStatusRequest) (*rpc.JobStatusReply, error) {
+	state, known := s.scheduler.JobState(ctx, graph.JobID(r.Job))
+	if !known && ctx.Err() != nil {
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
 	return &rpc.JobStatusReply{Known: known, State: string(state)}, nil
 }
 
 // PendingJobs returns the number of a queue's pending jobs. It fails on entries
 // that don't own scheduling.
-func (s *Server) PendingJobs(_ context.Context, r *rpc.PendingJobsRequest) (*rpc.PendingJobsReply, error) {
-	n, known := s.scheduler.PendingJobs(r.Queue)
+func (s *Server) PendingJobs(ctx context.Context, r *rpc.PendingJobsRequest) (*rpc.PendingJobsReply, error) {
+	n, known := s.scheduler.PendingJobs(ctx, r.Queue)
+	if !known && ctx.Err() != nil {
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
 	if !known {
 		return nil, errNotOwner
 	}
@@ -146,15 +153,15 @@
 
 // JobState returns a job's state as the owner knows it.
 func (r *OwnerClient) JobState(ctx context.Context, id graph.JobID) (graph.State, bool) {
-	if state, known := r.scheduler.JobState(id); known {
+	ctx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
+	defer cancel()
+	if state, known := r.scheduler.JobState(ctx, id); known {
 		return state, true
 	}
 	client := r.remoteOwner()
 	if client == nil {
 		return "", false
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
-	defer cancel()
 	reply, err := client.JobStatus(ctx, &rpc.JobStatusRequest{Job: string(id)})
 	if err != nil || !reply.Known {
 		return "", false
@@ -164,15 +171,15 @@
 
 // PendingJobs returns the number of a queue's pending jobs.
 func (r *OwnerClient) PendingJobs(ctx context.Context, queue string) (int, bool) {
-	if n, known := r.scheduler.PendingJobs(queue); known {
+	ctx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
+	defer cancel()
+	if n, known := r.scheduler.PendingJobs(ctx, queue); known {
 		return n, true
 	}
 	client := r.remoteOwner()
 	if client == nil {
 		return 0, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
-	defer cancel()
 	reply, err := client.PendingJobs(ctx, &rpc.PendingJobsRequest{Queue: queue})
 	if err != nil {
 		return 0, false
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -38,7 +38,10 @@
 	// reportTurn is held from before mu by the handler of a report. At most one report
 	// therefore waits for mu, so that the other inputs (the feed, saves, queries) wait for
 	// one report and not for one of each worker.
-	reportTurn       sync.Mutex
+	reportTurn sync.Mutex
+	// queryTurn holds a value from before a query locks mu, for the same reason.
+	// The other queries wait for it only as long as their callers do.
+	queryTurn        chan struct{}
 	mu               sync.Mutex
 	core             *plan.Core
 	progressVersions map[graph.JobID]uint64 // versions of the progress rows, by job
@@ -64,6 +67,7 @@
 		cancel:           cancel,
 		limits:           s.limits,
 		core:             plan.New(s.coreConfig(token)),
+		queryTurn:        make(chan struct{}, 1),
 		progressVersions: map[graph.JobID]uint64{},
 		sessions:         map[string]*session{},
 	}
--- a/test/graphs/faults_test.go
+++ b/test/graphs/faults_test.go
@@ -120,7 +120,7 @@
 		f.await("another owner", func() bool { return f.ownerEntry() != nil })
 		next := f.submit(f.ownerEntry(), 2)
 		f.awaitJobState(f.ownerEntry(), next, graph.Completed)
-		if _, known := f.ownerEntry().scheduler.JobState(id); known {
+		if _, known := f.ownerEntry().scheduler.JobState(context.Background(), id); known {
 			t.Errorf("progress %s: the next owner schedules the job", value)
 		}
 		for task, n := range f.startCounts(id) {
