graphs: a late term does not keep the configuration from being read

Callers would see an entry that owns scheduling refuse them, and removed keys accepted for longer, while its scheduling is late: the subscriber of the configuration handed a change to the term on the goroutine of the long poll, and waited there for the term's lock and perhaps for a pass. No further change was read or confirmed meanwhile.

The subscriber now only wakes the scheduler's loop. The term takes the newest configuration from the watcher, which never goes back to an earlier version, at the start of each event. By reading, this also closes a gap: a change between the begin of a term and its registration was not passed to the core until the next change.

--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -108,11 +108,7 @@
 func (s *Scheduler) Start(context.Context) error {
 	s.loops.Begin()
 	s.owner.Subscribe(func(owner.Authority) { s.wakeUp() })
-	s.policies.Subscribe(func(p *policy.Snapshot) {
-		if t := s.currentTerm(); t != nil {
-			t.step(plan.PolicyChanged{Policy: p})
-		}
-	})
+	s.policies.Subscribe(func(*policy.Snapshot) { s.wakeUp() })
 	s.loops.Go(s.run)
 	return nil
 }
@@ -250,9 +246,6 @@
 	if s.features.Has(feature.SavedLearning) {
 		t.restoreLearned(s, learnedRow)
 	}
-	if p := s.policies.LatestSnapshot(); p != nil {
-		t.step(plan.PolicyChanged{Policy: p})
-	}
 	t.loadJobs(jobs)
 	t.log.Info().Int("jobs", len(jobs)).Dur("took_ms", s.clock()-start).Msg("scheduling term began")
 	return t, nil
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
 
@@ -26,6 +27,7 @@
 	clock        func() time.Duration
 	owner        Ownership
 	store        *Store
+	policies     *policy.Watcher
 	limits       Limits
 	registry     metrics.Registry
 	log          zerolog.Logger
@@ -46,6 +48,7 @@
 	core             *plan.Core
 	progressVersions map[graph.JobID]uint64 // versions of the progress rows, by job
 	sessions         map[string]*session    // by worker ID
+	policy           *policy.Snapshot       // in force; nil before the first
 	pacer            passPacer
 	passArranged     bool // a timer will run the next pass
 	closed           bool
@@ -61,6 +64,7 @@
 		clock:            s.clock,
 		owner:            s.owner,
 		store:            s.store,
+		policies:         s.policies,
 		registry:         s.registry,
 		log:              log,
 		lag:              lagMonitor{clock: s.clock, registry: s.registry, log: log},
@@ -119,7 +123,8 @@
 // step passes one event to the core and applies the resulting actions.
 func (t *term) step(ev plan.Event) { t.withCore(func() { t.handle(ev) }) }
 
-// withCore calls do with the term's lock held, unless the term is over.
+// withCore applies the newest configuration and calls do, both with the term's lock held,
+// unless the term is over.
 func (t *term) withCore(do func()) {
 	arrivedAt := t.lag.arrive()
 	t.mu.Lock()
@@ -127,10 +132,21 @@
 	t.lag.admit(arrivedAt)
 	defer t.endAfterPanic()
 	if !t.closed {
+		t.applyNewestPolicy()
 		do()
 	}
 }
 
+// applyNewestPolicy passes the newest configuration to the core if that does not know it.
+// The term takes it from the watcher, which never goes back to an earlier one and never
+// waits for the term. The caller holds the lock.
+func (t *term) applyNewestPolicy() {
+	if p := t.policies.LatestSnapshot(); p != t.policy {
+		t.policy = p
+		t.handle(plan.PolicyChanged{Policy: p})
+	}
+}
+
 // handle passes events to the core and applies the resulting actions. A scheduling pass
 // that they call for follows at once or when the pacer allows it. The caller holds the
 // lock.
--- a/internal/entry/graphs/term_test.go
+++ b/internal/entry/graphs/term_test.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/feature"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/policy"
 )
 
 // fakeOwnership is an ownership under epoch 1 that ends at a time of its clock.
@@ -29,12 +30,24 @@
 
 // newTestScheduler returns a scheduler without a term.
 func newTestScheduler(o *fakeOwnership) *Scheduler {
-	return NewScheduler(o, nil, nil, Limits{}, feature.Set{}, func() time.Duration { return o.now }, time.Now, metrics.NewRegistry(), zerolog.Nop())
+	return newConfiguredScheduler(o, nil)
+}
+
+// newConfiguredScheduler returns a scheduler without a term, and with the configuration
+// of a source.
+func newConfiguredScheduler(o *fakeOwnership, source policy.Source) *Scheduler {
+	clock := func() time.Duration { return o.now }
+	registry, log := metrics.NewRegistry(), zerolog.Nop()
+	return NewScheduler(o, nil, policy.NewWatcher(source, policy.Limits{}, clock, registry, log), Limits{}, feature.Set{}, clock, time.Now, registry, log)
 }
 
 // newTestTerm returns a term with one connected worker, and its context.
 func newTestTerm(o *fakeOwnership) (*term, *session, context.Context) {
-	s := newTestScheduler(o)
+	return newTermOf(newTestScheduler(o))
+}
+
+// newTermOf returns a term of s with one connected worker, and its context.
+func newTermOf(s *Scheduler) (*term, *session, context.Context) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	t := newTerm(s, 1, 7, 1, cancel)
 	t.ctx = ctx
