--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -34,6 +34,9 @@
 	// termRetryInterval is the delay before the next attempt to begin a term or
 	// to read the feed after a failure.
 	termRetryInterval = 150 * time.Millisecond
+	// termWait is how long an agent's connection waits for the term of an owner to begin.
+	// Agents take an owner that does not answer within 1.2 s for dead.
+	termWait = time.Second
 	// feedPollTimeout is how long one call of the feed waits for a row.
 	feedPollTimeout = 2 * time.Second
 	// saveRetryInterval is the delay before the next attempt to save a job's
@@ -89,26 +92,23 @@
 	// followers is the number of entries that follow the outlook.
 	followers atomic.Int32
 
-	mu    sync.Mutex
-	term  *term
-	wake  chan struct{}
-	loops kernel.Loops
+	mu          sync.Mutex
+	term        *term
+	termChanged chan struct{} // closed when term changes
+	wake        chan struct{}
+	loops       kernel.Loops
 }
 
 // NewScheduler returns a scheduler that is not running yet.
 func NewScheduler(o Ownership, s *Store, p *policy.Watcher, limits Limits, features feature.Set, clock func() time.Duration, now func() time.Time, registry metrics.Registry, log zerolog.Logger) *Scheduler {
-	return &Scheduler{owner: o, store: s, policies: p, limits: limits, features: features, clock: clock, now: now, registry: registry, log: log, wake: make(chan struct{}, 1)}
+	return &Scheduler{owner: o, store: s, policies: p, limits: limits, features: features, clock: clock, now: now, registry: registry, log: log, termChanged: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Start begins to follow changes of ownership and policy.
 func (s *Scheduler) Start(context.Context) error {
 	s.loops.Begin()
 	s.owner.Subscribe(func(owner.Authority) { s.wakeUp() })
-	s.policies.Subscribe(func(p *policy.Snapshot) {
-		if t := s.currentTerm(); t != nil {
-			t.step(plan.PolicyChanged{Policy: p})
-		}
-	})
+	s.policies.Subscribe(func(*policy.Snapshot) { s.wakeUp() })
 	s.loops.Go(s.run)
 	return nil
 }
@@ -138,6 +138,39 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.term = t
+	close(s.termChanged)
+	s.termChanged = make(chan struct{})
+}
+
+// owningTerm returns the term in progress if this process owns scheduling under its
+// epoch, nil otherwise, and a channel that is closed when the term changes.
+func (s *Scheduler) owningTerm() (*term, <-chan struct{}) {
+	s.mu.Lock()
+	t, changed := s.term, s.termChanged
+	s.mu.Unlock()
+	if t == nil || !t.ownsScheduling() {
+		return nil, changed
+	}
+	return t, changed
+}
+
+// awaitTerm returns the term in progress. If this process owns scheduling but its term
+// has not begun, it waits for the term until termWait has passed or ctx is done. The
+// result is nil without a term.
+func (s *Scheduler) awaitTerm(ctx context.Context) *term {
+	ctx, cancel := context.WithTimeout(ctx, termWait)
+	defer cancel()
+	for {
+		t, changed := s.owningTerm()
+		if t != nil || !s.owner.Current().Owner {
+			return t
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
 }
 
 func (s *Scheduler) run(ctx context.Context) {
@@ -213,9 +246,6 @@
 	if s.features.Has(feature.SavedLearning) {
 		t.restoreLearned(s, learnedRow)
 	}
-	if p := s.policies.LatestSnapshot(); p != nil {
-		t.step(plan.PolicyChanged{Policy: p})
-	}
 	t.loadJobs(jobs)
 	t.log.Info().Int("jobs", len(jobs)).Dur("took_ms", s.clock()-start).Msg("scheduling term began")
 	return t, nil
@@ -233,33 +263,45 @@
 // Owns reports whether this process has a term in progress and still owns
 // scheduling.
 func (s *Scheduler) Owns() bool {
-	t := s.currentTerm()
-	return t != nil && t.ownsScheduling()
+	t, _ := s.owningTerm()
+	return t != nil
 }
 
 // JobState returns a job's state; the result is false if this process is not the
-// owner or does not know the job.
-func (s *Scheduler) JobState(id graph.JobID) (graph.State, bool) {
-	t := s.currentTerm()
-	if t == nil || !t.ownsScheduling() {
-		return "", false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v, ok := t.core.JobStatus(id)
-	return v.State, ok
+// owner, does not know the job or ctx ends before the query's turn.
+func (s *Scheduler) JobState(ctx context.Context, id graph.JobID) (state graph.State, known bool) {
+	s.query(ctx, func(c *plan.Core) {
+		var status plan.JobStatus
+		status, known = c.JobStatus(id)
+		state = status.State
+	})
+	return state, known
 }
 
 // PendingJobs returns the number of a queue's pending jobs; the result is false if
-// this process is not the owner.
-func (s *Scheduler) PendingJobs(queue string) (int, bool) {
-	t := s.currentTerm()
-	if t == nil || !t.ownsScheduling() {
-		return 0, false
+// this process is not the owner or ctx ends before the query's turn.
+func (s *Scheduler) PendingJobs(ctx context.Context, queue string) (n int, known bool) {
+	known = s.query(ctx, func(c *plan.Core) { n = c.PendingJobs(queue) })
+	return n, known
+}
+
+// query passes the core to read, which must not change it. It returns false if this
+// process is not the owner or ctx ends before the query's turn.
+func (s *Scheduler) query(ctx context.Context, read func(*plan.Core)) bool {
+	t, _ := s.owningTerm()
+	if t == nil || ctx.Err() != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case t.queryTurn <- struct{}{}:
 	}
+	defer func() { <-t.queryTurn }()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.PendingJobs(queue), true
+	read(t.core)
+	return true
 }
 
 // DumpState returns the core's state for the state dump, nil without a term.
