ledger: the test of group limits holds back one commit, not those that happen to be first

TestGroupsKeepTheTablesLimit failed once beside other tests with 'timeout waiting until all commits wait', and in 12 of 300 runs with a limit of 3 s: the first group may take more than one write before the table holds it back, and then fewer than the awaited number wait. The first commit is now sent alone, then all others have to wait: the same check, 300 of 300 runs pass.

--- a/internal/ledger/client_test.go
+++ b/internal/ledger/client_test.go
@@ -79,19 +79,25 @@
 	check := Write{Key: "fence", Version: fence[0].Version, Check: true}
 	table.mu.Lock() // holds the first transaction back
 	var wg sync.WaitGroup
-	for i := range callers {
-		wg.Go(func() {
-			if _, err := c.Commit(context.Background(), CauseJob, newWrite(fmt.Sprintf("k%d", i), 0, `1`), check); err != nil {
-				t.Error(err)
-			}
-		})
+	commit := func(i int) {
+		if _, err := c.Commit(context.Background(), CauseJob, newWrite(fmt.Sprintf("k%d", i), 0, `1`), check); err != nil {
+			t.Error(err)
+		}
 	}
 	lane := c.lanes[laneBulk]
-	waitFor(t, "all commits wait", func() bool {
-		lane.mu.Lock()
-		defer lane.mu.Unlock()
-		return lane.activeSenders > 0 && len(lane.queue) >= callers-1
-	})
+	waitForQueue := func(what string, length int) {
+		waitFor(t, what, func() bool {
+			lane.mu.Lock()
+			defer lane.mu.Unlock()
+			return lane.activeSenders > 0 && len(lane.queue) == length
+		})
+	}
+	wg.Go(func() { commit(0) })
+	waitForQueue("the first commit is sent", 0)
+	for i := 1; i < callers; i++ {
+		wg.Go(func() { commit(i) })
+	}
+	waitForQueue("the other commits wait", callers-1)
 	table.mu.Unlock()
 	wg.Wait()
 	if want := 3 + 2*callers/(entries-1); table.commits > want {
