plan: a task that crashes its workers is given up

What callers saw: such a job stayed running for ever.

Cause: a run that ends with graph.EndWorkerLost counted nowhere.

Crashes soon after a start are now counted with the unit's progress, in the save that records the end. The job is failed (job-crashes-workers) after the second crash if nothing but the unit explains it, else after the third. Only crashes that the agent's connection outlives count: agents restart with their hosts, so a power failure or a lost host counts against nobody. A unit with a crash goes to an empty worker, and others keep away from it, where there is room; two such units are not put together if one more crash would fail one of them. A worker that crashes under several jobs makes its crashes inconclusive. A run that has lasted over 10 s before the crash does not count, as large gangs that run for hours would else be failed for the usual losses of workers.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -57,7 +57,7 @@
 	Draining       Exclusion = "draining"    // leaves soon
 	ZoneOut        Exclusion = "zone-out"    // its zone is taken out
 	Quarantined    Exclusion = "quarantined" // after failures of several units
-	Avoided        Exclusion = "avoided"     // the unit failed or was refused there
+	Avoided        Exclusion = "avoided"     // the unit failed or was refused there, or units that have crashed workers would meet
 	RecentFailure  Exclusion = "recent-failure"
 	MissingLabel   Exclusion = "missing-label"
 	TooSlow        Exclusion = "too-slow"
--- a/internal/graph/plan/choose.go
+++ b/internal/graph/plan/choose.go
@@ -35,6 +35,15 @@
 
 // candidateSets returns the sets of candidates to try for a unit, in order.
 func (c *Core) candidateSets(u *unit, candidates []candidate) [][]candidate {
+	var sets [][]candidate
+	for _, preferred := range awayFromCrashes(u, candidates) {
+		sets = append(sets, c.setsByFailuresAndSpeed(u, preferred)...)
+	}
+	return sets
+}
+
+// setsByFailuresAndSpeed is candidateSets without regard to crashes.
+func (c *Core) setsByFailuresAndSpeed(u *unit, candidates []candidate) [][]candidate {
 	sets := c.bySpeed
 	if c.decidesBySpeed() {
 		sets = c.bySlowness
--- /dev/null
+++ b/internal/graph/plan/crashes_test.go
@@ -0,0 +1,392 @@
+package plan
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// crashSim returns a fleet of workers with 8 accelerators and 16 cores.
+func crashSim(t *testing.T, workers int) *sim {
+	return newSim(workers, graph.Resources{MilliCPU: 16000, Accelerators: 8}, loadPolicy(), t.Fatalf)
+}
+
+// crashJob returns a job of one step whose tasks need the given accelerators and take a
+// second. The tasks with the given indexes crash their workers.
+func crashJob(id graph.JobID, tasks, accelerators int, gang bool, deadly ...int) *simJob {
+	j := &simJob{Job: &graph.Job{ID: id, Queue: "q", Account: "a0", Pool: "pool", Priority: 1, MaxAttempts: 2, Stretch: 3},
+		units: map[int][]*simUnit{}}
+	j.Steps = []graph.Step{{Count: tasks, Needs: graph.Resources{MilliCPU: 1000, Accelerators: accelerators}, Estimate: time.Second, Gang: gang}}
+	units, members := tasks, 1
+	if gang {
+		units, members = 1, tasks
+	}
+	for range units {
+		j.units[0] = append(j.units[0], &simUnit{job: j, startedTasks: map[int]bool{}, work: time.Second, memberCount: members, deadly: map[int]bool{}})
+	}
+	for _, i := range deadly {
+		j.units[0][min(i, units-1)].deadly[i] = true
+	}
+	j.linkSteps()
+	return j
+}
+
+func (s *sim) mustEnd(t *testing.T, j *simJob, state graph.State, within time.Duration) {
+	t.Helper()
+	for limit := s.now + within; j.final == "" && s.now < limit; {
+		s.runUntil(s.now + 100*time.Millisecond)
+	}
+	if j.final != state {
+		t.Fatalf("%s is %q after %v, not %q: %+v", j.ID, j.final, within, state, s.core.Dump())
+	}
+}
+
+func (u *simUnit) mustHaveCrashed(t *testing.T, most int) {
+	t.Helper()
+	if n := len(u.crashedRuns); n > most {
+		t.Fatalf("%d workers crashed under %s, more than %d", n, u.job.ID, most)
+	}
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against starting such a task for ever.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, workers := range []int{1, 2, 8} {
+		s := crashSim(t, workers)
+		var notices []Notice
+		s.observe = func(a Action) {
+			if n, ok := a.(Notice); ok && n.Reason == ReasonJobCrashesWorkers {
+				notices = append(notices, n)
+			}
+		}
+		s.runUntil(time.Second)
+		j := crashJob("deadly", 1, 8, false, 0)
+		s.submit(j)
+		s.mustEnd(t, j, graph.Failed, 20*time.Second)
+		j.units[0][0].mustHaveCrashed(t, 2)
+		if len(notices) != 1 || notices[0].Task != "deadly.0.0.0" || !strings.Contains(notices[0].Detail, "2 crashes") {
+			t.Fatalf("%+v", notices)
+		}
+	}
+}
+
+// TestCrashesAreCountedAcrossTakeovers guards against a count that a new owner forgets.
+func TestCrashesAreCountedAcrossTakeovers(t *testing.T) {
+	s := crashSim(t, 2)
+	s.runUntil(time.Second)
+	j := crashJob("deadly", 1, 8, false, 0)
+	s.submit(j)
+	u := j.units[0][0]
+	s.runUntil(s.now + simRestartTime + 900*time.Millisecond)
+	if k := s.rows["deadly"].Tasks[0].Crashes; k != 1 {
+		t.Fatalf("%d crashes are saved: %+v", k, s.rows["deadly"])
+	}
+	s.takeOver()
+	if n := s.core.jobs["deadly"].units[0].crashes.count; n != 1 {
+		t.Fatalf("%d crashes are restored", n)
+	}
+	s.mustEnd(t, j, graph.Failed, 30*time.Second)
+	u.mustHaveCrashed(t, 3)
+}
+
+// TestCrashOfPartOfGangSurvivesTakeover guards against losing or doubling the crash of a
+// run whose other members have not ended yet.
+func TestCrashOfPartOfGangSurvivesTakeover(t *testing.T) {
+	j := crashJob("gang", 2, 8, true, 0)
+	p := graph.Progress{Job: "gang", State: graph.Running, Tasks: []graph.TaskProgress{
+		{Step: 0, Index: 0, Crashes: 1, RunCrashed: true},
+		{Step: 0, Index: 1, Run: 1<<24 + 1, Worker: "w1", Incarnation: "i-w1@1"}}}
+	h := newHarness(t)
+	h.step(JobSubmitted{Job: j.Job, Progress: &p})
+	u := h.core.jobs["gang"].units[0]
+	if got := u.progress()[0]; got.Crashes != 1 || !got.RunCrashed {
+		t.Fatalf("restored as %+v", got)
+	}
+	h.report("w1", nil, graph.RunEnd{Number: 1, Task: u.taskID(1), Run: 1<<24 + 1, Kind: graph.EndStopped})
+	if u.crashes.count != 2 || u.crashes.inRun {
+		t.Fatalf("%+v", u.crashes)
+	}
+}
+
+// TestGangWithDeadlyMemberIsGivenUp guards against counting a gang's crash once for each
+// of its members, and against starting it for ever.
+func TestGangWithDeadlyMemberIsGivenUp(t *testing.T) {
+	s := crashSim(t, 4)
+	s.runUntil(time.Second)
+	j := crashJob("gang", 4, 4, true, 2)
+	s.submit(j)
+	s.mustEnd(t, j, graph.Failed, 30*time.Second)
+	if n := len(j.units[0][0].crashedRuns); n != 2 {
+		t.Fatalf("%d runs crashed", n)
+	}
+}
+
+// TestInnocentTaskBesideDeadlyOneCompletes guards against failing a job for the crashes
+// that another one on the same worker causes.
+func TestInnocentTaskBesideDeadlyOneCompletes(t *testing.T) {
+	for _, workers := range []int{1, 2, 3} {
+		s := crashSim(t, workers)
+		s.runUntil(time.Second)
+		deadly, innocent := crashJob("deadly", 1, 2, false, 0), crashJob("innocent", 1, 2, false)
+		s.submit(innocent)
+		s.submit(deadly)
+		s.mustEnd(t, deadly, graph.Failed, 40*time.Second)
+		s.mustEnd(t, innocent, graph.Completed, 40*time.Second)
+		deadly.units[0][0].mustHaveCrashed(t, 3)
+		innocent.units[0][0].mustHaveCrashed(t, 2)
+	}
+}
+
+// TestOtherTasksAvoidSuspectsWorker guards against placing work beside a task that has
+// crashed workers while there is room elsewhere.
+func TestOtherTasksAvoidSuspectsWorker(t *testing.T) {
+	s := crashSim(t, 3)
+	s.runUntil(time.Second)
+	placedOn := map[graph.JobID]string{}
+	s.observe = func(a Action) {
+		if n, ok := a.(Notice); ok && n.Reason == ReasonPlaced {
+			placedOn[n.Job] = n.Worker
+		}
+	}
+	deadly := crashJob("deadly", 1, 2, false, 0)
+	s.submit(deadly)
+	for len(deadly.units[0][0].crashedRuns) == 0 || len(deadly.units[0][0].runs) == 0 {
+		s.runUntil(s.now + simStep)
+	}
+	bystander := crashJob("bystander", 1, 2, false)
+	s.submit(bystander)
+	if placedOn["bystander"] == "" || placedOn["bystander"] == placedOn["deadly"] {
+		t.Fatalf("%+v", placedOn)
+	}
+	s.mustEnd(t, bystander, graph.Completed, 10*time.Second)
+}
+
+// TestWorkerThatWasCutOffHasNotCrashed guards against counting a loss of the connection
+// to a worker, whose runs the lease ended, against the task.
+func TestWorkerThatWasCutOffHasNotCrashed(t *testing.T) {
+	s := crashSim(t, 1)
+	s.runUntil(time.Second)
+	j := crashJob("j", 1, 8, false)
+	j.units[0][0].work = 5 * time.Second
+	s.submit(j)
+	for range 3 {
+		s.runUntil(s.now + 2*time.Second)
+		s.workers[0].partitioned = true
+		s.runUntil(s.now + 8*time.Second)
+		s.workers[0].reconnect()
+	}
+	s.mustEnd(t, j, graph.Completed, 20*time.Second)
+	if u := s.core.jobs["j"].units[0]; u.crashes.count != 0 {
+		t.Fatalf("%+v", u.crashes)
+	}
+}
+
+// TestCrashIsTakenBackWhenIncarnationReturns guards against counting a worker that hung
+// for longer than its lease as crashed.
+func TestCrashIsTakenBackWhenIncarnationReturns(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	if s := starts(h.submit("j0", 8)); len(s) != 1 {
+		t.Fatalf("%+v", s)
+	}
+	u := h.core.jobs["j0"].units[0]
+	silent := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Number: 2}
+	for u.crashes.count == 0 && h.now < 2*simLeaseBound {
+		h.now += 500 * time.Millisecond
+		h.step(silent)
+		h.step(Tick{})
+	}
+	if u.crashes.count != 1 {
+		t.Fatalf("not counted when the lease had expired: %+v", u.crashes)
+	}
+	h.report("w0", nil)
+	if u.crashes.count != 0 || len(h.core.workers["w0"].crashedJobs) != 0 {
+		t.Fatalf("%+v", u.crashes)
+	}
+}
+
+// TestDeadlyTaskWhoseWorkersStayDownIsGivenUp guards against losing one worker after the
+// other to a task.
+func TestDeadlyTaskWhoseWorkersStayDownIsGivenUp(t *testing.T) {
+	s := crashSim(t, 8)
+	for _, w := range s.workers {
+		w.staysDown = true
+	}
+	s.runUntil(time.Second)
+	j := crashJob("deadly", 1, 8, false, 0)
+	s.submit(j)
+	s.mustEnd(t, j, graph.Failed, 40*time.Second)
+	j.units[0][0].mustHaveCrashed(t, 3)
+}
+
+// TestLeavingWorkersHaveNotCrashed guards against counting announced ends of workers.
+func TestLeavingWorkersHaveNotCrashed(t *testing.T) {
+	for name, leave := range map[string]func(s *sim, w *simWorker){
+		"drains": func(s *sim, w *simWorker) {
+			w.info.Draining, w.info.DrainRemaining, w.reportNow = true, time.Second, true
+			s.runUntil(s.now + 100*time.Millisecond)
+			w.info.Draining = false
+			s.crash(w)
+		},
+		"leaves": func(s *sim, w *simWorker) {
+			s.step(WorkerReport{Worker: w.info, Session: s.core.workers[w.info.ID].session, Number: 1, WorkerLeft: true})
+			s.crash(w)
+		},
+	} {
+		s := crashSim(t, 1)
+		s.runUntil(time.Second)
+		j := crashJob("j", 1, 8, false)
+		j.units[0][0].work = 4 * time.Second
+		s.submit(j)
+		for range 3 {
+			s.runUntil(s.now + time.Second)
+			leave(s, s.workers[0])
+		}
+		s.mustEnd(t, j, graph.Completed, 20*time.Second)
+		if u := s.core.jobs["j"].units[0]; u.crashes.count != 0 {
+			t.Fatalf("%s: %+v", name, u.crashes)
+		}
+	}
+}
+
+// TestPowerFailureFailsNoJob guards against counting the loss of whole hosts, whose agents
+// restart too.
+func TestPowerFailureFailsNoJob(t *testing.T) {
+	s := crashSim(t, 4)
+	s.runUntil(time.Second)
+	j := crashJob("j", 4, 8, false)
+	s.submit(j)
+	for _, u := range j.units[0] {
+		u.work = 4 * time.Second
+	}
+	for range 4 {
+		s.runUntil(s.now + 2*time.Second)
+		for _, w := range s.workers {
+			w.session++
+			s.crash(w)
+		}
+	}
+	s.mustEnd(t, j, graph.Completed, 20*time.Second)
+}
+
+// TestBadWorkerFailsNoJob guards against failing jobs for a worker that crashes under
+// whatever it starts while others are well.
+func TestBadWorkerFailsNoJob(t *testing.T) {
+	s := crashSim(t, 3)
+	s.runUntil(time.Second)
+	var jobs []*simJob
+	for i := range 12 {
+		j := crashJob(graph.JobID("j"+string(rune('a'+i))), 1, 8, false)
+		jobs = append(jobs, j)
+		s.submit(j)
+		for range 150 {
+			s.runUntil(s.now + simStep)
+			if bad := s.workers[0]; len(bad.runs) > 0 && bad.crashesAt == 0 {
+				bad.crashesAt = s.now + simCrashDelay
+			}
+		}
+	}
+	for _, j := range jobs {
+		s.mustEnd(t, j, graph.Completed, 30*time.Second)
+	}
+}
+
+// TestCrashesLateInLongRunsAreNotCounted guards against failing long gangs for the usual
+// losses of workers.
+func TestCrashesLateInLongRunsAreNotCounted(t *testing.T) {
+	s := crashSim(t, 2)
+	s.runUntil(time.Second)
+	j := crashJob("long", 2, 8, true)
+	j.units[0][0].work = 20 * time.Second
+	s.submit(j)
+	for range 4 {
+		s.runUntil(s.now + 15*time.Second)
+		s.crash(s.workers[0])
+	}
+	s.mustEnd(t, j, graph.Completed, 60*time.Second)
+}
+
+// TestCrashIsNoFailureOfWorker guards against quarantining workers for the tasks that
+// crash them.
+func TestCrashIsNoFailureOfWorker(t *testing.T) {
+	s := crashSim(t, 1)
+	s.runUntil(time.Second)
+	for _, id := range []graph.JobID{"d0", "d1", "d2"} {
+		s.submit(crashJob(id, 1, 8, false, 0))
+	}
+	for _, j := range slices.Clone(s.jobs) {
+		s.mustEnd(t, j, graph.Failed, 60*time.Second)
+	}
+	if w := s.core.workers["w00"]; w.failures.Count() != 0 || w.failures.Quarantined(s.core.now) {
+		t.Fatalf("%+v", w.failures)
+	}
+}
+
+// TestLostHostsFailNoJob guards against counting hosts that fall silent for good together
+// with their agents.
+func TestLostHostsFailNoJob(t *testing.T) {
+	s := crashSim(t, 6)
+	s.runUntil(time.Second)
+	j := crashJob("j", 1, 8, false)
+	j.units[0][0].work = 3 * time.Second
+	s.submit(j)
+	for range 4 {
+		s.runUntil(s.now + 500*time.Millisecond)
+		for _, w := range s.workers {
+			if len(w.runs) > 0 {
+				s.loseRuns(w)
+				w.partitioned = true
+			}
+		}
+		s.runUntil(s.now + 7*time.Second)
+	}
+	s.mustEnd(t, j, graph.Completed, 20*time.Second)
+}
+
+// TestSecondCrashOnWorkerThatCrashedUnderOthersIsInconclusive guards against failing a job
+// early where the only worker may be at fault.
+func TestSecondCrashOnWorkerThatCrashedUnderOthersIsInconclusive(t *testing.T) {
+	s := crashSim(t, 1)
+	s.runUntil(time.Second)
+	bad := s.workers[0]
+	crashNextRun := func() {
+		for len(bad.runs) == 0 {
+			s.runUntil(s.now + simStep)
+		}
+		bad.crashesAt = s.now + simCrashDelay
+		s.runUntil(s.now + time.Second)
+	}
+	first, urgent := crashJob("first", 1, 8, false), crashJob("urgent", 1, 8, false)
+	urgent.Priority = 0
+	s.submit(first)
+	crashNextRun()
+	s.submit(urgent)
+	crashNextRun()
+	crashNextRun()
+	s.mustEnd(t, urgent, graph.Completed, 20*time.Second)
+	s.mustEnd(t, first, graph.Completed, 20*time.Second)
+	if len(first.units[0][0].crashedRuns) != 1 || len(urgent.units[0][0].crashedRuns) != 2 {
+		t.Fatalf("%+v %+v", first.units[0][0].crashedRuns, urgent.units[0][0].crashedRuns)
+	}
+}
+
+// TestSecondCrashBesideAnotherTaskIsInconclusive guards against failing a job early for a
+// task that was placed beside its own.
+func TestSecondCrashBesideAnotherTaskIsInconclusive(t *testing.T) {
+	s := crashSim(t, 1)
+	s.runUntil(time.Second)
+	innocent, deadly := crashJob("innocent", 1, 2, false), crashJob("deadly", 1, 2, false, 0)
+	innocent.units[0][0].work = 2 * time.Second
+	s.submit(innocent)
+	s.runUntil(s.now + time.Second)
+	s.crash(s.workers[0])
+	s.runUntil(s.now + time.Second)
+	s.submit(deadly)
+	s.mustEnd(t, innocent, graph.Completed, 30*time.Second)
+	s.mustEnd(t, deadly, graph.Failed, 30*time.Second)
+	if n := len(innocent.units[0][0].crashedRuns); n != 2 {
+		t.Fatalf("%d workers crashed under the innocent job", n)
+	}
+}
--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -11,14 +11,17 @@
 	if j == nil || j.state.Final() {
 		return
 	}
-	c.finishJob(j, graph.Cancelled, ReasonJobCancelled)
+	c.finishJob(j, graph.Cancelled, Notice{Reason: ReasonJobCancelled})
 }
 
-// finishJob sets the final state of a job and stops its remaining runs.
-func (c *Core) finishJob(j *job, state graph.State, reason Reason) {
+// finishJob sets the final state of a job and stops its remaining runs. The notice
+// gives the reason.
+func (c *Core) finishJob(j *job, state graph.State, n Notice) {
 	j.state = state
 	j.finishedAt = c.cfg.TermStart.Add(c.now)
-	c.emit(Notice{Reason: reason, Job: j.ID, Detail: fmt.Sprintf("after %v, objective %v", c.now-j.arrivedAt, j.objective())})
+	n.Job = j.ID
+	n.Detail = fmt.Sprintf("after %v, objective %v%s", c.now-j.arrivedAt, j.objective(), n.Detail)
+	c.emit(n)
 	for _, u := range j.units {
 		c.dropClaim(u)
 		if !u.runDone {
@@ -81,6 +84,7 @@
 		c.learnFinalRate(m)
 		c.learnRunTime(m)
 		m.worker.failures.Succeed()
+		m.worker.crashedJobs = nil
 	case graph.EndFailed:
 		u.runFailed = true
 		c.recordFailure(m.worker, u)
@@ -92,8 +96,8 @@
 }
 
 // finishRunIfEnded marks the unit as done if a member ended with EndDone. Once all
-// members have ended it clears the run, counts a failure and lets the unit wait for
-// placement again, or fails the job after its last attempt.
+// members have ended it clears the run, counts a failure or a crash and lets the unit
+// wait for placement again, or fails the job after the last one that it may have.
 func (c *Core) finishRunIfEnded(u *unit) {
 	if u.runDone && u.phase != unitDone {
 		u.phase = unitDone
@@ -111,14 +115,15 @@
 		return
 	}
 	u.phase = unitWaiting
-	if !u.runFailed {
-		return
-	}
-	u.runFailed = false
-	u.failures++
-	if u.failures >= max(1, u.job.MaxAttempts) {
-		c.finishJob(u.job, graph.Failed, ReasonJobFailed)
+	if u.runFailed {
+		u.runFailed = false
+		u.failures++
+		if u.failures >= max(1, u.job.MaxAttempts) {
+			c.finishJob(u.job, graph.Failed, Notice{Reason: ReasonJobFailed})
+			return
+		}
 	}
+	c.countCrash(u)
 }
 
 func (c *Core) completeJobIfDone(j *job) {
@@ -130,5 +135,5 @@
 			return
 		}
 	}
-	c.finishJob(j, graph.Completed, ReasonJobCompleted)
+	c.finishJob(j, graph.Completed, Notice{Reason: ReasonJobCompleted})
 }
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -31,6 +31,7 @@
 	runDone   bool // a member of the current run ended with EndDone
 	runFailed bool // a member of the current run ended with EndFailed
 	stopping  bool // the current run is being stopped
+	crashes   unitCrashes
 	// speedsLearned is set once the members of the current run were compared.
 	speedsLearned bool
 	failures      int
@@ -64,6 +65,7 @@
 	worker *worker
 	// incarnation is the worker's incarnation at placement.
 	incarnation  string
+	crashes      int  // unitCrashes.count when the unit was placed
 	recovered    bool // placed in an earlier term
 	startSent    bool // the start was ordered in this term, or the worker reported the run
 	running      bool // the worker reported the run as running
@@ -229,11 +231,13 @@
 			Worker: m.worker.info.ID, Incarnation: m.incarnation})
 	}
 	common := graph.TaskProgress{Step: u.stepIndex, Index: u.firstIndex, Failures: u.failures, RunFailed: u.runFailed,
+		Crashes: u.crashes.count, RunCrashed: u.crashes.inRun,
 		Done: u.phase == unitDone || u.runDone, Checkpoint: u.checkpoint}
 	switch {
 	case len(out) > 0 && out[0].Index == u.firstIndex:
 		out[0].Failures, out[0].RunFailed, out[0].Done, out[0].Checkpoint = common.Failures, common.RunFailed, common.Done, common.Checkpoint
-	case common.Failures > 0 || common.RunFailed || common.Done || common.Checkpoint != "":
+		out[0].Crashes, out[0].RunCrashed = common.Crashes, common.RunCrashed
+	case common.Failures > 0 || common.RunFailed || common.Crashes > 0 || common.RunCrashed || common.Done || common.Checkpoint != "":
 		out = append([]graph.TaskProgress{common}, out...)
 	}
 	return out
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"testing"
 	"time"
@@ -22,6 +23,8 @@
 	jobCount int
 	// calmAt is when the last fault began or ended.
 	calmAt time.Duration
+	// deadlyJobs makes some jobs crash the workers that start one of their tasks.
+	deadlyJobs bool
 }
 
 func (m *planMachine) drawWorker(t *rapid.T) *simWorker {
@@ -43,6 +46,10 @@
 	if tooWide(j) {
 		return
 	}
+	if m.deadlyJobs && rapid.IntRange(0, 3).Draw(t, "deadly") == 0 {
+		units := j.units[0]
+		units[len(units)-1].deadly = map[int]bool{j.Steps[0].Count - 1: true}
+	}
 	m.submit(j)
 }
 
@@ -223,7 +230,23 @@
 	})
 }
 
+// TestPlanMachineWithDeadlyTasks checks the same with tasks that crash their workers. It
+// guards against jobs that never become final, and against jobs failed without cause.
+func TestPlanMachineWithDeadlyTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPlanMachine(t)
+		m.deadlyJobs = true
+		m.check(t)
+	})
+}
+
 func checkMachine(t *rapid.T, features ...feature.Feature) *planMachine {
+	m := newPlanMachine(t, features...)
+	m.check(t)
+	return m
+}
+
+func newPlanMachine(t *rapid.T, features ...feature.Feature) *planMachine {
 	s := newSim(8, assessmentWorker, loadPolicy(), t.Fatalf, features...)
 	s.joinPasses = rapid.Bool().Draw(t, "join passes")
 	if !s.features.Has(feature.LearnedRunTimes) && rapid.Bool().Draw(t, "learned run times") {
@@ -231,10 +254,14 @@
 		s.core.cfg.Features = s.features
 	}
 	m := &planMachine{sim: s, rnd: rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed")))}
+	m.crashLimit = math.MaxInt // crashes while the owner or a session changes do not count
+	return m
+}
+
+func (m *planMachine) check(t *rapid.T) {
 	m.runUntil(time.Second)
 	t.Repeat(m.actions())
 	m.recoverAndCheck(t)
-	return m
 }
 
 // TestNoSecondRunUnderEarlierOwnersLease checks that a task is not started again
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -262,6 +262,8 @@
 		return explain.Quarantined
 	case u.avoidUntil[w.info.ID] > c.now:
 		return explain.Avoided
+	case c.mustPartFromSuspects(u, w):
+		return explain.Avoided
 	case u.onLastAttempt() && w.failures.Recent(c.now):
 		return explain.RecentFailure
 	case u.step.RequiredLabel != "" && !slices.Contains(w.info.Labels, u.step.RequiredLabel):
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -53,6 +53,7 @@
 		}
 		if t.Index == u.firstIndex {
 			u.failures, u.runFailed, u.checkpoint = t.Failures, t.RunFailed, t.Checkpoint
+			u.crashes.count, u.crashes.inRun = t.Crashes, t.RunCrashed
 			if t.Done {
 				u.phase, u.runDone = unitDone, true
 			}
@@ -65,7 +66,7 @@
 		if len(u.members) > 0 && u.phase != unitDone {
 			u.phase = unitPlaced
 		}
-		if j.state.Final() || u.runFailed {
+		if j.state.Final() || u.runFailed || u.crashes.inRun {
 			c.stopRun(u)
 		}
 	}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -17,6 +17,7 @@
 	info         WorkerInfo
 	reported     bool // in this term
 	lastReportAt time.Duration
+	listedAt     time.Duration // when it last listed its runs
 	// lastGrantAt is the time of the last report that was answered by a lease grant.
 	// For a worker that has not reported in this term it is the latest time at which
 	// the previous owner may have granted a lease.
@@ -38,6 +39,9 @@
 	speed           workerhealth.Record
 	speedState      workerSpeed
 	failures        workerhealth.Failures[*unit]
+	suspects        int           // members whose units have crashed workers
+	crashedJobs     []graph.JobID // that it crashed under since a run was done on it
+	expiredCrashes  []*unit       // recorded when the lease of this incarnation expired
 	drainReportedAt time.Duration
 }
 
@@ -64,12 +68,18 @@
 func (c *Core) occupy(m *member) {
 	m.worker.members = append(m.worker.members, m)
 	m.worker.used = m.worker.used.Add(m.unit.step.Needs)
+	if m.crashes = m.unit.crashes.count; m.crashes > 0 {
+		m.worker.suspects++
+	}
 }
 
 func (c *Core) release(m *member) {
 	w := m.worker
 	w.members = slices.DeleteFunc(w.members, func(o *member) bool { return o == m })
 	w.used = w.used.Sub(m.unit.step.Needs)
+	if m.crashes > 0 {
+		w.suspects--
+	}
 }
 
 // handleReport updates the worker's state from a report of its agent.
@@ -77,7 +87,10 @@
 	c.recordFirstReport()
 	w := c.worker(report.Worker.ID)
 	if w.info.Incarnation() != report.Worker.Incarnation() {
-		c.changeIncarnation(w, report.Worker)
+		c.changeIncarnation(w, report)
+	}
+	if report.WorkerResponsive {
+		c.takeBackCrashes(w)
 	}
 	lost := !report.WorkerResponsive && c.now-w.lastGrantAt > c.cfg.LeaseBound
 	if !w.reported || w.lost && !lost {
@@ -94,7 +107,7 @@
 	c.restoreSpeed(w)
 	w.reported, w.responsive = true, report.WorkerResponsive
 	w.lost = w.lost && lost
-	w.lastReportAt = c.now
+	w.lastReportAt, w.listedAt = c.now, c.now-report.ListAge
 	if report.WorkerResponsive && !report.WorkerLeft {
 		w.lastGrantAt = c.now
 		c.emit(GrantLease{Worker: w.info.ID, Incarnation: w.info.Incarnation(), ReportNumber: report.Number})
@@ -116,14 +129,18 @@
 
 // changeIncarnation resets a worker's state when a new incarnation reports. Earlier
 // incarnations and all of their runs have ended.
-func (c *Core) changeIncarnation(w *worker, next WorkerInfo) {
-	incarnation := next.Incarnation()
+func (c *Core) changeIncarnation(w *worker, report WorkerReport) {
+	incarnation := report.Worker.Incarnation()
 	if w.reported {
 		c.emit(Notice{Reason: ReasonIncarnationChanged, Worker: w.info.ID, Detail: incarnation})
 	}
 	w.pendingAcks, w.lastEndSeen, w.lastEndAcked = nil, 0, 0
 	w.failures.Restart()
-	c.restartSpeed(w, next)
+	c.restartSpeed(w, report.Worker)
+	w.expiredCrashes = nil
+	if w.session == report.Session {
+		c.recordCrashes(w, true)
+	}
 	c.endLostMembers(w, incarnation)
 }
 
@@ -306,6 +323,9 @@
 	}
 	w.lost = true
 	c.emit(Notice{Reason: ReasonWorkerLost, Worker: w.info.ID, Detail: (c.now - w.lastGrantAt).String()})
+	if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
+		c.recordCrashes(w, false)
+	}
 	c.endLostMembers(w, noIncarnation)
 }
 
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -28,7 +28,8 @@
 }
 
 // TaskProgress is the progress of one task. For a gang, the entry with Index 0
-// carries Failures, RunFailed, Done and Checkpoint of the whole gang.
+// carries Failures, RunFailed, Crashes, RunCrashed, Done and Checkpoint of the
+// whole gang.
 type TaskProgress struct {
 	Step  int `json:"s"`
 	Index int `json:"i"`
@@ -40,7 +41,12 @@
 	Failures    int    `json:"f,omitempty"`
 	// RunFailed reports that a member of the current gang run has failed. The run
 	// is counted in Failures once its other members have ended.
-	RunFailed  bool   `json:"x,omitempty"`
+	RunFailed bool `json:"x,omitempty"`
+	// Crashes is the number of runs under which a worker crashed soon after the start.
+	Crashes int `json:"k,omitempty"`
+	// RunCrashed reports that a worker has crashed under the current gang run. The
+	// run is counted in Crashes once its other members have ended.
+	RunCrashed bool   `json:"y,omitempty"`
 	Done       bool   `json:"d,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
 }
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -17,6 +17,9 @@
 	RunDuration func(task graph.TaskID) time.Duration
 	// ShouldFail reports whether a run ends as failed.
 	ShouldFail func(task graph.TaskID, run uint64) bool
+	// ShouldCrash reports whether a task crashes the worker crashDelay after its start. The
+	// worker is back after crashDuration.
+	ShouldCrash func(task graph.TaskID) bool
 
 	mu             sync.Mutex
 	startCount     int64
@@ -31,8 +34,14 @@
 	endAdded       chan struct{}
 	startedTasks   []graph.TaskID
 	faults         RunnerFaults
+	down           bool // crashed and not back yet
 }
 
+const (
+	crashDelay    = 10 * time.Millisecond
+	crashDuration = 1500 * time.Millisecond
+)
+
 // RunnerFaults selects the faults of a runner.
 type RunnerFaults struct {
 	// DropCalls drops calls: they have no effect and get no answer.
@@ -69,6 +78,7 @@
 		run.timer.Stop()
 	}
 	r.startCount++
+	r.down = false
 	r.startTime = time.Now()
 	r.epoch, r.acknowledged, r.lastEndNumber = 0, 0, 0
 	r.leaseEnd = time.Time{}
@@ -76,6 +86,20 @@
 	r.endAdded = make(chan struct{})
 }
 
+// crash loses the worker's runs. It refuses all calls until it restarts.
+func (r *Runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		run.timer.Stop()
+	}
+	r.runs, r.unacknowledged = map[graph.TaskID]*activeRun{}, nil
+	r.down = true
+	close(r.endAdded)
+	r.endAdded = make(chan struct{})
+	time.AfterFunc(crashDuration, r.Restart)
+}
+
 // SetFaults sets the faults of later calls.
 func (r *Runner) SetFaults(f RunnerFaults) {
 	r.mu.Lock()
@@ -111,9 +135,11 @@
 // applyWithFaults applies an order under the current faults.
 func (r *Runner) applyWithFaults(ctx context.Context, instance string, apply func() error) (time.Duration, error) {
 	r.mu.Lock()
-	faults := r.faults
+	faults, down := r.faults, r.down
 	r.mu.Unlock()
 	switch {
+	case down:
+		return 0, external.ErrUnavailable
 	case faults.DropCalls:
 		<-ctx.Done()
 		return 0, external.ErrUnavailable
@@ -187,6 +213,9 @@
 	run := &activeRun{run: o.Run, startedAt: time.Now(), duration: work}
 	r.startedTasks = append(r.startedTasks, o.Task)
 	r.runs[o.Task] = run
+	if r.ShouldCrash != nil && r.ShouldCrash(o.Task) {
+		time.AfterFunc(crashDelay, r.crash)
+	}
 	run.timer = time.AfterFunc(work, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -232,8 +261,11 @@
 // ends, it first waits for one, for at most o.Wait.
 func (r *Runner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
 	r.mu.Lock()
-	silent := r.faults.DropCalls
+	silent, down := r.faults.DropCalls, r.down
 	r.mu.Unlock()
+	if down {
+		return external.RunList{}, external.ErrUnavailable
+	}
 	if silent {
 		<-ctx.Done()
 		return external.RunList{}, external.ErrUnavailable
@@ -251,6 +283,9 @@
 		r.waitForEnd(ctx, o.Wait)
 	}
 	defer r.mu.Unlock()
+	if r.down {
+		return external.RunList{}, external.ErrUnavailable
+	}
 	return r.runList(), nil
 }
 
--- a/test/graphs/graphs_test.go
+++ b/test/graphs/graphs_test.go
@@ -1,6 +1,7 @@
 package graphs_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -275,6 +276,36 @@
 	}
 }
 
+// TestTaskThatCrashesItsWorkerIsGivenUp guards against starting such a task for ever, and
+// against failing other jobs for its crashes.
+func TestTaskThatCrashesItsWorkerIsGivenUp(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	var deadly graph.JobID
+	var mu sync.Mutex
+	for _, a := range f.agents {
+		a.runner.ShouldCrash = func(task graph.TaskID) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return task.Job == deadly
+		}
+	}
+	f.setTaskDuration(700 * time.Millisecond)
+	innocent := f.submit(f.entries[0], 12)
+	mu.Lock()
+	deadly = f.newID()
+	mu.Unlock()
+	f.await("an accepted job", func() bool {
+		return f.entries[0].front.Submit(f.callFor(deadly), jobWithTasks(1)).Outcome == graphs.OK
+	})
+	f.awaitJobState(f.entries[0], deadly, graph.Failed)
+	f.awaitJobState(f.entries[0], innocent, graph.Completed)
+	for task, n := range f.startCounts(deadly) {
+		if n > 3 {
+			t.Errorf("%v started %d times", task, n)
+		}
+	}
+}
+
 // TestFeedHistoryLost checks that the owner finds submitted jobs although the table
 // has discarded the history of its change feed.
 func TestFeedHistoryLost(t *testing.T) {
