plan: no start over a capacity that has shrunk

A worker's capacity may shrink while it runs. Reports replaced the old one, and room was what the runs leave of it, also those being stopped. Two starts got over it: one whose placement was being saved while the capacity shrank, as startRun did not look at the room again, and one of a task that doesn't need the resource that has become too small, as only the needed ones are compared.

startRun gives the placement up if the runs that may have begun and the unit itself no longer fit. A worker that has less of any resource than its runs use is no candidate.

Before: TestNoStartAfterCapacityShrankDuringSave "started over the capacity", TestNothingStartsOnWorkerOverItsCapacity the same; TestRunsBeingStoppedUseShrunkCapacity passed at once.

--- /dev/null
+++ b/internal/graph/plan/capacity_test.go
@@ -0,0 +1,87 @@
+package plan
+
+import (
+	"testing"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// reportCapacity reports a worker of the harness with another capacity.
+func (h *harness) reportCapacity(capacity graph.Resources, running []graph.RunState, ended ...graph.RunEnd) []Action {
+	return h.step(capacityReport(capacity, running, ended...))
+}
+
+func capacityReport(capacity graph.Resources, running []graph.RunState, ended ...graph.RunEnd) WorkerReport {
+	return WorkerReport{Worker: WorkerInfo{ID: "w0", Instance: "i-w0", StartUnixMillis: 1, Pool: "pool", Zone: "z0", Rack: "r0", Capacity: capacity},
+		Session: "s", Running: running, Ended: ended, Number: 1, WorkerResponsive: true}
+}
+
+// TestNoStartAfterCapacityShrankDuringSave guards against a start that was decided on a
+// larger capacity, which takes a worker that does not guard its capacity over it.
+func TestNoStartAfterCapacityShrankDuringSave(t *testing.T) {
+	h := newHarness(t)
+	full := graph.Resources{MilliCPU: 16000, Accelerators: 8}
+	h.reportCapacity(full, nil)
+	j := crashJob("j0", 2, 4, true)
+	save, ok := first[SaveProgress](h.core.Step(h.now, JobSubmitted{Job: j.Job}))
+	if !ok || len(save.Progress.Tasks) != 2 {
+		t.Fatalf("not placed: %+v", save)
+	}
+	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 7}, nil)
+	if s := starts(h.step(ProgressSaved{Job: "j0", Number: save.Number})); len(s) != 0 {
+		t.Fatalf("started over the capacity: %+v", s)
+	}
+	if s := starts(h.step(Tick{})); len(s) != 0 {
+		t.Fatalf("started over the capacity: %+v", s)
+	}
+	if s := starts(h.reportCapacity(full, nil)); len(s) != 2 {
+		t.Fatalf("not started when the capacity had grown again: %+v", s)
+	}
+}
+
+func first[A Action](actions []Action) (a A, ok bool) {
+	for _, o := range actions {
+		if a, ok = o.(A); ok {
+			return a, true
+		}
+	}
+	return a, false
+}
+
+// TestRunsBeingStoppedUseShrunkCapacity guards against a start in the room of runs that
+// are being stopped on a worker whose capacity has shrunk.
+func TestRunsBeingStoppedUseShrunkCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
+	placed := starts(h.submit("j0", 4))
+	if len(placed) != 1 {
+		t.Fatalf("%+v", placed)
+	}
+	small := graph.Resources{MilliCPU: 16000, Accelerators: 4}
+	running := []graph.RunState{{Task: placed[0].Task, Run: placed[0].Run}}
+	h.reportCapacity(small, running)
+	h.step(JobCancelled{"j0"})
+	if s := starts(h.submit("j1", 1)); len(s) != 0 {
+		t.Fatalf("started beside a run that is being stopped: %+v", s)
+	}
+	end := graph.RunEnd{Number: 1, Task: placed[0].Task, Run: placed[0].Run, Kind: graph.EndStopped}
+	if s := starts(h.reportCapacity(small, nil, end)); len(s) != 1 {
+		t.Fatalf("not started after the end: %+v", s)
+	}
+}
+
+// TestNothingStartsOnWorkerOverItsCapacity guards against a task without accelerators that
+// starts on a worker whose runs use more accelerators than it has left.
+func TestNothingStartsOnWorkerOverItsCapacity(t *testing.T) {
+	h := newHarness(t)
+	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
+	placed := starts(h.submit("j0", 8))
+	running := []graph.RunState{{Task: placed[0].Task, Run: placed[0].Run}}
+	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 6}, running)
+	if s := starts(h.submit("j1", 0)); len(s) != 0 {
+		t.Fatalf("started over the capacity: %+v", s)
+	}
+	if s := starts(h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, running)); len(s) != 1 {
+		t.Fatalf("not started when the capacity had grown again: %+v", s)
+	}
+}
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -300,6 +300,20 @@
 	case closed && c.headroom.marked[w]:
 		return explain.Headroom
 	}
+	return overCapacity(w.free())
+}
+
+// overCapacity returns the resource of which a worker has less than its runs use, since its
+// capacity has shrunk. Nothing starts there, not even tasks that do not need that resource.
+func overCapacity(free graph.Resources) explain.Exclusion {
+	switch {
+	case free.Accelerators < 0:
+		return explain.NoAccelerators
+	case free.MilliCPU < 0:
+		return explain.NoCores
+	case free.MemoryMB < 0:
+		return explain.NoMemory
+	}
 	return explain.NotExcluded
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -212,6 +212,10 @@
 			return
 		}
 	}
+	if !roomToStart(u, members) {
+		c.abandonRun(u, members)
+		return
+	}
 	for _, m := range members {
 		if w := m.worker; !m.ended {
 			m.startSent = true
@@ -234,6 +238,24 @@
 		!w.info.Draining && !c.policy.ZonesOut[w.info.Zone]
 }
 
+// roomToStart reports whether the workers still have room for a run whose start has not
+// been sent. A capacity may have shrunk while the placement was being saved.
+func roomToStart(u *unit, members []*member) bool {
+	for _, m := range members {
+		w := m.worker
+		use := w.unknownUse
+		for _, o := range w.members {
+			if o.unit == u || o.startSent || o.recovered {
+				use = use.Add(o.unit.step.Needs)
+			}
+		}
+		if !use.Fits(w.info.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
 // abandonRun ends a run for which no start has been ordered.
 func (c *Core) abandonRun(u *unit, members []*member) {
 	for _, m := range members {
