agent: report a changed capacity at once, refuse starts that rest on a larger one

A worker's capacity may shrink between the owner's decision and the arrival of the start. The agent told the owner with its next report, up to 0.6 s later, and passed every start on; workers whose pool doesn't enforce its capacity then start what they are told.

A start order now carries the capacity on which its placement rests. The agent refuses it, as it does while its worker drains, if the worker has said since that it has less of anything. Orders of earlier versions carry none and are never refused for it. policy.Pool.EnforcesCapacity is decoded and used nowhere: the refusal is the same for both kinds of pool, so it needs no configuration at the agent.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -123,6 +123,10 @@
 		k.log.Info().Str("worker", info.ID).Dur("remaining_ms", info.DrainRemaining).Msg("worker is draining")
 		wake(k.wakeSend)
 	}
+	if !changed && info.Capacity != k.worker.Capacity {
+		k.log.Info().Str("worker", info.ID).Interface("capacity", info.Capacity).Interface("before", k.worker.Capacity).Msg("worker capacity changed")
+		wake(k.wakeSend)
+	}
 	k.worker, k.heartbeatNumber = &info, number
 	if changed {
 		wake(k.wakeHold)
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -89,8 +89,8 @@
 	if inProgress == nil {
 		return
 	}
-	if k.workerLeaving() {
-		k.reportAbsent(ref, "worker drains")
+	if reason := k.refusal(o); reason != "" {
+		k.reportAbsent(ref, reason)
 		k.finishOrder(ref, inProgress)
 		return
 	}
@@ -122,10 +122,18 @@
 	return err
 }
 
-func (k *Keeper) workerLeaving() bool {
+// refusal returns the reason to refuse a start by what the worker has said of itself since
+// the owner decided, or "". Workers need not check their capacity themselves.
+func (k *Keeper) refusal(o *rpc.StartTask) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.worker == nil || k.worker.Draining || k.leftAt > 0
+	switch {
+	case k.worker == nil || k.worker.Draining || k.leftAt > 0:
+		return "worker drains"
+	case !rpc.CapacityOf(o).Fits(k.worker.Capacity):
+		return "capacity has shrunk"
+	}
+	return ""
 }
 
 // reportAbsent queues a report that the worker does not have the run and will not
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -202,7 +202,7 @@
 	case plan.StartRun:
 		t.recordQueueTime(a)
 		t.addOrder(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
-			o.Starts = append(o.Starts, &rpc.StartTask{Ref: rpc.TaskRefOf(a.Task, a.Run), Spec: a.Spec, Checkpoint: a.Checkpoint})
+			o.Starts = append(o.Starts, rpc.StartTaskOf(a))
 		})
 		t.logDecision(a.Task.Job, "start ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
 	case plan.StopRun:
--- a/internal/graph/plan/capacity_test.go
+++ b/internal/graph/plan/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
@@ -85,3 +86,20 @@
 		t.Fatalf("not started when the capacity had grown again: %+v", s)
 	}
 }
+
+// TestCapacityOfSimulatedFleetShrinks guards against any start over a capacity that shrinks
+// and grows while jobs run.
+func TestCapacityOfSimulatedFleetShrinks(t *testing.T) {
+	s := crashSim(t, 4)
+	s.runUntil(time.Second)
+	for i := range 40 {
+		s.submit(crashJob(graph.JobID("j"+string(rune('A'+i))), 3, 2+i%3, i%2 == 0))
+		w := s.workers[i%4]
+		w.info.Capacity.Accelerators = 4 + i%5
+		w.reportNow = true
+		s.runUntil(s.now + 300*time.Millisecond)
+	}
+	for _, j := range s.jobs {
+		s.mustEnd(t, j, graph.Completed, 60*time.Second)
+	}
+}
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -457,6 +457,11 @@
 		w.reportNow = true
 		return
 	}
+	if !a.Capacity.Fits(w.info.Capacity) { // as for draining
+		w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "capacity has shrunk"})
+		w.reportNow = true
+		return
+	}
 	s.checkStart(w, u, a)
 	if !w.used().Add(u.step.Needs).Fits(w.info.Capacity) {
 		s.rejected++
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -225,6 +225,7 @@
 			first := !u.job.started
 			u.job.started = true
 			c.emit(StartRun{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resumeCheckpoint(),
+				Capacity:   w.info.Capacity,
 				FirstOfJob: first, Guaranteed: first && c.jobsWithinGuarantee()[u.job], QueueTime: c.now - u.job.arrivedAt})
 		}
 	}
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -123,6 +123,8 @@
 	Run         uint64
 	Spec        string
 	Checkpoint  string
+	// Capacity is the worker's capacity on which the placement rests.
+	Capacity graph.Resources
 	// FirstOfJob is set on the first start of a job. QueueTime is then the time
 	// since submission, and Guaranteed reports that the job was within a guarantee.
 	FirstOfJob bool
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -90,3 +90,21 @@
 	}
 	return out
 }
+
+// StartTaskOf converts a start order to its message.
+func StartTaskOf(a plan.StartRun) *StartTask {
+	return &StartTask{
+		Ref:          TaskRefOf(a.Task, a.Run),
+		Spec:         a.Spec,
+		Checkpoint:   a.Checkpoint,
+		MilliCpu:     int64(a.Capacity.MilliCPU),
+		MemoryMb:     int64(a.Capacity.MemoryMB),
+		Accelerators: int64(a.Capacity.Accelerators),
+	}
+}
+
+// CapacityOf returns the capacity on which a start order rests, zero in orders of earlier
+// versions.
+func CapacityOf(o *StartTask) graph.Resources {
+	return graph.Resources{MilliCPU: int(o.MilliCpu), MemoryMB: int(o.MemoryMb), Accelerators: int(o.Accelerators)}
+}
