plan: a run that stands still while its worker is down is no failure of the worker

Restart ends the quarantine, but keeps the count that doubles the next one.

Such runs are still stopped; a failure is recorded only if the worker answers its agent. A worker that lists runs without progress counts as before.

Before: TestStallOfCrashedWorkerIsNoFailure got worker-quarantined 4s.

--- a/internal/graph/plan/crashes_test.go
+++ b/internal/graph/plan/crashes_test.go
@@ -390,3 +390,31 @@
 		t.Fatalf("%d workers crashed under the innocent job", n)
 	}
 }
+
+// TestStallOfCrashedWorkerIsNoFailure guards against quarantining a worker for the runs that
+// stood still while it was down.
+func TestStallOfCrashedWorkerIsNoFailure(t *testing.T) {
+	s := crashSim(t, 1)
+	s.runUntil(time.Second)
+	for _, id := range []graph.JobID{"j0", "j1"} {
+		j := crashJob(id, 1, 4, false)
+		j.units[0][0].work = 10 * time.Second
+		s.submit(j)
+	}
+	s.runUntil(s.now + time.Second)
+	w := s.workers[0]
+	w.staysDown, w.crashesAt = true, s.now+simCrashDelay
+	stalls := 0
+	s.observe = func(a Action) {
+		if n, ok := a.(Notice); ok && n.Reason == ReasonNoProgress {
+			stalls++
+		}
+		if n, ok := a.(Notice); ok && n.Reason == ReasonWorkerQuarantined {
+			t.Errorf("%+v", n)
+		}
+	}
+	s.runUntil(s.now + 5*time.Second)
+	if stalls != 2 {
+		t.Fatalf("%d runs stood still", stalls)
+	}
+}
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -20,7 +20,9 @@
 		if m := c.stalledMember(u); m != nil && !u.stopping {
 			c.emit(Notice{Reason: ReasonNoProgress, Job: j.ID, Task: m.task.String(), Run: m.run, Worker: m.worker.info.ID})
 			u.avoidWorker(m.worker.info.ID, c.now+workerhealth.FailureWindow)
-			c.recordFailure(m.worker, u)
+			if m.worker.responsive { // else it is down, which counts as a crash
+				c.recordFailure(m.worker, u)
+			}
 			c.stopRun(u)
 		}
 	}
