plan: a bystander of several deadly tasks is not given up at its third crash

It now holds for a unit that was alone on the worker; beside other units the limit is four, one more start than without this commit.

Sets of preferred candidates are copied only if they differ.

--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -18,10 +18,13 @@
 	// for a crash to count. Workers are asked every 0.6 s, so one that has not answered
 	// for longer was probably down when the start was sent.
 	maxStartGap = time.Second
-	// maxCrashes is the number of counted crashes at which a job is failed, and
-	// maxConclusiveCrashes that if nothing but its unit explains the last one.
+	// maxCrashes is the number of counted crashes at which a job is failed if its unit was
+	// alone on the worker at the last one, and maxConclusiveCrashes that if nothing but the
+	// unit explains it. Beside other units it is maxSharedCrashes: bystanders of several
+	// deadly tasks have lost three runs.
 	maxCrashes           = 3
 	maxConclusiveCrashes = 2
+	maxSharedCrashes     = 4
 	// maxCrashedJobs limits worker.crashedJobs. Two are enough to doubt a worker.
 	maxCrashedJobs = 3
 )
@@ -29,10 +32,11 @@
 // unitCrashes are the crashes of workers under the runs of a unit.
 type unitCrashes struct {
 	count int
-	// inRun is set once a worker has crashed under the current run, and conclusive if
-	// nothing but the unit explains that crash.
-	inRun, conclusive bool
-	workers           []string // that crashed in this term
+	// inRun is set once a worker has crashed under the current run. limit is then the count
+	// at which the job is failed, 0 if the crash was in an earlier term.
+	inRun   bool
+	limit   int
+	workers []string // that crashed in this term
 }
 
 // recordCrashes records a crash of the worker for the units that it runs, before their
@@ -54,7 +58,14 @@
 		}
 		others := withoutJob(w.crashedJobs, u.job)
 		u.crashes.inRun = true
-		u.crashes.conclusive = restarted && alone && len(others) == 0
+		switch {
+		case !alone:
+			u.crashes.limit = maxSharedCrashes
+		case restarted && len(others) == 0:
+			u.crashes.limit = maxConclusiveCrashes
+		default:
+			u.crashes.limit = maxCrashes
+		}
 		if !slices.Contains(u.crashes.workers, w.info.ID) {
 			u.crashes.workers = append(u.crashes.workers, w.info.ID)
 		}
@@ -101,11 +112,11 @@
 	if !u.crashes.inRun {
 		return
 	}
-	limit := maxCrashes
-	if u.crashes.conclusive {
-		limit = maxConclusiveCrashes
+	limit := u.crashes.limit
+	if limit == 0 {
+		limit = maxCrashes
 	}
-	u.crashes.inRun, u.crashes.conclusive = false, false
+	u.crashes.inRun, u.crashes.limit = false, 0
 	u.crashes.count++
 	if u.crashes.count < limit {
 		return
@@ -167,11 +178,11 @@
 func preferring(candidates []candidate, conditions ...func(*worker) bool) [][]candidate {
 	var sets [][]candidate
 	for _, meets := range conditions {
-		set := slices.DeleteFunc(slices.Clone(candidates), func(s candidate) bool { return !meets(s.worker) })
-		if len(set) == len(candidates) {
+		fails := func(s candidate) bool { return !meets(s.worker) }
+		if !slices.ContainsFunc(candidates, fails) {
 			break
 		}
-		if len(set) > 0 {
+		if set := slices.DeleteFunc(slices.Clone(candidates), fails); len(set) > 0 {
 			sets = append(sets, set)
 		}
 	}
--- a/internal/graph/plan/crashes_test.go
+++ b/internal/graph/plan/crashes_test.go
@@ -418,3 +418,34 @@
 		t.Fatalf("%d runs stood still", stalls)
 	}
 }
+
+// TestBystanderOfSeveralDeadlyTasksCompletes guards against failing a job for the crashes of
+// several others that were placed beside it in turn.
+func TestBystanderOfSeveralDeadlyTasksCompletes(t *testing.T) {
+	s := crashSim(t, 1)
+	s.runUntil(time.Second)
+	bystander := crashJob("bystander", 1, 2, false)
+	bystander.units[0][0].work = 8 * time.Second
+	s.submit(bystander)
+	u := bystander.units[0][0]
+	var deadly []*simJob
+	for _, id := range []graph.JobID{"d0", "d1"} {
+		for len(u.runs) == 0 {
+			s.runUntil(s.now + simStep)
+		}
+		s.runUntil(s.now + 500*time.Millisecond)
+		j := crashJob(id, 1, 2, false, 0)
+		deadly = append(deadly, j)
+		s.submit(j)
+		for len(u.crashedRuns) < 1+len(deadly) {
+			s.runUntil(s.now + simStep)
+		}
+	}
+	s.mustEnd(t, bystander, graph.Completed, 60*time.Second)
+	for _, j := range deadly {
+		s.mustEnd(t, j, graph.Failed, 60*time.Second)
+	}
+	if n := len(u.crashedRuns); n != 3 {
+		t.Fatalf("%d workers crashed under the bystander", n)
+	}
+}
