plan: a second crash is conclusive only right after the start

Workers crash by themselves too. The limit of two crashes now holds only for a run that had been reported for a second at most; else it is three.

Before: TestTwoCrashesInMidRunAreInconclusive: the job is failed.

--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -14,6 +14,9 @@
 	// worker to count against its unit. At the target size a worker is lost every 1.3
 	// million worker-seconds, so gangs of 128 that run for hours would else be failed.
 	crashWindow = 10 * time.Second
+	// promptCrash is the longest time that a run may have been reported for a crash to be
+	// conclusive. Losses of workers rarely meet the first second of a run twice.
+	promptCrash = time.Second
 	// maxStartGap is the longest time from the worker's last list of its runs to a start
 	// for a crash to count. Workers are asked every 0.6 s, so one that has not answered
 	// for longer was probably down when the start was sent.
@@ -61,7 +64,7 @@
 		switch {
 		case !alone:
 			u.crashes.limit = maxSharedCrashes
-		case restarted && len(others) == 0:
+		case restarted && len(others) == 0 && lasted(u, w) <= promptCrash:
 			u.crashes.limit = maxConclusiveCrashes
 		default:
 			u.crashes.limit = maxCrashes
--- a/internal/graph/plan/crashes_test.go
+++ b/internal/graph/plan/crashes_test.go
@@ -449,3 +449,25 @@
 		t.Fatalf("%d workers crashed under the bystander", n)
 	}
 }
+
+// TestTwoCrashesInMidRunAreInconclusive guards against failing a job early for two losses of
+// workers that had worked on its task for seconds.
+func TestTwoCrashesInMidRunAreInconclusive(t *testing.T) {
+	s := crashSim(t, 2)
+	s.runUntil(time.Second)
+	j := crashJob("j", 1, 8, false)
+	j.units[0][0].work = 5 * time.Second
+	s.submit(j)
+	for range 2 {
+		s.runUntil(s.now + 3*time.Second)
+		for _, w := range s.workers {
+			if len(w.runs) > 0 {
+				s.crash(w)
+			}
+		}
+	}
+	s.mustEnd(t, j, graph.Completed, 20*time.Second)
+	if n := len(j.units[0][0].crashedRuns); n != 2 {
+		t.Fatalf("%d workers crashed", n)
+	}
+}
