plan: tests for four guards that none of them saw taken out

By mutation: the end of a lease counted as conclusive, no bound beside other units, a start sent to a worker that had not listed its runs for over a second, and other units' runs left out of the check of the room before a start. Each now fails one test: TestDeadlyTaskWhoseWorkersStayDownIsGivenUp (exactly three crashes), TestDeadlyTaskBesideOthersIsGivenUp, TestStartOnWorkerThatWasDownIsNoCrash, TestNoStartBesideOthersAfterCapacityShrank.

--- a/internal/graph/plan/capacity_test.go
+++ b/internal/graph/plan/capacity_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// TestNoStartBesideOthersAfterCapacityShrank guards against counting only the unit itself
+// when its placement is checked again.
+func TestNoStartBesideOthersAfterCapacityShrank(t *testing.T) {
+	h := newHarness(t)
+	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
+	running := starts(h.submit("j0", 4))
+	save, ok := first[SaveProgress](h.core.Step(h.now, JobSubmitted{Job: crashJob("j1", 1, 4, false).Job}))
+	if len(running) != 1 || !ok {
+		t.Fatalf("%+v, %+v", running, save)
+	}
+	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 6}, []graph.RunState{{Task: running[0].Task, Run: running[0].Run}})
+	if s := starts(h.step(ProgressSaved{Job: "j1", Number: save.Number})); len(s) != 0 {
+		t.Fatalf("started over the capacity: %+v", s)
+	}
+}
+
 func first[A Action](actions []Action) (a A, ok bool) {
 	for _, o := range actions {
 		if a, ok = o.(A); ok {
--- a/internal/graph/plan/crashes_test.go
+++ b/internal/graph/plan/crashes_test.go
@@ -218,7 +218,9 @@
 	j := crashJob("deadly", 1, 8, false, 0)
 	s.submit(j)
 	s.mustEnd(t, j, graph.Failed, 40*time.Second)
-	j.units[0][0].mustHaveCrashed(t, 3)
+	if n := len(j.units[0][0].crashedRuns); n != 3 {
+		t.Fatalf("%d workers crashed; the end of a lease is not conclusive", n)
+	}
 }
 
 // TestLeavingWorkersHaveNotCrashed guards against counting announced ends of workers.
@@ -471,3 +473,45 @@
 		t.Fatalf("%d workers crashed", n)
 	}
 }
+
+// TestDeadlyTaskBesideOthersIsGivenUp guards against starting a deadly task for ever where it
+// is never alone.
+func TestDeadlyTaskBesideOthersIsGivenUp(t *testing.T) {
+	s := crashSim(t, 1)
+	s.crashLimit = 4
+	s.runUntil(time.Second)
+	deadly := crashJob("deadly", 1, 2, false, 0)
+	s.submit(deadly)
+	for i := 0; deadly.final == "" && i < 8; i++ {
+		fresh := crashJob(graph.JobID("b"+string(rune('0'+i))), 1, 2, false)
+		fresh.Priority = 0
+		s.submit(fresh)
+		before := len(deadly.units[0][0].crashedRuns)
+		for limit := s.now + 10*time.Second; deadly.final == "" && len(deadly.units[0][0].crashedRuns) == before && s.now < limit; {
+			s.runUntil(s.now + simStep)
+		}
+	}
+	s.mustEnd(t, deadly, graph.Failed, 10*time.Second)
+	if n := len(deadly.units[0][0].crashedRuns); n != 4 {
+		t.Fatalf("%d workers crashed", n)
+	}
+}
+
+// TestStartOnWorkerThatWasDownIsNoCrash guards against counting a start that was sent to a
+// worker which had crashed before and was still taken for responsive.
+func TestStartOnWorkerThatWasDownIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	info := h.core.workers["w0"].info
+	h.now = 1500 * time.Millisecond
+	h.step(WorkerReport{Worker: info, Session: "s", Number: 2, WorkerResponsive: true, ListAge: 1500 * time.Millisecond})
+	if s := starts(h.submit("j0", 8)); len(s) != 1 {
+		t.Fatalf("%+v", s)
+	}
+	h.now += time.Second
+	info.StartUnixMillis++
+	h.step(WorkerReport{Worker: info, Session: "s", Number: 3, WorkerResponsive: true})
+	if u := h.core.jobs["j0"].units[0]; u.crashes.count != 0 || u.crashes.inRun {
+		t.Fatalf("%+v", u.crashes)
+	}
+}
