--- a/internal/entry/links/links.go
+++ b/internal/entry/links/links.go
@@ -17,11 +17,15 @@
 )
 
 const (
-	// idleTimeout is how long a session may go without a message from its agent
-	// before it is closed. Agents send at least their heartbeats.
-	idleTimeout      = 1500 * time.Millisecond
-	sessionQueueSize = 8192 // messages
-	maxSessions      = 20000
+	// idleTimeout is how long the entry waits for the next message of an agent
+	// before it closes the session. Agents send at least their heartbeats.
+	idleTimeout = 1500 * time.Millisecond
+	// keepaliveInterval is the longest time between two messages to an agent. It
+	// is longer than the time between an agent's heartbeats, so that their
+	// answers suffice unless the entry is late.
+	keepaliveInterval = idleTimeout / 2
+	sessionQueueSize  = 8192 // messages
+	maxSessions       = 20000
 	// entryListPeriod is the number of heartbeats from one that carries the list
 	// of entries to the next. The first heartbeat of a session carries it.
 	entryListPeriod = 10
@@ -78,10 +82,11 @@
 	registry   metrics.Registry
 	log        zerolog.Logger
 
-	// sessionChangeMu is held while a session is added or removed and the
+	// sessionChange holds a value while a session is added or removed and the
 	// listeners are notified, so that they are notified of an agent's sessions
-	// in order. It is locked before any dispatchMu.
-	sessionChangeMu sync.Mutex
+	// in order. It is acquired before any dispatchMu. It is a channel so that a
+	// stream that ends stops waiting for it.
+	sessionChange chan struct{}
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -90,7 +95,13 @@
 
 // New returns a server. heartbeats fills in its replies to heartbeats.
 func New(heartbeats HeartbeatFiller, registry metrics.Registry, log zerolog.Logger) *Server {
-	return &Server{heartbeats: heartbeats, registry: registry, log: log, sessions: map[string]*session{}}
+	return &Server{
+		heartbeats:    heartbeats,
+		registry:      registry,
+		log:           log,
+		sessionChange: make(chan struct{}, 1),
+		sessions:      map[string]*session{},
+	}
 }
 
 // AddListener adds a listener. It must be called before the server serves.
@@ -109,12 +120,12 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	sess := &session{agent: agentFromHello(hello), out: make(chan *rpc.EntryMessage, sessionQueueSize), cancel: cancel}
-	if err := s.addSession(sess, hello.Groups); err != nil {
+	go s.sendLoop(ctx, stream, sess)
+	if err := s.addSession(ctx, sess, hello.Groups); err != nil {
 		return err
 	}
 	defer s.removeSession(sess)
 	go s.receiveLoop(ctx, stream, sess)
-	go sendLoop(ctx, stream, sess)
 	<-ctx.Done()
 	return status.Error(codes.Unavailable, "link closed")
 }
@@ -132,19 +143,27 @@
 	}
 }
 
-// sendLoop writes queued messages until ctx ends. A write may block on a peer
-// that has stopped reading; it is unblocked when Open returns.
-func sendLoop(ctx context.Context, stream rpc.Link_OpenServer, sess *session) {
+// sendLoop writes queued messages until ctx ends, and a heartbeat when there was
+// none for keepaliveInterval, so that the agent keeps the link while its messages
+// wait for the listeners. Such a heartbeat repeats the agent's last clock value,
+// so that it permits nothing for longer. A write may block on a peer that has
+// stopped reading; it is unblocked when Open returns.
+func (s *Server) sendLoop(ctx context.Context, stream rpc.Link_OpenServer, sess *session) {
 	defer sess.cancel()
+	keepalive := time.NewTimer(keepaliveInterval)
+	defer keepalive.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-keepalive.C:
+			s.sendHeartbeat(sess)
 		case m := <-sess.out:
 			if err := stream.Send(m); err != nil {
 				return
 			}
 		}
+		keepalive.Reset(keepaliveInterval)
 	}
 }
 
@@ -157,10 +176,12 @@
 		if err != nil {
 			return
 		}
-		watchdog.Reset(idleTimeout)
+		// The listeners may be late for reasons that are not the agent's.
+		watchdog.Stop()
 		if !s.dispatch(sess, m) {
 			return
 		}
+		watchdog.Reset(idleTimeout)
 	}
 }
 
@@ -223,9 +244,17 @@
 	return s.sessions[sess.agent.ID] == sess
 }
 
-func (s *Server) addSession(sess *session, groups []*rpc.GroupReport) error {
-	s.sessionChangeMu.Lock()
-	defer s.sessionChangeMu.Unlock()
+// addSession makes sess the current session of its agent and notifies the
+// listeners, unless ctx ends before.
+func (s *Server) addSession(ctx context.Context, sess *session, groups []*rpc.GroupReport) error {
+	select {
+	case s.sessionChange <- struct{}{}:
+		defer func() { <-s.sessionChange }()
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		return status.FromContextError(ctx.Err()).Err()
+	}
 	s.mu.Lock()
 	if s.closed || len(s.sessions) >= maxSessions {
 		s.mu.Unlock()
@@ -251,8 +280,8 @@
 }
 
 func (s *Server) removeSession(sess *session) {
-	s.sessionChangeMu.Lock()
-	defer s.sessionChangeMu.Unlock()
+	s.sessionChange <- struct{}{}
+	defer func() { <-s.sessionChange }()
 	s.mu.Lock()
 	current := s.sessions[sess.agent.ID] == sess
 	if current {
