plan: a job is failed for crashes after its third one at the earliest

Two crashes were conclusive if the unit was alone on the worker and had just started. On workers that go down and up by turns that fails innocent jobs: a start that such a worker never got looks like a crash under it, and a job that is shown as failed without a crash under its tasks counts as lost. TestTwoCrashesRightAfterTheStartFailNoJob failed before.

--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -14,20 +14,15 @@
 	// worker to count against its unit. At the target size a worker is lost every 1.3
 	// million worker-seconds, so gangs of 128 that run for hours would else be failed.
 	crashWindow = 10 * time.Second
-	// promptCrash is the longest time that a run may have been reported for a crash to be
-	// conclusive. Losses of workers rarely meet the first second of a run twice.
-	promptCrash = time.Second
 	// maxStartGap is the longest time from the worker's last list of its runs to a start
 	// for a crash to count. Workers are asked every 0.6 s, so one that has not answered
 	// for longer was probably down when the start was sent.
 	maxStartGap = time.Second
 	// maxCrashes is the number of counted crashes at which a job is failed if its unit was
-	// alone on the worker at the last one, and maxConclusiveCrashes that if nothing but the
-	// unit explains it. Beside other units it is maxSharedCrashes: bystanders of several
-	// deadly tasks have lost three runs.
-	maxCrashes           = 3
-	maxConclusiveCrashes = 2
-	maxSharedCrashes     = 4
+	// alone on the worker at the last one. Beside other units it is maxSharedCrashes:
+	// bystanders of several deadly tasks have lost three runs.
+	maxCrashes       = 3
+	maxSharedCrashes = 4
 	// maxCrashedJobs limits worker.crashedJobs. Two are enough to doubt a worker.
 	maxCrashedJobs = 3
 )
@@ -61,12 +56,8 @@
 		}
 		others := withoutJob(w.crashedJobs, u.job)
 		u.crashes.inRun = true
-		switch {
-		case !alone:
-			u.crashes.limit = maxSharedCrashes
-		case restarted && len(others) == 0 && lasted(u, w) <= promptCrash:
-			u.crashes.limit = maxConclusiveCrashes
-		default:
+		u.crashes.limit = maxSharedCrashes
+		if alone {
 			u.crashes.limit = maxCrashes
 		}
 		if !slices.Contains(u.crashes.workers, w.info.ID) {
