--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -133,7 +133,7 @@
 			}
 		}
 	}
-	if len(u.avoidUntil) == 0 {
+	if len(u.avoidUntil) == 0 && u.crashes.count == 0 {
 		c.sched.noRoom[k] = true
 	}
 	return nil
@@ -187,6 +187,7 @@
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
+	u.crashes.inRun = false
 	u.endEstimatedAt = 0
 	i := 0
 	for _, p := range allocs {
@@ -211,6 +212,10 @@
 			return
 		}
 	}
+	if !roomToStart(u, members) {
+		c.abandonRun(u, members)
+		return
+	}
 	for _, m := range members {
 		if w := m.worker; !m.ended {
 			m.startSent = true
@@ -220,6 +225,7 @@
 			first := !u.job.started
 			u.job.started = true
 			c.emit(StartRun{Worker: w.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Spec: u.job.Spec, Checkpoint: u.resumeCheckpoint(),
+				Capacity:   w.info.Capacity,
 				FirstOfJob: first, Guaranteed: first && c.jobsWithinGuarantee()[u.job], QueueTime: c.now - u.job.arrivedAt})
 		}
 	}
@@ -233,6 +239,24 @@
 		!w.info.Draining && !c.policy.ZonesOut[w.info.Zone]
 }
 
+// roomToStart reports whether the workers still have room for a run whose start has not
+// been sent. A capacity may have shrunk while the placement was being saved.
+func roomToStart(u *unit, members []*member) bool {
+	for _, m := range members {
+		w := m.worker
+		use := w.unknownUse
+		for _, o := range w.members {
+			if o.unit == u || o.startSent || o.recovered {
+				use = use.Add(o.unit.step.Needs)
+			}
+		}
+		if !use.Fits(w.info.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
 // abandonRun ends a run for which no start has been ordered.
 func (c *Core) abandonRun(u *unit, members []*member) {
 	for _, m := range members {
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -123,6 +123,8 @@
 	Run         uint64
 	Spec        string
 	Checkpoint  string
+	// Capacity is the worker's capacity on which the placement rests.
+	Capacity graph.Resources
 	// FirstOfJob is set on the first start of a job. QueueTime is then the time
 	// since submission, and Guaranteed reports that the job was within a guarantee.
 	FirstOfJob bool
@@ -191,6 +193,7 @@
 	ReasonRunEnded           Reason = "run-ended"
 	ReasonJobCompleted       Reason = "job-completed"
 	ReasonJobFailed          Reason = "job-failed"
+	ReasonJobCrashesWorkers  Reason = "job-crashes-workers"
 	ReasonJobCancelled       Reason = "job-cancelled"
 	ReasonReclaimed          Reason = "reclaimed-for-guarantee"
 	ReasonPreempted          Reason = "preempted"
@@ -200,6 +203,7 @@
 	ReasonWorkerUp           Reason = "worker-up"
 	ReasonWorkerLost         Reason = "worker-lost"
 	ReasonIncarnationChanged Reason = "worker-incarnation-changed"
+	ReasonWorkerCrashed      Reason = "worker-crashed"
 	ReasonWorkerQuarantined  Reason = "worker-quarantined"
 	ReasonWorkerSlow         Reason = "worker-slow"
 	ReasonWorkerFast         Reason = "worker-fast"
