plan, keeper: a crash counts for the runs that had begun, whoever owns

Cause: the owner judged by its own view. It did not count a crash before a worker's first report of its term, and it took a start sent within 1 s of the last list for one that had begun; the worker had crashed 0.5 s before.

The agent knows both: it reports the runs that its worker has accepted since the last list, and for 30 s after a crash the runs that the crashed incarnation had begun. Agents that restart with their host know none, so a loss of power still counts against nobody.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -47,8 +47,10 @@
 
 	mu              sync.Mutex
 	worker          *plan.WorkerInfo // nil before its first heartbeat
-	heartbeatNumber uint64           // number of its last heartbeat
-	leftAt          time.Duration    // when it announced its exit, 0 if it did not
+	accepted        map[runRef]bool  // runs that it has accepted and not listed yet
+	lost            lostRuns
+	heartbeatNumber uint64        // number of its last heartbeat
+	leftAt          time.Duration // when it announced its exit, 0 if it did not
 	lease           lease
 	epoch           uint64 // highest known epoch of an owner
 	listedEpoch     uint64 // epoch under which runs was listed
@@ -77,6 +79,7 @@
 		clock:    clock,
 		registry: registry,
 		log:      log,
+		accepted: map[runRef]bool{},
 		orders:   map[runRef]*order{},
 		wakeHold: make(chan struct{}, 1),
 		wakeSend: make(chan struct{}, 1),
@@ -136,6 +139,10 @@
 
 // resetWorkerState discards the state of an earlier incarnation of the worker.
 func (k *Keeper) resetWorkerState() {
+	if k.worker != nil && !k.worker.Draining && k.leftAt == 0 {
+		k.lost.add(k.clock(), k.runs.Running, k.accepted)
+	}
+	k.accepted = map[runRef]bool{}
 	k.lease.reset(k.clock())
 	k.runs = external.RunList{}
 	k.listedEpoch, k.acknowledged, k.leftAt = 0, 0, 0
@@ -279,6 +286,12 @@
 	}
 	changed := k.listedEpoch != t.epoch || runsDiffer(k.runs, list)
 	k.runs, k.listedEpoch, k.listedAt = list, t.epoch, now
+	for _, r := range list.Running {
+		delete(k.accepted, runRef{r.Task, r.Run})
+	}
+	for _, e := range list.Ended {
+		delete(k.accepted, runRef{e.Task, e.Run})
+	}
 	if k.unresponsive {
 		k.unresponsive = false
 		k.log.Info().Msg("worker is responsive again")
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -96,6 +96,9 @@
 	}
 	t := k.target()
 	err := k.startWithRetries(ctx, t, o, ref)
+	if err == nil {
+		k.recordAccepted(ref, t.incarnation)
+	}
 	if err == nil && k.finishUnlessStopOrdered(ref, inProgress, 0) {
 		return
 	}
@@ -107,6 +110,18 @@
 	k.settleOrder(ctx, t, ref, inProgress, err.Error())
 }
 
+// recordAccepted records that an incarnation of the worker has accepted a run.
+func (k *Keeper) recordAccepted(ref runRef, incarnation string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.worker.Incarnation() != incarnation:
+		k.lost.add(k.clock(), nil, map[runRef]bool{ref: true})
+	case !k.listed(ref):
+		k.accepted[ref] = true
+	}
+}
+
 // startWithRetries returns nil once the worker has accepted the run.
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Deadline: t.deadline, Epoch: t.epoch}
@@ -189,6 +204,11 @@
 func (k *Keeper) listsRun(ref runRef) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.listed(ref)
+}
+
+// listed is listsRun for a caller that holds the lock.
+func (k *Keeper) listed(ref runRef) bool {
 	for _, r := range k.runs.Running {
 		if r.Task == ref.task && r.Run == ref.run {
 			return true
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -203,6 +203,10 @@
 		r.ListAgeMs = (now - k.listedAt).Milliseconds()
 		r.Ended = rpc.EndedTasksOf(k.runs.Ended)
 		r.Absent, k.absent = k.absent, nil
+		for a := range k.accepted {
+			r.Accepted = append(r.Accepted, rpc.TaskRefOf(a.task, a.run))
+		}
+		r.Lost = k.lost.recent(now)
 		k.lease.recordReport(l.reportNumber, now)
 	}
 	return r
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -151,7 +151,8 @@
 func reportEvent(r *rpc.WorkerReport, sess *session) plan.WorkerReport {
 	return plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: sess.id,
 		Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), Absent: absentRuns(r.Absent), ListAge: time.Duration(r.ListAgeMs) * time.Millisecond,
-		Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone}
+		Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone,
+		Accepted: rpc.RunRefsOf(r.Accepted), Lost: rpc.RunRefsOf(r.Lost)}
 }
 
 // setSession makes sess the worker's current session and closes the previous one. It
--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -14,10 +14,6 @@
 	// worker to count against its unit. At the target size a worker is lost every 1.3
 	// million worker-seconds, so gangs of 128 that run for hours would else be failed.
 	crashWindow = 10 * time.Second
-	// maxStartGap is the longest time from the worker's last list of its runs to a start
-	// for a crash to count. Workers are asked every 0.6 s, so one that has not answered
-	// for longer was probably down when the start was sent.
-	maxStartGap = time.Second
 	// maxCrashes is the number of counted crashes at which a job is failed if its unit was
 	// alone on the worker at the last one. Beside other units it is maxSharedCrashes:
 	// bystanders of several deadly tasks have lost three runs.
@@ -37,17 +33,23 @@
 	workers []string // that crashed in this term
 }
 
-// recordCrashes records a crash of the worker for the units that it runs, before their
-// members end. restarted tells that another incarnation has reported, as opposed to the
-// end of the lease.
+// recordCrashes records a crash of a worker for the units that had begun there, before
+// their members end. restarted tells that another incarnation has reported, as opposed to
+// the end of the lease. begun reports whether a member's run had begun: a start that was
+// lost with the worker is none of its doing.
 //
-// The caller ensures that the connection of the worker's agent has outlived it. Otherwise
-// its host may be lost, as all hosts are in a power failure, and no task causes that.
-func (c *Core) recordCrashes(w *worker, restarted bool) {
-	if !w.reported || w.info.Draining {
+// The caller ensures that the worker's agent has outlived it. Otherwise its host may be
+// lost, as all hosts are in a power failure, and no task causes that.
+func (c *Core) recordCrashes(w *worker, begun func(*member) bool, restarted bool) {
+	if w.info.Draining {
 		return
 	}
-	units := w.startedUnits()
+	var units []*unit
+	for _, m := range w.members {
+		if begun(m) && !slices.Contains(units, m.unit) {
+			units = append(units, m.unit)
+		}
+	}
 	alone := len(units) == 1 && w.unknownUse == graph.Resources{}
 	for _, u := range units {
 		if lasted(u, w) > crashWindow {
@@ -72,18 +74,6 @@
 	}
 }
 
-// startedUnits returns the units that may have run on the worker's incarnation.
-func (w *worker) startedUnits() []*unit {
-	var out []*unit
-	for _, m := range w.members {
-		mayRun := m.recovered || m.startSent && m.startedAt <= w.listedAt+maxStartGap
-		if mayRun && m.incarnation == w.info.Incarnation() && !slices.Contains(out, m.unit) {
-			out = append(out, m.unit)
-		}
-	}
-	return out
-}
-
 // lasted returns the time for which the worker has reported the unit's run, as far as
 // this term knows.
 func lasted(u *unit, w *worker) time.Duration {
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -67,6 +67,12 @@
 	Reason string
 }
 
+// RunRef identifies a run of a task.
+type RunRef struct {
+	Task graph.TaskID
+	Run  uint64
+}
+
 // WorkerReport is the complete state of a worker, sent by its agent. The agent
 // has seen the epoch of this term. Each connection has its own Session.
 type WorkerReport struct {
@@ -86,6 +92,10 @@
 	WorkerResponsive bool
 	// WorkerLeft reports that the worker has left and no longer runs anything.
 	WorkerLeft bool
+	// Accepted holds the runs that the worker has accepted since Running was listed. Lost
+	// holds those that its earlier incarnation had accepted or listed when that ended
+	// without notice while this agent ran.
+	Accepted, Lost []RunRef
 }
 
 // SessionClosed reports that the connection to a worker's agent has ended.
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -17,7 +17,6 @@
 	info         WorkerInfo
 	reported     bool // in this term
 	lastReportAt time.Duration
-	listedAt     time.Duration // when it last listed its runs
 	// lastGrantAt is the time of the last report that was answered by a lease grant.
 	// For a worker that has not reported in this term it is the latest time at which
 	// the previous owner may have granted a lease.
@@ -30,7 +29,7 @@
 	used       graph.Resources
 	unknownUse graph.Resources // used by runs that the owner did not place here
 	// unknownStops holds the last stop ordered for each such run.
-	unknownStops map[runKey]orderedStop
+	unknownStops map[RunRef]orderedStop
 	claimed      graph.Resources // held by claims
 	reserved     []reservedRoom  // by reservations of the current pass
 
@@ -47,12 +46,6 @@
 	drainReportedAt time.Duration
 }
 
-// runKey identifies a run of a task.
-type runKey struct {
-	task graph.TaskID
-	run  uint64
-}
-
 // orderedStop is a stop that was ordered in a session.
 type orderedStop struct {
 	session string
@@ -121,7 +114,7 @@
 	c.restoreSpeed(w)
 	w.reported, w.responsive = true, report.WorkerResponsive
 	w.lost = w.lost && lost
-	w.lastReportAt, w.listedAt = c.now, c.now-report.ListAge
+	w.lastReportAt = c.now
 	if report.WorkerResponsive && !report.WorkerLeft {
 		w.lastGrantAt = c.now
 		c.emit(GrantLease{Worker: w.info.ID, Incarnation: w.info.Incarnation(), ReportNumber: report.Number})
@@ -129,6 +122,11 @@
 	newSession := w.session != report.Session
 	w.session = report.Session
 	c.updateRunning(w, report.Running, c.now-report.ListAge)
+	for _, r := range report.Accepted {
+		if m := w.findMember(r.Task, r.Run); m != nil {
+			m.accepted = true
+		}
+	}
 	c.processEnds(w, report.Ended)
 	for _, a := range report.Absent {
 		c.handleAbsent(w, a)
@@ -152,9 +150,7 @@
 	w.failures.Restart()
 	c.restartSpeed(w, report.Worker)
 	w.expiredCrashes = nil
-	if w.session == report.Session {
-		c.recordCrashes(w, true)
-	}
+	c.recordCrashes(w, func(m *member) bool { return slices.Contains(report.Lost, RunRef{m.task, m.run}) }, true)
 	c.endLostMembers(w, incarnation)
 }
 
@@ -183,7 +179,7 @@
 	for _, r := range running {
 		m := w.findMember(r.Task, r.Run)
 		if m == nil {
-			c.stopUnknownRun(w, r, stopsBefore[runKey{r.Task, r.Run}])
+			c.stopUnknownRun(w, r, stopsBefore[RunRef{r.Task, r.Run}])
 			continue
 		}
 		c.updateProgress(m, r, listedAt)
@@ -200,13 +196,13 @@
 		}
 	}
 	if w.unknownStops == nil {
-		w.unknownStops = map[runKey]orderedStop{}
+		w.unknownStops = map[RunRef]orderedStop{}
 	}
 	if last.session == w.session && c.now-last.at < orderTimeout {
-		w.unknownStops[runKey{r.Task, r.Run}] = last
+		w.unknownStops[RunRef{r.Task, r.Run}] = last
 		return
 	}
-	w.unknownStops[runKey{r.Task, r.Run}] = orderedStop{w.session, c.now}
+	w.unknownStops[RunRef{r.Task, r.Run}] = orderedStop{w.session, c.now}
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
 	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
 }
@@ -349,7 +345,7 @@
 	w.lost = true
 	c.emit(Notice{Reason: ReasonWorkerLost, Worker: w.info.ID, Detail: (c.now - w.lastGrantAt).String()})
 	if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
-		c.recordCrashes(w, false)
+		c.recordCrashes(w, func(m *member) bool { return m.running || m.accepted }, false)
 	}
 	c.endLostMembers(w, noIncarnation)
 }
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -72,6 +72,15 @@
 	return out
 }
 
+// RunRefsOf converts the accepted or lost runs of a report.
+func RunRefsOf(in []*TaskRef) []plan.RunRef {
+	out := make([]plan.RunRef, len(in))
+	for i, r := range in {
+		out[i].Task, out[i].Run = TaskOf(r)
+	}
+	return out
+}
+
 // RunEndsOf converts the ended tasks of a report.
 func RunEndsOf(in []*EndedTask) []graph.RunEnd {
 	out := make([]graph.RunEnd, len(in))
