--- a/internal/graph/plan/late_test.go
+++ b/internal/graph/plan/late_test.go
@@ -82,6 +82,24 @@
 	return out
 }
 
+// TestOldListShowsNoLostOrder guards against repeating orders whose outcome the owner has not seen yet.
+func TestOldListShowsNoLostOrder(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	h.submit("j0", 8)
+	info := h.core.workers["w0"].info
+	report := func(listAge time.Duration) []Action {
+		return append(h.step(WorkerReport{Worker: info, Session: "s", ListAge: listAge, Number: 9, WorkerResponsive: true}), h.step(Tick{})...)
+	}
+	h.now += orderTimeout + time.Second
+	if stops := stopsOf(report(2 * time.Second)); len(stops) != 0 {
+		t.Errorf("stopped by a list that is 4 s younger than the start")
+	}
+	if stops := stopsOf(report(0)); len(stops) != 1 {
+		t.Errorf("%d stops by a list without the run, want 1", len(stops))
+	}
+}
+
 // TestUnknownRunIsStoppedOnce guards against a stop order for each report that still lists a run which is being stopped.
 func TestUnknownRunIsStoppedOnce(t *testing.T) {
 	h := newHarness(t)
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -31,8 +31,8 @@
 // tries a start three times for 0.6 s each and then stops it.
 const orderTimeout = 5 * time.Second
 
-// watchOrders sends another stop for runs whose last order has had no reported
-// outcome within orderTimeout. The order may have been lost together with orders
+// watchOrders sends another stop for runs whose last order has had no outcome in a list
+// that was made orderTimeout later. The order may have been lost together with orders
 // of an earlier owner.
 func (c *Core) watchOrders(w *worker) {
 	if !w.connected() {
@@ -40,7 +40,7 @@
 	}
 	for _, m := range w.members {
 		pending := m.stopping || m.startSent && !m.running
-		if m.ended || !pending || m.orderSession != w.session || c.now-m.lastOrderAt < orderTimeout {
+		if m.ended || !pending || m.orderSession != w.session || w.listedAt-m.lastOrderAt < orderTimeout {
 			continue
 		}
 		c.emit(Notice{Reason: ReasonNoOutcome, Job: m.unit.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
@@ -51,7 +51,7 @@
 
 // A run is stalled if its progress does not change for stallFraction of its
 // estimate, and for minStallTime at least. Workers report progress in steps of one
-// percent. The lists show it, not the time since: an owner that is late has old lists.
+// percent. The time is measured up to the last list, as that of a late owner is old.
 const (
 	minStallTime  = 3 * time.Second
 	stallFraction = 0.3
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -17,6 +17,7 @@
 	info         WorkerInfo
 	reported     bool // in this term
 	lastReportAt time.Duration
+	listedAt     time.Duration // when it made its last list of runs
 	// lastGrantAt is the time of the last report that was answered by a lease grant.
 	// For a worker that has not reported in this term it is the latest time at which
 	// the previous owner may have granted a lease.
@@ -114,7 +115,7 @@
 	c.restoreSpeed(w)
 	w.reported, w.responsive = true, report.WorkerResponsive
 	w.lost = w.lost && lost
-	w.lastReportAt = c.now
+	w.lastReportAt, w.listedAt = c.now, c.now-report.ListAge
 	if report.WorkerResponsive && !report.WorkerLeft {
 		w.lastGrantAt = c.now
 		c.emit(GrantLease{Worker: w.info.ID, Incarnation: w.info.Incarnation(), ReportNumber: report.Number})
@@ -218,7 +219,7 @@
 	m.unit.job.started = true
 	m.listedAt = listedAt
 	if r.Percent != m.percent {
-		m.percent, m.lastProgressAt = r.Percent, c.now
+		m.percent, m.lastProgressAt = r.Percent, listedAt
 		c.learnRate(m)
 	}
 	if r.Checkpoint != "" && r.Checkpoint != m.checkpoint && m.unit.step.Checkpointable {
