--- a/internal/agent/keeper/answers.go
+++ b/internal/agent/keeper/answers.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// slowAnswer is the time to an answer from which on an owner counts as slow. A
-	// healthy owner answers within milliseconds.
+	// slowAnswer is the time to an answer at which an owner counts as slow. A healthy one
+	// answers within milliseconds.
 	slowAnswer = 500 * time.Millisecond
 	// slowAnswerLogInterval is the least time between two log lines about slow answers.
 	slowAnswerLogInterval = time.Second
@@ -37,8 +37,8 @@
 	return len(m.unanswered) > 0
 }
 
-// any reports whether a report has been answered.
-func (m *answerMonitor) any() bool {
+// hasAnswered reports whether a report has been answered.
+func (m *answerMonitor) hasAnswered() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.answered
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -103,7 +103,7 @@
 	l.answers = answerMonitor{clock: k.clock, registry: k.registry, log: k.log}
 	go l.receiveOrders(ctx)
 	err = l.reportLoop(ctx)
-	return l.answers.any(), err
+	return l.answers.hasAnswered(), err
 }
 
 // reportLoop reports to the owner until the connection ends or the owner does not
--- a/internal/agent/renewals.go
+++ b/internal/agent/renewals.go
@@ -32,8 +32,11 @@
 }
 
 // take removes and returns the task that has been pending longest, with all
-// others whose lease has the same end. It must not be called if p is empty.
+// others whose lease has the same end, or nothing.
 func (p *pendingRenewals) take() (ids []string, leaseEnd time.Duration) {
+	if p.empty() {
+		return nil, 0
+	}
 	leaseEnd = p.leaseEnds[p.ids[0]]
 	var rest []string
 	for _, id := range p.ids {
