graphs: reports of connections that have ended are dropped

A report waits for its turn only as long as its connection lasts, and the sender ends with the connection too. The end of a session takes the lock once and looks at one session.

--- a/internal/entry/graphs/lag.go
+++ b/internal/entry/graphs/lag.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// lagThreshold is the wait of an event from which on the term counts as behind.
-	// Reports that old lead to decisions about runs that have ended.
+	// lagThreshold is the wait of an event at which the term counts as behind. Decisions by
+	// reports that old are about runs that have ended.
 	lagThreshold = 500 * time.Millisecond
 	// lagLogInterval is the least time between two log lines about lag.
 	lagLogInterval = time.Second
--- a/internal/entry/graphs/pacer.go
+++ b/internal/entry/graphs/pacer.go
@@ -12,10 +12,9 @@
 	maxPassDelay = 200 * time.Millisecond
 )
 
-// passPacer decides when scheduling passes run. Passes take at most half of the time, so
-// that events are handled as fast as they arrive, however slow the host is: a pass serves
-// all events before it, and a late owner would otherwise run one for each event. It does
-// no I/O and reads no clock.
+// passPacer decides when scheduling passes run. A pass serves all events before it, and a
+// late owner would otherwise run one for each event. Passes of up to maxPassDelay take at
+// most half of the time. It does no I/O and reads no clock.
 type passPacer struct {
 	endedAt, took time.Duration // of the last pass
 }
--- a/internal/entry/graphs/priority_test.go
+++ b/internal/entry/graphs/priority_test.go
@@ -1,6 +1,7 @@
 package graphs
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -28,7 +29,7 @@
 					return
 				default:
 				}
-				if !term.handleReport(workerReport(fmt.Sprintf("w%d", i), n), sess, term.clock()) {
+				if !term.handleReport(context.Background(), workerReport(fmt.Sprintf("w%d", i), n), sess, term.clock()) {
 					t.Error("report rejected")
 					return
 				}
@@ -37,12 +38,10 @@
 		})
 	}
 	time.Sleep(500 * time.Millisecond) // until all reporters wait
-	var rows []*storedJob
-	for i := range cancels {
-		rows = append(rows, &storedJob{id: graph.JobID(fmt.Sprintf("j%d", i)), cancelled: true})
-	}
 	start := time.Now()
-	term.loadJobs(rows)
+	for i := range cancels { // as they come when each call of the feed returns one row
+		term.loadJobs([]*storedJob{{id: graph.JobID(fmt.Sprintf("j%d", i)), cancelled: true}})
+	}
 	took := time.Since(start)
 	close(stop)
 	reporters.Wait()
@@ -50,3 +49,32 @@
 		t.Errorf("%d cancellations took effect after %v while %d workers report, want at most %v", cancels, took, workers, bound)
 	}
 }
+
+// TestReportOfEndedConnectionIsDropped guards against an owner that serves connections which its agents have given up before those that wait.
+func TestReportOfEndedConnectionIsDropped(t *testing.T) {
+	term, _, _ := newTestTerm(&fakeOwnership{now: time.Second, ends: time.Hour})
+	term.mu.Lock()
+	var first sync.WaitGroup
+	first.Go(func() { term.handleReport(context.Background(), workerReport("w0", 1), newSession(), term.clock()) })
+	for len(term.reportTurn) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	handled := make(chan bool, 1)
+	go func() { handled <- term.handleReport(ctx, workerReport("w1", 1), newSession(), term.clock()) }()
+	time.Sleep(50 * time.Millisecond) // until the second report waits too
+	cancel()
+	select {
+	case ok := <-handled:
+		if ok {
+			t.Error("report of an ended connection answered")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("report of an ended connection waits")
+	}
+	term.mu.Unlock()
+	first.Wait()
+	if term.sessions["w0"] == nil || term.sessions["w1"] != nil {
+		t.Errorf("sessions %v, want only that of w0", term.sessions)
+	}
+}
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -289,19 +289,7 @@
 // process is not the owner or ctx ends before the query's turn.
 func (s *Scheduler) query(ctx context.Context, read func(*plan.Core)) bool {
 	t, _ := s.owningTerm()
-	if t == nil || ctx.Err() != nil {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case t.queryTurn <- struct{}{}:
-	}
-	defer func() { <-t.queryTurn }()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	read(t.core)
-	return true
+	return t != nil && t.query(ctx, read)
 }
 
 // DumpState returns the core's state for the state dump, nil without a term.
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -1,6 +1,7 @@
 package graphs
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -15,7 +16,8 @@
 
 // session is one connection of a worker's agent.
 type session struct {
-	id string
+	id     string
+	worker string // once it is the worker's session; the term's lock guards it
 
 	mu            sync.Mutex
 	pendingOrders []*rpc.WorkerOrders // one element per addressed worker incarnation
@@ -100,6 +102,8 @@
 		select {
 		case err := <-received:
 			return err
+		case <-stream.Context().Done():
+			return stream.Context().Err()
 		case <-s.done:
 			return errNotOwner
 		case <-s.ready:
@@ -118,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		if !t.handleReport(r, sess, t.clock()) {
+		if !t.handleReport(stream.Context(), r, sess, t.clock()) {
 			return errNotOwner
 		}
 	}
@@ -126,12 +130,19 @@
 
 // handleReport passes a report that was received at the given time to the core. It
 // answers the report even if there are no orders, so that the agent learns the term's
-// token and that the owner handles its reports. It returns false if the term is over or
-// the session has been replaced.
-func (t *term) handleReport(r *rpc.WorkerReport, sess *session, receivedAt time.Duration) bool {
+// token and that the owner handles its reports. It returns false if the term is over, the
+// session has been replaced or ctx, that of its connection, has ended: an agent that has
+// given up a late owner connects anew, and its earlier report would only delay the others.
+func (t *term) handleReport(ctx context.Context, r *rpc.WorkerReport, sess *session, receivedAt time.Duration) bool {
 	event := reportEvent(r, sess)
-	t.reportTurn.Lock()
-	defer t.reportTurn.Unlock()
+	select {
+	case <-ctx.Done():
+	case t.reportTurn <- struct{}{}:
+		defer func() { <-t.reportTurn }()
+	}
+	if ctx.Err() != nil {
+		return false
+	}
 	answered := false
 	t.withCore(func() {
 		if !t.ownsScheduling() || !t.setSession(r.Worker, sess) {
@@ -170,25 +181,21 @@
 		old.close()
 	}
 	t.sessions[worker] = sess
+	sess.worker = worker
 	t.log.Info().Str("worker", worker).Str("session", sess.id).Msg("agent connected")
 	return true
 }
 
 func (t *term) removeSession(sess *session) {
-	worker := ""
-	t.mu.Lock()
-	for w, s := range t.sessions {
-		if s == sess {
-			worker = w
-			delete(t.sessions, w)
-		}
-	}
 	sess.close()
-	t.mu.Unlock()
-	if worker != "" {
-		t.log.Info().Str("worker", worker).Str("session", sess.id).Msg("agent disconnected")
-		t.step(plan.SessionClosed{Worker: worker, Session: sess.id})
-	}
+	t.withCore(func() {
+		if t.sessions[sess.worker] != sess {
+			return
+		}
+		delete(t.sessions, sess.worker)
+		t.log.Info().Str("worker", sess.worker).Str("session", sess.id).Msg("agent disconnected")
+		t.handle(plan.SessionClosed{Worker: sess.worker, Session: sess.id})
+	})
 }
 
 func absentRuns(in []*rpc.AbsentTask) []plan.RunAbsent {
--- a/internal/entry/graphs/session_test.go
+++ b/internal/entry/graphs/session_test.go
@@ -18,17 +18,17 @@
 func TestReplacedSessionStaysReplaced(t *testing.T) {
 	term, old, _ := newTestTerm(&fakeOwnership{now: time.Second, ends: time.Hour})
 	current := newSession()
-	if !term.handleReport(workerReport("w", 1), current, term.clock()) {
+	if !term.handleReport(context.Background(), workerReport("w", 1), current, term.clock()) {
 		t.Fatal("report of a new connection rejected")
 	}
-	if term.handleReport(workerReport("w", 2), old, term.clock()) {
+	if term.handleReport(context.Background(), workerReport("w", 2), old, term.clock()) {
 		t.Error("report of the replaced connection accepted")
 	}
 	if term.sessions["w"] != current {
 		t.Error("the replaced connection is the current one")
 	}
 	term.removeSession(current)
-	if term.handleReport(workerReport("w", 2), current, term.clock()) {
+	if term.handleReport(context.Background(), workerReport("w", 2), current, term.clock()) {
 		t.Error("report of a connection that has ended accepted")
 	}
 	if term.sessions["w"] != nil {
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -37,13 +37,11 @@
 	learned      *learnedWriter // nil without feature.SavedLearning
 	lag          lagMonitor
 
-	// reportTurn is held from before mu by the handler of a report. At most one report
-	// therefore waits for mu, so that the other inputs (the feed, saves, queries) wait for
-	// one report and not for one of each worker.
-	reportTurn sync.Mutex
-	// queryTurn holds a value from before a query locks mu, for the same reason.
-	// The other queries wait for it only as long as their callers do.
-	queryTurn        chan struct{}
+	// Handlers of reports put a value into reportTurn before they lock mu, and queries into
+	// queryTurn. At most one report and one query therefore wait for mu, so that the other
+	// inputs (the feed, saves) do not wait for one report of each worker.
+	reportTurn, queryTurn chan struct{}
+
 	mu               sync.Mutex
 	core             *plan.Core
 	progressVersions map[graph.JobID]uint64 // versions of the progress rows, by job
@@ -72,6 +70,7 @@
 		cancel:           cancel,
 		limits:           s.limits,
 		core:             plan.New(s.coreConfig(token)),
+		reportTurn:       make(chan struct{}, 1),
 		queryTurn:        make(chan struct{}, 1),
 		progressVersions: map[graph.JobID]uint64{},
 		sessions:         map[string]*session{},
@@ -149,6 +148,24 @@
 	}
 }
 
+// query passes the core to read, which must not change it. It returns false if ctx ends
+// before the query's turn.
+func (t *term) query(ctx context.Context, read func(*plan.Core)) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case t.queryTurn <- struct{}{}:
+	}
+	defer func() { <-t.queryTurn }()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	read(t.core)
+	return true
+}
+
 // handle passes events to the core and applies the resulting actions. A scheduling pass
 // that they call for follows at once or when the pacer allows it. The caller holds the
 // lock.
@@ -197,6 +214,7 @@
 	defer t.endAfterPanic()
 	t.passArranged = false
 	if !t.closed {
+		t.applyNewestPolicy()
 		t.schedule(false)
 	}
 }
