--- a/internal/entry/graphs/lag.go
+++ b/internal/entry/graphs/lag.go
@@ -44,6 +44,9 @@
 	return m.clock()
 }
 
+// leave records that an event waits no longer, without being handled.
+func (m *lagMonitor) leave() { m.waiting.Add(-1) }
+
 // admit records that an event that arrived at the given time is being handled.
 func (m *lagMonitor) admit(arrivedAt time.Duration) {
 	m.waiting.Add(-1)
--- a/internal/entry/graphs/priority_test.go
+++ b/internal/entry/graphs/priority_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
@@ -77,4 +79,27 @@
 	if term.sessions["w0"] == nil || term.sessions["w1"] != nil {
 		t.Errorf("sessions %v, want only that of w0", term.sessions)
 	}
+	if n := term.lag.waiting.Load(); n != 0 {
+		t.Errorf("%d events count as waiting", n)
+	}
+}
+
+// TestWaitOfReportsIsMeasured guards against an owner that is late with its reports and does not show it.
+func TestWaitOfReportsIsMeasured(t *testing.T) {
+	const reports, checkTime = 10, 20 * time.Millisecond
+	start := time.Now()
+	o := &fakeOwnership{now: time.Second, ends: time.Hour, checkTime: checkTime}
+	term, _, _ := newTestTerm(o)
+	term.lag.clock = func() time.Duration { return time.Since(start) }
+	var reporters sync.WaitGroup
+	for i := range reports {
+		reporters.Go(func() {
+			term.handleReport(context.Background(), workerReport(fmt.Sprintf("w%d", i), 1), newSession(), term.clock())
+		})
+	}
+	reporters.Wait()
+	wait := time.Duration(metrics.GetOrRegisterTimer("plan.event_wait", term.registry).Max())
+	if least := (reports - 2) * checkTime; wait < least {
+		t.Errorf("longest wait %v with %d reports that take %v each, want at least %v", wait, reports, checkTime, least)
+	}
 }
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -135,16 +135,18 @@
 // given up a late owner connects anew, and its earlier report would only delay the others.
 func (t *term) handleReport(ctx context.Context, r *rpc.WorkerReport, sess *session, receivedAt time.Duration) bool {
 	event := reportEvent(r, sess)
+	arrivedAt := t.lag.arrive()
 	select {
 	case <-ctx.Done():
 	case t.reportTurn <- struct{}{}:
 		defer func() { <-t.reportTurn }()
 	}
 	if ctx.Err() != nil {
+		t.lag.leave()
 		return false
 	}
 	answered := false
-	t.withCore(func() {
+	t.withCoreSince(arrivedAt, func() {
 		if !t.ownsScheduling() || !t.setSession(r.Worker, sess) {
 			return
 		}
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -126,8 +126,10 @@
 
 // withCore applies the newest configuration and calls do, both with the term's lock held,
 // unless the term is over.
-func (t *term) withCore(do func()) {
-	arrivedAt := t.lag.arrive()
+func (t *term) withCore(do func()) { t.withCoreSince(t.lag.arrive(), do) }
+
+// withCoreSince is withCore for an event that has waited since arrivedAt.
+func (t *term) withCoreSince(arrivedAt time.Duration, do func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lag.admit(arrivedAt)
