--- a/internal/entry/graphs/lag.go
+++ b/internal/entry/graphs/lag.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// lagThreshold is the wait of an event from which on the term counts as behind.
-	// Reports that old lead to decisions about runs that have ended.
+	// lagThreshold is the wait of an event at which the term counts as behind. Decisions by
+	// reports that old are about runs that have ended.
 	lagThreshold = 500 * time.Millisecond
 	// lagLogInterval is the least time between two log lines about lag.
 	lagLogInterval = time.Second
@@ -44,6 +44,9 @@
 	return m.clock()
 }
 
+// leave records that an event waits no longer, without being handled.
+func (m *lagMonitor) leave() { m.waiting.Add(-1) }
+
 // admit records that an event that arrived at the given time is being handled.
 func (m *lagMonitor) admit(arrivedAt time.Duration) {
 	m.waiting.Add(-1)
