--- a/internal/agent/keeper/capacity_test.go
+++ b/internal/agent/keeper/capacity_test.go
@@ -16,8 +16,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 )
 
-// TestStartOverShrunkCapacityIsRefused guards against a start that was on its way when the
-// worker's capacity shrank.
+// TestStartOverShrunkCapacityIsRefused guards against a start that was on its way when the worker's capacity shrank.
 func TestStartOverShrunkCapacityIsRefused(t *testing.T) {
 	clock := ledger.NewMonotonicClock()
 	runner := standin.NewRunner()
--- a/internal/graph/plan/capacity_test.go
+++ b/internal/graph/plan/capacity_test.go
@@ -17,8 +17,7 @@
 		Session: "s", Running: running, Ended: ended, Number: 1, WorkerResponsive: true}
 }
 
-// TestNoStartAfterCapacityShrankDuringSave guards against a start that was decided on a
-// larger capacity, which takes a worker that does not guard its capacity over it.
+// TestNoStartAfterCapacityShrankDuringSave guards against a start that was decided on a larger capacity, which takes a worker that does not guard its capacity over it.
 func TestNoStartAfterCapacityShrankDuringSave(t *testing.T) {
 	h := newHarness(t)
 	full := graph.Resources{MilliCPU: 16000, Accelerators: 8}
@@ -40,8 +39,7 @@
 	}
 }
 
-// TestNoStartBesideOthersAfterCapacityShrank guards against counting only the unit itself
-// when its placement is checked again.
+// TestNoStartBesideOthersAfterCapacityShrank guards against counting only the unit itself when its placement is checked again.
 func TestNoStartBesideOthersAfterCapacityShrank(t *testing.T) {
 	h := newHarness(t)
 	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
@@ -65,8 +63,7 @@
 	return a, false
 }
 
-// TestRunsBeingStoppedUseShrunkCapacity guards against a start in the room of runs that
-// are being stopped on a worker whose capacity has shrunk.
+// TestRunsBeingStoppedUseShrunkCapacity guards against a start in the room of runs that are being stopped on a worker whose capacity has shrunk.
 func TestRunsBeingStoppedUseShrunkCapacity(t *testing.T) {
 	h := newHarness(t)
 	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
@@ -87,8 +84,7 @@
 	}
 }
 
-// TestNothingStartsOnWorkerOverItsCapacity guards against a task without accelerators that
-// starts on a worker whose runs use more accelerators than it has left.
+// TestNothingStartsOnWorkerOverItsCapacity guards against a task without accelerators that starts on a worker whose runs use more accelerators than it has left.
 func TestNothingStartsOnWorkerOverItsCapacity(t *testing.T) {
 	h := newHarness(t)
 	h.reportCapacity(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
@@ -103,8 +99,7 @@
 	}
 }
 
-// TestCapacityOfSimulatedFleetShrinks guards against any start over a capacity that shrinks
-// and grows while jobs run.
+// TestCapacityOfSimulatedFleetShrinks guards against any start over a capacity that shrinks and grows while jobs run.
 func TestCapacityOfSimulatedFleetShrinks(t *testing.T) {
 	s := crashSim(t, 4)
 	s.runUntil(time.Second)
--- a/internal/graph/plan/crashes_test.go
+++ b/internal/graph/plan/crashes_test.go
@@ -91,8 +91,7 @@
 	u.mustHaveCrashed(t, 3)
 }
 
-// TestCrashDuringTakeoverIsCounted guards against starting a deadly task without bound while
-// the owner changes whenever a worker is down.
+// TestCrashDuringTakeoverIsCounted guards against starting a deadly task without bound while the owner changes whenever a worker is down.
 func TestCrashDuringTakeoverIsCounted(t *testing.T) {
 	s := crashSim(t, 3)
 	s.runUntil(time.Second)
@@ -110,8 +109,7 @@
 	u.mustHaveCrashed(t, 3)
 }
 
-// TestCrashOfPartOfGangSurvivesTakeover guards against losing or doubling the crash of a
-// run whose other members have not ended yet.
+// TestCrashOfPartOfGangSurvivesTakeover guards against losing or doubling the crash of a run whose other members have not ended yet.
 func TestCrashOfPartOfGangSurvivesTakeover(t *testing.T) {
 	j := crashJob("gang", 2, 8, true, 0)
 	p := graph.Progress{Job: "gang", State: graph.Running, Tasks: []graph.TaskProgress{
@@ -129,8 +127,7 @@
 	}
 }
 
-// TestGangWithDeadlyMemberIsGivenUp guards against counting a gang's crash once for each
-// of its members, and against starting it for ever.
+// TestGangWithDeadlyMemberIsGivenUp guards against counting a gang's crash once for each of its members, and against starting it for ever.
 func TestGangWithDeadlyMemberIsGivenUp(t *testing.T) {
 	s := crashSim(t, 4)
 	s.runUntil(time.Second)
@@ -142,8 +139,7 @@
 	}
 }
 
-// TestInnocentTaskBesideDeadlyOneCompletes guards against failing a job for the crashes
-// that another one on the same worker causes.
+// TestInnocentTaskBesideDeadlyOneCompletes guards against failing a job for the crashes that another one on the same worker causes.
 func TestInnocentTaskBesideDeadlyOneCompletes(t *testing.T) {
 	for _, workers := range []int{1, 2, 3} {
 		s := crashSim(t, workers)
@@ -158,8 +154,7 @@
 	}
 }
 
-// TestOtherTasksAvoidSuspectsWorker guards against placing work beside a task that has
-// crashed workers while there is room elsewhere.
+// TestOtherTasksAvoidSuspectsWorker guards against placing work beside a task that has crashed workers while there is room elsewhere.
 func TestOtherTasksAvoidSuspectsWorker(t *testing.T) {
 	s := crashSim(t, 3)
 	s.runUntil(time.Second)
@@ -182,8 +177,7 @@
 	s.mustEnd(t, bystander, graph.Completed, 10*time.Second)
 }
 
-// TestWorkerThatWasCutOffHasNotCrashed guards against counting a loss of the connection
-// to a worker, whose runs the lease ended, against the task.
+// TestWorkerThatWasCutOffHasNotCrashed guards against counting a loss of the connection to a worker, whose runs the lease ended, against the task.
 func TestWorkerThatWasCutOffHasNotCrashed(t *testing.T) {
 	s := crashSim(t, 1)
 	s.runUntil(time.Second)
@@ -202,8 +196,7 @@
 	}
 }
 
-// TestCrashIsTakenBackWhenIncarnationReturns guards against counting a worker that hung
-// for longer than its lease as crashed.
+// TestCrashIsTakenBackWhenIncarnationReturns guards against counting a worker that hung for longer than its lease as crashed.
 func TestCrashIsTakenBackWhenIncarnationReturns(t *testing.T) {
 	h := newHarness(t)
 	h.report("w0", nil)
@@ -224,8 +217,7 @@
 	}
 }
 
-// TestDeadlyTaskWhoseWorkersStayDownIsGivenUp guards against losing one worker after the
-// other to a task.
+// TestDeadlyTaskWhoseWorkersStayDownIsGivenUp guards against losing one worker after the other to a task.
 func TestDeadlyTaskWhoseWorkersStayDownIsGivenUp(t *testing.T) {
 	s := crashSim(t, 8)
 	for _, w := range s.workers {
@@ -270,8 +262,7 @@
 	}
 }
 
-// TestPowerFailureFailsNoJob guards against counting the loss of whole hosts, whose agents
-// restart too.
+// TestPowerFailureFailsNoJob guards against counting the loss of whole hosts, whose agents restart too.
 func TestPowerFailureFailsNoJob(t *testing.T) {
 	s := crashSim(t, 4)
 	s.runUntil(time.Second)
@@ -291,8 +282,7 @@
 	s.mustEnd(t, j, graph.Completed, 20*time.Second)
 }
 
-// TestBadWorkerFailsNoJob guards against failing jobs for a worker that crashes under
-// whatever it starts while others are well.
+// TestBadWorkerFailsNoJob guards against failing jobs for a worker that crashes under whatever it starts while others are well.
 func TestBadWorkerFailsNoJob(t *testing.T) {
 	s := crashSim(t, 3)
 	s.runUntil(time.Second)
@@ -313,8 +303,7 @@
 	}
 }
 
-// TestCrashesLateInLongRunsAreNotCounted guards against failing long gangs for the usual
-// losses of workers.
+// TestCrashesLateInLongRunsAreNotCounted guards against failing long gangs for the usual losses of workers.
 func TestCrashesLateInLongRunsAreNotCounted(t *testing.T) {
 	s := crashSim(t, 2)
 	s.runUntil(time.Second)
@@ -328,8 +317,7 @@
 	s.mustEnd(t, j, graph.Completed, 60*time.Second)
 }
 
-// TestCrashIsNoFailureOfWorker guards against quarantining workers for the tasks that
-// crash them.
+// TestCrashIsNoFailureOfWorker guards against quarantining workers for the tasks that crash them.
 func TestCrashIsNoFailureOfWorker(t *testing.T) {
 	s := crashSim(t, 1)
 	s.runUntil(time.Second)
@@ -344,8 +332,7 @@
 	}
 }
 
-// TestLostHostsFailNoJob guards against counting hosts that fall silent for good together
-// with their agents.
+// TestLostHostsFailNoJob guards against counting hosts that fall silent for good together with their agents.
 func TestLostHostsFailNoJob(t *testing.T) {
 	s := crashSim(t, 6)
 	s.runUntil(time.Second)
@@ -365,8 +352,7 @@
 	s.mustEnd(t, j, graph.Completed, 20*time.Second)
 }
 
-// TestSecondCrashOnWorkerThatCrashedUnderOthersIsInconclusive guards against failing a job
-// early where the only worker may be at fault.
+// TestSecondCrashOnWorkerThatCrashedUnderOthersIsInconclusive guards against failing a job early where the only worker may be at fault.
 func TestSecondCrashOnWorkerThatCrashedUnderOthersIsInconclusive(t *testing.T) {
 	s := crashSim(t, 1)
 	s.runUntil(time.Second)
@@ -392,8 +378,7 @@
 	}
 }
 
-// TestSecondCrashBesideAnotherTaskIsInconclusive guards against failing a job early for a
-// task that was placed beside its own.
+// TestSecondCrashBesideAnotherTaskIsInconclusive guards against failing a job early for a task that was placed beside its own.
 func TestSecondCrashBesideAnotherTaskIsInconclusive(t *testing.T) {
 	s := crashSim(t, 1)
 	s.runUntil(time.Second)
@@ -411,8 +396,7 @@
 	}
 }
 
-// TestStallOfCrashedWorkerIsNoFailure guards against quarantining a worker for the runs that
-// stood still while it was down.
+// TestStallOfCrashedWorkerIsNoFailure guards against quarantining a worker for the runs that stood still while it was down.
 func TestStallOfCrashedWorkerIsNoFailure(t *testing.T) {
 	s := crashSim(t, 1)
 	s.runUntil(time.Second)
@@ -432,8 +416,7 @@
 	s.runUntil(s.now + 5*time.Second)
 }
 
-// TestBystanderOfSeveralDeadlyTasksCompletes guards against failing a job for the crashes of
-// several others that were placed beside it in turn.
+// TestBystanderOfSeveralDeadlyTasksCompletes guards against failing a job for the crashes of several others that were placed beside it in turn.
 func TestBystanderOfSeveralDeadlyTasksCompletes(t *testing.T) {
 	s := crashSim(t, 1)
 	s.runUntil(time.Second)
@@ -463,8 +446,7 @@
 	}
 }
 
-// TestTwoCrashesInMidRunAreInconclusive guards against failing a job early for two losses of
-// workers that had worked on its task for seconds.
+// TestTwoCrashesInMidRunAreInconclusive guards against failing a job early for two losses of workers that had worked on its task for seconds.
 func TestTwoCrashesInMidRunAreInconclusive(t *testing.T) {
 	s := crashSim(t, 2)
 	s.runUntil(time.Second)
@@ -485,8 +467,7 @@
 	}
 }
 
-// TestTwoCrashesRightAfterTheStartFailNoJob guards against failing a job for workers that go
-// down and up by turns: a start that such a worker never got looks like a crash under it.
+// TestTwoCrashesRightAfterTheStartFailNoJob guards against failing a job that meets workers which go down and up by turns twice.
 func TestTwoCrashesRightAfterTheStartFailNoJob(t *testing.T) {
 	s := crashSim(t, 2)
 	s.runUntil(time.Second)
@@ -509,8 +490,7 @@
 	s.mustEnd(t, j, graph.Completed, 20*time.Second)
 }
 
-// TestDeadlyTaskBesideOthersIsGivenUp guards against starting a deadly task for ever where it
-// is never alone.
+// TestDeadlyTaskBesideOthersIsGivenUp guards against starting a deadly task for ever where it is never alone.
 func TestDeadlyTaskBesideOthersIsGivenUp(t *testing.T) {
 	s := crashSim(t, 1)
 	s.crashLimit = 4
@@ -530,8 +510,7 @@
 	deadly.units[0][0].mustHaveCrashed(t, 4)
 }
 
-// TestStartOnWorkerThatWasDownIsNoCrash guards against blaming a task for the crash of a
-// worker that never got its start.
+// TestStartOnWorkerThatWasDownIsNoCrash guards against blaming a task for the crash of a worker that never got its start.
 func TestStartOnWorkerThatWasDownIsNoCrash(t *testing.T) {
 	for name, lost := range map[string][]RunRef{"restarted": nil, "restarted, lost another run": {{graph.TaskID{Job: "other"}, 1}}} {
 		h := newHarness(t)
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -230,8 +230,7 @@
 	})
 }
 
-// TestPlanMachineWithDeadlyTasks checks the same with tasks that crash their workers. It
-// guards against jobs that never become final, and against jobs failed without cause.
+// TestPlanMachineWithDeadlyTasks checks the same with tasks that crash their workers. It guards against jobs that never become final, and against jobs failed without cause.
 func TestPlanMachineWithDeadlyTasks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newPlanMachine(t)
--- a/test/graphs/graphs_test.go
+++ b/test/graphs/graphs_test.go
@@ -276,8 +276,7 @@
 	}
 }
 
-// TestTaskThatCrashesItsWorkerIsGivenUp guards against starting such a task for ever, and
-// against failing other jobs for its crashes.
+// TestTaskThatCrashesItsWorkerIsGivenUp guards against starting such a task for ever, and against failing other jobs for its crashes.
 func TestTaskThatCrashesItsWorkerIsGivenUp(t *testing.T) {
 	f := newFleet(t, 2, 3)
 	var deadly graph.JobID
