--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -130,11 +130,11 @@
 	w.expiredCrashes = nil
 }
 
-// mustPartFromSuspects reports whether a unit must not be placed on a worker because
+// conflictsWithSuspects reports whether a unit must not be placed on a worker because
 // another one there has crashed workers too, and the next crash would fail one of them. Of
 // two that always crash together, the innocent one would be failed with the other. Once a
 // run has lasted for crashWindow it is no danger.
-func (c *Core) mustPartFromSuspects(u *unit, w *worker) bool {
+func (c *Core) conflictsWithSuspects(u *unit, w *worker) bool {
 	if u.crashes.count == 0 || w.suspects == 0 {
 		return false
 	}
@@ -144,11 +144,11 @@
 	})
 }
 
-// awayFromCrashes returns the sets of candidates to try for a unit, in order. A unit that
+// byCrashes returns the sets of candidates to try for a unit, in order. A unit that
 // has crashed workers goes where nothing else runs, preferably to a worker that did not
 // crash under it: its next crash then ends no other run and shows the cause. Other units
 // avoid its worker, and workers that have crashed under several jobs.
-func awayFromCrashes(u *unit, candidates []candidate) [][]candidate {
+func byCrashes(u *unit, candidates []candidate) [][]candidate {
 	if u.crashes.count == 0 {
 		return preferring(candidates, func(w *worker) bool { return w.suspects == 0 && len(w.crashedJobs) < 2 })
 	}
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -262,7 +262,7 @@
 		return explain.Quarantined
 	case u.avoidUntil[w.info.ID] > c.now:
 		return explain.Avoided
-	case c.mustPartFromSuspects(u, w):
+	case c.conflictsWithSuspects(u, w):
 		return explain.Avoided
 	case u.onLastAttempt() && w.failures.Recent(c.now):
 		return explain.RecentFailure
