coltsfootctl logs time: where the time of jobs went, from log lines

Cause: what binds on the new deployments was to be read from single lines by hand. Change: internal/joblog divides the time of each job among waiting for room, a claim, starting, running, work that was lost (failed, gang, stopped, worker) and takeovers; coltsfootctl logs time shows the worst jobs and adds up by queue, account, zone and window. The owner says why an urgent unit waits (waits-for-room, at most eight times in a wait), processes log the zone at their start, and times of log lines have milliseconds.

--- a/cmd/coltsfoot-entry/main.go
+++ b/cmd/coltsfoot-entry/main.go
@@ -31,5 +31,5 @@
 		log.Error().Err(err).Msg("wiring failed")
 		return procmain.ExitFailed
 	}
-	return procmain.Process{Kernel: k, Log: log, DrainTimeout: s.Drain.Timeout.D()}.Run()
+	return procmain.Process{Kernel: k, Log: log, Zone: string(s.Zone), DrainTimeout: s.Drain.Timeout.D()}.Run()
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -61,6 +61,7 @@
 		newGroup(e, "jobs", "submit, list, show, wait for and cancel jobs", jobCommands(e)),
 		newGroup(e, "config", "see which process has which configuration in force", configCommands(e)),
 		newGroup(e, "settings", "check settings files", settingsCommands(e)),
+		newGroup(e, "logs", "read the log lines of processes", logsCommands(e)),
 		requestCommand(e),
 		dumpCommand(e),
 		explainCommand(e),
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -55,6 +55,7 @@
 	moves       int       // because its runs lagged
 	failedOn    []*worker // where its runs failed
 	stops       int       // for other units, in this term
+	waits       waitReports
 }
 
 // member is one task of a unit's current run.
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -158,14 +158,19 @@
 // nothing, or nil. The gain depends on estimates that are often wrong, while a loss would
 // be certain.
 func (c *Core) preemptionFor(u *unit, until time.Duration) *evictionPlan {
-	cost := costOf(u.job)
-	gain := cost.Loss(until+u.runTime()) - cost.Loss(c.now+c.cfg.StopTime+endReportDelay+u.runTime())
-	if gain <= 0 {
+	if c.preemptionGain(u, until) <= 0 {
 		return nil
 	}
 	return c.evictionFor(u, 0, ReasonPreempted)
 }
 
+// preemptionGain returns what the unit's job loses if the unit starts at the given time
+// and not as soon as other runs could be stopped for it.
+func (c *Core) preemptionGain(u *unit, until time.Duration) float64 {
+	cost := costOf(u.job)
+	return cost.Loss(until+u.runTime()) - cost.Loss(c.now+c.cfg.StopTime+endReportDelay+u.runTime())
+}
+
 // endReportDelay is the time from the end of a run until its resources can be
 // reused, because the end has to be reported first.
 const endReportDelay = 100 * time.Millisecond
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -114,9 +114,12 @@
 		c.useClaim(u)
 		return
 	}
-	if reserved := c.reserve(u); reserved != nil && c.claimByEviction(u, c.preemptionFor(u, reserved.expectedStart), ReasonPreempted) {
+	reserved := c.reserve(u)
+	if reserved != nil && c.claimByEviction(u, c.preemptionFor(u, reserved.expectedStart), ReasonPreempted) {
 		c.useClaim(u)
+		return
 	}
+	c.reportWait(u, reserved)
 }
 
 // findPlacement returns the placement of a unit that fits now, or nil.
@@ -184,6 +187,7 @@
 	c.sched.releases.valid = false
 	u.phase = unitPlaced
 	u.declinedSince = 0
+	u.waits = waitReports{}
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -207,6 +207,7 @@
 	ReasonJobCancelled       Reason = "job-cancelled"
 	ReasonReclaimed          Reason = "reclaimed-for-guarantee"
 	ReasonPreempted          Reason = "preempted"
+	ReasonWaitsForRoom       Reason = "waits-for-room"
 	ReasonWorkerDraining     Reason = "worker-draining"
 	ReasonNoProgress         Reason = "no-progress"
 	ReasonNoOutcome          Reason = "order-without-outcome"
--- /dev/null
+++ b/internal/joblog/report.go
@@ -0,0 +1,131 @@
+package joblog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// JobTime is where the time of one job went.
+type JobTime struct {
+	Job     string    `json:"job"`
+	Queue   string    `json:"queue"`
+	Account string    `json:"account"`
+	Zone    string    `json:"zone"` // of the entry that accepted it
+	Began   time.Time `json:"began"`
+	// Outcome is "completed", "failed", "cancelled" or "crashes-workers", or empty for a
+	// job that has not ended. Detail is that of its last decision.
+	Outcome string `json:"outcome"`
+	Detail  string `json:"detail,omitempty"`
+	TookMS  int64  `json:"took_ms"`
+	// LostMS is the time that was not spent running.
+	LostMS  int64           `json:"lost_ms"`
+	PhaseMS map[Phase]int64 `json:"phase_ms"`
+	Waits   []Wait          `json:"waits,omitempty"`
+	Runs    []RunTime       `json:"runs,omitempty"`
+}
+
+// RunTime is one run of a task.
+type RunTime struct {
+	Task    string    `json:"task"`
+	Worker  string    `json:"worker"`
+	Placed  time.Time `json:"placed"`
+	Started time.Time `json:"started"`
+	Ended   time.Time `json:"ended"`
+	End     string    `json:"end"`
+}
+
+// GroupTime adds up the jobs that share a key.
+type GroupTime struct {
+	Key     string          `json:"key"`
+	Jobs    int             `json:"jobs"`
+	LostMS  int64           `json:"lost_ms"`
+	PhaseMS map[Phase]int64 `json:"phase_ms"`
+}
+
+// Grouping is what jobs are added up by.
+type Grouping string
+
+// The groupings.
+const (
+	ByQueue   Grouping = "queue"
+	ByAccount Grouping = "account"
+	ByZone    Grouping = "zone"
+	ByWindow  Grouping = "window"
+)
+
+// Groupings lists all groupings.
+var Groupings = []Grouping{ByQueue, ByAccount, ByZone, ByWindow}
+
+// Jobs returns where the time of each job went, the one that lost most first. With runs
+// set, each has its runs.
+func (j *Journal) Jobs(runs bool) []JobTime {
+	takeovers := j.takeovers()
+	out := make([]JobTime, 0, len(j.jobs))
+	for _, o := range j.jobs {
+		if !o.began().IsZero() {
+			out = append(out, j.timeOf(o, takeovers, runs))
+		}
+	}
+	slices.SortFunc(out, func(a, b JobTime) int {
+		return cmp.Or(cmp.Compare(b.LostMS, a.LostMS), cmp.Compare(a.Job, b.Job))
+	})
+	return out
+}
+
+func (j *Journal) timeOf(o *job, takeovers []span, runs bool) JobTime {
+	t := JobTime{Job: o.id, Queue: o.queue, Account: o.account, Zone: j.zones[o.process], Began: o.began(),
+		Outcome: o.outcome, Detail: o.detail, PhaseMS: map[Phase]int64{}, Waits: o.waits}
+	for phase, d := range o.split(j.last, takeovers) {
+		t.PhaseMS[phase] = d.Milliseconds()
+		t.TookMS += d.Milliseconds()
+		if phase != Running {
+			t.LostMS += d.Milliseconds()
+		}
+	}
+	if runs {
+		for _, r := range o.sortedRuns() {
+			t.Runs = append(t.Runs, RunTime{r.task, r.worker, r.placed, r.started, r.ended, r.end})
+		}
+	}
+	return t
+}
+
+// Group adds up jobs, the group that lost most first. Windows of the given length begin
+// at full multiples of it.
+func Group(jobs []JobTime, by Grouping, window time.Duration) []GroupTime {
+	index := map[string]int{}
+	var out []GroupTime
+	for _, t := range jobs {
+		key := t.key(by, window)
+		i, ok := index[key]
+		if !ok {
+			i = len(out)
+			index[key] = i
+			out = append(out, GroupTime{Key: key, PhaseMS: map[Phase]int64{}})
+		}
+		g := &out[i]
+		g.Jobs++
+		g.LostMS += t.LostMS
+		for phase, ms := range t.PhaseMS {
+			g.PhaseMS[phase] += ms
+		}
+	}
+	slices.SortFunc(out, func(a, b GroupTime) int {
+		return cmp.Or(cmp.Compare(b.LostMS, a.LostMS), cmp.Compare(a.Key, b.Key))
+	})
+	return out
+}
+
+func (t *JobTime) key(by Grouping, window time.Duration) string {
+	switch by {
+	case ByAccount:
+		return t.Account
+	case ByZone:
+		return t.Zone
+	case ByWindow:
+		return t.Began.Truncate(window).Format(time.RFC3339)
+	default:
+		return t.Queue
+	}
+}
--- a/internal/procmain/hosted.go
+++ b/internal/procmain/hosted.go
@@ -105,7 +105,7 @@
 		_, err := load(path)
 		return err
 	}
-	return Process{Kernel: k, Log: log, DrainTimeout: HostedDrainTimeout(s), Reload: reload}.Run()
+	return Process{Kernel: k, Log: log, Zone: s.Zone, DrainTimeout: HostedDrainTimeout(s), Reload: reload}.Run()
 }
 
 // Hosted holds the dependencies that the services of a hosted process are built
--- a/internal/procmain/procmain.go
+++ b/internal/procmain/procmain.go
@@ -61,6 +61,11 @@
 	return s, ExitOK
 }
 
+// logTimeFormat is RFC 3339 with milliseconds: the waits of jobs are shorter than a second.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = logTimeFormat }
+
 // NewLogger returns a logger that adds the role and id of the process to each
 // line. An empty or unknown level means info.
 func NewLogger(w io.Writer, level settings.Level, role settings.Role, id string) zerolog.Logger {
@@ -76,6 +81,9 @@
 type Process struct {
 	Kernel *kernel.Kernel
 	Log    zerolog.Logger
+	// Zone is the availability zone of the host, for the line at the start. It may be
+	// empty.
+	Zone string
 	// DrainTimeout bounds how long a graceful stop waits for work in progress.
 	DrainTimeout time.Duration
 	// Failed, if not nil, receives the error of a service that fails while it
@@ -126,7 +134,7 @@
 	}
 	var err error
 	if ctx.Err() == nil {
-		p.Log.Info().Msg("started")
+		p.Log.Info().Str("zone", p.Zone).Msg("started")
 		err = p.serve(signals)
 	}
 	code := p.stop(signals)
