plan: expected cost of a delay, headroom for all of priority 0

Hypothesis: urgent jobs are late because half of them wait 0.6 to 0.9 s for a claim, and because a staircase at an estimated objective sees no gain in stopping others. Change: delaycost.ExpectedLoss is the mean loss over the spread of run times, and rises smoothly with the start. Preemption weighs it against the loss of the victims, and stops no unit twice. Tests: Target's limit by unused guarantees went with the policy; the check of its replacement, Spread, is new. TestEachExclusion/headroom sets a busy fleet, as headroom is open on an idle one.

--- a/internal/delaycost/delaycost.go
+++ b/internal/delaycost/delaycost.go
@@ -25,8 +25,12 @@
 type Job struct {
 	Priority    int // 0 is the highest
 	SubmittedAt time.Duration
-	// Objective is the latency within which the job should complete.
-	Objective time.Duration
+	// Objective is the latency within which the job should complete. Allowance is the
+	// part of it that does not depend on the job's run times.
+	Objective, Allowance time.Duration
+	// Sigma is the standard deviation of the logarithm of the ratio of the actual run
+	// times to the expected ones.
+	Sigma float64
 	// CoreSeconds is the size of the whole job in core equivalents.
 	CoreSeconds float64
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -61,7 +61,7 @@
 	RecentFailure  Exclusion = "recent-failure"
 	MissingLabel   Exclusion = "missing-label"
 	TooSlow        Exclusion = "too-slow"
-	Headroom       Exclusion = "headroom" // kept open for claims
+	Headroom       Exclusion = "headroom" // kept open for priority 0
 	NoAccelerators Exclusion = "accelerators"
 	NoCores        Exclusion = "cores"
 	NoMemory       Exclusion = "memory"
--- a/internal/feature/feature.go
+++ b/internal/feature/feature.go
@@ -16,7 +16,7 @@
 const (
 	// CostOrder orders waiting jobs, reservations and victims by the cost of delay.
 	CostOrder Feature = "cost-order"
-	// ClaimHeadroom keeps room open for claims of guarantees.
+	// ClaimHeadroom keeps room open for jobs of priority 0.
 	ClaimHeadroom Feature = "claim-headroom"
 	// LearnedRunTimes corrects callers' estimates by the run times of earlier jobs.
 	LearnedRunTimes Feature = "learned-run-times"
--- a/internal/graph/plan/cost.go
+++ b/internal/graph/plan/cost.go
@@ -8,7 +8,8 @@
 
 // costOf returns what the cost of a job's delay depends on, on the term's clock.
 func costOf(j *job) delaycost.Job {
-	return delaycost.Job{Priority: j.Priority, SubmittedAt: j.arrivedAt, Objective: j.objective(), CoreSeconds: j.coreSeconds()}
+	return delaycost.Job{Priority: j.Priority, SubmittedAt: j.arrivedAt, Objective: j.objective(), Allowance: j.Allowance,
+		Sigma: j.runTimeSigma(), CoreSeconds: j.coreSeconds()}
 }
 
 // coreSeconds returns the size of the job by its estimates, in core equivalents.
@@ -36,7 +37,8 @@
 		return c.stopLoss(u, lost, c.requeueWait(u.job.Priority)+left)
 	}
 	cost := costOf(u.job)
-	return lost + cost.Loss(c.now+c.requeueWait(u.job.Priority)+left) - cost.Loss(c.now+u.remaining())
+	after := max(0, u.job.remainingPath()-u.runTime()) // of the steps that depend on the unit
+	return lost + cost.ExpectedLoss(c.now+c.requeueWait(u.job.Priority), left+after) - cost.ExpectedLoss(c.now, u.remaining()+after)
 }
 
 const (
--- a/internal/graph/plan/eviction.go
+++ b/internal/graph/plan/eviction.go
@@ -12,7 +12,7 @@
 
 // evictableUnits returns the units with runs in a group that may be stopped for a
 // unit: those outside of every guarantee and, when preempting, only those of a
-// lower priority.
+// lower priority that were never stopped, so that none is stopped again and again.
 func (c *Core) evictableUnits(u *unit, g workerGroup, reason Reason, trial *evictionTrial) []victim {
 	seen := map[*unit]bool{}
 	var out []victim
@@ -23,7 +23,7 @@
 				continue
 			}
 			seen[v] = true
-			if reason == ReasonPreempted && v.job.Priority <= u.job.Priority {
+			if reason == ReasonPreempted && (v.job.Priority <= u.job.Priority || v.stops > 0) {
 				continue
 			}
 			loss := c.evictionLoss(v)
--- a/internal/graph/plan/headroom.go
+++ b/internal/graph/plan/headroom.go
@@ -19,12 +19,17 @@
 func (c *Core) regainTime() time.Duration { return c.cfg.StopTime + endReportDelay }
 
 // headroomState is what the core knows about the capacity that it keeps open for
-// claims. It is empty while the feature is off.
+// priority 0. It is empty while the feature is off.
 type headroomState struct {
 	demand   headroom.Learner
 	target   headroom.Target
 	marked   map[*worker]bool
 	chosenAt time.Duration
+	// usedPart is the part of the capacity in use as of chosenAt.
+	usedPart float64
+	// waitLoss is the mean loss, per core, of a job of priority 0 that starts after
+	// regainTime and not at once.
+	waitLoss runningMean
 	// fitsOutside holds, by kind, whether units would fit outside of the headroom. It is
 	// valid until the next choice.
 	fitsOutside map[unitKind]bool
@@ -42,14 +47,15 @@
 
 func (c *Core) hasHeadroom() bool { return c.cfg.Features.Has(feature.ClaimHeadroom) }
 
-// observeDemand learns from a new job of priority 0 that may be within its account's
-// guarantee. Jobs of earlier terms say nothing about the present rate.
+// observeDemand learns from a new job of priority 0. Jobs of earlier terms say nothing
+// about the present rate.
 func (c *Core) observeDemand(j *job) {
 	if !c.hasHeadroom() || c.policy == nil || j.Priority != 0 || j.arrivedAt < 0 {
 		return
 	}
 	size := headroom.Size{Accelerators: j.maxAccelerators(), Workers: c.wholeWorkers(j)}
-	if size.Accelerators > 0 && size.Accelerators <= c.policy.GuaranteedAccelerators(j.Account) {
+	if size.Accelerators > 0 {
+		c.headroom.waitLoss.observe(c.regainLoss(j) / j.coresAtOnce())
 		c.headroom.demand.Observe(c.now, j.Account, size)
 	}
 }
@@ -82,8 +88,9 @@
 	if !c.hasHeadroom() || h.chosenAt > 0 && c.now < h.chosenAt+headroomInterval {
 		return
 	}
-	h.chosenAt, h.fitsOutside = c.now, nil
-	h.target = h.demand.Target(c.now, c.regainTime(), c.unusedGuarantees(), c.acceleratorsPerWorker())
+	h.chosenAt, h.fitsOutside, h.usedPart = c.now, nil, c.usedPart()
+	spread := headroom.Spread(h.waitLoss.mean, c.lowerWaitLoss())
+	h.target = h.demand.Target(c.now, c.regainTime(), spread, c.acceleratorsPerWorker())
 	if h.target.Accelerators == 0 && len(h.marked) == 0 {
 		return
 	}
@@ -100,28 +107,59 @@
 		}
 	}
 	t := h.target
-	c.emit(Notice{Reason: ReasonHeadroomChanged, Detail: fmt.Sprintf("%d accelerators and %d whole workers within %v, from %.2f jobs/s of %.1f accelerators, %d guaranteed accelerators unused; workers %s",
-		t.Accelerators, t.Workers, c.regainTime(), t.JobsPerSecond, t.MeanAccelerators, t.Unused, strings.Join(names, " "))})
+	c.emit(Notice{Reason: ReasonHeadroomChanged, Detail: fmt.Sprintf("%d accelerators and %d whole workers within %v, from %.2f jobs/s of %.1f accelerators, spread %.2f; workers %s",
+		t.Accelerators, t.Workers, c.regainTime(), t.JobsPerSecond, t.MeanAccelerators, spread, strings.Join(names, " "))})
 }
 
-// unusedGuarantees returns the part of each account's guarantee that jobs within it
-// do not use, sorted by account.
-func (c *Core) unusedGuarantees() []headroom.Guarantee {
-	out := make([]headroom.Guarantee, 0, len(c.policy.Accounts))
-	for i := range c.policy.Accounts {
-		out = append(out, headroom.Guarantee{Account: c.policy.Accounts[i].Name, Unused: c.policy.Accounts[i].GuaranteedAccelerators})
-	}
-	slices.SortFunc(out, func(a, b headroom.Guarantee) int { return strings.Compare(a.Account, b.Account) })
+// regainLoss returns what a job is expected to lose if its waiting work starts after
+// regainTime and not now.
+func (c *Core) regainLoss(j *job) float64 {
+	cost, path := costOf(j), j.remainingPath()
+	return cost.ExpectedLoss(c.now+c.regainTime(), path) - cost.ExpectedLoss(c.now, path)
+}
+
+// lowerWaitLoss returns the mean of regainLoss, per core, of the waiting jobs of lower
+// priorities.
+func (c *Core) lowerWaitLoss() float64 {
+	loss, cores := 0.0, 0.0
 	for _, j := range c.activeJobs {
-		if !c.sched.withinGuarantee[j] {
-			continue
-		}
-		i, found := slices.BinarySearchFunc(out, j.Account, func(g headroom.Guarantee, name string) int { return strings.Compare(g.Account, name) })
-		if found {
-			out[i].Unused -= j.maxAccelerators()
+		if j.Priority > 0 && j.isReady(c.now) {
+			loss += c.regainLoss(j)
+			cores += j.coresAtOnce()
 		}
 	}
-	return out
+	return loss / max(1, cores)
+}
+
+// isReady reports whether a unit of the job waits that may start.
+func (j *job) isReady(now time.Duration) bool {
+	return slices.ContainsFunc(j.units, func(u *unit) bool {
+		return u.phase == unitWaiting && u.notBefore <= now && u.dependenciesDone()
+	})
+}
+
+// coresAtOnce returns the core equivalents that a step of the job needs at once, the
+// most of all steps.
+func (j *job) coresAtOnce() float64 {
+	most := 1.0
+	for i := range j.Steps {
+		most = max(most, j.Steps[i].TotalNeeds().Cores())
+	}
+	return most
+}
+
+// runningMean is the mean of the last values.
+type runningMean struct {
+	mean   float64
+	values int // at most meanMemory
+}
+
+// meanMemory is the number of values over which a runningMean averages.
+const meanMemory = 20
+
+func (m *runningMean) observe(x float64) {
+	m.values = min(m.values+1, meanMemory)
+	m.mean += (x - m.mean) / float64(m.values)
 }
 
 // headroomWorkers describes the workers for the choice of headroom, in the order of
@@ -151,15 +189,44 @@
 }
 
 // headroomClosedTo reports whether a unit must not be placed on workers that are
-// headroom. It is open to jobs of priority 0, and to units that would not fit on the
-// other workers even if these were empty.
+// headroom. It is open to jobs of priority 0, to units that would not fit on the other
+// workers even if these were empty, and to jobs that wait while the fleet is idle.
 func (c *Core) headroomClosedTo(u *unit) bool {
-	if len(c.headroom.marked) == 0 || u.job.Priority == 0 {
+	if len(c.headroom.marked) == 0 || u.job.Priority == 0 || c.waitsOnIdleFleet(u.job) {
 		return false
 	}
 	return c.fitsOutsideHeadroom(u)
 }
 
+const (
+	// idleFleetPart is the part of the capacity in use below which the fleet counts as
+	// idle.
+	idleFleetPart = 0.5
+	// maxIdleFleetWait is the time for which headroom may keep a job without runs
+	// waiting on an idle fleet. Callers expect a start within 3 s where there is room.
+	maxIdleFleetWait = 1500 * time.Millisecond
+)
+
+// waitsOnIdleFleet reports whether a job has waited for maxIdleFleetWait without a run
+// while the fleet is idle.
+func (c *Core) waitsOnIdleFleet(j *job) bool {
+	return c.headroom.usedPart < idleFleetPart && c.now-j.arrivedAt > maxIdleFleetWait &&
+		!slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced })
+}
+
+// usedPart returns the part of the usable capacity, in core equivalents, that runs and
+// claims hold.
+func (c *Core) usedPart() float64 {
+	used, total := 0.0, 0.0
+	for _, w := range c.sortedWorkers {
+		if c.usableForHeadroom(w) {
+			used += w.used.Add(w.unknownUse).Add(w.claimed).Cores()
+			total += w.info.Capacity.Cores()
+		}
+	}
+	return used / max(1, total)
+}
+
 // useHeadroom records the placement of a unit.
 func (c *Core) useHeadroom(u *unit, allocs []allocation) {
 	used := 0
--- a/internal/graph/plan/outlook.go
+++ b/internal/graph/plan/outlook.go
@@ -157,9 +157,10 @@
 }
 
 // leastRemaining returns a lower bound of the time until a unit's run ends. A gang ends
-// when its last member is done.
+// when its last member is done. A gang that may be stopped for a job of priority 0 can end
+// at any time, and leave more room than that job takes.
 func (c *Core) leastRemaining(u *unit) time.Duration {
-	if u.stopping || u.runFailed {
+	if u.stopping || u.runFailed || u.taskCount > 1 && u.job.Priority > 0 {
 		return 0
 	}
 	var most time.Duration
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -108,11 +108,11 @@
 }
 
 // bestEviction returns the plan that makes room for a unit where stopping other units
-// loses least, or nil.
+// loses least, or nil. For a guarantee, the number of earlier stops counts too.
 func (c *Core) bestEviction(u *unit, reason Reason) *evictionPlan {
 	groups := c.candidateGroups(u)
-	if c.hasHeadroom() {
-		return c.cheapestClaim(u, groups, reason)
+	if c.hasHeadroom() && reason == ReasonReclaimed {
+		return c.cheapestClaim(u, groups)
 	}
 	var best *evictionPlan
 	for _, g := range groups {
@@ -153,22 +153,25 @@
 	return plan
 }
 
-// preemptionFor returns the plan to make room for a unit that would miss its objective if
-// it waited until the given time, provided that stopping lower priorities there loses
-// nothing, or nil. The gain depends on estimates that are often wrong, while a loss would
-// be certain.
+// maxLossOfGain is the part of the gain of a preemption that its loss may be. The gain
+// rests on estimates that are often wrong, while the stopped work is lost for certain.
+const maxLossOfGain = 0.5
+
+// preemptionFor returns the plan to make room for a unit that is expected to start at
+// the given time if it waits, or nil. The unit must gain more by starting sooner than
+// those of lower priorities lose that are stopped for it.
 func (c *Core) preemptionFor(u *unit, until time.Duration) *evictionPlan {
-	if c.preemptionGain(u, until) <= 0 {
+	if until <= c.now+c.regainTime() {
 		return nil
 	}
-	return c.evictionFor(u, 0, ReasonPreempted)
+	return c.evictionFor(u, maxLossOfGain*c.preemptionGain(u, until), ReasonPreempted)
 }
 
 // preemptionGain returns what the unit's job loses if the unit starts at the given time
 // and not as soon as other runs could be stopped for it.
 func (c *Core) preemptionGain(u *unit, until time.Duration) float64 {
-	cost := costOf(u.job)
-	return cost.Loss(until+u.runTime()) - cost.Loss(c.now+c.cfg.StopTime+endReportDelay+u.runTime())
+	cost, path := costOf(u.job), u.job.remainingPath()
+	return cost.ExpectedLoss(until, path) - cost.ExpectedLoss(c.now+c.regainTime(), path)
 }
 
 // endReportDelay is the time from the end of a run until its resources can be
--- a/internal/graph/plan/runtimes.go
+++ b/internal/graph/plan/runtimes.go
@@ -27,6 +27,10 @@
 	// which a job does not count as worthless by its expected run times. The run times
 	// of one queue vary by 0.3 to 0.5.
 	unreliableSigma = 0.5
+	// priorSigma is the standard deviation of the logarithm of the ratio of the actual
+	// to the estimated run times of a job whose queue is not learned. That of the known
+	// queues is 0.2 to 0.9.
+	priorSigma = 0.5
 	// reviseThreshold is the least change, in the logarithm, by which an expected run
 	// time is revised. Smaller changes would only reorder jobs that are alike.
 	reviseThreshold = 0.15
@@ -287,6 +291,19 @@
 		j.Queue, step, o.Actual, k.predicted.Expected(), o.Estimate, o.Weight, c.runTimes.Runs(j.Queue))})
 }
 
+// runTimeSigma returns the standard deviation of the logarithm of the ratio of the
+// actual run times of a job to the expected ones, the largest one of its steps.
+func (j *job) runTimeSigma() float64 {
+	if j.knowledge == nil {
+		return priorSigma
+	}
+	sigma := 0.0
+	for i := range j.knowledge.steps {
+		sigma = max(sigma, j.knowledge.steps[i].predicted.Sigma())
+	}
+	return sigma
+}
+
 // cautiousObjective is the objective by the cautious run times, and at least the
 // objective. It is the objective if run times are not learned.
 func (j *job) cautiousObjective() time.Duration {
--- a/internal/graph/plan/victims.go
+++ b/internal/graph/plan/victims.go
@@ -22,17 +22,13 @@
 	ruleAny
 )
 
-// cheapestClaim returns the plan that makes room for a unit at the least cost, or
-// nil. groups are the groups over which the unit may be spread.
-func (c *Core) cheapestClaim(u *unit, groups []workerGroup, reason Reason) *evictionPlan {
-	rules := []victimRule{ruleSparing, ruleAny}
-	if reason == ReasonPreempted {
-		rules = rules[:1]
-	}
-	for _, rule := range rules {
+// cheapestClaim returns the plan that makes room for a unit within a guarantee at the
+// least cost, or nil. groups are the groups over which the unit may be spread.
+func (c *Core) cheapestClaim(u *unit, groups []workerGroup) *evictionPlan {
+	for _, rule := range []victimRule{ruleSparing, ruleAny} {
 		var best *evictionPlan
 		for _, g := range groups {
-			if p := c.planClaim(u, g, reason, rule); p != nil && (best == nil || p.cost < best.cost) {
+			if p := c.planClaim(u, g, rule); p != nil && (best == nil || p.cost < best.cost) {
 				best = p
 			}
 		}
@@ -60,11 +56,11 @@
 }
 
 // planClaim finds victims within a group, or returns nil if they do not make room.
-func (c *Core) planClaim(u *unit, g workerGroup, reason Reason, rule victimRule) *evictionPlan {
+func (c *Core) planClaim(u *unit, g workerGroup, rule victimRule) *evictionPlan {
 	trial := newEvictionTrial(u, g)
 	s := &claimSearch{trial: trial, evicted: map[*unit]bool{}, victims: make([][]victim, len(g.candidates)), offers: make([]offer, len(g.candidates))}
-	for _, v := range c.evictableUnits(u, g, reason, trial) {
-		if rule == ruleSparing && c.sparedFor(u, v, reason) {
+	for _, v := range c.evictableUnits(u, g, ReasonReclaimed, trial) {
+		if rule == ruleSparing && c.sparedFor(u, v) {
 			continue
 		}
 		trial.forEachCandidate(v.unit, func(i int) {
@@ -84,10 +80,9 @@
 	return s.plan()
 }
 
-// sparedFor reports whether ruleSparing excludes a unit as a victim. Preemption for
-// priority stops only units that lose nothing.
-func (c *Core) sparedFor(u *unit, v victim, reason Reason) bool {
-	if v.unit.stops >= headroom.FewStops || reason == ReasonPreempted && (v.unit.stops > 0 || v.loss > 0) {
+// sparedFor reports whether ruleSparing excludes a unit as a victim.
+func (c *Core) sparedFor(u *unit, v victim) bool {
+	if v.unit.stops >= headroom.FewStops {
 		return true
 	}
 	for _, m := range v.unit.members {
--- a/internal/headroom/demand.go
+++ b/internal/headroom/demand.go
@@ -1,6 +1,6 @@
-// Package headroom decides how much capacity to keep open for jobs of priority 0
-// within the guarantees of their accounts, on which workers, and which running units
-// lose least when they are stopped for such a job. It does no I/O and reads no clock;
+// Package headroom decides how much capacity to keep open for jobs of priority 0, on
+// which workers, and which running units lose least when they are stopped for a job
+// within a guarantee. It does no I/O and reads no clock;
 // times are durations on a clock of the caller's choice.
 package headroom
 
--- a/internal/headroom/target.go
+++ b/internal/headroom/target.go
@@ -2,37 +2,22 @@
 
 import (
 	"math"
-	"slices"
-	"strings"
 	"time"
 )
 
-// Guarantee is the part of an account's guarantee that is not in use.
-type Guarantee struct {
-	Account string
-	Unused  int // accelerators
-}
-
 // Target is the capacity to keep open, with the inputs that it follows from.
 type Target struct {
 	Accelerators int
 	Workers      int // whole workers, part of Accelerators
-	// JobsPerSecond and MeanAccelerators describe the expected jobs, and Unused is the
-	// sum of the guarantees that are not in use.
+	// JobsPerSecond and MeanAccelerators describe the expected jobs.
 	JobsPerSecond    float64
 	MeanAccelerators float64
-	Unused           int
 }
 
-// spreadFactor is the number of standard deviations of the demand that is kept open
-// above its mean. The demand of a short time is dominated by single large jobs. With
-// 1, the lower priorities got less and quotes started no earlier.
-const spreadFactor = 0.4
-
 // Target returns the capacity to keep open for the jobs that are expected within the
-// time that it takes to regain capacity, at most the unused guarantees.
-// acceleratorsPerWorker is the number of accelerators of a typical worker.
-func (l *Learner) Target(now, regain time.Duration, guarantees []Guarantee, acceleratorsPerWorker int) Target {
+// time that it takes to regain capacity: the mean of their demand and spread standard
+// deviations. acceleratorsPerWorker is the number of accelerators of a typical worker.
+func (l *Learner) Target(now, regain time.Duration, spread float64, acceleratorsPerWorker int) Target {
 	l.forget(now)
 	var t Target
 	if len(l.accounts) == 0 {
@@ -43,37 +28,43 @@
 	jobs, size := 0.0, 0.0
 	for i := range l.accounts {
 		a := &l.accounts[i]
-		unused := unusedOf(guarantees, a.name)
-		t.Unused += unused
 		jobs += a.jobs
 		size += a.accelerators.Sum
-		accelerators.add(a.accelerators, perJob, float64(unused))
-		workers.add(a.workers, perJob, float64(unused/max(1, acceleratorsPerWorker)))
+		accelerators.add(a.accelerators, perJob)
+		workers.add(a.workers, perJob)
 	}
 	t.JobsPerSecond, t.MeanAccelerators = jobs/l.window(now), size/jobs
-	t.Accelerators = min(t.Unused, accelerators.total())
-	t.Workers = min(t.Accelerators/max(1, acceleratorsPerWorker), workers.total())
+	t.Accelerators = accelerators.total(spread)
+	t.Workers = min(t.Accelerators/max(1, acceleratorsPerWorker), workers.total(spread))
 	return t
 }
 
-// unusedOf returns the unused guarantee of an account. guarantees is sorted by
-// account.
-func unusedOf(guarantees []Guarantee, name string) int {
-	i, found := slices.BinarySearchFunc(guarantees, name, func(g Guarantee, name string) int { return strings.Compare(g.Account, name) })
-	if !found {
-		return 0
+// maxSpread limits Spread in both directions. Beyond it single jobs would decide.
+const maxSpread = 1.2
+
+// Spread returns the number of standard deviations of the demand to keep open above its
+// mean, negative for less than the mean. short is the loss per core of demand that finds
+// no room open and waits until others are stopped, idle that of work of lower priorities
+// that waits for room that is kept open. The best amount is the quantile
+// short/(short+idle) of the demand, which is taken as normally distributed.
+func Spread(short, idle float64) float64 {
+	if short <= 0 {
+		return -maxSpread
 	}
-	return max(0, guarantees[i].Unused)
+	quantile := short / (short + max(0, idle))
+	return max(-maxSpread, min(maxSpread, math.Sqrt2*math.Erfinv(2*quantile-1)))
 }
 
 // forecast is the mean and the variance of a demand.
 type forecast struct{ mean, variance float64 }
 
-// add adds the demand of an account, limited by what its guarantee still allows. The
-// number of its jobs is assumed to follow a Poisson distribution.
-func (f *forecast) add(m moments, perJob, limit float64) {
-	f.mean += min(m.Sum*perJob, limit)
-	f.variance += min(m.Squares*perJob, limit*limit)
+// add adds the demand of an account. The number of its jobs is assumed to follow a
+// Poisson distribution.
+func (f *forecast) add(m moments, perJob float64) {
+	f.mean += m.Sum * perJob
+	f.variance += m.Squares * perJob
 }
 
-func (f *forecast) total() int { return int(math.Ceil(f.mean + spreadFactor*math.Sqrt(f.variance))) }
+func (f *forecast) total(spread float64) int {
+	return max(0, int(math.Ceil(f.mean+spread*math.Sqrt(f.variance))))
+}
