--- a/internal/graph/plan/headroom.go
+++ b/internal/graph/plan/headroom.go
@@ -123,7 +123,7 @@
 func (c *Core) lowerWaitLoss() float64 {
 	loss, cores := 0.0, 0.0
 	for _, j := range c.activeJobs {
-		if j.Priority > 0 && j.isReady(c.now) {
+		if j.Priority > 0 && slices.ContainsFunc(j.units, func(u *unit) bool { return u.isReady(c.now) }) {
 			loss += c.regainLoss(j)
 			cores += j.coresAtOnce()
 		}
@@ -131,13 +131,6 @@
 	return loss / max(1, cores)
 }
 
-// isReady reports whether a unit of the job waits that may start.
-func (j *job) isReady(now time.Duration) bool {
-	return slices.ContainsFunc(j.units, func(u *unit) bool {
-		return u.phase == unitWaiting && u.notBefore <= now && u.dependenciesDone()
-	})
-}
-
 // coresAtOnce returns the core equivalents that a step of the job needs at once, the
 // most of all steps.
 func (j *job) coresAtOnce() float64 {
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -171,6 +171,11 @@
 	return true
 }
 
+// isReady reports whether the unit waits and may start.
+func (u *unit) isReady(now time.Duration) bool {
+	return u.phase == unitWaiting && u.notBefore <= now && u.dependenciesDone()
+}
+
 func (u *unit) taskID(i int) graph.TaskID {
 	return graph.TaskID{Job: u.job.ID, Step: u.stepIndex, Index: u.firstIndex + i}
 }
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -48,7 +48,7 @@
 	orders := map[*job]jobOrder{}
 	for _, j := range c.activeJobs {
 		for _, u := range j.units {
-			if u.phase == unitWaiting && u.notBefore <= c.now && u.dependenciesDone() {
+			if u.isReady(c.now) {
 				out = append(out, u)
 				orders[j] = jobOrder{}
 			}
