--- a/internal/graph/plan/choose.go
+++ b/internal/graph/plan/choose.go
@@ -241,7 +241,7 @@
 // loses less by waiting for it. It reports whether it did.
 func (c *Core) waitForFaster(u *unit, allocs []allocation) bool {
 	slowest := c.slowestOf(allocs)
-	if !c.decidesBySpeed() || slowest < slownessClassRatio {
+	if c.idleFor(u.job, maxIdleFleetWait) || !c.decidesBySpeed() || slowest < slownessClassRatio {
 		return false
 	}
 	lossNow := c.endLoss(u, c.now, slowest)
--- a/internal/graph/plan/eviction.go
+++ b/internal/graph/plan/eviction.go
@@ -26,6 +26,9 @@
 			if reason == ReasonPreempted && (v.job.Priority <= u.job.Priority || v.stops > 0) {
 				continue
 			}
+			if reason == ReasonRecalled && !slices.Contains(v.lenders, u) {
+				continue
+			}
 			loss := c.evictionLoss(v)
 			cost, freed := c.victimCost(v, loss), trial.freedCores(v)
 			out = append(out, victim{v, loss, loss / freed, cost, cost / freed})
--- a/internal/graph/plan/headroom.go
+++ b/internal/graph/plan/headroom.go
@@ -185,7 +185,7 @@
 // headroom. It is open to jobs of priority 0, to units that would not fit on the other
 // workers even if these were empty, and to jobs that wait while the fleet is idle.
 func (c *Core) headroomClosedTo(u *unit) bool {
-	if len(c.headroom.marked) == 0 || u.job.Priority == 0 || c.waitsOnIdleFleet(u.job) {
+	if len(c.headroom.marked) == 0 || u.job.Priority == 0 || c.waitsOnIdleFleet(u.job) || c.idleFor(u.job, maxIdleFleetWait) {
 		return false
 	}
 	return c.fitsOutsideHeadroom(u)
@@ -204,7 +204,7 @@
 // while the fleet is idle.
 func (c *Core) waitsOnIdleFleet(j *job) bool {
 	return c.headroom.usedPart < idleFleetPart && c.now-j.arrivedAt > maxIdleFleetWait &&
-		!slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced })
+		!j.hasRuns()
 }
 
 // usedPart returns the part of the usable capacity, in core equivalents, that runs and
--- /dev/null
+++ b/internal/graph/plan/idle.go
@@ -0,0 +1,120 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Reservations are a reason to wait. A job that has nothing running while most of its pool
+// is idle waits for these only for a time, and then uses what is free: callers expect it to
+// run within 3 s.
+
+// maxLoan is how long a unit waits before it stops those that were started in the room
+// reserved for it.
+const maxLoan = time.Minute
+
+// waivers are the preferences that a search for a place leaves out of account.
+type waivers struct {
+	failures     bool // of workers
+	reservations bool // of other units
+}
+
+// updateIdleJobs records since when jobs have had nothing running while their pool is idle.
+func (c *Core) updateIdleJobs() {
+	idle := map[string]bool{}
+	for _, j := range c.activeJobs {
+		if j.hasRuns() || !slices.ContainsFunc(j.units, func(u *unit) bool { return u.isReady(c.now) }) {
+			j.idleSince = 0
+			continue
+		}
+		if _, known := idle[j.Pool]; !known {
+			idle[j.Pool] = c.poolIsIdle(j.Pool)
+		}
+		switch {
+		case !idle[j.Pool]:
+			j.idleSince = 0
+		case j.idleSince == 0:
+			j.idleSince = max(1, c.now)
+		}
+	}
+}
+
+// hasRuns reports whether a unit of the job is placed.
+func (j *job) hasRuns() bool {
+	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced })
+}
+
+// poolIsIdle reports whether runs use less than idleFleetPart of a pool's connected workers,
+// whether or not these may get work.
+func (c *Core) poolIsIdle(pool string) bool {
+	var used, total float64 // core equivalents
+	for _, w := range c.sortedWorkers {
+		if w.info.Pool == pool && w.connected() {
+			used += w.used.Add(w.unknownUse).Cores()
+			total += w.info.Capacity.Cores()
+		}
+	}
+	return used < idleFleetPart*total
+}
+
+// idleFor reports whether a job has had nothing running on an idle pool for d.
+func (c *Core) idleFor(j *job, d time.Duration) bool {
+	return j.idleSince > 0 && c.now-j.idleSince >= d
+}
+
+// searchWithWaivers looks for a place without one preference after the other, as far as the
+// job's wait on an idle pool allows.
+func (c *Core) searchWithWaivers(u *unit) []allocation {
+	if !c.idleFor(u.job, maxIdleFleetWait) {
+		return nil
+	}
+	defer func(before waivers) { u.waived = before }(u.waived)
+	u.waived.reservations = true
+	return c.searchCandidates(u)
+}
+
+// borrow records whose reserved room a placement takes, and reports what it leaves out of
+// account.
+func (c *Core) borrow(u *unit, allocs []allocation) {
+	u.lenders, u.hasLent = nil, false
+	if !c.idleFor(u.job, maxIdleFleetWait) {
+		return
+	}
+	for _, a := range allocs {
+		if u.step.Needs.Times(a.tasks).Fits(c.availableFor(a.worker, u)) {
+			continue
+		}
+		for _, r := range a.worker.reserved {
+			if r.unit != u && !slices.Contains(u.lenders, r.unit) {
+				u.lenders = append(u.lenders, r.unit)
+				r.unit.hasLent = true
+			}
+		}
+	}
+	if waived := describeWaivers(u); waived != "" {
+		c.emit(Notice{Reason: ReasonIdleWaitEnded, Job: u.job.ID, Task: u.taskID(0).String(), Run: u.run,
+			Detail: fmt.Sprintf("nothing ran for %v on an idle pool; %s", c.now-u.job.idleSince, waived)})
+	}
+}
+
+// describeWaivers returns which preferences a placement leaves out of account.
+func describeWaivers(u *unit) string {
+	var out []string
+	for _, l := range u.lenders {
+		out = append(out, "in room reserved for "+l.taskID(0).String())
+	}
+	return strings.Join(out, ", ")
+}
+
+// recallPlan returns the plan to stop the units that were started in the room reserved for
+// a unit, if it has waited for maxLoan and would then fit, or nil. Others may otherwise be
+// started there without end.
+func (c *Core) recallPlan(u *unit) *evictionPlan {
+	if !u.hasLent || u.waits.since == 0 || c.now-u.waits.since < maxLoan {
+		return nil
+	}
+	return c.evictionFor(u, math.Inf(1), ReasonRecalled)
+}
--- a/internal/graph/plan/idle_test.go
+++ b/internal/graph/plan/idle_test.go
@@ -55,3 +55,19 @@
 		t.Errorf("nothing runs for %v, with 2 of 8 workers in use", idle)
 	}
 }
+
+// TestWideGangOutlastsLoansOfItsRoom guards against a gang that never starts, as others use the room reserved for it by turns.
+func TestWideGangOutlastsLoansOfItsRoom(t *testing.T) {
+	const bound = 2 * time.Minute
+	f := newListingFleet(8, 500*time.Millisecond, deployedFeatures...)
+	whole := graph.Resources{Accelerators: 8}
+	f.submit("long", graph.Step{Count: 2, MaxPerWorker: 1, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	f.submit("wide", graph.Step{Count: 7, Gang: true, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	for i := 0; f.starts["wide"] == 0; i++ {
+		if f.now > bound {
+			t.Fatalf("not started after %v; %d narrow jobs were started", f.now, len(f.starts)-2)
+		}
+		f.submit(graph.JobID(fmt.Sprint("narrow", i)), graph.Step{Count: 2, Gang: true, Estimate: 30 * time.Second, Needs: whole}, 30*time.Second)
+		f.pass(5 * time.Second)
+	}
+}
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -41,9 +41,13 @@
 	notBefore      time.Duration
 	avoidUntil     map[string]time.Duration // by worker ID
 	avoidedAt      time.Duration            // when a worker was last added to avoidUntil
-	// ignoresFailures opens workers with failures to a search while it is set.
-	ignoresFailures bool
-	claim           *claim
+	// waived holds while a search for a place is in progress.
+	waived waivers
+	claim  *claim
+	// lenders are the units for which the room of the current run was reserved. hasLent is
+	// set once a unit was started in the room reserved for this one.
+	lenders []*unit
+	hasLent bool
 	// estimatedEnd is the expected end of the current run as of endEstimatedAt.
 	estimatedEnd, endEstimatedAt time.Duration
 	// evicted is set from evictedAt, when the unit was stopped for another one, until
@@ -130,6 +134,7 @@
 	rejected     bool
 	saveAgainAt  time.Duration
 	arrivedAt    time.Duration // on the term's clock; negative if submitted before the term
+	idleSince    time.Duration // since when nothing has run while the pool is idle; 0 if that is not so
 	delayReports delayReports
 }
 
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -260,13 +260,13 @@
 		return explain.Draining
 	case c.policy.ZonesOut[w.info.Zone]:
 		return explain.ZoneOut
-	case w.failures.Quarantined(c.now) && !u.ignoresFailures:
+	case w.failures.Quarantined(c.now) && !u.waived.failures:
 		return explain.Quarantined
-	case u.avoidUntil[w.info.ID] > c.now && !u.ignoresFailures:
+	case u.avoidUntil[w.info.ID] > c.now && !u.waived.failures:
 		return explain.Avoided
 	case c.conflictsWithSuspects(u, w):
 		return explain.Avoided
-	case u.onLastAttempt() && w.failures.Recent(c.now) && !u.ignoresFailures:
+	case u.onLastAttempt() && w.failures.Recent(c.now) && !u.waived.failures:
 		return explain.RecentFailure
 	case u.step.RequiredLabel != "" && !slices.Contains(w.info.Labels, u.step.RequiredLabel):
 		return explain.MissingLabel
@@ -329,6 +329,9 @@
 		available = available.Add(u.claim.needs[w])
 	}
 	for _, r := range w.reserved {
+		if u.waived.reservations && !r.taken {
+			continue
+		}
 		if r.unit != u && c.now+c.runTimeOn(u, w) > r.from {
 			available = available.Sub(r.needs)
 		}
--- a/internal/graph/plan/quarantine.go
+++ b/internal/graph/plan/quarantine.go
@@ -52,8 +52,8 @@
 	if len(u.avoidUntil) > 0 && c.now < u.avoidedAt+refusalBackoff || c.emptyRoomFor(u) >= u.taskCount {
 		return false
 	}
-	u.ignoresFailures = true
-	defer func() { u.ignoresFailures = false }()
+	defer func(before waivers) { u.waived = before }(u.waived)
+	u.waived.failures = true
 	return c.emptyRoomFor(u) >= u.taskCount
 }
 
--- a/internal/graph/plan/reserve.go
+++ b/internal/graph/plan/reserve.go
@@ -55,12 +55,14 @@
 	unit  *unit
 	needs graph.Resources
 	from  time.Duration // expected start of the unit
+	// taken is set in a trial pass, for a unit that would start now.
+	taken bool
 }
 
 func (c *Core) addReservation(r *reservation) {
 	c.sched.reservations = append(c.sched.reservations, r)
 	for w, needs := range r.needs {
-		w.reserved = append(w.reserved, reservedRoom{r.unit, needs, r.expectedStart})
+		w.reserved = append(w.reserved, reservedRoom{unit: r.unit, needs: needs, from: r.expectedStart})
 	}
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -40,6 +40,7 @@
 	c.sched.delay = delayState{}
 	c.sched.fleetIdle = nil
 	c.updateHeadroom()
+	c.updateIdleJobs()
 	for _, u := range c.waitingUnits(c.sched.withinGuarantee) {
 		c.placeUnit(u, c.sched.withinGuarantee[u.job])
 	}
@@ -118,6 +119,10 @@
 		return
 	}
 	reserved := c.reserve(u)
+	if c.claimByEviction(u, c.recallPlan(u), ReasonRecalled) {
+		c.useClaim(u)
+		return
+	}
 	if reserved != nil && c.claimByEviction(u, c.preemptionFor(u, reserved.expectedStart), ReasonPreempted) {
 		c.useClaim(u)
 		return
@@ -143,20 +148,32 @@
 }
 
 // searchPlacement is findPlacement without its shortcuts. A unit that workers with
-// failures shut out may use them, like any other that has waited for refusalBackoff.
+// failures shut out may use them, like any other that has waited for refusalBackoff. One
+// whose job stands still on an idle pool waives other preferences too.
 func (c *Core) searchPlacement(u *unit) []allocation {
+	if allocs := c.searchCandidates(u); allocs != nil {
+		return allocs
+	}
+	defer func(before waivers) { u.waived = before }(u.waived)
+	if c.shutOutByFailures(u) {
+		u.waived.failures = true
+		if allocs := c.searchCandidates(u); allocs != nil {
+			return allocs
+		}
+	}
+	return c.searchWithWaivers(u)
+}
+
+// searchCandidates returns the first place for a unit in the order of the sets of
+// candidates, or nil.
+func (c *Core) searchCandidates(u *unit) []allocation {
 	acrossRacks := !c.fitsEmptyRack(u)
 	for _, candidates := range c.candidateSets(u, c.candidates(u)) {
 		if allocs := bestPlacement(u, candidates, acrossRacks); allocs != nil {
 			return allocs
 		}
 	}
-	if u.ignoresFailures || !c.shutOutByFailures(u) {
-		return nil
-	}
-	u.ignoresFailures = true
-	defer func() { u.ignoresFailures = false }()
-	return c.searchPlacement(u)
+	return nil
 }
 
 // mightFit reports whether the unit would fit if all workers were eligible, except
@@ -207,6 +224,7 @@
 	u.waits = waitReports{}
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
+	c.borrow(u, allocs)
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	u.crashes.beginRun()
 	u.endEstimatedAt = 0
--- a/internal/graph/plan/trial.go
+++ b/internal/graph/plan/trial.go
@@ -102,6 +102,9 @@
 		}
 	}
 	r := c.reserve(u)
+	if p := c.recallPlan(u); p != nil {
+		return c.holdRoom(c.evictionTrialOf(u, p))
+	}
 	if r == nil {
 		return unitTrial{unit: u, plan: explain.Wait, noPlace: c.whyNoReservation(u)}
 	}
@@ -118,7 +121,7 @@
 // holdRoom makes the room of a trial unavailable to other units, like a claim or a run.
 func (c *Core) holdRoom(t unitTrial) unitTrial {
 	for w, needs := range needsByWorker(t.allocs, t.unit.step) {
-		w.reserved = append(w.reserved, reservedRoom{t.unit, needs, c.now})
+		w.reserved = append(w.reserved, reservedRoom{unit: t.unit, needs: needs, from: c.now, taken: true})
 	}
 	return t
 }
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -157,7 +157,7 @@
 	case "run-ended":
 		r := o.run(l.Run)
 		r.end, r.ended = l.Detail, l.Time
-	case "preempted", "reclaimed-for-guarantee":
+	case "preempted", "reclaimed-for-guarantee", "recalled-for-reservation":
 		if claimant := j.job(strings.TrimPrefix(l.Detail, "for ")); claimant != nil {
 			claimant.claims = append(claimant.claims, l.Time)
 		}
