--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -8,18 +8,24 @@
 	"time"
 )
 
-// Reservations are a reason to wait. A job that has nothing running while most of its pool
-// is idle waits for these only for a time, and then uses what is free: callers expect it to
-// run within 3 s.
+// Reservations and racks are reasons to wait for a better place. A job
+// that has nothing running while most of its pool is idle waits for these only for a time,
+// and then uses what is free: callers expect it to run within 3 s.
 
-// maxLoan is how long a unit waits before it stops those that were started in the room
-// reserved for it.
-const maxLoan = time.Minute
+const (
+	// maxRackWait is the time on an idle pool after which a gang of one rack is spread
+	// over several. It runs longer there, so this is the last resort.
+	maxRackWait = 2200 * time.Millisecond
+	// maxLoan is how long a unit waits before it stops those that were started in the room
+	// reserved for it.
+	maxLoan = time.Minute
+)
 
 // waivers are the preferences that a search for a place leaves out of account.
 type waivers struct {
 	failures     bool // of workers
 	reservations bool // of other units
+	racks        bool // for a gang of one rack
 }
 
 // updateIdleJobs records since when jobs have had nothing running while their pool is idle.
@@ -73,7 +79,16 @@
 	}
 	defer func(before waivers) { u.waived = before }(u.waived)
 	u.waived.reservations = true
-	return c.searchCandidates(u)
+	if allocs := c.searchCandidates(u); allocs != nil {
+		return allocs
+	}
+	if u.step.SameRack && c.idleFor(u.job, maxRackWait) {
+		u.waived.racks = true
+		if allocs := c.searchCandidates(u); allocs != nil {
+			return allocs
+		}
+	}
+	return nil
 }
 
 // borrow records whose reserved room a placement takes, and reports what it leaves out of
@@ -94,21 +109,28 @@
 			}
 		}
 	}
-	if waived := describeWaivers(u); waived != "" {
+	if waived := c.describeWaivers(u, allocs); waived != "" {
 		c.emit(Notice{Reason: ReasonIdleWaitEnded, Job: u.job.ID, Task: u.taskID(0).String(), Run: u.run,
 			Detail: fmt.Sprintf("nothing ran for %v on an idle pool; %s", c.now-u.job.idleSince, waived)})
 	}
 }
 
 // describeWaivers returns which preferences a placement leaves out of account.
-func describeWaivers(u *unit) string {
+func (c *Core) describeWaivers(u *unit, allocs []allocation) string {
 	var out []string
 	for _, l := range u.lenders {
 		out = append(out, "in room reserved for "+l.taskID(0).String())
 	}
+	if u.step.SameRack && spansRacks(allocs) && c.fitsEmptyRack(u) {
+		out = append(out, "spread over racks")
+	}
 	return strings.Join(out, ", ")
 }
 
+func spansRacks(allocs []allocation) bool {
+	return slices.ContainsFunc(allocs, func(a allocation) bool { return a.worker.info.Rack != allocs[0].worker.info.Rack })
+}
+
 // recallPlan returns the plan to stop the units that were started in the room reserved for
 // a unit, if it has waited for maxLoan and would then fit, or nil. Others may otherwise be
 // started there without end.
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -167,7 +167,7 @@
 // searchCandidates returns the first place for a unit in the order of the sets of
 // candidates, or nil.
 func (c *Core) searchCandidates(u *unit) []allocation {
-	acrossRacks := !c.fitsEmptyRack(u)
+	acrossRacks := u.waived.racks || !c.fitsEmptyRack(u)
 	for _, candidates := range c.candidateSets(u, c.candidates(u)) {
 		if allocs := bestPlacement(u, candidates, acrossRacks); allocs != nil {
 			return allocs
