--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Reservations and racks are reasons to wait for a better place. A job
+// Reservations, racks and failures of workers are reasons to wait for a better place. A job
 // that has nothing running while most of its pool is idle waits for these only for a time,
 // and then uses what is free: callers expect it to run within 3 s.
 
@@ -88,7 +88,11 @@
 			return allocs
 		}
 	}
-	return nil
+	if u.waived.failures || u.onLastAttempt() {
+		return nil
+	}
+	u.waived.failures = true
+	return c.searchCandidates(u)
 }
 
 // borrow records whose reserved room a placement takes, and reports what it leaves out of
@@ -124,6 +128,9 @@
 	if u.step.SameRack && spansRacks(allocs) && c.fitsEmptyRack(u) {
 		out = append(out, "spread over racks")
 	}
+	if slices.ContainsFunc(allocs, func(a allocation) bool { return !c.eligible(a.worker, u) }) {
+		out = append(out, "on workers with failures")
+	}
 	return strings.Join(out, ", ")
 }
 
--- a/internal/graph/plan/idle_test.go
+++ b/internal/graph/plan/idle_test.go
@@ -71,3 +71,23 @@
 		f.pass(5 * time.Second)
 	}
 }
+
+// TestQuarantineLeavesNoGangWaitingOnIdleFleet guards against a gang that waits for the sound workers of an idle fleet, which others use for long.
+func TestQuarantineLeavesNoGangWaitingOnIdleFleet(t *testing.T) {
+	const mostIdle = 3 * time.Second
+	f := newListingFleet(24, 500*time.Millisecond, deployedFeatures...)
+	whole := graph.Resources{Accelerators: 8}
+	for _, w := range f.core.sortedWorkers[:8] {
+		for range 2 {
+			f.core.recordFailure(w, &unit{job: newJob(&graph.Job{})}, 0)
+		}
+	}
+	f.submit("long", graph.Step{Count: 11, MaxPerWorker: 1, Estimate: time.Minute, Needs: whole}, time.Minute)
+	f.submit("gang", graph.Step{Count: 6, Gang: true, Estimate: 10 * time.Second, Needs: whole}, 10*time.Second)
+	if n := f.quarantined(); n != 8 {
+		t.Fatalf("%d of 24 workers are quarantined", n)
+	}
+	if idle := f.longestIdle("gang", 8*time.Second); idle > mostIdle {
+		t.Errorf("nothing runs for %v, with 11 of 24 workers in use", idle)
+	}
+}
