tests: restarts, cut lists and foreign heartbeats at several workers at once

These disturb most of a fleet: workers that restart together under their names, some with their agents; cut lists while agents and entries are killed; heartbeats of another program at every agent. The stand-in of a worker records which completions were noted, and mustRunOneAtATime fails on a start after one.

No product fault was found.

--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -35,6 +35,8 @@
 	lastEndNumber  uint64
 	runs           map[graph.TaskID]*activeRun
 	unacknowledged []graph.RunEnd
+	endedSpans     map[uint64]*RunSpan     // of unacknowledged, by number
+	expiredAt      time.Time               // when the lease was last over
 	highestStopped map[graph.TaskID]uint64 // highest run of each task that was stopped or has ended
 	endAdded       chan struct{}
 	startedTasks   []graph.TaskID
@@ -73,6 +75,9 @@
 	Task       graph.TaskID
 	Run        uint64
 	Begin, End time.Time
+	// DoneNoted is set once the end of a run that is done was acknowledged, unless the
+	// lease had expired between the two.
+	DoneNoted bool
 }
 
 // end ends a run without a trace in the runner's lists.
@@ -103,6 +108,7 @@
 	r.epoch, r.acknowledged, r.lastEndNumber = 0, 0, 0
 	r.leaseEnd = time.Time{}
 	r.runs, r.unacknowledged, r.highestStopped = map[graph.TaskID]*activeRun{}, nil, map[graph.TaskID]uint64{}
+	r.endedSpans, r.expiredAt = map[uint64]*RunSpan{}, time.Time{}
 	r.endAdded = make(chan struct{})
 }
 
@@ -209,6 +215,7 @@
 	if r.leaseEnd.IsZero() || time.Now().Before(r.leaseEnd) {
 		return
 	}
+	r.expiredAt = r.leaseEnd
 	for task := range r.runs {
 		r.endRun(task, graph.EndLeaseExpired)
 	}
@@ -273,6 +280,7 @@
 	delete(r.runs, task)
 	r.highestStopped[task] = max(r.highestStopped[task], run.run)
 	r.lastEndNumber++
+	r.endedSpans[r.lastEndNumber] = run.span
 	r.unacknowledged = append(r.unacknowledged, graph.RunEnd{Number: r.lastEndNumber, Task: task, Run: run.run, Kind: kind, Checkpoint: run.checkpoint})
 	close(r.endAdded)
 	r.endAdded = make(chan struct{})
@@ -340,6 +348,11 @@
 
 func (r *Runner) dropAcknowledged() {
 	for len(r.unacknowledged) > 0 && r.unacknowledged[0].Number <= r.acknowledged {
+		end := r.unacknowledged[0]
+		if span := r.endedSpans[end.Number]; end.Kind == graph.EndDone && r.expiredAt.Before(span.End) {
+			span.DoneNoted = true
+		}
+		delete(r.endedSpans, end.Number)
 		r.unacknowledged = r.unacknowledged[1:]
 	}
 }
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -334,26 +334,50 @@
 }
 
 func (f *fleet) startAgent(i int, entryAddresses []string) *agent {
+	a := &agent{id: fmt.Sprintf("w%d", i), zone: fmt.Sprintf("z%d", i%2), runner: standin.NewRunner()}
+	f.startKeeper(a, entryAddresses)
+	return a
+}
+
+// startKeeper starts the agent of a worker.
+func (f *fleet) startKeeper(a *agent, entryAddresses []string) {
 	clock := ledger.NewMonotonicClock()
-	id := fmt.Sprintf("w%d", i)
-	log := f.log.With().Str("id", id).Logger()
+	log := f.log.With().Str("id", a.id).Logger()
 	ledgerClient := ledger.New(&tableConn{Table: f.table}, ledger.Config{Log: log, Clock: clock})
 	finder := keeper.NewOwnerFinder(ledgerClient, cell, entryAddresses, clock, log)
-	a := &agent{id: id, zone: fmt.Sprintf("z%d", i%2), runner: standin.NewRunner()}
 	a.keeper = keeper.New(a.runner, finder, clock, metrics.NewRegistry(), log)
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
 	if err := a.keeper.Start(ctx); err != nil {
 		f.t.Fatal(err)
 	}
-	go a.sendHeartbeats(ctx)
-	return a
+	go a.sendHeartbeats(ctx, a.keeper)
+}
+
+// replaceAgent stops the agent of a worker without notice and starts another one.
+func (f *fleet) replaceAgent(a *agent) {
+	f.t.Helper()
+	a.stop()
+	if err := a.keeper.Stop(context.Background()); err != nil {
+		f.t.Error(err)
+	}
+	f.startKeeper(a, f.entryAddresses())
+}
+
+// replaceEntry kills an entry and starts another one at its address.
+func (f *fleet) replaceEntry(i int) {
+	f.t.Helper()
+	killed := f.entries[i]
+	f.stopEntry(killed, true)
+	e := f.prepareEntry(fmt.Sprintf("e%d", i), killed.address, f.entryAddresses())
+	f.startServices(e)
+	f.entries[i] = e
 }
 
 // sendHeartbeats sends the heartbeats of the worker to its agent until ctx ends.
-func (a *agent) sendHeartbeats(ctx context.Context) {
+func (a *agent) sendHeartbeats(ctx context.Context, k *keeper.Keeper) {
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		a.keeper.HandleHeartbeat(plan.WorkerInfo{
+		k.HandleHeartbeat(plan.WorkerInfo{
 			ID: a.id, Instance: a.runner.Instance(), StartUnixMillis: a.runner.StartCount(), Pool: "pool", Zone: a.zone, Rack: "r-" + a.zone,
 			Capacity: graph.Resources{MilliCPU: 16000, MemoryMB: 64000, Accelerators: 8},
 			Draining: a.draining.Load(), DrainRemaining: 3 * time.Second,
@@ -463,7 +487,8 @@
 	return out
 }
 
-// mustRunOneAtATime fails the test if two runs of a task of a job were at work at the same time.
+// mustRunOneAtATime fails the test if two runs of a task of a job were at work at the same
+// time, or one began after the completion of another was noted.
 func (f *fleet) mustRunOneAtATime(id graph.JobID) {
 	f.t.Helper()
 	byTask := map[graph.TaskID][]standin.RunSpan{}
@@ -477,8 +502,11 @@
 	for task, spans := range byTask {
 		slices.SortFunc(spans, func(a, b standin.RunSpan) int { return a.Begin.Compare(b.Begin) })
 		for i := 1; i < len(spans); i++ {
-			if earlier := spans[i-1]; earlier.End.IsZero() || spans[i].Begin.Before(earlier.End) {
+			switch earlier := spans[i-1]; {
+			case earlier.End.IsZero() || spans[i].Begin.Before(earlier.End):
 				f.t.Errorf("%v: run %d begins while run %d is at work", task, spans[i].Run, earlier.Run)
+			case earlier.DoneNoted:
+				f.t.Errorf("%v: run %d begins after the completion of run %d was noted", task, spans[i].Run, earlier.Run)
 			}
 		}
 	}
--- /dev/null
+++ b/test/graphs/together_test.go
@@ -0,0 +1,172 @@
+package graphs_test
+
+import (
+	"math/rand"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+)
+
+// between returns a random duration.
+func between(rnd *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rnd.Int63n(int64(most-least)))
+}
+
+// submitAll submits jobs at intervals and returns them.
+func (f *fleet) submitAll(jobs, tasks int, interval time.Duration) []graph.JobID {
+	f.t.Helper()
+	var ids []graph.JobID
+	for range jobs {
+		ids = append(ids, f.submit(f.entries[0], tasks))
+		time.Sleep(interval)
+	}
+	return ids
+}
+
+// mustCompleteOnce waits until all jobs are completed, and fails the test if a task ran twice.
+func (f *fleet) mustCompleteOnce(ids []graph.JobID, within time.Duration) {
+	f.t.Helper()
+	f.awaitWithin(within, "all jobs to complete", func() bool {
+		return !slices.ContainsFunc(ids, func(id graph.JobID) bool { return f.jobState(f.entries[0], id) != graph.Completed })
+	})
+	for _, id := range ids {
+		f.mustRunOneAtATime(id)
+	}
+}
+
+// TestWorkersRestartTogetherUnderTheirNames guards against tasks that run twice as several workers crash silently, some with their agents, and start again under their names.
+func TestWorkersRestartTogetherUnderTheirNames(t *testing.T) {
+	const workers, rounds = 6, 4
+	f := newFleet(t, 2, workers)
+	f.setTaskDuration(400 * time.Millisecond)
+	rnd := rand.New(rand.NewSource(1))
+	var crashes sync.WaitGroup
+	crashes.Add(1)
+	go func() {
+		defer crashes.Done()
+		for round := range rounds {
+			var restarts sync.WaitGroup
+			for _, i := range rnd.Perm(workers)[:2+rnd.Intn(3)] {
+				a, silent, late := f.agents[i], between(rnd, 50*time.Millisecond, 1300*time.Millisecond), rnd.Intn(2) == 0
+				restarts.Add(1)
+				go func() {
+					defer restarts.Done()
+					a.crashSilently(silent, late)
+				}()
+				if round%2 == 1 && rnd.Intn(2) == 0 {
+					time.Sleep(between(rnd, 10*time.Millisecond, 300*time.Millisecond))
+					f.replaceAgent(a)
+				}
+			}
+			restarts.Wait()
+			time.Sleep(between(rnd, 100*time.Millisecond, 600*time.Millisecond))
+		}
+	}()
+	ids := f.submitAll(24, 12, 250*time.Millisecond)
+	crashes.Wait()
+	f.mustCompleteOnce(ids, 30*time.Second)
+}
+
+// crashSilently lets a worker leave its calls unanswered, restarts it under its name after a
+// time and lets it answer again. If late is set, the orders of that time take effect 700 ms
+// after they were sent.
+func (a *agent) crashSilently(silent time.Duration, late bool) {
+	faults := standin.RunnerFaults{DropCalls: !late}
+	if late {
+		faults.ApplyDelay = 700 * time.Millisecond
+	}
+	a.runner.SetFaults(faults)
+	time.Sleep(silent)
+	a.runner.Restart()
+	a.runner.SetFaults(standin.RunnerFaults{})
+}
+
+// TestCutListsOutliveAgentsAndEntries guards against tasks that run again as agents and entries are killed while ends wait behind cut lists.
+func TestCutListsOutliveAgentsAndEntries(t *testing.T) {
+	const outage = 3 * time.Second
+	f := newFleet(t, 3, 3)
+	for _, a := range f.agents {
+		a.runner.MaxListedEnds = 2
+	}
+	f.setTaskDuration(1500 * time.Millisecond)
+	rnd := rand.New(rand.NewSource(1))
+	ids := f.submitAll(2, 12, 0)
+	f.await("all starts", func() bool { return len(f.startCounts(ids[0])) == 12 && len(f.startCounts(ids[1])) == 12 })
+	refuse := func(on bool) {
+		for _, e := range f.entries {
+			e.table.refuse.Store(on)
+		}
+	}
+	refuse(true)
+	for end := time.Now().Add(outage); time.Now().Before(end); {
+		f.replaceAgent(f.agents[rnd.Intn(len(f.agents))])
+		time.Sleep(between(rnd, 100*time.Millisecond, 500*time.Millisecond))
+	}
+	for i, e := range f.entries {
+		if e.owner.Current().Owner || i == 0 {
+			f.replaceEntry(i)
+			break
+		}
+	}
+	refuse(false)
+	for range 3 {
+		f.replaceAgent(f.agents[rnd.Intn(len(f.agents))])
+		time.Sleep(between(rnd, 50*time.Millisecond, 300*time.Millisecond))
+	}
+	f.mustCompleteOnce(ids, 30*time.Second)
+}
+
+// TestForeignHeartbeatsAtEveryAgentStopNoWork guards against heartbeats of another program that together take all workers out of use, also while these restart.
+func TestForeignHeartbeatsAtEveryAgentStopNoWork(t *testing.T) {
+	f := newFleet(t, 1, 4)
+	f.setTaskDuration(300 * time.Millisecond)
+	stop := make(chan struct{})
+	var writers sync.WaitGroup
+	for i, a := range f.agents {
+		rnd := rand.New(rand.NewSource(int64(i)))
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for number := uint64(1); ; number++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(between(rnd, time.Millisecond, 30*time.Millisecond)):
+					_ = a.keeper.HandleHeartbeat(a.foreignHeartbeat(rnd), number<<20) // most are refused
+				}
+			}
+		}()
+	}
+	var ids []graph.JobID
+	for range 3 {
+		ids = append(ids, f.submitAll(4, 12, 200*time.Millisecond)...)
+		f.agents[len(ids)%4].runner.Restart()
+	}
+	f.mustCompleteOnce(ids, 20*time.Second)
+	close(stop)
+	writers.Wait()
+}
+
+// foreignHeartbeat returns a heartbeat that the agent's worker has not sent.
+func (a *agent) foreignHeartbeat(rnd *rand.Rand) plan.WorkerInfo {
+	w := plan.WorkerInfo{ID: a.id, Instance: a.runner.Instance(), StartUnixMillis: a.runner.StartCount(), Pool: "pool", Zone: a.zone, Rack: "r-" + a.zone,
+		Capacity: graph.Resources{MilliCPU: 16000, MemoryMB: 64000, Accelerators: 8}}
+	switch rnd.Intn(5) {
+	case 0:
+		w.StartUnixMillis += 1 + rnd.Int63n(1<<40)
+	case 1:
+		w.ID, w.Zone = "other", "z9"
+	case 2:
+		w.Pool = "other"
+	case 3:
+		w.Labels = []string{"other"}
+	default:
+		w.StartUnixMillis--
+	}
+	return w
+}
