--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -305,6 +305,29 @@
 	return nil
 }
 
+// memberOf returns the member whose run has ended, or nil. A worker may have been reported
+// under another host name when the run was placed; an end that is acknowledged must not be
+// lost with that name.
+func (c *Core) memberOf(w *worker, e graph.RunEnd) *member {
+	if m := w.findMember(e.Task, e.Run); m != nil {
+		return m
+	}
+	j := c.jobs[e.Task.Job]
+	if j == nil {
+		return nil
+	}
+	u := j.unitOf(e.Task.Step, e.Task.Index)
+	if u == nil {
+		return nil
+	}
+	for _, m := range u.members {
+		if m.task == e.Task && m.run == e.Run && !m.ended && m.incarnation == w.info.Incarnation() {
+			return m
+		}
+	}
+	return nil
+}
+
 // processEnds handles the reported ends in order. Each is acknowledged once its
 // effect is saved. If an acknowledged end is reported again, the acknowledgement
 // is repeated.
@@ -324,7 +347,7 @@
 }
 
 func (c *Core) processEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
-	m := w.findMember(e.Task, e.Run)
+	m := c.memberOf(w, e)
 	if m == nil {
 		c.processLateEnd(e, ack)
 		return
