plan: a job on an idle pool waives preferences for one unit only

Once one unit is placed the job no longer stands still.

TestIdleJobBorrowsForOneTaskOnly failed before: 6 of 6 tasks started in the room reserved for another job, want 1.

--- a/internal/graph/plan/idle_test.go
+++ b/internal/graph/plan/idle_test.go
@@ -91,3 +91,16 @@
 		t.Errorf("nothing runs for %v, with 11 of 24 workers in use", idle)
 	}
 }
+
+// TestIdleJobBorrowsForOneTaskOnly guards against a job of many tasks that takes all the room reserved for others.
+func TestIdleJobBorrowsForOneTaskOnly(t *testing.T) {
+	f := newListingFleet(8, 500*time.Millisecond, deployedFeatures...)
+	whole := graph.Resources{Accelerators: 8}
+	f.submit("long", graph.Step{Count: 2, MaxPerWorker: 1, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	f.submit("wide", graph.Step{Count: 7, Gang: true, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	f.submit("tasks", graph.Step{Count: 6, Estimate: 30 * time.Second, Needs: whole}, 30*time.Second)
+	f.pass(10 * time.Second)
+	if n := f.starts["tasks"]; n != 1 {
+		t.Errorf("%d of 6 tasks started in the room reserved for another job, want 1", n)
+	}
+}
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -225,6 +225,7 @@
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
 	c.borrow(u, allocs)
+	u.job.idleSince = 0 // the job's other units wait like those of others
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	u.crashes.beginRun()
 	u.endEstimatedAt = 0
