agent: a repeated exit of another program closes no sound worker to starts (LOST)

Cause: an announced exit refuses starts until the worker answers a call begun 0.3 s later, and each announcement set that time anew. One DELETE each 50 ms kept all work from a worker for good.

Change: a pending check is not put off, and an announcement within 3 s of one that the worker has belied is checked without refusing starts. The exit of a draining worker is handled as before.

--- a/internal/agent/keeper/exit.go
+++ b/internal/agent/keeper/exit.go
@@ -21,11 +21,23 @@
 	if k.worker == nil || k.worker.Instance != id {
 		return
 	}
-	k.log.Info().Str("worker", k.worker.ID).Str("instance", id).Msg("worker left")
+	if k.leftAt > 0 {
+		return // it is being checked
+	}
 	k.leftAt = k.clock()
+	if k.leaving() {
+		k.log.Info().Str("worker", k.worker.ID).Str("instance", id).Msg("worker left")
+	}
 	time.AfterFunc(exitDelay, k.checkExit)
 }
 
+// leaving reports whether the worker gets no starts because its exit was announced. The
+// announcement does not count beside one that the worker has just belied: another program may
+// repeat it. The caller holds the lock.
+func (k *Keeper) leaving() bool {
+	return k.leftAt > 0 && (k.exitDeniedAt == 0 || k.leftAt-k.exitDeniedAt > heartbeatSilence)
+}
+
 // checkExit calls the worker, beside the Hold call that may be waiting for ends.
 func (k *Keeper) checkExit() {
 	if k.canHold() {
@@ -63,7 +75,9 @@
 	if k.worker.Draining {
 		return
 	}
-	k.leftAt = 0
-	k.log.Info().Str("worker", k.worker.ID).Str("instance", k.worker.Instance).Msg("worker answers after its exit was announced")
+	if k.leaving() {
+		k.log.Info().Str("worker", k.worker.ID).Str("instance", k.worker.Instance).Msg("worker answers after its exit was announced")
+	}
+	k.leftAt, k.exitDeniedAt = 0, k.clock()
 	wake(k.wakeSend)
 }
--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -54,6 +54,7 @@
 	heartbeatNumber uint64          // number of its last heartbeat
 	heartbeatAt     time.Duration   // when its last heartbeat was accepted
 	leftAt          time.Duration   // when it announced its exit, 0 if it did not
+	exitDeniedAt    time.Duration   // when it last answered after an announcement, 0 if it did not
 	gone            bool            // it has ended after the announcement
 	lease           lease
 	epoch           uint64 // highest known epoch of an owner
@@ -126,7 +127,7 @@
 	k.accepted = map[runRef]bool{}
 	k.lease.reset(k.clock())
 	k.runs = external.RunList{}
-	k.listedEpoch, k.acknowledged, k.leftAt, k.gone = 0, 0, 0, false
+	k.listedEpoch, k.acknowledged, k.leftAt, k.exitDeniedAt, k.gone = 0, 0, 0, 0, false
 	k.absent = nil
 	k.orders = map[runRef]*order{}
 }
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -169,7 +169,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch {
-	case k.worker == nil || k.worker.Draining || k.leftAt > 0:
+	case k.worker == nil || k.worker.Draining || k.leaving():
 		return "worker drains"
 	case !rpc.CapacityOf(o).Fits(k.worker.Capacity):
 		return "capacity has shrunk"
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -324,3 +324,21 @@
 		t.Error("not gone once its process has ended")
 	}
 }
+
+// TestRepeatedExitsOfAnotherProgramRefuseNoStarts guards against a DELETE of another program, repeated with the true name, that keeps all work from a sound worker.
+func TestRepeatedExitsOfAnotherProgramRefuseNoStarts(t *testing.T) {
+	const interval, duration = 50 * time.Millisecond, 2 * time.Second
+	k, _, worker := orderedKeeper(t)
+	k.awaitList(t)
+	refused, announced := 0, int(duration/interval)
+	for range announced {
+		k.HandleWorkerLeft(worker.Instance)
+		if k.refusal(&rpc.StartTask{}) != "" {
+			refused++
+		}
+		time.Sleep(interval)
+	}
+	if most := int(3 * exitDelay / interval); refused > most {
+		t.Errorf("starts are refused at %d of %d announcements, want %d at most", refused, announced, most)
+	}
+}
