--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -57,6 +57,7 @@
 	exitDeniedAt    time.Duration   // when it last answered after an announcement, 0 if it did not
 	gone            bool            // it has ended after the announcement
 	lease           lease
+	leaseTerm       uint64 // counts the grants that followed a lease which was over
 	epoch           uint64 // highest known epoch of an owner
 	listedEpoch     uint64 // epoch under which runs was listed
 	listedAt        time.Duration
@@ -195,6 +196,7 @@
 	deadline        time.Duration
 	acknowledged    uint64
 	begunAt         time.Duration
+	leaseTerm       uint64
 	// listOnly is set for a list without lease and acknowledgements.
 	listOnly bool
 }
--- a/internal/agent/keeper/lease.go
+++ b/internal/agent/keeper/lease.go
@@ -23,6 +23,8 @@
 	// usedReportAt is grantReportAt of the last deadline that may have reached
 	// the worker.
 	usedReportAt time.Duration
+	// length is that of the last granted lease, 0 before the first one.
+	length time.Duration
 }
 
 type sentReport struct {
@@ -65,13 +67,17 @@
 			continue
 		}
 		if d := b.minWorkerClock + length; d > l.deadline {
-			l.deadline, l.grantReportAt = d, b.sentAt
+			l.deadline, l.grantReportAt, l.length = d, b.sentAt, length
 		}
 		l.reports = l.reports[i+1:]
 		return
 	}
 }
 
+// over reports whether the last granted lease had ended by now. The owner may have given up
+// the worker's runs then.
+func (l *lease) over(now time.Duration) bool { return l.length > 0 && now > l.grantReportAt+l.length }
+
 // takeDeadline returns the deadline to send to the worker now and records it as
 // possibly received.
 func (l *lease) takeDeadline() time.Duration {
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -85,12 +85,13 @@
 }
 
 // executeStart starts a run on the incarnation of the worker that the owner of an epoch
-// has named. If the call fails or its outcome is unknown, it settles the run, so that the
+// has named, unless another term of the lease has begun since the order. If the call fails or its outcome is unknown, it settles the run, so that the
 // owner learns what became of it.
-func (k *Keeper) executeStart(ctx context.Context, incarnation string, epoch uint64, o *rpc.StartTask) {
+func (k *Keeper) executeStart(ctx context.Context, incarnation string, epoch, leaseTerm uint64, o *rpc.StartTask) {
 	task, run := rpc.TaskOf(o.Ref)
 	ref := runRef{task, run}
 	t := k.target()
+	t.leaseTerm = leaseTerm
 	if t.incarnation != incarnation || t.epoch != epoch {
 		return // settled by the next owner, or reported with the new incarnation
 	}
@@ -140,7 +141,7 @@
 		}
 		deadline, ok := k.beginStart(t, ref)
 		if !ok {
-			return errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed")
+			return errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
 		}
 		startRun.Deadline = deadline
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -140,7 +140,7 @@
 func (k *Keeper) beginStart(t callTarget, ref runRef) (deadline time.Duration, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.current(t) || k.leaving() {
+	if !k.current(t) || k.leaving() || k.leaseTerm != t.leaseTerm {
 		return 0, false
 	}
 	k.unanswered.begin(ref, k.clock())
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -222,7 +222,7 @@
 	k.awaitList(t)
 	k.lease.recordReport(1, k.clock())
 	k.lease.applyGrant(1, time.Minute)
-	k.executeStart(context.Background(), worker.Incarnation(), 1, &rpc.StartTask{Ref: rpc.TaskRefOf(graph.TaskID{Job: "j"}, 7)})
+	k.executeStart(context.Background(), worker.Incarnation(), 1, 0, &rpc.StartTask{Ref: rpc.TaskRefOf(graph.TaskID{Job: "j"}, 7)})
 	if started := runner.StartedTasks(); len(started) > 0 {
 		t.Errorf("%v started on the next incarnation", started)
 	}
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -215,7 +215,7 @@
 	first := true
 	for {
 		o, err := l.stream.Recv()
-		if err == nil {
+		if err == nil && ctx.Err() == nil { // the owner repeats the orders of a connection that has ended
 			l.answers.recordAnswer(o.AnsweredBeat)
 			err = l.keeper.applyOrders(l.keeper.loops.Context(), o)
 		}
@@ -252,12 +252,13 @@
 	}
 	forThisIncarnation := k.worker != nil && o.Incarnation == k.worker.Incarnation()
 	if forThisIncarnation {
-		k.lease.applyGrant(o.GrantedBeat, time.Duration(o.LeaseMs)*time.Millisecond)
+		k.renewLease(o.GrantedBeat, time.Duration(o.LeaseMs)*time.Millisecond)
 		if o.Acknowledged > k.acknowledged {
 			k.acknowledged = o.Acknowledged
 			wake(k.wakeHold)
 		}
 	}
+	leaseTerm := k.leaseTerm
 	k.mu.Unlock()
 	if !forThisIncarnation {
 		return nil
@@ -266,11 +267,21 @@
 		go k.executeStop(ctx, o.Epoch, s)
 	}
 	for _, s := range o.Starts {
-		go k.executeStart(ctx, o.Incarnation, o.Epoch, s)
+		go k.executeStart(ctx, o.Incarnation, o.Epoch, leaseTerm, s)
 	}
 	return nil
 }
 
+// renewLease applies a grant. One that follows a lease which was over begins another term:
+// the owner may have given up the runs of the earlier orders. The caller holds the lock.
+func (k *Keeper) renewLease(report uint64, length time.Duration) {
+	over, before := k.lease.over(k.clock()), k.lease.grantReportAt
+	k.lease.applyGrant(report, length)
+	if over && k.lease.grantReportAt > before {
+		k.leaseTerm++
+	}
+}
+
 // relistRuns lists the runs under a new epoch immediately, concurrently with the
 // Hold call that waits for ends.
 func (k *Keeper) relistRuns(ctx context.Context) {
