--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -196,7 +196,7 @@
 	deadline        time.Duration
 	acknowledged    uint64
 	begunAt         time.Duration
-	leaseTerm       uint64
+	leaseTerm       uint64 // of a start: the term of its order
 	// listOnly is set for a list without lease and acknowledgements.
 	listOnly bool
 }
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -85,8 +85,8 @@
 }
 
 // executeStart starts a run on the incarnation of the worker that the owner of an epoch
-// has named, unless another term of the lease has begun since the order. If the call fails or its outcome is unknown, it settles the run, so that the
-// owner learns what became of it.
+// has named, unless another term of the lease has begun since the order. If the call fails
+// or its outcome is unknown, it settles the run, so that the owner learns what became of it.
 func (k *Keeper) executeStart(ctx context.Context, incarnation string, epoch, leaseTerm uint64, o *rpc.StartTask) {
 	task, run := rpc.TaskOf(o.Ref)
 	ref := runRef{task, run}
