--- a/internal/graph/plan/idle_test.go
+++ b/internal/graph/plan/idle_test.go
@@ -42,13 +42,20 @@
 	}
 }
 
+// submitWideGang submits a job on two workers and a gang on seven, which waits for one of
+// them on a fleet of eight. It returns the needs of a task that takes a whole worker.
+func (f *listingFleet) submitWideGang() graph.Resources {
+	whole := graph.Resources{Accelerators: 8}
+	f.submit("long", graph.Step{Count: 2, MaxPerWorker: 1, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	f.submit("wide", graph.Step{Count: 7, Gang: true, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	return whole
+}
+
 // TestWideGangLeavesIdleWorkersToOthers guards against a gang that holds most of an idle fleet back while it waits for the rest.
 func TestWideGangLeavesIdleWorkersToOthers(t *testing.T) {
 	const mostIdle = 3 * time.Second
 	f := newListingFleet(8, 500*time.Millisecond, deployedFeatures...)
-	whole := graph.Resources{Accelerators: 8}
-	f.submit("long", graph.Step{Count: 2, MaxPerWorker: 1, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
-	f.submit("wide", graph.Step{Count: 7, Gang: true, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	whole := f.submitWideGang()
 	f.pass(2 * time.Second)
 	f.submit("narrow", graph.Step{Count: 2, Gang: true, Estimate: 30 * time.Second, Needs: whole}, 30*time.Second)
 	if idle := f.longestIdle("narrow", 30*time.Second); idle > mostIdle {
@@ -60,9 +67,7 @@
 func TestWideGangOutlastsLoansOfItsRoom(t *testing.T) {
 	const bound = 2 * time.Minute
 	f := newListingFleet(8, 500*time.Millisecond, deployedFeatures...)
-	whole := graph.Resources{Accelerators: 8}
-	f.submit("long", graph.Step{Count: 2, MaxPerWorker: 1, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
-	f.submit("wide", graph.Step{Count: 7, Gang: true, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	whole := f.submitWideGang()
 	for i := 0; f.starts["wide"] == 0; i++ {
 		if f.now > bound {
 			t.Fatalf("not started after %v; %d narrow jobs were started", f.now, len(f.starts)-2)
@@ -95,9 +100,7 @@
 // TestIdleJobBorrowsForOneTaskOnly guards against a job of many tasks that takes all the room reserved for others.
 func TestIdleJobBorrowsForOneTaskOnly(t *testing.T) {
 	f := newListingFleet(8, 500*time.Millisecond, deployedFeatures...)
-	whole := graph.Resources{Accelerators: 8}
-	f.submit("long", graph.Step{Count: 2, MaxPerWorker: 1, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
-	f.submit("wide", graph.Step{Count: 7, Gang: true, Estimate: 20 * time.Second, Needs: whole}, 20*time.Second)
+	whole := f.submitWideGang()
 	f.submit("tasks", graph.Step{Count: 6, Estimate: 30 * time.Second, Needs: whole}, 30*time.Second)
 	f.pass(10 * time.Second)
 	if n := f.starts["tasks"]; n != 1 {
