--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -85,6 +85,7 @@
 	partitioned   bool    // no messages pass between its agent and the owner
 	speed         float64 // 1 is full speed
 	faulty        bool    // fails all of its runs
+	refuses       bool    // refuses all starts
 	runs          []*simRun
 	ended         []graph.RunEnd
 	lastAcked     uint64
@@ -464,6 +465,11 @@
 		w.reportNow = true
 		return
 	}
+	if w.refuses {
+		w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "refused"})
+		w.reportNow = true
+		return
+	}
 	s.checkStart(w, u, a)
 	if !w.used().Add(u.step.Needs).Fits(w.info.Capacity) {
 		s.rejected++
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -41,6 +41,7 @@
 	notBefore      time.Duration
 	avoidUntil     map[string]time.Duration // by worker ID
 	avoidedAt      time.Duration            // when a worker was last added to avoidUntil
+	refusedUntil   map[string]time.Duration // by worker ID, until when one that refused the unit is not asked again
 	// waived holds while a search for a place is in progress.
 	waived waivers
 	claim  *claim
--- a/internal/graph/plan/outlook.go
+++ b/internal/graph/plan/outlook.go
@@ -227,7 +227,7 @@
 func (c *Core) fitsLikeOthers(u *unit) bool {
 	s := u.step
 	return u.taskCount == 1 && s.RequiredLabel == "" && s.MaxPerWorker == 0 &&
-		u.failures == 0 && len(u.avoidUntil) == 0 && u.notBefore <= c.now
+		u.failures == 0 && !u.avoidsWorkers() && u.notBefore <= c.now
 }
 
 func (c *Core) waitingTasks(u *unit, count int, guaranteed bool) outlook.Waiting {
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -264,6 +264,8 @@
 		return explain.Quarantined
 	case u.avoidUntil[w.info.ID] > c.now && !u.waived.failures:
 		return explain.Avoided
+	case u.refusedUntil[w.info.ID] > c.now:
+		return explain.Avoided
 	case c.conflictsWithSuspects(u, w):
 		return explain.Avoided
 	case u.onLastAttempt() && w.failures.Recent(c.now) && !u.waived.failures:
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -141,7 +141,7 @@
 			return allocs
 		}
 	}
-	if len(u.avoidUntil) == 0 && u.crashes.most() == 0 {
+	if !u.avoidsWorkers() && u.crashes.most() == 0 {
 		c.sched.noRoom[k] = true
 	}
 	return nil
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -390,7 +390,7 @@
 	u := m.unit
 	c.emit(Notice{Reason: ReasonRunEnded, Job: u.job.ID, Task: a.Task.String(), Run: a.Run, Worker: w.info.ID, Detail: "refused: " + a.Reason})
 	if !m.stopping {
-		c.avoidFor(u, w, refusalBackoff)
+		u.refusedBy(w, c.now+refusalBackoff)
 	}
 	c.endMember(m, graph.EndNeverStarted, "")
 	c.requestSave(u.job, nil)
@@ -442,12 +442,24 @@
 	c.endLostMembers(w, noIncarnation)
 }
 
+// avoidsWorkers reports whether the unit has avoided workers in this term.
+func (u *unit) avoidsWorkers() bool { return len(u.avoidUntil)+len(u.refusedUntil) > 0 }
+
 // avoidFor makes a unit avoid a worker for a time.
 func (c *Core) avoidFor(u *unit, w *worker, d time.Duration) {
 	u.avoidWorker(w.info.ID, c.now+d)
 	u.avoidedAt = c.now
 }
 
+// refusedBy makes a unit leave out a worker that refused it until the given time. It is so
+// short that nothing waives it.
+func (u *unit) refusedBy(w *worker, until time.Duration) {
+	if u.refusedUntil == nil {
+		u.refusedUntil = map[string]time.Duration{}
+	}
+	u.refusedUntil[w.info.ID] = until
+}
+
 func (u *unit) avoidWorker(id string, until time.Duration) {
 	if u.avoidUntil == nil {
 		u.avoidUntil = map[string]time.Duration{}
