--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -76,6 +76,9 @@
 	if checkpoint != "" && u.step.Checkpointable {
 		c.keepCheckpoint(m, checkpoint)
 	}
+	if kind != graph.EndNeverStarted && kind != graph.EndWorkerLost {
+		u.job.idleSince = 0 // it ran, possibly between two lists
+	}
 	switch kind {
 	case graph.EndDone:
 		u.runDone = true
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -32,7 +32,7 @@
 func (c *Core) updateIdleJobs() {
 	idle := map[string]bool{}
 	for _, j := range c.activeJobs {
-		if j.hasRuns() || !slices.ContainsFunc(j.units, func(u *unit) bool { return u.isReady(c.now) }) {
+		if !j.standsStill(c.now) {
 			j.idleSince = 0
 			continue
 		}
@@ -48,6 +48,19 @@
 	}
 }
 
+// standsStill reports whether nothing of a job runs while a unit could. A unit that is placed
+// does not run before its worker tells: it may still be refused.
+func (j *job) standsStill(now time.Duration) bool {
+	waits := false
+	for _, u := range j.units {
+		if slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended && (m.running || m.accepted || m.recovered) }) {
+			return false
+		}
+		waits = waits || u.phase == unitPlaced || u.isReady(now)
+	}
+	return waits
+}
+
 // hasRuns reports whether a unit of the job is placed.
 func (j *job) hasRuns() bool {
 	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced })
@@ -66,9 +79,10 @@
 	return used < idleFleetPart*total
 }
 
-// idleFor reports whether a job has had nothing running on an idle pool for d.
+// idleFor reports whether a job has had nothing running on an idle pool for d. Once a unit of
+// it is placed, the others wait like those of other jobs.
 func (c *Core) idleFor(j *job, d time.Duration) bool {
-	return j.idleSince > 0 && c.now-j.idleSince >= d
+	return j.idleSince > 0 && c.now-j.idleSince >= d && !j.hasRuns()
 }
 
 // searchWithWaivers looks for a place without one preference after the other, as far as the
--- a/internal/graph/plan/refusals_test.go
+++ b/internal/graph/plan/refusals_test.go
@@ -35,3 +35,25 @@
 		t.Errorf("nothing runs for %v on an idle fleet", idle)
 	}
 }
+
+// TestRefusingWorkerDoesNotProlongTheWaitOnIdleFleet guards against a unit that never uses reserved room, as the wait begins anew with each refusal.
+func TestRefusingWorkerDoesNotProlongTheWaitOnIdleFleet(t *testing.T) {
+	const mostIdle = 3 * time.Second
+	s := crashSim(t, 9)
+	small := s.workers[8]
+	s.observe = (&planMachine{sim: s}).DBG
+	small.refuses, small.info.Capacity.Accelerators = true, 4
+	s.runUntil(time.Second)
+	long, wide, narrow := crashJob("long", 2, 8, false), crashJob("wide", 7, 8, true), crashJob("narrow", 1, 4, false)
+	for i, j := range []*simJob{long, wide, narrow} {
+		j.Steps[0].Estimate = time.Duration(20+10*i) * time.Second
+		for _, u := range j.units[0] {
+			u.work = j.Steps[0].Estimate
+		}
+		s.submit(j)
+		s.runUntil(s.now + time.Second)
+	}
+	if idle := s.longestStill(narrow, 10*time.Second); idle > mostIdle {
+		t.Errorf("nothing runs for %v with 2 of 9 workers in use", idle)
+	}
+}
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -219,13 +219,12 @@
 func (c *Core) bind(u *unit, allocs []allocation) {
 	c.learnRequeueWait(u)
 	c.sched.releases.valid = false
-	u.phase = unitPlaced
 	u.declinedSince = 0
 	u.waits = waitReports{}
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
 	c.borrow(u, allocs)
-	u.job.idleSince = 0 // the job's other units wait like those of others
+	u.phase = unitPlaced
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	u.crashes.beginRun()
 	u.endEstimatedAt = 0
