plan: a unit on its last attempt waits for sound workers for a time only (LOST)

Beside workers on which runs had failed in the last 12 s, a unit on its last attempt waited for sound ones however long these were in use, also on an idle pool: searchWithWaivers left it out. It uses them as the last resort now, after 2.2 s, like a gang of one rack that is spread: the attempt may be lost there, but a job that stands still for 3 s breaks the rule for certain.

TestLastAttemptDoesNotWaitForSoundWorkers failed before: "nothing runs for 8.99s with one of 4 workers in use".

--- a/internal/graph/plan/refusals_test.go
+++ b/internal/graph/plan/held_test.go
@@ -57,3 +57,23 @@
 		t.Errorf("nothing runs for %v with 2 of 9 workers in use", idle)
 	}
 }
+
+// TestLastAttemptDoesNotWaitForSoundWorkers guards against a unit that waits beside idle workers that have failed runs, for sound ones that are in use for long.
+func TestLastAttemptDoesNotWaitForSoundWorkers(t *testing.T) {
+	const mostIdle = 3 * time.Second
+	s := crashSim(t, 4)
+	for _, w := range s.workers[:2] {
+		w.info.Labels = []string{"x"}
+	}
+	s.runUntil(time.Second)
+	long, j := crashJob("long", 1, 8, false), crashJob("j", 1, 4, false)
+	long.units[0][0].work, long.Steps[0].Estimate = 30*time.Second, 30*time.Second
+	j.units[0][0].failuresLeft = j.MaxAttempts - 1
+	for _, j := range []*simJob{long, j} {
+		j.Steps[0].RequiredLabel = "x"
+		s.submit(j)
+	}
+	if idle := s.longestStill(j, 10*time.Second); idle > mostIdle {
+		t.Errorf("nothing runs for %v with one of 4 workers in use", idle)
+	}
+}
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -13,9 +13,10 @@
 // and then uses what is free: callers expect it to run within 3 s.
 
 const (
-	// maxRackWait is the time on an idle pool after which a gang of one rack is spread
-	// over several. It runs longer there, so this is the last resort.
-	maxRackWait = 2200 * time.Millisecond
+	// lastResortWait is the time on an idle pool after which a gang of one rack is spread
+	// over several, where it runs longer, and a unit on its last attempt uses workers with
+	// failures.
+	lastResortWait = 2200 * time.Millisecond
 	// maxLoan is how long a unit waits before it stops those that were started in the room
 	// reserved for it.
 	maxLoan = time.Minute
@@ -96,13 +97,13 @@
 	if allocs := c.searchCandidates(u); allocs != nil {
 		return allocs
 	}
-	if u.step.SameRack && c.idleFor(u.job, maxRackWait) {
+	if u.step.SameRack && c.idleFor(u.job, lastResortWait) {
 		u.waived.racks = true
 		if allocs := c.searchCandidates(u); allocs != nil {
 			return allocs
 		}
 	}
-	if u.waived.failures || u.onLastAttempt() {
+	if u.waived.failures || u.onLastAttempt() && !c.idleFor(u.job, lastResortWait) {
 		return nil
 	}
 	u.waived.failures = true
