--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -29,6 +29,8 @@
 	// are none. Crashes under different tasks of a gang have no task as their common cause.
 	tasks   []taskCrashes
 	workers []string // that crashed in this term
+	// keptApart is set once a worker crashed on which the unit was beside suspects.
+	keptApart bool
 }
 
 // taskCrashes are the crashes of workers under the runs of a task.
@@ -84,6 +86,12 @@
 	return &u.crashes.tasks[index]
 }
 
+// mayRunBesideSuspects reports whether conflictsWithSuspects may be waived. Once two workers
+// have crashed under a task it may be given up, so it rather waits.
+func (c *unitCrashes) mayRunBesideSuspects() bool {
+	return c.most() > 0 && c.most() < maxCrashes-1 && !c.keptApart
+}
+
 // index returns the index of the member's task within its unit.
 func (m *member) index() int { return m.task.Index - m.unit.firstIndex }
 
@@ -118,12 +126,16 @@
 		runs[i].tasks = append(runs[i].tasks, m.index())
 	}
 	alone := len(runs) == 1 && w.unknownUse == graph.Resources{}
+	inconclusive := keepApart(w, begun)
 	for _, r := range runs {
 		u := r.unit
 		if lasted(u, w) > crashWindow {
 			u.crashes.resetCounts()
 			continue
 		}
+		if inconclusive {
+			continue
+		}
 		limit, earlier := maxSharedCrashes, 0
 		if alone {
 			limit = maxCrashes
@@ -146,6 +158,19 @@
 	}
 }
 
+// keepApart reports whether a crash of a worker tells nothing, as a unit that had begun there
+// lately was placed beside suspects. That unit is kept apart from others from then on, so
+// that the next crash tells.
+func keepApart(w *worker, begun func(*member) bool) bool {
+	found := false
+	for _, m := range w.members {
+		if m.besideSuspects && begun(m) && lasted(m.unit, w) <= crashWindow {
+			m.unit.crashes.keptApart, found = true, true
+		}
+	}
+	return found
+}
+
 // lasted returns the time for which the worker has reported the unit's run, as far as
 // this term knows.
 func lasted(u *unit, w *worker) time.Duration {
@@ -216,7 +241,8 @@
 // conflictsWithSuspects reports whether a unit must not be placed on a worker because
 // another one there has crashed workers too, and the next crash would fail one of them. Of
 // two that always crash together, the innocent one would be failed with the other. Once a
-// run has lasted for crashWindow it is no danger.
+// run has lasted for crashWindow it is no danger. A job that stands still on an idle pool
+// waives this, as the run there may be a fresh one again and again; see keepApart.
 func (c *Core) conflictsWithSuspects(u *unit, w *worker) bool {
 	if u.crashes.most() == 0 || w.suspects == 0 {
 		return false
--- a/internal/graph/plan/held_test.go
+++ b/internal/graph/plan/held_test.go
@@ -1,8 +1,11 @@
 package plan
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
 // longestStill returns the longest time in which nothing of a job ran while time passed.
@@ -77,3 +80,52 @@
 		t.Errorf("nothing runs for %v with one of 4 workers in use", idle)
 	}
 }
+
+// submitSuspects begins a term with two jobs on a fleet of one worker, each of a task under which workers have crashed, and returns them.
+func (s *sim) submitSuspects(crashes ...int) []*simJob {
+	var jobs []*simJob
+	for i, n := range crashes {
+		j := crashJob(graph.JobID(fmt.Sprint("suspect", i)), 1, 2, false)
+		j.Steps[0].Estimate, j.units[0][0].work = 20*time.Second, 20*time.Second
+		s.submit(j)
+		s.rows[j.ID] = graph.Progress{Job: j.ID, State: graph.Running, Tasks: []graph.TaskProgress{{Crashes: n}}}
+		jobs = append(jobs, j)
+	}
+	s.takeOver()
+	s.runUntil(s.now + 2*time.Second)
+	return jobs
+}
+
+// TestSuspectsDoNotKeepEachOtherWaiting guards against a unit under which a worker has crashed that waits beside an idle worker for as long as another such unit begins to run there.
+func TestSuspectsDoNotKeepEachOtherWaiting(t *testing.T) {
+	const mostIdle = 3 * time.Second
+	s := crashSim(t, 1)
+	jobs := s.submitSuspects(2, 1)
+	if len(jobs[0].units[0][0].runs) != 1 || len(jobs[1].units[0][0].runs) != 0 {
+		t.Fatal("the second job does not wait")
+	}
+	if idle := s.longestStill(jobs[1], 10*time.Second); idle > mostIdle {
+		t.Errorf("nothing runs for %v; 2 of 8 accelerators are in use", idle)
+	}
+}
+
+// TestCrashBesideSuspectIsInconclusive guards against failing an innocent job sooner as it was placed beside one that may crash workers.
+func TestCrashBesideSuspectIsInconclusive(t *testing.T) {
+	s := crashSim(t, 1)
+	jobs := s.submitSuspects(2, 1)
+	s.waitForTask(t, jobs[1], 0)
+	s.runUntil(s.now + time.Second)
+	s.crash(s.workers[0])
+	s.runUntil(s.now + time.Second)
+	for i, want := range []int{2, 1} {
+		if n := s.core.jobs[jobs[i].ID].units[0].crashes.most(); n != want {
+			t.Errorf("%d crashes are counted under job %d, want %d", n, i, want)
+		}
+	}
+	if idle := s.longestStill(jobs[1], 6*time.Second); idle < 5*time.Second {
+		t.Errorf("placed beside the other again after %v", idle)
+	}
+	for _, j := range jobs {
+		s.mustEnd(t, j, graph.Completed, time.Minute)
+	}
+}
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -15,7 +15,7 @@
 const (
 	// lastResortWait is the time on an idle pool after which a gang of one rack is spread
 	// over several, where it runs longer, and a unit on its last attempt uses workers with
-	// failures.
+	// failures, and one that has crashed workers may run beside another such.
 	lastResortWait = 2200 * time.Millisecond
 	// maxLoan is how long a unit waits before it stops those that were started in the room
 	// reserved for it.
@@ -27,6 +27,7 @@
 	failures     bool // of workers
 	reservations bool // of other units
 	racks        bool // for a gang of one rack
+	suspects     bool // among the tasks that have crashed workers
 }
 
 // updateIdleJobs records since when jobs have had nothing running while their pool is idle.
@@ -103,10 +104,17 @@
 			return allocs
 		}
 	}
-	if u.waived.failures || u.onLastAttempt() && !c.idleFor(u.job, lastResortWait) {
+	lastResort := c.idleFor(u.job, lastResortWait)
+	if !u.waived.failures && (lastResort || !u.onLastAttempt()) {
+		u.waived.failures = true
+		if allocs := c.searchCandidates(u); allocs != nil {
+			return allocs
+		}
+	}
+	if !lastResort || !u.crashes.mayRunBesideSuspects() {
 		return nil
 	}
-	u.waived.failures = true
+	u.waived.suspects = true
 	return c.searchCandidates(u)
 }
 
@@ -143,7 +151,10 @@
 	if u.step.SameRack && spansRacks(allocs) && c.fitsEmptyRack(u) {
 		out = append(out, "spread over racks")
 	}
-	if slices.ContainsFunc(allocs, func(a allocation) bool { return !c.eligible(a.worker, u) }) {
+	switch {
+	case slices.ContainsFunc(allocs, func(a allocation) bool { return c.conflictsWithSuspects(u, a.worker) }):
+		out = append(out, "beside tasks that have crashed workers")
+	case slices.ContainsFunc(allocs, func(a allocation) bool { return !c.eligible(a.worker, u) }):
 		out = append(out, "on workers with failures")
 	}
 	return strings.Join(out, ", ")
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -78,16 +78,18 @@
 	run    uint64
 	worker *worker
 	// incarnation is the worker's incarnation at placement.
-	incarnation  string
-	crashes      int  // taskCrashes.count of its task when the unit was placed
-	recovered    bool // placed in an earlier term
-	startSent    bool // the start was ordered in this term, or the worker reported the run
-	running      bool // the worker reported the run as running
-	accepted     bool // the worker has accepted the start since its last list
-	stopping     bool
-	ended        bool
-	orderSession string        // session of the last order
-	lastOrderAt  time.Duration // time of the last order
+	incarnation string
+	crashes     int // taskCrashes.count of its task when the unit was placed
+	// besideSuspects is set if the unit was placed although conflictsWithSuspects.
+	besideSuspects bool
+	recovered      bool // placed in an earlier term
+	startSent      bool // the start was ordered in this term, or the worker reported the run
+	running        bool // the worker reported the run as running
+	accepted       bool // the worker has accepted the start since its last list
+	stopping       bool
+	ended          bool
+	orderSession   string        // session of the last order
+	lastOrderAt    time.Duration // time of the last order
 
 	percent        int
 	lastProgressAt time.Duration // when percent last changed; at first when the start was sent
--- a/internal/graph/plan/place.go
+++ b/internal/graph/plan/place.go
@@ -266,7 +266,7 @@
 		return explain.Avoided
 	case u.refusedUntil[w.info.ID] > c.now:
 		return explain.Avoided
-	case c.conflictsWithSuspects(u, w):
+	case !u.waived.suspects && c.conflictsWithSuspects(u, w):
 		return explain.Avoided
 	case u.onLastAttempt() && w.failures.Recent(c.now) && !u.waived.failures:
 		return explain.RecentFailure
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -230,8 +230,9 @@
 	u.endEstimatedAt = 0
 	i := 0
 	for _, p := range allocs {
+		besideSuspects := c.conflictsWithSuspects(u, p.worker)
 		for range p.tasks {
-			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
+			m := &member{besideSuspects: besideSuspects, unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
 			u.members = append(u.members, m)
 			c.occupy(m)
 			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID})
