--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -141,7 +141,7 @@
 			return allocs
 		}
 	}
-	if len(u.avoidUntil) == 0 && u.crashes.most() == 0 {
+	if !u.avoidsWorkers() && u.crashes.most() == 0 {
 		c.sched.noRoom[k] = true
 	}
 	return nil
@@ -219,20 +219,20 @@
 func (c *Core) bind(u *unit, allocs []allocation) {
 	c.learnRequeueWait(u)
 	c.sched.releases.valid = false
-	u.phase = unitPlaced
 	u.declinedSince = 0
 	u.waits = waitReports{}
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
 	c.borrow(u, allocs)
-	u.job.idleSince = 0 // the job's other units wait like those of others
+	u.phase = unitPlaced
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	u.crashes.beginRun()
 	u.endEstimatedAt = 0
 	i := 0
 	for _, p := range allocs {
+		besideSuspects := c.conflictsWithSuspects(u, p.worker)
 		for range p.tasks {
-			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
+			m := &member{besideSuspects: besideSuspects, unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
 			u.members = append(u.members, m)
 			c.occupy(m)
 			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID})
