agent: no start is sent without a lease (waits of gangs)

What callers saw: a gang that had just been placed was stopped at once and waited for its next placement.

Cause: while the worker has not answered for responsiveWindow, nextDeadline is 0, so that no late call extends the lease. Starts were sent all the same. A worker takes no start without a deadline, and the owner counts that as a refusal.

Change: before a start on an unresponsive worker the agent lists its runs, as before a repeated one, which ends the silence if the worker answers. An attempt without a lease is not sent.

TestStartAwaitsListOfUnresponsiveWorker failed before: 1 start calls without a deadline, want 0.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -231,15 +231,27 @@
 	return t
 }
 
-// nextDeadline returns the deadline for a call and records that it may reach the worker.
-// The caller holds the lock.
+// nextDeadline returns the deadline for a call and records that it may reach the worker; 0 if
+// the lease must not be extended now. The caller holds the lock.
 func (k *Keeper) nextDeadline() time.Duration {
-	// While the worker is unresponsive, an earlier call may still reach it later.
-	// Its lease is therefore not extended until it answers again.
-	if k.workerResponsive() || k.lease.usedReportAt >= k.lease.grantReportAt {
-		return k.lease.takeDeadline()
+	if !k.mayExtendLease() {
+		return 0
 	}
-	return 0
+	return k.lease.takeDeadline()
+}
+
+// mayExtendLease reports whether a call may carry the deadline of the last grant. While the
+// worker is unresponsive, an earlier call may still reach it later. Its lease is therefore not
+// extended until it answers again. The caller holds the lock.
+func (k *Keeper) mayExtendLease() bool {
+	return k.workerResponsive() || k.lease.usedReportAt >= k.lease.grantReportAt
+}
+
+// extendsLease is mayExtendLease for a caller that does not hold the lock.
+func (k *Keeper) extendsLease() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mayExtendLease()
 }
 
 func (k *Keeper) workerResponsive() bool {
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -18,9 +18,9 @@
 	// its members; maxStartAttempts calls fit into that time.
 	orderTimeout     = 600 * time.Millisecond
 	maxStartAttempts = 3
-	// retryListTimeout bounds the list before a start is sent again. A sound worker answers
-	// within milliseconds.
-	retryListTimeout = 150 * time.Millisecond
+	// startListTimeout bounds the list before a start is sent again, or to a worker that is
+	// unresponsive. A sound worker answers within milliseconds.
+	startListTimeout = 150 * time.Millisecond
 	// settleRetryInterval is the delay between two attempts to settle an order.
 	settleRetryInterval = 150 * time.Millisecond
 )
@@ -136,26 +136,33 @@
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
 	for attempt := range maxStartAttempts {
-		if attempt > 0 && k.listBeforeRetry(ctx, t, ref) {
+		if (attempt > 0 || !k.extendsLease()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
-		deadline, ok := k.beginStart(t, ref)
-		if !ok {
-			return errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
-		}
-		startRun.Deadline = deadline
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		_, err = k.runner.Start(callCtx, t.instance, startRun)
-		cancel()
-		k.endStart(ref, err)
-		if err == nil || !errors.Is(err, external.ErrUnavailable) {
-			metrics.GetOrRegisterCounter("keeper.starts", k.registry).Inc(1)
+		if err = k.callStart(ctx, t, startRun); !errors.Is(err, external.ErrUnavailable) {
 			return err
 		}
 	}
 	return err
 }
 
+// callStart makes one call to start a run. It fails without a call if that may not be made
+// now.
+func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun) (err error) {
+	ref := runRef{o.Task, o.Run}
+	if o.Deadline, err = k.beginStart(t, ref); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err = k.runner.Start(ctx, t.instance, o)
+	k.endStart(ref, err)
+	if !errors.Is(err, external.ErrUnavailable) {
+		metrics.GetOrRegisterCounter("keeper.starts", k.registry).Inc(1)
+	}
+	return err
+}
+
 // callStop makes one call to stop a run.
 func (k *Keeper) callStop(ctx context.Context, t callTarget, ref runRef) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -119,12 +119,13 @@
 	return refs
 }
 
-// listBeforeRetry lists the runs before an unanswered start is sent again, so that a restart
-// of the worker is noticed. It reports whether the worker lists the run. No answer within
-// retryListTimeout does not hold the start back: one that reaches the next incarnation is
-// settled there.
-func (k *Keeper) listBeforeRetry(ctx context.Context, t callTarget, ref runRef) bool {
-	ctx, cancel := context.WithTimeout(ctx, retryListTimeout)
+// listBeforeStart lists the runs before an unanswered start is sent again, so that a restart
+// of the worker is noticed, and before a start on an unresponsive worker, which gets no lease
+// until it has answered. It reports whether the worker lists the run. No answer within
+// startListTimeout does not hold an unanswered start back: one that reaches the next incarnation
+// is settled there.
+func (k *Keeper) listBeforeStart(ctx context.Context, t callTarget, ref runRef) bool {
+	ctx, cancel := context.WithTimeout(ctx, startListTimeout)
 	defer cancel()
 	return k.holdAs(ctx, k.listTarget(), 0) == nil && k.listsRun(t, ref)
 }
@@ -135,16 +136,20 @@
 	return k.mustList
 }
 
-// beginStart records that a start call is about to be sent, and returns its deadline. It
-// returns false if t is no longer current: the call must not be sent.
-func (k *Keeper) beginStart(t callTarget, ref runRef) (deadline time.Duration, ok bool) {
+// beginStart records that a start call is about to be sent, and returns its deadline. It fails
+// if t is no longer current, or with an ErrUnavailable if the worker gets no lease now: the call
+// must not be sent.
+func (k *Keeper) beginStart(t callTarget, ref runRef) (deadline time.Duration, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.current(t) || k.leaving() || k.leaseTerm != t.leaseTerm {
-		return 0, false
+		return 0, errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
+	}
+	if !k.mayExtendLease() {
+		return 0, errors.Annotate(external.ErrUnavailable, "the worker has not answered lately and gets no lease")
 	}
 	k.unanswered.begin(ref, k.clock())
-	return k.nextDeadline(), true
+	return k.nextDeadline(), nil
 }
 
 // endStart records the outcome of a start call.
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -24,6 +24,7 @@
 type countingRunner struct {
 	*standin.Runner
 	starts    atomic.Int32
+	unleased  atomic.Int32 // starts without a deadline
 	holds     atomic.Int32
 	failStops atomic.Bool
 	ended     atomic.Bool
@@ -39,6 +40,9 @@
 
 func (r *countingRunner) Start(ctx context.Context, instance string, o external.StartRun) (time.Duration, error) {
 	r.starts.Add(1)
+	if o.Deadline == 0 {
+		r.unleased.Add(1)
+	}
 	return r.Runner.Start(ctx, instance, o)
 }
 
@@ -165,12 +169,28 @@
 	k, runner, worker := orderedKeeper(t)
 	runner.SetFaults(standin.RunnerFaults{DropCalls: true})
 	k.startAt(t, runner, worker)
-	kernel.Sleep(context.Background(), maxStartAttempts*(orderTimeout+retryListTimeout))
+	kernel.Sleep(context.Background(), maxStartAttempts*(orderTimeout+startListTimeout))
 	if n := runner.starts.Load(); n != maxStartAttempts {
 		t.Errorf("%d start calls, want %d", n, maxStartAttempts)
 	}
 }
 
+// TestStartAwaitsListOfUnresponsiveWorker guards against a start without a deadline, which no worker takes: its gang is stopped for it.
+func TestStartAwaitsListOfUnresponsiveWorker(t *testing.T) {
+	k, runner, worker := orderedKeeper(t)
+	dropCalls(t, runner)
+	kernel.Sleep(context.Background(), responsiveWindow+holdWait)
+	answered := time.AfterFunc(startListTimeout/2, func() { runner.SetFaults(standin.RunnerFaults{}) })
+	defer answered.Stop()
+	k.startAt(t, runner, worker)
+	bound, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	kernel.PollUntil(bound, time.Millisecond, func() bool { return len(runner.StartedTasks()) > 0 })
+	if n, started := runner.unleased.Load(), len(runner.StartedTasks()); n != 0 || started != 1 {
+		t.Errorf("%d start calls without a deadline, want 0; %d starts, want 1", n, started)
+	}
+}
+
 // TestRestartIsReportedOnceStartsAreSettled guards against a run that its owner places again while its start can still take effect.
 func TestRestartIsReportedOnceStartsAreSettled(t *testing.T) {
 	k, runner, worker := orderedKeeper(t)
