agent: a lost list does not make the agent stop a run again (LOST)

What callers saw: a job had nothing running for long, with room for it. A unit is not placed again before the outcome is known.

Cause: an order is settled by a stop and a list after it. When the list got no answer, the agent began again with the stop. A worker that answers one call in five then has to answer two in a row, which takes 25 pairs on average. Its lease goes on meanwhile, so that nothing bounds the wait.

Change: once the stop is answered, the agent repeats the list alone.

--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -211,19 +211,22 @@
 	k.settleOrder(ctx, k.target(), ref, inProgress, "stopped")
 }
 
-// settleRun stops a run, which also prevents a delayed start call from starting it,
-// and then awaits what the worker's list shows of it.
+// settleRun stops a run, which also prevents a delayed start call from starting it, and then
+// awaits what a later list shows of it. A list without an answer does not make it stop the run
+// again: both calls would have to be answered in turn, by a worker that answers few.
 func (k *Keeper) settleRun(ctx context.Context, t callTarget, ref runRef, reason string) {
-	for ctx.Err() == nil && k.isCurrent(t) {
-		err := k.callStop(ctx, t, ref)
-		if errors.Is(err, external.ErrRunStaleEpoch) || errors.Is(err, external.ErrRunWrongInstance) {
-			return // left to the next owner or the new incarnation
+	for stopped := false; ctx.Err() == nil && k.isCurrent(t); kernel.Sleep(ctx, settleRetryInterval) {
+		if !stopped {
+			err := k.callStop(ctx, t, ref)
+			if errors.Is(err, external.ErrRunStaleEpoch) || errors.Is(err, external.ErrRunWrongInstance) {
+				return // left to the next owner or the new incarnation
+			}
+			stopped = err == nil
 		}
-		if err == nil && k.hold(ctx, 0) == nil {
+		if stopped && k.hold(ctx, 0) == nil {
 			k.awaitPresence(ctx, t, ref, reason)
 			return
 		}
-		kernel.Sleep(ctx, settleRetryInterval)
 	}
 }
 
