agent: a call with an order whose answer is lost is repeated soon

Callers saw wide gangs begin again and again while orders were answered late: one member whose three start calls of 0.6 s each got no answer cost the whole gang its run, and each lost call made the others wait 0.6 s.

Cause: few attempts of one long bound. Calls have bounds of 150 ms rising to 600 ms now, six in all, which with the lists between them take 2.6 s, below the 3 s for which a gang waits. Stops are repeated by the same bounds. A slow worker gets the same 0.6 s as before in the last attempt; a call sent twice starts a run once. The tests that wait for a part of the first bound use that bound.

--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// orderTimeout bounds one call with an order. A gang waits three seconds for
-	// its members; maxStartAttempts calls fit into that time.
-	orderTimeout     = 600 * time.Millisecond
-	maxStartAttempts = 3
+	// orderTimeout is the longest bound on one call with an order.
+	orderTimeout = 600 * time.Millisecond
 	// retryListTimeout bounds the list before a start is sent again. A sound worker answers
 	// within milliseconds.
 	retryListTimeout = 150 * time.Millisecond
@@ -25,6 +23,16 @@
 	settleRetryInterval = 150 * time.Millisecond
 )
 
+// callTimeouts bound the calls with one order, in turn. A sound worker answers within
+// milliseconds, so a call whose answer is lost is repeated soon, and one that is slow gets
+// more time later. A gang waits three seconds for its members; a start call for each bound
+// and the lists between them fit into that time.
+var callTimeouts = [...]time.Duration{150 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond,
+	300 * time.Millisecond, 450 * time.Millisecond, orderTimeout}
+
+// callTimeout returns the bound on a call with an order after the given number of calls.
+func callTimeout(earlier int) time.Duration { return callTimeouts[min(earlier, len(callTimeouts)-1)] }
+
 // order is a start or stop order in progress.
 type order struct {
 	// stopEpoch is the epoch of the last owner that ordered the run to stop, 0 if
@@ -135,7 +143,7 @@
 // further attempt after the worker's incarnation or the epoch has changed.
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
-	for attempt := range maxStartAttempts {
+	for attempt := range callTimeouts {
 		if attempt > 0 && k.listBeforeRetry(ctx, t, ref) {
 			return nil
 		}
@@ -144,7 +152,7 @@
 			return errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
 		}
 		startRun.Deadline = deadline
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout(attempt))
 		_, err = k.runner.Start(callCtx, t.instance, startRun)
 		cancel()
 		k.endStart(ref, err)
@@ -157,8 +165,8 @@
 }
 
 // callStop makes one call to stop a run.
-func (k *Keeper) callStop(ctx context.Context, t callTarget, ref runRef) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+func (k *Keeper) callStop(ctx context.Context, t callTarget, ref runRef, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := k.runner.Stop(ctx, t.instance, external.StopRun{Task: ref.task, Run: ref.run, Epoch: t.epoch})
 	return err
@@ -207,8 +215,8 @@
 // settleRun stops a run, which also prevents a delayed start call from starting it,
 // and then awaits what the worker's list shows of it.
 func (k *Keeper) settleRun(ctx context.Context, t callTarget, ref runRef, reason string) {
-	for ctx.Err() == nil && k.isCurrent(t) {
-		err := k.callStop(ctx, t, ref)
+	for attempt := 0; ctx.Err() == nil && k.isCurrent(t); attempt++ {
+		err := k.callStop(ctx, t, ref, callTimeout(attempt))
 		if errors.Is(err, external.ErrRunStaleEpoch) || errors.Is(err, external.ErrRunWrongInstance) {
 			return // left to the next owner or the new incarnation
 		}
--- a/internal/agent/keeper/orders_test.go
+++ b/internal/agent/keeper/orders_test.go
@@ -37,12 +37,12 @@
 	ref := rpc.TaskRefOf(graph.TaskID{Job: "j"}, 7)
 	runner.SetFaults(standin.RunnerFaults{DropCalls: true})
 	orders(1, func(o *rpc.WorkerOrders) { o.Starts = []*rpc.StartTask{{Ref: ref}} })
-	kernel.Sleep(ctx, orderTimeout/2)
+	kernel.Sleep(ctx, callTimeout(0)/2)
 	orders(2, func(o *rpc.WorkerOrders) { o.Stops = []*rpc.TaskRef{ref} })
 	kernel.Sleep(ctx, orderTimeout)
 	runner.SetFaults(standin.RunnerFaults{})
 
-	bound, cancel := context.WithTimeout(ctx, (maxStartAttempts+1)*orderTimeout+10*settleRetryInterval)
+	bound, cancel := context.WithTimeout(ctx, allAttempts+orderTimeout+10*settleRetryInterval)
 	defer cancel()
 	settled := func() bool {
 		k.mu.Lock()
@@ -53,3 +53,37 @@
 		t.Fatalf("not settled: absent %v, orders %v", k.absent, k.orders)
 	}
 }
+
+// allAttempts is the longest time that the start calls of one order and the lists between
+// them take.
+const allAttempts = 2600 * time.Millisecond
+
+// gangTimeout is the time that the members of a gang wait for each other.
+const gangTimeout = 3 * time.Second
+
+// TestStartAttemptsFitIntoGangTimeout guards against a member that starts after its gang has given up.
+func TestStartAttemptsFitIntoGangTimeout(t *testing.T) {
+	total := time.Duration(len(callTimeouts)-1) * retryListTimeout
+	for i := range callTimeouts {
+		total += callTimeout(i)
+	}
+	if total != allAttempts || total >= gangTimeout {
+		t.Errorf("all attempts take %v, want %v, below %v", total, allAttempts, gangTimeout)
+	}
+}
+
+// TestLostStartsDelayNoGang guards against a gang that waits, or is given up, because the answers to one member's first start calls are lost.
+func TestLostStartsDelayNoGang(t *testing.T) {
+	k, runner, worker := orderedKeeper(t)
+	runner.dropStarts.Store(4)
+	begun := time.Now()
+	k.startAt(t, runner, worker)
+	bound, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if !kernel.PollUntil(bound, time.Millisecond, func() bool { return runner.Running() > 0 }) {
+		t.Fatalf("not started after %d calls", runner.starts.Load())
+	}
+	if took := time.Since(begun); took > gangTimeout/2 {
+		t.Errorf("started after %v, want within %v", took, gangTimeout/2)
+	}
+}
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -83,7 +83,7 @@
 		if !k.isCurrent(t) {
 			return nil
 		}
-		switch err := k.callStop(ctx, t, ref); {
+		switch err := k.callStop(ctx, t, ref, orderTimeout); {
 		case errors.Is(err, external.ErrRunStaleEpoch), errors.Is(err, external.ErrRunWrongInstance), errors.Is(err, external.ErrUnavailable):
 			return stopped // tried again with the next target
 		case errors.Is(err, external.ErrRunWorkerUnhealthy):
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -19,14 +19,15 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 )
 
-// countingRunner counts calls. It fails stop calls while failStops is set, and all calls
-// as a process that has ended does while ended is set.
+// countingRunner counts calls. It drops the first dropStarts start calls, fails stop calls
+// while failStops is set, and all calls as a process that has ended does while ended is set.
 type countingRunner struct {
 	*standin.Runner
-	starts    atomic.Int32
-	holds     atomic.Int32
-	failStops atomic.Bool
-	ended     atomic.Bool
+	starts     atomic.Int32
+	holds      atomic.Int32
+	dropStarts atomic.Int32
+	failStops  atomic.Bool
+	ended      atomic.Bool
 }
 
 func (r *countingRunner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
@@ -38,7 +39,10 @@
 }
 
 func (r *countingRunner) Start(ctx context.Context, instance string, o external.StartRun) (time.Duration, error) {
-	r.starts.Add(1)
+	if r.starts.Add(1) <= r.dropStarts.Load() {
+		<-ctx.Done()
+		return 0, external.ErrUnavailable
+	}
 	return r.Runner.Start(ctx, instance, o)
 }
 
@@ -128,11 +132,11 @@
 	k, runner, worker := orderedKeeper(t)
 	runner.SetFaults(standin.RunnerFaults{DropCalls: true})
 	k.startAt(t, runner, worker)
-	kernel.Sleep(context.Background(), orderTimeout/4)
+	kernel.Sleep(context.Background(), callTimeout(0)/4)
 	runner.SetFaults(standin.RunnerFaults{})
 	restart(k, runner, worker)
 	k.awaitList(t)
-	kernel.Sleep(context.Background(), maxStartAttempts*orderTimeout)
+	kernel.Sleep(context.Background(), allAttempts)
 	if n, started := runner.starts.Load(), runner.StartedTasks(); n != 1 || len(started) > 0 {
 		t.Errorf("%d start calls, want 1; %v started on the next incarnation", n, started)
 	}
@@ -144,12 +148,12 @@
 		k, runner, worker := orderedKeeper(t)
 		dropCalls(t, runner)
 		k.startAt(t, runner, worker)
-		kernel.Sleep(context.Background(), orderTimeout/4)
+		kernel.Sleep(context.Background(), callTimeout(0)/4)
 		if restarts {
 			runner.Restart()
 		}
 		runner.SetFaults(standin.RunnerFaults{})
-		kernel.Sleep(context.Background(), maxStartAttempts*orderTimeout)
+		kernel.Sleep(context.Background(), allAttempts)
 		want := 2
 		if restarts {
 			want = 1
@@ -165,9 +169,9 @@
 	k, runner, worker := orderedKeeper(t)
 	runner.SetFaults(standin.RunnerFaults{DropCalls: true})
 	k.startAt(t, runner, worker)
-	kernel.Sleep(context.Background(), maxStartAttempts*(orderTimeout+retryListTimeout))
-	if n := runner.starts.Load(); n != maxStartAttempts {
-		t.Errorf("%d start calls, want %d", n, maxStartAttempts)
+	kernel.Sleep(context.Background(), allAttempts)
+	if n := runner.starts.Load(); n != int32(len(callTimeouts)) {
+		t.Errorf("%d start calls, want %d", n, len(callTimeouts))
 	}
 }
 
@@ -176,7 +180,7 @@
 	k, runner, worker := orderedKeeper(t)
 	runner.SetFaults(standin.RunnerFaults{DropCalls: true})
 	k.startAt(t, runner, worker)
-	kernel.Sleep(context.Background(), orderTimeout/4)
+	kernel.Sleep(context.Background(), callTimeout(0)/4)
 	runner.SetFaults(standin.RunnerFaults{})
 	runner.failStops.Store(true)
 	restart(k, runner, worker)
@@ -192,13 +196,13 @@
 func TestLateStartIsSettledBeforeRestartIsReported(t *testing.T) {
 	for _, late := range []bool{false, true} {
 		k, runner, worker := orderedKeeper(t)
-		runner.SetFaults(standin.RunnerFaults{ApplyDelay: orderTimeout / 2})
+		runner.SetFaults(standin.RunnerFaults{ApplyDelay: callTimeout(0) / 2})
 		k.startAt(t, runner, worker)
-		kernel.Sleep(context.Background(), orderTimeout/4)
+		kernel.Sleep(context.Background(), callTimeout(0)/4)
 		runner.SetFaults(standin.RunnerFaults{})
 		runner.Restart()
 		if !late {
-			kernel.Sleep(context.Background(), orderTimeout/2)
+			kernel.Sleep(context.Background(), callTimeout(0)/2)
 		}
 		worker.StartUnixMillis = runner.StartCount()
 		k.HandleHeartbeat(worker, 1)
