--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// orderTimeout bounds one call with an order. A gang waits three seconds for
-	// its members; maxStartAttempts calls fit into that time.
-	orderTimeout     = 600 * time.Millisecond
-	maxStartAttempts = 3
+	// orderTimeout is the longest bound on one call with an order.
+	orderTimeout = 600 * time.Millisecond
 	// startListTimeout bounds the list before a start is sent again, or to a worker that is
 	// unresponsive. A sound worker answers within milliseconds.
 	startListTimeout = 150 * time.Millisecond
@@ -25,6 +23,16 @@
 	settleRetryInterval = 150 * time.Millisecond
 )
 
+// callTimeouts bound the calls with one order, in turn. A sound worker answers within
+// milliseconds, so a call whose answer is lost is repeated soon, and one that is slow gets
+// more time later. A gang waits three seconds for its members; a start call for each bound
+// and the lists between them fit into that time.
+var callTimeouts = [...]time.Duration{150 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond,
+	300 * time.Millisecond, 450 * time.Millisecond, orderTimeout}
+
+// callTimeout returns the bound on a call with an order after the given number of calls.
+func callTimeout(earlier int) time.Duration { return callTimeouts[min(earlier, len(callTimeouts)-1)] }
+
 // order is a start or stop order in progress.
 type order struct {
 	// stopEpoch is the epoch of the last owner that ordered the run to stop, 0 if
@@ -135,11 +143,11 @@
 // further attempt after the worker's incarnation or the epoch has changed.
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
-	for attempt := range maxStartAttempts {
+	for attempt := range callTimeouts {
 		if (attempt > 0 || !k.extendsLease()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
-		if err = k.callStart(ctx, t, startRun); !errors.Is(err, external.ErrUnavailable) {
+		if err = k.callStart(ctx, t, startRun, callTimeout(attempt)); !errors.Is(err, external.ErrUnavailable) {
 			return err
 		}
 	}
@@ -148,12 +156,12 @@
 
 // callStart makes one call to start a run. It fails without a call if that may not be made
 // now.
-func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun) (err error) {
+func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun, timeout time.Duration) (err error) {
 	ref := runRef{o.Task, o.Run}
 	if o.Deadline, err = k.beginStart(t, ref); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err = k.runner.Start(ctx, t.instance, o)
 	k.endStart(ref, err)
@@ -164,8 +172,8 @@
 }
 
 // callStop makes one call to stop a run.
-func (k *Keeper) callStop(ctx context.Context, t callTarget, ref runRef) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+func (k *Keeper) callStop(ctx context.Context, t callTarget, ref runRef, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := k.runner.Stop(ctx, t.instance, external.StopRun{Task: ref.task, Run: ref.run, Epoch: t.epoch})
 	return err
@@ -215,13 +223,15 @@
 // awaits what a later list shows of it. A list without an answer does not make it stop the run
 // again: both calls would have to be answered in turn, by a worker that answers few.
 func (k *Keeper) settleRun(ctx context.Context, t callTarget, ref runRef, reason string) {
-	for stopped := false; ctx.Err() == nil && k.isCurrent(t); kernel.Sleep(ctx, settleRetryInterval) {
+	attempt, stopped := 0, false
+	for ; ctx.Err() == nil && k.isCurrent(t); kernel.Sleep(ctx, settleRetryInterval) {
 		if !stopped {
-			err := k.callStop(ctx, t, ref)
+			err := k.callStop(ctx, t, ref, callTimeout(attempt))
 			if errors.Is(err, external.ErrRunStaleEpoch) || errors.Is(err, external.ErrRunWrongInstance) {
 				return // left to the next owner or the new incarnation
 			}
 			stopped = err == nil
+			attempt++
 		}
 		if stopped && k.hold(ctx, 0) == nil {
 			k.awaitPresence(ctx, t, ref, reason)
