--- a/internal/graph/plan/held_test.go
+++ b/internal/graph/plan/standstill_test.go
@@ -44,7 +44,6 @@
 	const mostIdle = 3 * time.Second
 	s := crashSim(t, 9)
 	small := s.workers[8]
-	s.observe = (&planMachine{sim: s}).DBG
 	small.refuses, small.info.Capacity.Accelerators = true, 4
 	s.runUntil(time.Second)
 	long, wide, narrow := crashJob("long", 2, 8, false), crashJob("wide", 7, 8, true), crashJob("narrow", 1, 4, false)
