plan: a job that cannot be stored holds back no ends of others

What callers saw: nothing yet. On a worker with an end of a job whose progress the table rejects for good, no later end was acknowledged, also of jobs that are stored. From 500 such ends on, later ones are not listed and their jobs stand still.

Cause: a worker forgets its ends in order, and each is acknowledged once its effect is stored. An effect that is never stored blocks the queue.

No task of a final job starts again, so the invariant holds: the effect of a done end is stored as part of the final state. If the table rejects this too, after 30 s more the ends other than done are acknowledged (a later owner may then count a failed run less); a done one waits for good. A table that rejects everything stores no end that could be held back, so it fails no job.

A row of its own for such ends is another row with a bound and a merge at each load, and the job still never ends.

--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -133,6 +133,9 @@
 			return pendingRows{writes: []ledger.Write{{Key: progressKey(a.Job), Version: r.version, Data: data}}}
 		}
 	}
+	if a.StateOnly {
+		return r.prepareState(a.Progress)
+	}
 	groups := splitTasks(a.Steps, a.Progress.Tasks, len(r.parts))
 	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt}
 	out := pendingRows{
@@ -152,6 +155,13 @@
 	return out
 }
 
+// prepareState returns the write of a final state beside parts that stay as they are. Their
+// tasks may be out of date, but none of a final job starts again.
+func (r *progressRows) prepareState(p graph.Progress) pendingRows {
+	head := progressHead{Job: p.Job, State: p.State, Tasks: partCount{len(r.parts)}, FinishedAt: p.FinishedAt}
+	return pendingRows{writes: []ledger.Write{{Key: progressKey(p.Job), Version: r.version, Data: ledger.Encode(head)}}, parts: r.parts}
+}
+
 // splitTasks distributes tasks among the parts of a job with the given steps; there are
 // at least minParts.
 func splitTasks(steps []graph.Step, tasks []graph.TaskProgress, minParts int) [][]graph.TaskProgress {
--- a/internal/entry/graphs/progressrows_test.go
+++ b/internal/entry/graphs/progressrows_test.go
@@ -249,3 +249,27 @@
 		t.Errorf("the job is %s after its cancellation", status.State)
 	}
 }
+
+// TestFinalStateIsWrittenAlone guards against a save that is rejected again with the tasks it was rejected for, and a final state that is not read back.
+func TestFinalStateIsWrittenAlone(t *testing.T) {
+	for _, tasks := range []int{0, 20, 1500} {
+		s, fence := newFencedStore(t)
+		rows := &progressRows{}
+		if _, err := s.SaveProgress(context.Background(), fence, progressOf(tasks), rows); err != nil {
+			t.Fatal(err)
+		}
+		a := plan.SaveProgress{Job: "00000000000000aa", Steps: progressOf(0).Steps, StateOnly: true}
+		a.Progress = graph.Progress{Job: a.Job, State: graph.Failed, FinishedAt: time.Unix(1764900000, 0)}
+		for range 2 {
+			if p := rows.prepare(a, maxDataBytes); len(p.writes) != 1 || len(p.writes[0].Data) > 120 {
+				t.Errorf("%d tasks: %d writes, the first of %d bytes", tasks, len(p.writes), len(p.writes[0].Data))
+			}
+			if _, err := s.SaveProgress(context.Background(), fence, a, rows); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if j := loadOne(t, s); j.state() != graph.Failed || !j.progress.FinishedAt.Equal(a.Progress.FinishedAt) {
+			t.Errorf("%d tasks: read back as %+v", tasks, j.progress)
+		}
+	}
+}
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -65,6 +65,7 @@
 	firstReportAt time.Duration
 	unsavedJobs   []*job
 	rejectedJobs  []*job // may have to be saved again after a pause
+	lastSavedAt   time.Duration
 	sched         schedulingState
 	// needsScheduling is set when an event changes something that placement depends
 	// on.
@@ -249,6 +250,9 @@
 	// rejected, if not nil, is called in its place if the save is rejected. Without it
 	// stored waits for the next save.
 	rejected func()
+	// unstored, if not nil, is called in place of stored once the table has rejected even
+	// the final state of the job for too long.
+	unstored func()
 }
 
 func (c *Core) requestSaveOf(j *job, then afterSave) {
@@ -273,7 +277,7 @@
 		j.saveInProgress, j.changedSinceSave = true, false
 		j.saveNumber++
 		j.afterCurrentSave, j.afterNextSave = j.afterNextSave, nil
-		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: j.progress()})
+		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: j.progress(), StateOnly: j.stateOnly})
 	}
 }
 
@@ -284,6 +288,7 @@
 	}
 	j.saveInProgress = false
 	j.rejected = false
+	c.lastSavedAt = c.now
 	j.durableState = j.stateInSave
 	then := j.afterCurrentSave
 	j.afterCurrentSave = nil
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -131,8 +131,11 @@
 	rejectedSaves    int // in this term
 	// rejected is set from a rejected save to the next one that is stored, saveAgainAt the
 	// time of the next try if nothing else changes.
-	rejected     bool
-	saveAgainAt  time.Duration
+	rejected      bool
+	rejectedSince time.Duration
+	saveAgainAt   time.Duration
+	// stateOnly is set once the table has rejected more than the final state for too long.
+	stateOnly    bool
 	arrivedAt    time.Duration // on the term's clock; negative if submitted before the term
 	idleSince    time.Duration // since when nothing has run while the pool is idle; 0 if that is not so
 	delayReports delayReports
@@ -243,6 +246,9 @@
 		p.State = graph.Running
 	}
 	j.stateInSave = p.State
+	if j.stateOnly {
+		return p
+	}
 	for _, u := range j.units {
 		p.Tasks = append(p.Tasks, u.progress()...)
 	}
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -258,6 +259,33 @@
 	})
 }
 
+// TestPlanMachineWithUnstorableJobs checks the same with jobs of which the table takes no more
+// than the state once they run, across a takeover. It guards against tasks that start again
+// after the ends of such a job were acknowledged, and against ends that never are.
+func TestPlanMachineWithUnstorableJobs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPlanMachine(t)
+		m.rejectSave = func(a SaveProgress) bool {
+			j := m.byID[a.Job]
+			placed := slices.ContainsFunc(m.rows[a.Job].Tasks, func(p graph.TaskProgress) bool { return p.Run > 0 })
+			j.unstorable = j.unstorable || placed && m.rnd.Intn(8) == 0
+			return j.unstorable && !a.StateOnly
+		}
+		m.runUntil(time.Second)
+		t.Repeat(m.actions())
+		m.storeDown = false
+		m.runUntil(m.now + 2*maxHoldBack)
+		if rapid.Bool().Draw(t, "last takeover") {
+			m.takeOver()
+			m.rejectSave = nil
+		}
+		m.runUntil(m.now + 2*maxHoldBack)
+		m.rejectSave = nil
+		m.runUntil(m.now + maxRejectionPause)
+		m.recoverAndCheck(t)
+	})
+}
+
 func checkMachine(t *rapid.T, features ...feature.Feature) *planMachine {
 	m := newPlanMachine(t, features...)
 	m.check(t)
--- a/internal/graph/plan/rejected.go
+++ b/internal/graph/plan/rejected.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
 // A job whose progress was rejected is not placed again before a pause, which doubles
@@ -11,6 +13,9 @@
 const (
 	minRejectionPause = time.Second
 	maxRejectionPause = time.Minute
+	// maxHoldBack is the time for which a job that the table rejects may keep the ends of
+	// other jobs unacknowledged that are stored.
+	maxHoldBack = 30 * time.Second
 )
 
 // handleSaveRejected handles a save that the table will never take. The runs that waited
@@ -42,7 +47,10 @@
 			c.dropClaim(u)
 		}
 	}
-	j.rejected, j.saveAgainAt = true, c.now+pause
+	if !j.rejected {
+		j.rejected, j.rejectedSince = true, c.now
+	}
+	j.saveAgainAt = c.now + pause
 	if !slices.Contains(c.rejectedJobs, j) {
 		c.rejectedJobs = append(c.rejectedJobs, j)
 	}
@@ -56,6 +64,8 @@
 	for _, j := range jobs {
 		switch {
 		case !j.rejected:
+		case !j.saveInProgress && c.now-j.rejectedSince >= maxHoldBack && c.holdsBackOthers(j):
+			c.endRejectedJob(j)
 		case c.now < j.saveAgainAt || j.saveInProgress:
 			c.rejectedJobs = append(c.rejectedJobs, j)
 		default:
@@ -64,6 +74,52 @@
 	}
 }
 
+// holdsBackOthers reports whether ends of a job that the table rejects keep stored ends of
+// other jobs unacknowledged. A table that rejects every job stores no such end.
+func (c *Core) holdsBackOthers(j *job) bool {
+	for _, w := range c.sortedWorkers {
+		waits := false
+		for _, a := range w.pendingAcks {
+			switch {
+			case a.job == j:
+				waits = waits || !a.saved
+			case waits && a.saved && a.job != nil:
+				return true
+			}
+		}
+		if waits && w.moreEnds && c.lastSavedAt > j.rejectedSince {
+			return true
+		}
+	}
+	return false
+}
+
+// endRejectedJob fails a job that holds back the ends of others, so that its state alone is
+// stored: no task of a final job starts again. If the table rejects that too, the ends of
+// which the loss starts no done task again are acknowledged without a save.
+func (c *Core) endRejectedJob(j *job) {
+	j.rejectedSince = c.now
+	switch {
+	case j.stateOnly:
+		var kept []afterSave
+		for _, a := range j.afterNextSave {
+			if a.unstored == nil {
+				kept = append(kept, a)
+				continue
+			}
+			a.unstored()
+		}
+		j.afterNextSave = kept
+		c.rejectedJobs = append(c.rejectedJobs, j)
+	case j.state.Final():
+		j.stateOnly = true
+		c.requestSave(j, nil)
+	default:
+		j.stateOnly = true
+		c.finishJob(j, graph.Failed, Notice{Reason: ReasonJobFailed, Detail: "; the table rejects its progress"})
+	}
+}
+
 // rejectionPause returns the pause after the given number of rejections, at least 1.
 func rejectionPause(rejections int) time.Duration {
 	pause := minRejectionPause
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -186,6 +186,9 @@
 	Number   uint64
 	Steps    []graph.Step
 	Progress graph.Progress
+	// StateOnly is set for a final job of which no task is stored, as the table has rejected
+	// them.
+	StateOnly bool
 }
 
 // Notice reports a decision for logging and metrics.
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -61,6 +61,7 @@
 // pendingAck is a run end that is acknowledged once its effect is saved.
 type pendingAck struct {
 	number uint64
+	job    *job // nil if the owner did not track the run
 	saved  bool
 }
 
@@ -354,12 +355,17 @@
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
-	c.requestSave(m.unit.job, func() {
+	ack.job = m.unit.job
+	then := afterSave{stored: func() {
 		ack.saved = true
 		if w.info.Incarnation() == incarnation {
 			c.acknowledgeEnds(w, false)
 		}
-	})
+	}}
+	if e.Kind != graph.EndDone {
+		then.unstored = then.stored
+	}
+	c.requestSaveOf(m.unit.job, then)
 }
 
 // processLateEnd handles the end of a run that the owner no longer tracks. Nothing
