keeper: an acknowledgement of one incarnation forgets no ends of the next

What callers saw: nothing yet. With a hold call that the next incarnation under the same instance name executes late, tasks that were done ran again: a worker numbers its ends from 1 in each life, so an acknowledgement meant for the life before makes it forget ends that nobody has seen. The agent then finds the runs absent, and the owner places them again.

Cause: every call of the agent repeated the last acknowledgement, also the call that waits for ends and is under way at nearly every crash; a restart under the name was reported without regard to it. Nothing takes an acknowledgement back, unlike a start.

An acknowledgement is sent until it is answered, in a call that does not wait, so that few are under way at a crash. If one had no answer in the last 30 s (the bound for late starts) when the worker starts again under its name, it is reported without capacity and its starts are refused until these 30 s are over. No call begins for an incarnation that the agent knows to be over.

A lease that a late call extends stays open: no call shortens one, and X-Expect-Instance can't tell lives of one name apart. It does harm only if the owner loses the new life within 30 s and max_hold_ms of the restart while the worker works on (design/platform.md).

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -64,6 +64,9 @@
 	unresponsive    bool // logged as unresponsive
 	runs            external.RunList
 	acknowledged    uint64 // number of the last end acknowledged by the owner
+	ackAnswered     uint64 // the last acknowledgement that the worker has answered
+	unansweredAcks  unansweredCalls
+	workFrom        time.Duration // when the current incarnation may get work
 	absent          []*rpc.AbsentTask
 	orders          map[runRef]*order // orders in progress
 	wakeHold        chan struct{}
@@ -128,7 +131,7 @@
 	k.accepted = map[runRef]bool{}
 	k.lease.reset(k.clock())
 	k.runs = external.RunList{}
-	k.listedEpoch, k.acknowledged, k.leftAt, k.exitDeniedAt, k.gone = 0, 0, 0, 0, false
+	k.listedEpoch, k.acknowledged, k.ackAnswered, k.leftAt, k.exitDeniedAt, k.gone = 0, 0, 0, 0, 0, false
 	k.absent = nil
 	k.orders = map[runRef]*order{}
 }
@@ -208,7 +211,7 @@
 	defer k.mu.Unlock()
 	t := k.newTarget()
 	if t.listOnly = k.mustList; !t.listOnly {
-		t.acknowledged, t.deadline = k.acknowledged, k.nextDeadline()
+		t.acknowledged, t.deadline = k.pendingAck(), k.nextDeadline()
 	}
 	return t
 }
@@ -252,9 +255,16 @@
 }
 
 func (k *Keeper) holdAs(ctx context.Context, t callTarget, wait time.Duration) error {
+	if t.acknowledged > 0 {
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReplyMargin)
 	defer cancel()
+	if err := k.beginHold(t); err != nil {
+		return err
+	}
 	list, err := k.runner.Hold(ctx, t.instance, external.HoldRuns{Epoch: t.epoch, Seen: t.acknowledged, Deadline: t.deadline, Wait: wait})
+	k.endHold(t, err)
 	if err != nil {
 		metrics.GetOrRegisterCounter("keeper.hold_failures", k.registry).Inc(1)
 		k.recordHoldFailure(t, err)
--- /dev/null
+++ b/internal/agent/keeper/lateack_test.go
@@ -0,0 +1,169 @@
+package keeper
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
+	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+)
+
+// ackRunner records the Hold calls with acknowledgements.
+type ackRunner struct {
+	*standin.Runner
+	acks    atomic.Int32
+	waiting atomic.Int32 // those of them that wait for an end
+}
+
+func (r *ackRunner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
+	if o.Seen > 0 {
+		r.acks.Add(1)
+		if o.Wait > 0 {
+			r.waiting.Add(1)
+		}
+	}
+	return r.Runner.Hold(ctx, instance, o)
+}
+
+// skippingClock is a clock that a test can set ahead.
+type skippingClock struct {
+	base  func() time.Duration
+	ahead atomic.Int64
+}
+
+func (c *skippingClock) now() time.Duration { return c.base() + time.Duration(c.ahead.Load()) }
+
+// lateAckKeeper returns a keeper whose worker's first end was acknowledged with a call that has no answer and takes effect after late.
+func lateAckKeeper(t *testing.T, late time.Duration) (*Keeper, *ackRunner, plan.WorkerInfo, *skippingClock) {
+	t.Helper()
+	clock := &skippingClock{base: ledger.NewMonotonicClock()}
+	runner := &ackRunner{Runner: standin.NewRunner()}
+	runner.RunDuration = func(graph.TaskID) time.Duration { return 10 * time.Millisecond }
+	k := New(runner, NewOwnerFinder(unavailableRows{}, "all", nil, clock.now, zerolog.Nop()), clock.now, metrics.NewRegistry(), zerolog.Nop())
+	if err := k.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := k.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	worker := plan.WorkerInfo{ID: "w", Instance: runner.Instance(), StartUnixMillis: runner.StartCount(), Capacity: graph.Resources{MilliCPU: 1000}}
+	k.HandleHeartbeat(worker, 1)
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation()})
+	k.awaitList(t)
+	k.endOneRun(t, runner, worker, "earlier")
+	runner.SetFaults(standin.RunnerFaults{HoldDelay: late})
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Acknowledged: 1})
+	pollUntil(t, "an acknowledgement", func() bool { return runner.acks.Load() > 0 })
+	runner.SetFaults(standin.RunnerFaults{})
+	return k, runner, worker, clock
+}
+
+func pollUntil(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	bound, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if !kernel.PollUntil(bound, time.Millisecond, done) {
+		t.Fatalf("timed out waiting for %s", what)
+	}
+}
+
+// endOneRun starts a run that ends soon, and waits until the keeper has listed its end.
+func (k *Keeper) endOneRun(t *testing.T, runner *ackRunner, worker plan.WorkerInfo, job graph.JobID) {
+	t.Helper()
+	if _, err := runner.Start(context.Background(), worker.Instance, external.StartRun{Task: graph.TaskID{Job: job}, Run: 7, Epoch: 1, Deadline: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
+	pollUntil(t, "the end of "+string(job), func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.runs.Ended) > 0 && k.runs.Ended[0].Task.Job == job
+	})
+}
+
+// getsWork reports whether the worker is reported with room, and takes starts.
+func (k *Keeper) getsWork() bool {
+	l := &ownerLink{keeper: k, answers: answerMonitor{clock: k.clock}}
+	room := k.nextReport(l, true).MilliCpu > 0
+	return room && k.refusal(&rpc.StartTask{}) == ""
+}
+
+func (r *ackRunner) restartUnder(k *Keeper, worker plan.WorkerInfo) plan.WorkerInfo {
+	r.Restart()
+	worker.StartUnixMillis = r.StartCount()
+	k.HandleHeartbeat(worker, 1)
+	return worker
+}
+
+// TestLateAcknowledgementForgetsNoEndOfNextIncarnation guards against an end that nobody has seen and that a worker forgets on an acknowledgement meant for its earlier incarnation: its task would run again.
+func TestLateAcknowledgementForgetsNoEndOfNextIncarnation(t *testing.T) {
+	const late = 700 * time.Millisecond
+	k, runner, worker, clock := lateAckKeeper(t, late)
+	worker = runner.restartUnder(k, worker)
+	k.awaitList(t)
+	if k.getsWork() {
+		// Its owner may place work there from now on.
+		if _, err := runner.Start(context.Background(), worker.Instance, external.StartRun{Task: graph.TaskID{Job: "next"}, Run: 7, Epoch: 1, Deadline: time.Hour}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(late)
+		list, err := runner.Hold(context.Background(), worker.Instance, external.HoldRuns{Epoch: 1})
+		t.Fatalf("the next incarnation gets work while an acknowledgement may reach it; it lists the ends %v of one run (%v)", list.Ended, err)
+	}
+	time.Sleep(late)
+	clock.ahead.Store(int64(lateCallBound))
+	if !k.getsWork() {
+		t.Fatal("no work after the bound")
+	}
+	k.endOneRun(t, runner, worker, "next")
+}
+
+// TestAnsweredAcknowledgementDelaysNoRestart guards against a restarted worker that stands idle although no acknowledgement is under way.
+func TestAnsweredAcknowledgementDelaysNoRestart(t *testing.T) {
+	k, runner, worker, _ := lateAckKeeper(t, 0)
+	time.Sleep(2 * holdWait)
+	if acks, waiting := runner.acks.Load(), runner.waiting.Load(); acks != 1 || waiting > 0 {
+		t.Errorf("the acknowledgement is sent %d times, %d of them in calls that wait", acks, waiting)
+	}
+	runner.restartUnder(k, worker)
+	k.awaitList(t)
+	if !k.getsWork() {
+		t.Error("no work")
+	}
+}
+
+// TestUnansweredAcknowledgementIsSentAgain guards against ends that a worker lists for ever.
+func TestUnansweredAcknowledgementIsSentAgain(t *testing.T) {
+	k, runner, _, _ := lateAckKeeper(t, time.Hour)
+	pollUntil(t, "no ends", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.runs.Ended) == 0
+	})
+	if n := runner.acks.Load(); n != 2 {
+		t.Errorf("%d calls with acknowledgements, want 2", n)
+	}
+}
+
+// TestLateAcknowledgementDelaysNoOtherName guards against a worker that stands idle for a call that it would refuse.
+func TestLateAcknowledgementDelaysNoOtherName(t *testing.T) {
+	k, _, worker, _ := lateAckKeeper(t, time.Hour)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	worker.Instance = "other"
+	k.changeWorker(worker)
+	if k.lateAcksPossible() {
+		t.Error("awaits an acknowledgement under the earlier name")
+	}
+}
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -172,6 +172,8 @@
 	switch {
 	case k.worker == nil || k.worker.Draining || k.leaving():
 		return "worker drains"
+	case k.lateAcksPossible():
+		return "an acknowledgement for the earlier incarnation may reach the worker"
 	case !rpc.CapacityOf(o).Fits(k.worker.Capacity):
 		return "capacity has shrunk"
 	}
--- a/test/graphs/together_test.go
+++ b/test/graphs/together_test.go
@@ -170,3 +170,19 @@
 	}
 	return w
 }
+
+// TestLateAcknowledgementsStartNoTaskAgain guards against a task that runs again after it was done, as its worker has forgotten the end on an acknowledgement meant for its earlier incarnation.
+func TestLateAcknowledgementsStartNoTaskAgain(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.setTaskDuration(300 * time.Millisecond)
+	var ids []graph.JobID
+	for range 4 {
+		ids = append(ids, f.submitAll(4, 16, 50*time.Millisecond)...)
+		time.Sleep(300 * time.Millisecond)
+		f.agents[0].runner.SetFaults(standin.RunnerFaults{HoldDelay: 800 * time.Millisecond})
+		time.Sleep(150 * time.Millisecond)
+		f.agents[0].runner.Restart()
+		f.agents[0].runner.SetFaults(standin.RunnerFaults{})
+	}
+	f.mustCompleteOnce(ids, 30*time.Second)
+}
