plan, graphs: no done task runs again once an unreadable row is repaired

What callers saw: nothing yet. A job with a row that cannot be decoded is left out. The ends of its runs were acknowledged as late ones and lost. Once its request was repaired, the job began anew in the same term, although its progress was stored: tasks that were done ran again (TWICE). Once its progress was repaired, it stood still until the next term.

Cause: an end without a job was taken for one of a job that is over, and a job row that the feed brings without a progress for a new job.

The core knows the jobs that were left out. A change of a row of one makes the owner read all its rows. Ends of their runs wait until the job can be read, and are processed then, or until it is removed.

--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -310,7 +312,9 @@
 	for ctx.Err() == nil {
 		rows, upTo, err := t.store.table.Feed(ctx, jobsPrefix, after, feedPollTimeout)
 		if err == nil {
-			t.applyRows(rows)
+			err = t.applyRows(ctx, rows)
+		}
+		if err == nil {
 			after = upTo
 			if failing {
 				failing = false
@@ -349,6 +353,39 @@
 	return newest
 }
 
-func (t *term) applyRows(rows []ledger.Row) {
-	t.loadJobs(decodeJobs(rows))
+// applyRows applies changed rows. Jobs of which a row could not be read are read again as a
+// whole: the change may be that row alone, without the progress of the job.
+func (t *term) applyRows(ctx context.Context, rows []ledger.Row) error {
+	again := t.unreadableJobs(rows)
+	jobs := slices.DeleteFunc(decodeJobs(rows), func(j *storedJob) bool { return again[j.id] })
+	var removed []graph.JobID
+	for _, id := range slices.Sorted(maps.Keys(again)) {
+		j, err := t.store.LoadJob(ctx, id)
+		switch {
+		case err != nil:
+			return errors.Trace(err)
+		case j == nil || j.job == nil && j.err == nil:
+			removed = append(removed, id)
+		default:
+			jobs = append(jobs, j)
+		}
+	}
+	t.loadJobs(jobs)
+	for _, id := range removed {
+		t.step(plan.JobRemoved{Job: id})
+	}
+	return nil
+}
+
+// unreadableJobs returns the jobs of rows of which an earlier row could not be read.
+func (t *term) unreadableJobs(rows []ledger.Row) map[graph.JobID]bool {
+	out := map[graph.JobID]bool{}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range rows {
+		if id, _, ok := splitKey(r.Key); ok && t.core.Unreadable(id) {
+			out[id] = true
+		}
+	}
+	return out
 }
--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -319,6 +319,22 @@
 	return decodeJobs(append(rows, parts...)), errors.Annotate(err, "loading jobs")
 }
 
+// LoadJob returns a job, also one with rows that cannot be decoded, or nil if it has none.
+func (s *Store) LoadJob(ctx context.Context, id graph.JobID) (*storedJob, error) {
+	var rows []ledger.Row
+	for _, prefix := range []string{jobsPrefix, partsPrefix} {
+		page, err := s.table.Scan(ctx, ledger.CauseRecovery, prefix+string(id)+"/", "", scanPageRows)
+		if err != nil {
+			return nil, errors.Annotatef(err, "loading job %q", id)
+		}
+		rows = append(rows, page...)
+	}
+	if jobs := decodeJobs(rows); len(jobs) > 0 {
+		return jobs[0], nil
+	}
+	return nil, nil
+}
+
 // LoadJobsAndLearned returns all jobs like LoadJobs, and the row of what an earlier owner
 // has learned. It comes with the pages of the jobs, without a call of its own.
 func (s *Store) LoadJobsAndLearned(ctx context.Context) ([]*storedJob, ledger.Row, error) {
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -114,6 +114,9 @@
 				if suppressed, ok := t.skipped.Allow(time.Now()); ok {
 					t.log.Error().Err(j.err).Str("job", string(j.id)).Int("suppressed", suppressed).Msg("job skipped: a row of it cannot be decoded")
 				}
+				if validJobID(j.id) {
+					events = append(events, plan.JobUnreadable{Job: j.id})
+				}
 				continue
 			}
 			if j.job != nil && !onlyHead {
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -64,7 +64,8 @@
 	hasReports    bool
 	firstReportAt time.Duration
 	unsavedJobs   []*job
-	rejectedJobs  []*job // may have to be saved again after a pause
+	unreadable    map[graph.JobID]bool // jobs with rows that cannot be read
+	rejectedJobs  []*job               // may have to be saved again after a pause
 	lastSavedAt   time.Duration
 	sched         schedulingState
 	// needsScheduling is set when an event changes something that placement depends
@@ -83,7 +84,7 @@
 	if cfg.StopTime == 0 {
 		cfg.StopTime = defaultStopTime
 	}
-	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
+	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, unreadable: map[graph.JobID]bool{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
 		speeds: newSpeedModel(cfg.Features), runTimes: &runtimes.Model{}, observed: map[string]observedRuns{}}
 }
 
@@ -133,6 +134,10 @@
 		c.addJob(e)
 	case JobCancelled:
 		c.cancelJob(e.Job)
+	case JobUnreadable:
+		c.markUnreadable(e.Job)
+	case JobRemoved:
+		c.removeUnreadable(e.Job)
 	case WorkerReport:
 		c.handleReport(e)
 	case SessionClosed:
@@ -171,6 +176,7 @@
 	c.sched.releases.valid = false // as of the last pass
 	for _, w := range c.sortedWorkers {
 		c.watchLease(w)
+		c.watchHeldEnds(w)
 		c.watchOrders(w)
 	}
 	c.limitQuarantines()
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -25,6 +25,10 @@
 	}
 	c.observeDemand(j)
 	c.emit(Notice{Reason: ReasonAccepted, Job: j.ID, Detail: j.describe()})
+	if c.unreadable[j.ID] {
+		delete(c.unreadable, j.ID)
+		c.processHeldEnds(j.ID)
+	}
 }
 
 // describe returns a one-line summary of the job for the log.
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -33,6 +33,13 @@
 // JobCancelled reports that the cancellation of a job is stored in the table.
 type JobCancelled struct{ Job graph.JobID }
 
+// JobUnreadable reports that rows of a job in the table cannot be read. JobSubmitted or
+// JobRemoved follows once they can, or are gone.
+type JobUnreadable struct{ Job graph.JobID }
+
+// JobRemoved reports that a job that was unreadable is not in the table any more.
+type JobRemoved struct{ Job graph.JobID }
+
 // WorkerInfo describes one incarnation of a worker.
 type WorkerInfo struct {
 	// ID is the host name; it survives restarts of the worker.
@@ -126,6 +133,8 @@
 
 func (JobSubmitted) event()  {}
 func (JobCancelled) event()  {}
+func (JobUnreadable) event() {}
+func (JobRemoved) event()    {}
 func (WorkerReport) event()  {}
 func (SessionClosed) event() {}
 func (ProgressSaved) event() {}
@@ -248,5 +257,6 @@
 	ReasonHeadroomUsed       Reason = "headroom-used"
 	ReasonLongCheckpoint     Reason = "checkpoint-too-long"
 	ReasonSaveRejected       Reason = "save-rejected"
+	ReasonEndHeld            Reason = "end-held"
 	ReasonVictimStoppedOften Reason = "victim-stopped-often"
 )
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -63,6 +63,9 @@
 	number uint64
 	job    *job // nil if the owner did not track the run
 	saved  bool
+	// held is the end while its job is unreadable, since heldSince.
+	held      *graph.RunEnd
+	heldSince time.Duration
 }
 
 func (w *worker) connected() bool { return w.reported && w.session != "" && !w.lost }
@@ -349,8 +352,12 @@
 
 func (c *Core) processEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
 	m := c.memberOf(w, e)
+	if m == nil && c.unreadable[e.Task.Job] {
+		c.holdEnd(e, ack)
+		return
+	}
 	if m == nil {
-		c.processLateEnd(e, ack)
+		c.recordLateEnd(e, ack)
 		return
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
@@ -368,9 +375,9 @@
 	c.requestSaveOf(m.unit.job, then)
 }
 
-// processLateEnd handles the end of a run that the owner no longer tracks. Nothing
+// recordLateEnd handles the end of a run that the owner no longer tracks. Nothing
 // depends on it unless the job's state is still being saved.
-func (c *Core) processLateEnd(e graph.RunEnd, ack *pendingAck) {
+func (c *Core) recordLateEnd(e graph.RunEnd, ack *pendingAck) {
 	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Detail: "late " + string(e.Kind)})
 	ack.saved = true
 }
