--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -64,7 +64,9 @@
 	hasReports    bool
 	firstReportAt time.Duration
 	unsavedJobs   []*job
-	rejectedJobs  []*job // may have to be saved again after a pause
+	unreadable    map[graph.JobID]bool // jobs with rows that cannot be read
+	rejectedJobs  []*job               // may have to be saved again after a pause
+	lastSavedAt   time.Duration
 	sched         schedulingState
 	// needsScheduling is set when an event changes something that placement depends
 	// on.
@@ -82,7 +84,7 @@
 	if cfg.StopTime == 0 {
 		cfg.StopTime = defaultStopTime
 	}
-	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
+	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, unreadable: map[graph.JobID]bool{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
 		speeds: newSpeedModel(cfg.Features), runTimes: &runtimes.Model{}, observed: map[string]observedRuns{}}
 }
 
@@ -132,6 +134,10 @@
 		c.addJob(e)
 	case JobCancelled:
 		c.cancelJob(e.Job)
+	case JobUnreadable:
+		c.markUnreadable(e.Job)
+	case JobRemoved:
+		c.removeUnreadable(e.Job)
 	case WorkerReport:
 		c.handleReport(e)
 	case SessionClosed:
@@ -170,6 +176,7 @@
 	c.sched.releases.valid = false // as of the last pass
 	for _, w := range c.sortedWorkers {
 		c.watchLease(w)
+		c.watchHeldEnds(w)
 		c.watchOrders(w)
 	}
 	c.limitQuarantines()
@@ -249,6 +256,9 @@
 	// rejected, if not nil, is called in its place if the save is rejected. Without it
 	// stored waits for the next save.
 	rejected func()
+	// unstored, if not nil, is called in place of stored once the table has rejected even
+	// the final state of the job for too long.
+	unstored func()
 }
 
 func (c *Core) requestSaveOf(j *job, then afterSave) {
@@ -273,7 +283,7 @@
 		j.saveInProgress, j.changedSinceSave = true, false
 		j.saveNumber++
 		j.afterCurrentSave, j.afterNextSave = j.afterNextSave, nil
-		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: j.progress()})
+		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: j.progress(), StateOnly: j.stateOnly})
 	}
 }
 
@@ -284,6 +294,7 @@
 	}
 	j.saveInProgress = false
 	j.rejected = false
+	c.lastSavedAt = c.now
 	j.durableState = j.stateInSave
 	then := j.afterCurrentSave
 	j.afterCurrentSave = nil
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -61,7 +61,11 @@
 // pendingAck is a run end that is acknowledged once its effect is saved.
 type pendingAck struct {
 	number uint64
+	job    *job // nil if the owner did not track the run
 	saved  bool
+	// held is the end while its job is unreadable, since heldSince.
+	held      *graph.RunEnd
+	heldSince time.Duration
 }
 
 func (w *worker) connected() bool { return w.reported && w.session != "" && !w.lost }
@@ -348,23 +352,32 @@
 
 func (c *Core) processEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
 	m := c.memberOf(w, e)
+	if m == nil && c.unreadable[e.Task.Job] {
+		c.holdEnd(e, ack)
+		return
+	}
 	if m == nil {
-		c.processLateEnd(e, ack)
+		c.recordLateEnd(e, ack)
 		return
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
-	c.requestSave(m.unit.job, func() {
+	ack.job = m.unit.job
+	then := afterSave{stored: func() {
 		ack.saved = true
 		if w.info.Incarnation() == incarnation {
 			c.acknowledgeEnds(w, false)
 		}
-	})
+	}}
+	if e.Kind != graph.EndDone {
+		then.unstored = then.stored
+	}
+	c.requestSaveOf(m.unit.job, then)
 }
 
-// processLateEnd handles the end of a run that the owner no longer tracks. Nothing
+// recordLateEnd handles the end of a run that the owner no longer tracks. Nothing
 // depends on it unless the job's state is still being saved.
-func (c *Core) processLateEnd(e graph.RunEnd, ack *pendingAck) {
+func (c *Core) recordLateEnd(e graph.RunEnd, ack *pendingAck) {
 	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Detail: "late " + string(e.Kind)})
 	ack.saved = true
 }
