plan: tell why runs are stopped or lost, and report units that stand still

The lines did not tell why a run was stopped, which of the ways of losing a worker ended it, what it needed, from which checkpoint it began, and what the owner knew of an end that came late. A unit whose placement was not stored or whose ends were missing left no line at all.

Fields: reason on stops and ends, tasks, accelerators and milli_cpu on the first placement of a unit, checkpoint on starts, worker on late ends.

--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -292,12 +292,14 @@
 		t.addOrder(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
 			o.Starts = append(o.Starts, rpc.StartTaskOf(a))
 		})
-		t.logDecision(a.Task.Job, "start ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
+		e := t.logDecision(a.Task.Job, "start ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker)
+		addNonempty(e, "checkpoint", a.Checkpoint).Msg("decision")
 	case plan.StopRun:
 		t.addOrder(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
 			o.Stops = append(o.Stops, rpc.TaskRefOf(a.Task, a.Run))
 		})
-		t.logDecision(a.Task.Job, "stop ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker).Msg("decision")
+		e := t.logDecision(a.Task.Job, "stop ordered").Str("task", a.Task.String()).Uint64("run", a.Run).Str("worker", a.Worker)
+		addNonempty(e, "reason", a.Reason).Msg("decision")
 	case plan.GrantLease:
 		t.addOrder(a.Worker, a.Incarnation, func(o *rpc.WorkerOrders) {
 			o.GrantedBeat, o.LeaseMs = a.ReportNumber, t.limits.leaseDuration().Milliseconds()
@@ -373,15 +375,23 @@
 	if n.Task != "" {
 		e = e.Str("task", n.Task).Uint64("run", n.Run)
 	}
-	if n.Worker != "" {
-		e = e.Str("worker", n.Worker)
-	}
-	if n.Detail != "" {
-		e = e.Str("detail", n.Detail)
+	e = addNonempty(e, "worker", n.Worker)
+	e = addNonempty(e, "detail", n.Detail)
+	e = addNonempty(e, "reason", n.Cause)
+	if n.Size != nil {
+		e = e.Int("tasks", n.Size.Tasks).Int("accelerators", n.Size.Needs.Accelerators).Int("milli_cpu", n.Size.Needs.MilliCPU)
 	}
 	e.Msg("decision")
 }
 
+// addNonempty adds a field to a log line unless its value is empty.
+func addNonempty(e *zerolog.Event, key, value string) *zerolog.Event {
+	if value == "" {
+		return e
+	}
+	return e.Str(key, value)
+}
+
 // saveProgress writes a job's progress, retrying until it succeeds, the table rejects its
 // content or the term ends.
 func (t *term) saveProgress(a plan.SaveProgress, rows *progressRows) {
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -176,6 +176,7 @@
 	for _, j := range c.activeJobs {
 		c.watchRuns(j)
 	}
+	c.reportHeld()
 }
 
 // FinalJobRetention is the time for which a final job is kept in memory. Callers
--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -25,6 +25,7 @@
 	for _, u := range j.units {
 		c.dropClaim(u)
 		if !u.runDone {
+			u.history.stopFor(stopJobEnded)
 			c.stopRun(u)
 		}
 	}
@@ -40,6 +41,7 @@
 // stopRun stops all members of a unit's current run.
 func (c *Core) stopRun(u *unit) {
 	u.stopping = true
+	u.history.beginStop(c.now)
 	for _, m := range u.members {
 		c.stopMember(m)
 	}
@@ -59,12 +61,17 @@
 		return
 	}
 	m.orderSession, m.lastOrderAt = m.worker.session, c.now
-	c.emit(StopRun{Worker: m.worker.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run})
+	c.emit(StopRun{Worker: m.worker.info.ID, Incarnation: m.incarnation, Task: m.task, Run: m.run, Reason: m.unit.history.stopReason})
 }
 
 // endMember records the end of a member, releases its resources and stops the
 // rest of the run unless it is done.
 func (c *Core) endMember(m *member, kind graph.EndKind, checkpoint string) {
+	c.endMemberFor(m, kind, checkpoint, "")
+}
+
+// endMemberFor is endMember with the cause of the end as the owner knows it.
+func (c *Core) endMemberFor(m *member, kind graph.EndKind, checkpoint, cause string) {
 	if m.ended {
 		return
 	}
@@ -72,7 +79,7 @@
 	c.needsScheduling = true
 	c.release(m)
 	u := m.unit
-	c.emit(Notice{Reason: ReasonRunEnded, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: m.worker.info.ID, Detail: string(kind)})
+	c.emit(Notice{Reason: ReasonRunEnded, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: m.worker.info.ID, Detail: string(kind), Cause: cause})
 	if checkpoint != "" && u.step.Checkpointable {
 		c.keepCheckpoint(m, checkpoint)
 	}
@@ -90,6 +97,7 @@
 		c.recordFailure(m.worker, u, m.index())
 	}
 	if !u.runDone && !u.stopping {
+		u.history.stopFor(stopMemberEnded)
 		c.stopRun(u)
 	}
 	c.finishRunIfEnded(u)
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -31,6 +31,7 @@
 	runDone   bool // a member of the current run ended with EndDone
 	runFailed bool // a member of the current run ended with EndFailed
 	stopping  bool // the current run is being stopped
+	history   runHistory
 	crashes   unitCrashes
 	// speedsLearned is set once the members of the current run were compared.
 	speedsLearned bool
--- a/internal/graph/plan/lagging.go
+++ b/internal/graph/plan/lagging.go
@@ -71,6 +71,7 @@
 	if target.allocs != nil {
 		c.makeClaim(u, target.allocs)
 	}
+	u.history.stopFor(string(ReasonRunLagging))
 	c.stopRun(u)
 }
 
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -102,6 +102,7 @@
 		if c.hasHeadroom() && v.stops > headroom.FewStops {
 			c.emit(Notice{Reason: ReasonVictimStoppedOften, Job: v.job.ID, Task: v.taskID(0).String(), Run: v.run, Detail: fmt.Sprintf("%d times", v.stops)})
 		}
+		v.history.stopFor(string(reason) + " for " + string(u.job.ID))
 		c.stopRun(v)
 	}
 	return true
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -69,6 +69,7 @@
 			u.phase = unitPlaced
 		}
 		if j.state.Final() || u.runFailed || u.crashes.inRun() {
+			u.history.stopFor(stopEarlierTerm)
 			c.stopRun(u)
 		}
 	}
@@ -80,6 +81,7 @@
 		recovered: true, lastProgressAt: c.now, runningSince: c.now}
 	u.run = max(u.run, t.Run)
 	u.members = append(u.members, m)
+	u.history.placedAt = c.now
 	c.occupy(m)
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -228,6 +228,7 @@
 	u.job.idleSince = 0 // the job's other units wait like those of others
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	u.crashes.beginRun()
+	u.history = runHistory{placedAt: c.now}
 	u.endEstimatedAt = 0
 	i := 0
 	for _, p := range allocs {
@@ -235,14 +236,14 @@
 			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
 			u.members = append(u.members, m)
 			c.occupy(m)
-			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID})
+			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID, Size: u.sizeAt(i)})
 			i++
 		}
 	}
 	members := u.members
 	c.requestSaveOf(u.job, afterSave{
 		stored:   func() { c.startRun(u, members) },
-		rejected: func() { c.abandonRun(u, members) },
+		rejected: func() { c.abandonRun(u, members, causeSaveRejected) },
 	})
 }
 
@@ -251,12 +252,12 @@
 func (c *Core) startRun(u *unit, members []*member) {
 	for _, m := range members {
 		if !c.canStart(m) {
-			c.abandonRun(u, members)
+			c.abandonRun(u, members, c.whyNotStarted(m))
 			return
 		}
 	}
 	if !roomToStart(u, members) {
-		c.abandonRun(u, members)
+		c.abandonRun(u, members, causeCapacityShrunk)
 		return
 	}
 	for _, m := range members {
@@ -301,9 +302,9 @@
 }
 
 // abandonRun ends a run for which no start has been ordered.
-func (c *Core) abandonRun(u *unit, members []*member) {
+func (c *Core) abandonRun(u *unit, members []*member, cause string) {
 	for _, m := range members {
-		c.endMember(m, graph.EndNeverStarted, "")
+		c.endMemberFor(m, graph.EndNeverStarted, "", cause)
 	}
 	c.requestSave(u.job, nil)
 }
--- a/internal/graph/plan/stalls.go
+++ b/internal/graph/plan/stalls.go
@@ -109,6 +109,7 @@
 	c.recordStandstill(m)
 	u.stalls++
 	c.recordFailure(m.worker, u, m.index())
+	u.history.stopFor(string(ReasonNoProgress))
 	c.stopRun(u)
 }
 
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -154,12 +154,13 @@
 }
 
 // StopRun orders a worker to stop a run, including one that may not have started.
-// The agent reports either the run's end or its absence.
+// The agent reports either the run's end or its absence. Reason is for the log.
 type StopRun struct {
 	Worker      string
 	Incarnation string
 	Task        graph.TaskID
 	Run         uint64
+	Reason      string
 }
 
 // GrantLease renews a worker's lease for its full duration, counted from the time
@@ -196,6 +197,17 @@
 	Run    uint64
 	Worker string
 	Detail string
+	// Cause tells why a run ended in the way that Detail says, where the owner knows more
+	// than that.
+	Cause string
+	// Size is set on ReasonPlaced, for the first task of the unit.
+	Size *UnitSize
+}
+
+// UnitSize is the number of tasks of a unit and what each of them needs.
+type UnitSize struct {
+	Tasks int
+	Needs graph.Resources
 }
 
 func (StartRun) action()        {}
@@ -225,6 +237,7 @@
 	ReasonWorkerDraining     Reason = "worker-draining"
 	ReasonNoProgress         Reason = "no-progress"
 	ReasonNoOutcome          Reason = "order-without-outcome"
+	ReasonUnitHeld           Reason = "unit-held"
 	ReasonWorkerUp           Reason = "worker-up"
 	ReasonWorkerLost         Reason = "worker-lost"
 	ReasonIncarnationChanged Reason = "worker-incarnation-changed"
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -40,6 +40,7 @@
 		}
 		c.emit(Notice{Reason: ReasonNoOutcome, Job: m.unit.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
 		m.orderSession = ""
+		m.unit.history.stopFor(string(ReasonNoOutcome))
 		c.stopMember(m)
 	}
 }
@@ -88,6 +89,7 @@
 			continue
 		}
 		c.emit(Notice{Reason: ReasonWorkerDraining, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
+		u.history.stopFor(string(ReasonWorkerDraining))
 		c.stopRun(u)
 		return
 	}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -143,7 +143,7 @@
 	}
 	if report.WorkerLeft {
 		w.responsive = false
-		c.endLostMembers(w, noIncarnation)
+		c.endLostMembers(w, noIncarnation, causeWorkerLeft)
 		return
 	}
 	c.reconcileMembers(w, report)
@@ -166,7 +166,7 @@
 		return slices.Contains(report.Lost, ref) && !report.lists(ref)
 	}, true)
 	c.moveUnsettledMembers(w, report)
-	c.endLostMembers(w, incarnation)
+	c.endLostMembers(w, incarnation, causeWorkerRestarted)
 }
 
 // moveUnsettledMembers binds those members to the worker's new incarnation whose start may
@@ -187,6 +187,7 @@
 		m.incarnation, m.orderSession = report.Worker.Incarnation(), ""
 		m.running, m.accepted = false, false
 		if !listed {
+			m.unit.history.stopFor(stopUnsettledStart)
 			c.stopRun(m.unit)
 		}
 		c.requestSave(m.unit.job, nil)
@@ -201,12 +202,12 @@
 
 // endLostMembers ends all members on a worker except those placed on the given
 // incarnation. They cannot be running any more.
-func (c *Core) endLostMembers(w *worker, except string) {
+func (c *Core) endLostMembers(w *worker, except, cause string) {
 	for _, m := range slices.Clone(w.members) {
 		if m.incarnation == except {
 			continue
 		}
-		c.endMember(m, graph.EndWorkerLost, "")
+		c.endMemberFor(m, graph.EndWorkerLost, "", cause)
 		c.requestSave(m.unit.job, nil)
 	}
 }
@@ -249,7 +250,7 @@
 	}
 	w.unknownStops[RunRef{r.Task, r.Run}] = orderedStop{w.session, c.now}
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
-	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
+	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run, Reason: string(ReasonUnknownRun)})
 }
 
 func (c *Core) updateProgress(m *member, r graph.RunState, listedAt time.Duration) {
@@ -349,7 +350,7 @@
 func (c *Core) processEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
 	m := c.memberOf(w, e)
 	if m == nil {
-		c.processLateEnd(e, ack)
+		c.processLateEnd(w, e, ack)
 		return
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
@@ -364,8 +365,9 @@
 
 // processLateEnd handles the end of a run that the owner no longer tracks. Nothing
 // depends on it unless the job's state is still being saved.
-func (c *Core) processLateEnd(e graph.RunEnd, ack *pendingAck) {
-	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Detail: "late " + string(e.Kind)})
+func (c *Core) processLateEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
+	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Worker: w.info.ID, Detail: "late " + string(e.Kind),
+		Cause: c.describeUntracked(e)})
 	ack.saved = true
 }
 
@@ -416,6 +418,7 @@
 			c.stopMember(m)
 		case listed[m.task] == m.run || e.MoreEnds:
 		case m.running || orderedBefore:
+			m.unit.history.stopFor(unlistedReason(m))
 			c.stopMember(m)
 		}
 	}
@@ -439,7 +442,7 @@
 	if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
 		c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
 	}
-	c.endLostMembers(w, noIncarnation)
+	c.endLostMembers(w, noIncarnation, causeLeaseOver)
 }
 
 // avoidFor makes a unit avoid a worker for a time.
