joblog: runs that were lost, by their first cause; what holds jobs without runs

logs time put all members of a gang into one run, as they share its number, and told of a lost run only how it ended, which is often a consequence.

Runs are kept by task and number. logs lost adds up the task-seconds and, by the needs at placed, core-seconds of runs kept and lost, with the first cause in the run of the unit: a member that was stopped is lost by the crash, the refused start or the preemption that another one met. Waits are told apart: room, a rack, a claim, a rejected save, an owner, earlier steps. logs state tells of each job that has not ended whether it waits, is not stored, pauses or is being stopped, with the members whose end is missing.

Lines that are left out are counted by reason; the number of runs is bounded.

--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -21,54 +21,90 @@
 	job    string
 	window time.Duration
 	most   int
+	at     string
 }
 
-// logsReport is the output of "logs time".
+// logsReport is the output of "logs time" and "logs lost".
 type logsReport struct {
 	Lines     int                `json:"lines"`
 	Malformed int                `json:"malformed"`
+	Skipped   joblog.Skipped     `json:"skipped"`
 	Groups    []joblog.GroupTime `json:"groups"`
 	Jobs      []joblog.JobTime   `json:"jobs"`
 }
 
 func logsCommands(e *env) []*command {
-	var flags logsFlags
+	var times, lost, state logsFlags
 	return []*command{{
 		name: "time", arguments: "[FILE...]", maxArgs: -1,
 		synopsis: "tell where the time of jobs went, from the log lines of all entries, the worst first",
 		example: "  coltsfootctl logs time -queue quotes entry-*.log\n" +
 			"  collect-logs entry | coltsfootctl logs time -job 163823fafb624476",
-		flags: flags.register,
-		run:   func(_ context.Context, args []string) error { return e.logsTime(&flags, args) },
+		flags: func(f *flag.FlagSet) { times.register(f, joblog.ByQueue) },
+		run:   func(_ context.Context, args []string) error { return e.logsTime(&times, args, e.printLogs) },
+	}, {
+		name: "lost", arguments: "[FILE...]", maxArgs: -1,
+		synopsis: "tell which runs were kept and which lost, and by what, from the log lines of all processes",
+		example: "  coltsfootctl logs lost entry-*.log agent-*.log\n" +
+			"  collect-logs | coltsfootctl logs lost -job 163823fafb624476",
+		flags: func(f *flag.FlagSet) { lost.register(f, joblog.ByAll) },
+		run:   func(_ context.Context, args []string) error { return e.logsTime(&lost, args, e.printLost) },
+	}, {
+		name: "state", arguments: "[FILE...]", maxArgs: -1,
+		synopsis: "tell what jobs that have not ended wait for, from the log lines of all processes",
+		example: "  coltsfootctl logs state entry-*.log agent-*.log\n" +
+			"  collect-logs | coltsfootctl logs state -job 163823fafb624476 -at 2026-02-22T14:53:30Z",
+		flags: func(f *flag.FlagSet) {
+			f.IntVar(&state.most, "most", 20, "show `N` jobs at most; 0 for all")
+			state.registerSelection(f)
+		},
+		run: func(_ context.Context, args []string) error { return e.logsState(&state, args) },
 	}}
 }
 
-func (l *logsFlags) register(f *flag.FlagSet) {
-	f.StringVar(&l.by, "by", string(joblog.ByQueue), "add jobs up by `KEY`: queue, account, zone (of the entry) or window")
+func (l *logsFlags) register(f *flag.FlagSet, by joblog.Grouping) {
+	f.StringVar(&l.by, "by", string(by), "add jobs up by `KEY`: queue, account, zone (of the entry), window or all")
 	f.DurationVar(&l.window, "window", 10*time.Second, "`DURATION` of the windows of -by window")
+	f.IntVar(&l.most, "most", 20, "show `N` jobs at most; 0 for all")
+	l.registerSelection(f)
+}
+
+// registerSelection adds the flags that say which lines and jobs are read.
+func (l *logsFlags) registerSelection(f *flag.FlagSet) {
 	f.StringVar(&l.queue, "queue", "", "only jobs of the queue `NAME`")
 	f.StringVar(&l.job, "job", "", "only the job `ID`, with its runs and the reasons of its waits")
-	f.IntVar(&l.most, "most", 20, "show `N` jobs at most; 0 for all")
+	f.StringVar(&l.at, "at", "", "leave out lines after `TIME` (RFC 3339)")
 }
 
-func (e *env) logsTime(flags *logsFlags, files []string) error {
-	if !slices.Contains(joblog.Groupings, joblog.Grouping(flags.by)) {
-		return usagef("-by %q: want one of %v", flags.by, joblog.Groupings)
+// check returns an error for flags that are out of range.
+func (l *logsFlags) check() error {
+	if !slices.Contains(joblog.Groupings, joblog.Grouping(l.by)) {
+		return usagef("-by %q: want one of %v", l.by, joblog.Groupings)
 	}
-	if flags.window <= 0 || flags.most < 0 {
+	if l.window <= 0 || l.most < 0 {
 		return usagef("-window must be positive and -most not negative")
 	}
-	journal := joblog.New()
-	if err := e.readLogs(journal, files); err != nil {
+	return nil
+}
+
+// leavesOut reports whether a job is not selected.
+func (l *logsFlags) leavesOut(t joblog.JobTime) bool {
+	return l.job != "" && t.Job != l.job || l.queue != "" && t.Queue != l.queue
+}
+
+func (e *env) logsTime(flags *logsFlags, files []string, print func(*logsFlags, logsReport) error) error {
+	if err := flags.check(); err != nil {
 		return err
 	}
-	jobs := slices.DeleteFunc(journal.Jobs(flags.job != ""), func(t joblog.JobTime) bool {
-		return flags.job != "" && t.Job != flags.job || flags.queue != "" && t.Queue != flags.queue
-	})
+	journal, err := e.readLogs(flags, files)
+	if err != nil {
+		return err
+	}
+	jobs := slices.DeleteFunc(journal.Jobs(flags.job != ""), flags.leavesOut)
 	if flags.job != "" && len(jobs) == 0 {
 		return errors.NotFoundf("job %q in the log lines", flags.job)
 	}
-	report := logsReport{Lines: journal.Lines, Malformed: journal.Malformed,
+	report := logsReport{Lines: journal.Lines, Malformed: journal.Skipped.Malformed, Skipped: journal.Skipped,
 		Groups: joblog.Group(jobs, joblog.Grouping(flags.by), flags.window), Jobs: jobs}
 	if flags.most > 0 && len(jobs) > flags.most {
 		report.Jobs = jobs[:flags.most]
@@ -76,20 +112,28 @@
 	if e.json {
 		return e.printJSON(report)
 	}
-	return e.printLogs(flags, report)
+	return print(flags, report)
 }
 
 // readLogs reads files, or the standard input if there are none.
-func (e *env) readLogs(journal *joblog.Journal, files []string) error {
+func (e *env) readLogs(flags *logsFlags, files []string) (*joblog.Journal, error) {
+	journal := joblog.New()
+	if flags.at != "" {
+		at, err := time.Parse(time.RFC3339, flags.at)
+		if err != nil {
+			return nil, usagef("-at: %v", err)
+		}
+		journal.EndAt(at)
+	}
 	if len(files) == 0 {
-		return journal.Read(e.stdin)
+		return journal, journal.Read(e.stdin)
 	}
 	for _, name := range files {
 		if err := readLogFile(journal, name); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	return journal, nil
 }
 
 func readLogFile(journal *joblog.Journal, name string) error {
@@ -102,7 +146,7 @@
 }
 
 func (e *env) printLogs(flags *logsFlags, report logsReport) error {
-	fmt.Fprintf(e.stdout, "%d lines, %d of them malformed and skipped; times in milliseconds\n\n", report.Lines, report.Malformed)
+	fmt.Fprintf(e.stdout, "%s; times in milliseconds\n\n", describeLines(report.Lines, report.Skipped))
 	rows := [][]string{append([]string{flags.by, "jobs", "lost"}, phaseNames()...)}
 	for _, g := range report.Groups {
 		rows = append(rows, append([]string{orDash(g.Key), fmt.Sprint(g.Jobs), fmt.Sprint(g.LostMS)}, phaseTimes(g.PhaseMS)...))
@@ -125,12 +169,31 @@
 	return nil
 }
 
+// describeLines tells how many lines were read and which were left out.
+func describeLines(lines int, s joblog.Skipped) string {
+	text := fmt.Sprintf("%d lines", lines)
+	for _, c := range []struct {
+		count int
+		what  string
+	}{
+		{s.Malformed, "malformed"}, {s.TooLong, "too long"}, {s.Repeated, "repeated"}, {s.Later, "later"},
+		{s.OfJobs, "of jobs beyond the bound"}, {s.OfRuns, "of runs beyond the bound"}, {s.OfOthers, "of workers, terms and processes beyond the bound"},
+		{s.LateEnds, "ends of runs that the owner did not track"}, {s.Unplaced, "ends of runs without a placement"},
+	} {
+		if c.count > 0 {
+			text += fmt.Sprintf(", %d %s", c.count, c.what)
+		}
+	}
+	return text
+}
+
 // printRuns prints the runs of a job and the reasons of its waits, in milliseconds since
 // its submission.
 func (e *env) printRuns(t joblog.JobTime) error {
-	rows := [][]string{{"task", "worker", "placed", "started", "ended", "end"}}
+	rows := [][]string{{"run", "task", "worker", "placed", "started", "ended", "end", "state", "hit", "cause"}}
 	for _, r := range t.Runs {
-		rows = append(rows, []string{r.Task, r.Worker, since(t.Began, r.Placed), since(t.Began, r.Started), since(t.Began, r.Ended), orDash(r.End)})
+		rows = append(rows, []string{fmt.Sprint(r.Run), r.Task, orDash(r.Worker), since(t.Began, r.Placed), since(t.Began, r.Started), since(t.Began, r.Ended),
+			orDash(r.End), string(r.State), hit(r), orDash(describeRun(r))})
 	}
 	io.WriteString(e.stdout, "\n")
 	if err := e.printTable(rows); err != nil {
@@ -139,6 +202,9 @@
 	for _, w := range t.Waits {
 		fmt.Fprintf(e.stdout, "\nat %s: %s", since(t.Began, w.At), w.Reason)
 	}
+	for _, w := range t.Held {
+		fmt.Fprintf(e.stdout, "\nat %s: held: %s", since(t.Began, w.At), w.Reason)
+	}
 	if t.Detail != "" {
 		fmt.Fprintf(e.stdout, "\n%s %s", t.Outcome, t.Detail)
 	}
@@ -146,6 +212,25 @@
 	return errors.Trace(err)
 }
 
+// hit tells whether the cause of a lost run came on itself or on its gang.
+func hit(r joblog.RunTime) string {
+	switch {
+	case r.State == joblog.Kept || r.State == joblog.Open:
+		return "-"
+	case r.Direct:
+		return "itself"
+	default:
+		return "gang"
+	}
+}
+
+func describeRun(r joblog.RunTime) string {
+	if r.Checkpoint == "" {
+		return r.Cause
+	}
+	return r.Cause + " from checkpoint " + r.Checkpoint
+}
+
 func since(began, at time.Time) string {
 	if at.IsZero() {
 		return "-"
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -18,7 +18,7 @@
 			t.Fatal(err)
 		}
 		var out strings.Builder
-		fmt.Fprintf(&out, "%d lines, %d malformed\n", journal.Lines, journal.Malformed)
+		fmt.Fprintf(&out, "%d lines, %d malformed\n", journal.Lines, journal.Skipped.Malformed)
 		for _, j := range journal.Jobs(true) {
 			fmt.Fprintf(&out, "%s queue %s account %s zone %s: %s, took %d, lost %d, %d runs, %d waits\n", j.Job, j.Queue, j.Account, j.Zone, j.Outcome, j.TookMS, j.LostMS, len(j.Runs), len(j.Waits))
 			for _, p := range Phases {
@@ -70,8 +70,8 @@
 func TestLongLineIsSkipped(t *testing.T) {
 	journal := New()
 	text := strings.Repeat("x", 3*maxLineBytes) + "\n" + `{"time":"2026-01-01T00:00:00Z","message":"decision","job":"a","what":"accepted"}`
-	if err := journal.Read(strings.NewReader(text)); err != nil || journal.Malformed != 1 || len(journal.Jobs(false)) != 1 {
-		t.Errorf("error %v, %d malformed, %d jobs", err, journal.Malformed, len(journal.Jobs(false)))
+	if err := journal.Read(strings.NewReader(text)); err != nil || journal.Skipped.TooLong != 1 || journal.Skipped.Malformed != 0 || len(journal.Jobs(false)) != 1 {
+		t.Errorf("error %v, %+v, %d jobs", err, journal.Skipped, len(journal.Jobs(false)))
 	}
 }
 
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -5,57 +5,108 @@
 	"bytes"
 	"io"
 	"maps"
+	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
+// Limits of what is kept. Lines beyond them are counted only.
 const (
 	// maxLineBytes is the length up to which a line is read; a longer one is skipped.
 	maxLineBytes = 1 << 20
-	// maxJobs limits the jobs that are kept. Lines of further jobs are counted only.
-	maxJobs = 100_000
-	// maxWaits limits the explanations of a wait that are kept of one job.
-	maxWaits = 20
+	maxJobs      = 100_000
+	maxRuns      = 500_000 // of tasks
+	// maxWaits limits the explanations of a wait that are kept of one job, maxClaims the
+	// stops of others for it, and maxPauses its rejected saves.
+	maxWaits  = 20
+	maxClaims = 1000
+	maxPauses = 100
+	// maxWorkerEvents limits the restarts and lost leases of workers.
+	maxWorkerEvents = 100_000
+	maxProcesses    = 10_000
+	maxTerms        = 10_000
 )
 
 // Journal collects the lines of any number of processes, in any order.
 type Journal struct {
-	jobs  map[string]*job
-	zones map[string]string // by process
-	terms map[uint64]*term  // by token
-	last  time.Time
+	jobs      map[string]*job
+	zones     map[string]string       // by process
+	terms     map[uint64]*term        // by token
+	workers   map[string][]workerLoss // by worker
+	losses    int                     // in workers
+	runs      int                     // of tasks
+	limits    limits
+	until     time.Time // lines after it are left out, unless it is zero
+	last      time.Time
+	unsettled bool // lines were added since the causes were settled
+
+	// Lines is the number of lines read, and Skipped tells which were left out.
+	Lines   int
+	Skipped Skipped
+}
 
-	// Lines is the number of lines read, Malformed that of lines that were skipped as
-	// they could not be decoded, and Dropped that of lines of jobs beyond maxJobs.
-	Lines, Malformed, Dropped int
+// limits are the bounds of a journal that tests lower.
+type limits struct{ jobs, runs int }
+
+// Skipped counts the lines that were left out, by the reason.
+type Skipped struct {
+	// Malformed lines have no JSON object with a time and a message; TooLong ones exceed
+	// 1 MiB.
+	Malformed int `json:"malformed"`
+	TooLong   int `json:"too_long"`
+	// Repeated lines tell again of a placement or an end that is known.
+	Repeated int `json:"repeated"`
+	// Later lines are behind the end that was set.
+	Later int `json:"later"`
+	// OfJobs, OfRuns and OfOthers are lines of jobs, runs, workers and terms beyond the
+	// bounds on memory.
+	OfJobs   int `json:"of_jobs_beyond_bound"`
+	OfRuns   int `json:"of_runs_beyond_bound"`
+	OfOthers int `json:"of_others_beyond_bound"`
+	// LateEnds are ends of runs that their owner no longer tracked, and Unplaced those of
+	// runs whose placement and start are in no line. Neither have a duration.
+	LateEnds int `json:"late_ends"`
+	Unplaced int `json:"ends_without_placement"`
 }
 
 // New returns an empty journal.
 func New() *Journal {
-	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}}
+	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, workers: map[string][]workerLoss{},
+		limits: limits{maxJobs, maxRuns}}
 }
 
+// EndAt makes Read leave out lines after a time, so that the journal is as it was then.
+func (j *Journal) EndAt(at time.Time) { j.until = at }
+
 // term is what the lines tell of an owner's term.
-type term struct{ began, lastDecision time.Time }
+type term struct{ began, lastDecision, ended time.Time }
+
+// workerLoss is the end of a worker's incarnation or of its lease.
+type workerLoss struct {
+	at    time.Time
+	cause Cause
+}
 
 // job is what the lines tell of one job.
 type job struct {
 	id, queue, account, process string
 	submitted, accepted, ended  time.Time
 	outcome, detail             string
-	runs                        map[uint64]*run
-	claims                      []time.Time // when others were stopped for the job
+	tasks, steps                int                 // 0 if not known
+	units                       map[uint64]*unitRun // by run number
+	claims                      []time.Time         // when others were stopped for the job
+	pauses                      []span              // after rejected saves
+	saveFailed                  time.Time           // the last save that did not succeed at once
+	unreadable                  string              // why its rows cannot be decoded
 	waits                       []Wait
-}
-
-// run is one run of a task.
-type run struct {
-	task, worker           string
-	placed, started, ended time.Time
-	end                    string
+	held                        []Wait    // units that held room without doing work
+	firstRun                    time.Time // once settled
 }
 
 // Wait is a decision that a job gets no room, with its inputs.
@@ -71,7 +122,7 @@
 		text, err := reader.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
 			j.Lines++
-			j.Malformed++
+			j.Skipped.TooLong++
 			err = skipLine(reader)
 		} else if text = bytes.TrimSpace(text); len(text) > 0 {
 			j.add(text)
@@ -98,29 +149,56 @@
 	j.Lines++
 	l, err := parseLine(text)
 	if err != nil {
-		j.Malformed++
+		j.Skipped.Malformed++
 		return
 	}
+	if !j.until.IsZero() && l.Time.After(j.until) {
+		j.Skipped.Later++
+		return
+	}
+	j.unsettled = true
 	if l.Time.After(j.last) {
 		j.last = l.Time
 	}
 	switch l.Message {
 	case messageStarted:
-		if l.Zone != "" {
-			j.zones[l.Process] = l.Zone
-		}
+		j.addProcess(l)
 	case messageTerm:
-		j.term(l.Token).began = l.Time
+		if t := j.term(l.Token); t != nil {
+			setFirst(&t.began, l.Time)
+		}
+	case messageTermOver:
+		if t := j.term(l.Token); t != nil {
+			setFirst(&t.ended, l.Time)
+		}
 	case messageRequest:
 		j.addRequest(l)
 	case messageDecision:
-		if t := j.term(l.Token); l.Time.After(t.lastDecision) {
+		if t := j.term(l.Token); t != nil && l.Time.After(t.lastDecision) {
 			t.lastDecision = l.Time
 		}
 		j.addDecision(l)
+	case messageStartFailed:
+		if u := j.unitRun(l); u != nil {
+			cause, detail := causeOfRefusal(l.Error)
+			u.note(event{at: l.Time, cause: cause, task: l.Task, detail: detail})
+		}
+	case messageSaveRetried, messageSaveRejected, messageJobSkipped:
+		j.addFailedSave(l)
 	}
 }
 
+func (j *Journal) addProcess(l line) {
+	if l.Zone == "" {
+		return
+	}
+	if _, known := j.zones[l.Process]; !known && len(j.zones) >= maxProcesses {
+		j.Skipped.OfOthers++
+		return
+	}
+	j.zones[l.Process] = l.Zone
+}
+
 func (j *Journal) addRequest(l line) {
 	if l.Verb != verbSubmit || l.Outcome != outcomeOK {
 		return
@@ -135,39 +213,146 @@
 	}
 }
 
+func (j *Journal) addFailedSave(l line) {
+	o := j.job(l.Job)
+	switch {
+	case o == nil:
+	case l.Message == messageJobSkipped:
+		o.unreadable = l.Error
+	case l.Time.After(o.saveFailed):
+		o.saveFailed = l.Time
+	}
+}
+
+// addDecision adds a decision of the owner on a worker, a job or a run.
 func (j *Journal) addDecision(l line) {
+	switch l.What {
+	case "worker-incarnation-changed":
+		j.addLoss(l, CauseCrashed)
+	case "worker-lost":
+		j.addLoss(l, CauseLease)
+	}
 	o := j.job(l.Job)
 	if o == nil {
 		return
 	}
 	switch l.What {
 	case "accepted":
-		if o.accepted.IsZero() || l.Time.Before(o.accepted) {
-			o.accepted = l.Time
+		setFirst(&o.accepted, l.Time)
+		o.tasks, o.steps = max(o.tasks, numberBefore(l.Detail, tasksPattern)), max(o.steps, numberBefore(l.Detail, stepsPattern))
+	case "waits-for-room":
+		o.waits = appendWait(o.waits, l)
+	case "unit-held":
+		o.held = appendWait(o.held, l)
+	case "save-rejected":
+		if len(o.pauses) < maxPauses {
+			o.pauses = append(o.pauses, span{l.Time, l.Time.Add(pauseOf(l.Detail)), Pause})
+		}
+	case "job-completed", "job-failed", "job-cancelled", "job-crashes-workers":
+		if o.ended.IsZero() || l.Time.Before(o.ended) {
+			o.ended, o.outcome, o.detail = l.Time, strings.TrimPrefix(l.What, "job-"), l.Detail
+		}
+	default:
+		j.addRunDecision(o, l)
+	}
+}
+
+// addRunDecision adds a decision on a run.
+func (j *Journal) addRunDecision(o *job, l line) {
+	if cause, ok := decisionCauses[l.What]; ok {
+		if u := j.unitRun(l); u != nil {
+			u.note(event{at: l.Time, cause: cause, task: l.Task, worker: l.Worker, detail: l.Detail})
 		}
+		j.addClaim(l)
+		return
+	}
+	switch l.What {
 	case "placed":
-		r := o.run(l.Run)
-		r.task, r.worker, r.placed = l.Task, l.Worker, l.Time
+		if r, u := j.run(l); r != nil {
+			j.addPlacement(u, r, l)
+		}
 	case "start ordered":
-		r := o.run(l.Run)
-		r.task, r.worker = l.Task, l.Worker
-		if r.started.IsZero() || l.Time.Before(r.started) {
-			r.started = l.Time
+		if r, _ := j.run(l); r != nil {
+			r.worker = l.Worker
+			r.checkpoint = l.Checkpoint
+			setFirst(&r.started, l.Time)
+		}
+	case "stop ordered":
+		if r, u := j.run(l); r != nil {
+			setFirst(&r.stopOrdered, l.Time)
+			if cause, detail := causeOfStop(l); cause != "" {
+				u.note(event{at: l.Time, cause: cause, task: l.Task, detail: detail, follows: true})
+			}
 		}
 	case "run-ended":
-		r := o.run(l.Run)
-		r.end, r.ended = l.Detail, l.Time
-	case "preempted", "reclaimed-for-guarantee", "recalled-for-reservation":
-		if claimant := j.job(strings.TrimPrefix(l.Detail, "for ")); claimant != nil {
-			claimant.claims = append(claimant.claims, l.Time)
+		j.addEnd(l)
+	}
+}
+
+func (j *Journal) addPlacement(u *unitRun, r *run, l line) {
+	if !r.placed.IsZero() {
+		j.Skipped.Repeated++
+		return
+	}
+	r.worker, r.placed, r.token = l.Worker, l.Time, l.Token
+	if l.Tasks > 0 {
+		u.sized, u.needs = true, graph.Resources{Accelerators: max(0, l.Accelerators), MilliCPU: max(0, l.MilliCPU)}
+	}
+}
+
+// addEnd adds the end of a run. A refusal is followed by the end that it leads to.
+func (j *Journal) addEnd(l line) {
+	if strings.HasPrefix(l.Detail, lateEnd) {
+		j.Skipped.LateEnds++
+		return
+	}
+	r, u := j.run(l)
+	if r == nil {
+		return
+	}
+	if reason, refused := strings.CutPrefix(l.Detail, refusedEnd); refused {
+		if cause, detail := causeOfRefusal(reason); cause != "" {
+			u.note(event{at: l.Time, cause: cause, task: l.Task, worker: l.Worker, detail: detail})
 		}
-	case "waits-for-room":
-		if len(o.waits) < maxWaits {
-			o.waits = append(o.waits, Wait{l.Time, l.Detail})
+		return
+	}
+	if r.end != "" {
+		j.Skipped.Repeated++
+		if !l.Time.Before(r.ended) {
+			return
 		}
-	case "job-completed", "job-failed", "job-cancelled", "job-crashes-workers":
-		o.ended, o.outcome, o.detail = l.Time, strings.TrimPrefix(l.What, "job-"), l.Detail
 	}
+	r.end, r.ended, r.reason, r.endToken = l.Detail, l.Time, l.Reason, l.Token
+	if r.worker == "" {
+		r.worker = l.Worker
+	}
+}
+
+// addClaim records that a unit was stopped for another job.
+func (j *Journal) addClaim(l line) {
+	id, ok := strings.CutPrefix(l.Detail, "for ")
+	if !ok {
+		return
+	}
+	if claimant := j.job(id); claimant != nil && len(claimant.claims) < maxClaims {
+		claimant.claims = append(claimant.claims, l.Time)
+	}
+}
+
+func (j *Journal) addLoss(l line, cause Cause) {
+	if j.losses >= maxWorkerEvents {
+		j.Skipped.OfOthers++
+		return
+	}
+	j.losses++
+	j.workers[l.Worker] = append(j.workers[l.Worker], workerLoss{l.Time, cause})
+}
+
+func appendWait(waits []Wait, l line) []Wait {
+	if len(waits) >= maxWaits {
+		return waits
+	}
+	return append(waits, Wait{l.Time, l.Detail})
 }
 
 // job returns the job of an ID, or nil if the line names none or there are too many.
@@ -177,46 +362,66 @@
 	}
 	o := j.jobs[id]
 	if o == nil {
-		if len(j.jobs) >= maxJobs {
-			j.Dropped++
+		if len(j.jobs) >= j.limits.jobs {
+			j.Skipped.OfJobs++
 			return nil
 		}
-		o = &job{id: id, runs: map[uint64]*run{}}
+		o = &job{id: id, units: map[uint64]*unitRun{}}
 		j.jobs[id] = o
 	}
 	return o
 }
 
-func (o *job) run(number uint64) *run {
-	r := o.runs[number]
-	if r == nil {
-		r = &run{}
-		o.runs[number] = r
+// unitRun returns the run of the unit that a line names, or nil if it names none or there
+// are too many.
+func (j *Journal) unitRun(l line) *unitRun {
+	o := j.job(l.Job)
+	if o == nil || l.Run == 0 {
+		return nil
 	}
-	return r
-}
-
-// began returns when the job was submitted, or accepted if the lines of the entry that
-// took it are missing.
-func (o *job) began() time.Time {
-	if o.submitted.IsZero() {
-		return o.accepted
+	u := o.units[l.Run]
+	if u == nil {
+		if j.runs >= j.limits.runs {
+			j.Skipped.OfRuns++
+			return nil
+		}
+		j.runs++
+		u = &unitRun{number: l.Run, members: map[string]*run{}}
+		o.units[l.Run] = u
 	}
-	return o.submitted
+	return u
 }
 
-// sortedRuns returns the runs of a job by number.
-func (o *job) sortedRuns() []*run {
-	out := make([]*run, 0, len(o.runs))
-	for _, n := range slices.Sorted(maps.Keys(o.runs)) {
-		out = append(out, o.runs[n])
+// run returns the run of the task that a line names and that of its unit, or nil.
+func (j *Journal) run(l line) (*run, *unitRun) {
+	u := j.unitRun(l)
+	if u == nil {
+		return nil, nil
 	}
-	return out
+	r := u.members[l.Task]
+	if r == nil {
+		if j.runs >= j.limits.runs {
+			j.Skipped.OfRuns++
+			return nil, nil
+		}
+		j.runs++
+		r = &run{task: l.Task}
+		u.members[l.Task] = r
+	}
+	return r, u
 }
 
+// began returns when the job was submitted, accepted if the lines of the entry that took it
+// are missing, or first placed if those of its owner are cut.
+func (o *job) began() time.Time { return firstTime(o.submitted, o.accepted, o.firstRun) }
+
 func (j *Journal) term(token uint64) *term {
 	t := j.terms[token]
 	if t == nil {
+		if len(j.terms) >= maxTerms {
+			j.Skipped.OfOthers++
+			return nil
+		}
 		t = &term{}
 		j.terms[token] = t
 	}
@@ -244,3 +449,30 @@
 	}
 	return b
 }
+
+// The numbers in the descriptions of jobs and pauses.
+var (
+	tasksPattern = regexp.MustCompile(`(\d+) tasks`)
+	stepsPattern = regexp.MustCompile(`(\d+) steps`)
+	pausePattern = regexp.MustCompile(`next placement after (\S+)`)
+)
+
+// numberBefore returns the number that a pattern finds in a text, or 0.
+func numberBefore(text string, pattern *regexp.Regexp) int {
+	found := pattern.FindStringSubmatch(text)
+	if found == nil {
+		return 0
+	}
+	n, _ := strconv.Atoi(found[1])
+	return min(n, maxRuns)
+}
+
+// pauseOf returns the pause that the description of a rejected save names, or 0.
+func pauseOf(text string) time.Duration {
+	found := pausePattern.FindStringSubmatch(text)
+	if found == nil {
+		return 0
+	}
+	d, _ := time.ParseDuration(found[1])
+	return max(0, d)
+}
--- a/internal/joblog/line.go
+++ b/internal/joblog/line.go
@@ -16,6 +16,13 @@
 	messageRequest  = "request"
 	messageDecision = "decision"
 	messageTerm     = "scheduling term began"
+	messageTermOver = "scheduling term ended"
+	// Of agents: a start that its worker refused or did not answer.
+	messageStartFailed = "start order failed or has unknown outcome"
+	// Of owners: saves of a job's progress that do not succeed.
+	messageSaveRetried  = "failed to save job progress; retrying"
+	messageSaveRejected = "job progress cannot be stored"
+	messageJobSkipped   = "job skipped: a row of it cannot be decoded"
 
 	verbSubmit = "submit"
 	outcomeOK  = "ok"
@@ -42,6 +49,15 @@
 	Run    uint64 `json:"run"`
 	Worker string `json:"worker"`
 	Detail string `json:"detail"`
+
+	// Of placements, starts, stops and ends.
+	Tasks        int    `json:"tasks"`
+	Accelerators int    `json:"accelerators"`
+	MilliCPU     int    `json:"milli_cpu"`
+	Checkpoint   string `json:"checkpoint"`
+	Reason       string `json:"reason"`
+
+	Error string `json:"error"`
 }
 
 // parseLine decodes a log line. What stands before its first brace, such as the prefix
--- a/internal/joblog/phases.go
+++ b/internal/joblog/phases.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -10,10 +11,14 @@
 
 // The phases, in the order in which they are shown.
 const (
-	// Room is the wait for capacity.
+	// Room is the wait for capacity, and Rack that for capacity in one rack, once a line
+	// tells so.
 	Room Phase = "room"
+	Rack Phase = "rack"
 	// Claim is the wait for the end of runs that are being stopped for the job.
 	Claim Phase = "claim"
+	// Pause is the time after a save that the table rejected.
+	Pause Phase = "pause"
 	// Starting is the time from a placement to the order of the start.
 	Starting Phase = "starting"
 	// Running is the time in runs that ended done or have not ended.
@@ -31,18 +36,18 @@
 )
 
 // Phases lists all phases.
-var Phases = []Phase{Room, Claim, Starting, Running, LostFailed, LostGang, LostStop, LostWorker, Takeover}
+var Phases = []Phase{Room, Rack, Claim, Pause, Starting, Running, LostFailed, LostGang, LostStop, LostWorker, Takeover}
 
 // phaseOfEnd returns what the time of a run that ended so was spent on.
 func phaseOfEnd(end string) Phase {
 	switch end {
-	case "", "done":
+	case "", endDone:
 		return Running
-	case "failed":
+	case endFailed:
 		return LostFailed
-	case "broken", "alone":
+	case endBroken, endAlone:
 		return LostGang
-	case "lapsed", "gone":
+	case endLapsed, endGone:
 		return LostWorker
 	default:
 		return LostStop
@@ -57,7 +62,7 @@
 
 // precedence orders phases that overlap: a job whose tasks run one by one is running
 // while any of them does work that lasts.
-var precedence = []Phase{Running, LostFailed, LostWorker, LostGang, LostStop, Starting, Claim, Takeover, Room}
+var precedence = []Phase{Running, LostFailed, LostWorker, LostGang, LostStop, Starting, Pause, Claim, Takeover, Rack, Room}
 
 // split divides the time of a job among the phases.
 func (o *job) split(until time.Time, takeovers []span) map[Phase]time.Duration {
@@ -94,27 +99,46 @@
 	return precedence[best]
 }
 
-// spans returns the spans of a job's runs and claims. They may overlap.
+// spans returns the spans of a job's runs and of what it waited for. They may overlap.
 func (o *job) spans(end time.Time) []span {
 	var out []span
-	var placements []time.Time
-	for _, r := range o.sortedRuns() {
-		ended := r.ended
-		if ended.IsZero() {
-			ended = end
-		}
-		if !r.placed.IsZero() {
-			placements = append(placements, r.placed)
-			out = append(out, span{r.placed, earliest(r.started, ended), Starting})
+	for _, u := range o.units {
+		for _, r := range u.members {
+			ended := r.ended
+			if ended.IsZero() {
+				ended = end
+			}
+			if !r.placed.IsZero() {
+				out = append(out, span{r.placed, earliest(r.started, ended), Starting})
+			}
+			if !r.started.IsZero() {
+				out = append(out, span{r.started, ended, phaseOfEnd(r.end)})
+			}
 		}
-		if !r.started.IsZero() {
-			out = append(out, span{r.started, ended, phaseOfEnd(r.end)})
+	}
+	return append(out, o.waitSpans(end)...)
+}
+
+// waitSpans returns what a job waited for, but for capacity in general and owners.
+func (o *job) waitSpans(end time.Time) []span {
+	var placements []time.Time
+	for _, u := range o.units {
+		for _, r := range u.members {
+			if !r.placed.IsZero() {
+				placements = append(placements, r.placed)
+			}
 		}
 	}
 	slices.SortFunc(placements, time.Time.Compare)
+	out := slices.Clone(o.pauses)
 	for _, at := range o.claims {
 		out = append(out, span{at, nextAfter(placements, at, end), Claim})
 	}
+	for _, w := range o.waits {
+		if strings.Contains(w.Reason, "in one rack") {
+			out = append(out, span{w.At, nextAfter(placements, w.At, end), Rack})
+		}
+	}
 	return out
 }
 
--- /dev/null
+++ b/internal/joblog/runs.go
@@ -0,0 +1,138 @@
+package joblog
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// unitRun is one run of a unit: of a gang, whose members share the run number, or of a
+// single task.
+type unitRun struct {
+	number  uint64
+	members map[string]*run // by task
+	events  []event         // what may have ended it, in the order of the lines
+	needs   graph.Resources // of each task
+	sized   bool            // needs is known
+	cause   event           // the first of events, once settled
+}
+
+// run is one run of a task.
+type run struct {
+	task, worker           string
+	placed, started, ended time.Time
+	end, reason            string // of the end
+	checkpoint             string // from which it began
+	stopOrdered            time.Time
+	token                  uint64 // of the term that placed it, 0 if not known
+	endToken               uint64 // of the term that saw its end
+}
+
+// maxEvents limits the events that are kept of a unit's run. The first one counts.
+const maxEvents = 64
+
+// note records an event of the run, unless it has too many.
+func (u *unitRun) note(e event) {
+	if len(u.events) < maxEvents {
+		u.events = append(u.events, e)
+	}
+}
+
+// sorted returns the members by task.
+func (u *unitRun) sorted() []*run {
+	return slices.SortedFunc(maps.Values(u.members), func(a, b *run) int { return compareTasks(a.task, b.task) })
+}
+
+// done reports whether a member ended as done, and with it the unit.
+func (u *unitRun) done() bool {
+	for _, r := range u.members {
+		if r.end == endDone {
+			return true
+		}
+	}
+	return false
+}
+
+// begins reports when the run began to hold its worker: at its placement, or the first
+// thing that is known of it.
+func (r *run) begins() time.Time { return firstTime(r.placed, r.started, r.ended) }
+
+// worked returns when the run's work began: at the order of its start, or at its placement
+// if it was never started.
+func (r *run) worked() time.Time { return firstTime(r.started, r.placed, r.ended) }
+
+// firstTime returns the first of the times that is set.
+func firstTime(times ...time.Time) time.Time {
+	for _, t := range times {
+		if !t.IsZero() {
+			return t
+		}
+	}
+	return time.Time{}
+}
+
+// setFirst sets a time to an earlier one.
+func setFirst(t *time.Time, at time.Time) {
+	if t.IsZero() || at.Before(*t) {
+		*t = at
+	}
+}
+
+// stepOf returns the step of a task ID, JOB.OCCURRENCE.STEP.INDEX, or 0.
+func stepOf(task string) int {
+	parts := strings.Split(task, ".")
+	if len(parts) < 4 {
+		return 0
+	}
+	step, _ := strconv.Atoi(parts[len(parts)-2])
+	return step
+}
+
+// compareTasks orders tasks by the numbers of their IDs.
+func compareTasks(a, b string) int {
+	x, y := strings.Split(a, "."), strings.Split(b, ".")
+	return slices.CompareFunc(x, y, func(p, q string) int {
+		m, errM := strconv.Atoi(p)
+		n, errN := strconv.Atoi(q)
+		if errM != nil || errN != nil {
+			return cmp.Compare(p, q)
+		}
+		return cmp.Compare(m, n)
+	})
+}
+
+// byTask returns the runs of each task of a job in the order in which they began.
+func (o *job) byTask() map[string][]taskRun {
+	out := map[string][]taskRun{}
+	for _, u := range o.units {
+		for task, r := range u.members {
+			out[task] = append(out[task], taskRun{u, r})
+		}
+	}
+	for _, runs := range out {
+		slices.SortFunc(runs, func(a, b taskRun) int {
+			return cmp.Or(a.run.begins().Compare(b.run.begins()), cmp.Compare(a.unit.number, b.unit.number))
+		})
+	}
+	return out
+}
+
+// taskRun is a run of a task with the run of its unit.
+type taskRun struct {
+	unit *unitRun
+	run  *run
+}
+
+// sortedUnits returns the runs of a job's units by number.
+func (o *job) sortedUnits() []*unitRun {
+	out := make([]*unitRun, 0, len(o.units))
+	for _, n := range slices.Sorted(maps.Keys(o.units)) {
+		out = append(out, o.units[n])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/joblog/states.go
@@ -0,0 +1,248 @@
+package joblog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// State is what a task is in at a time: it waits, starts, or is in a run that is kept, goes
+// on, or is lost by a cause.
+type State string
+
+// The states but for those of lost runs.
+const (
+	WaitingRoom  State = "waiting-room"
+	WaitingRack  State = "waiting-rack"
+	WaitingClaim State = "waiting-claim"
+	// WaitingSteps is the time before a task's earlier steps were done, as far as the lines
+	// tell.
+	WaitingSteps State = "waiting-steps"
+	WaitingPause State = "waiting-pause"
+	// WaitingOwner is the time before the owner took a job, or without an owner.
+	WaitingOwner State = "waiting-owner"
+	Placed       State = "starting"
+	Kept         State = "kept"
+	// Open is the time in runs that had not ended.
+	Open State = "open"
+)
+
+const lostPrefix = "lost-"
+
+// LostBy returns the state of runs that were lost by a cause.
+func LostBy(c Cause) State { return lostPrefix + State(c) }
+
+// States lists all states in the order in which they are shown.
+var States = allStates()
+
+func allStates() []State {
+	out := []State{Kept, Open, Placed, WaitingRoom, WaitingRack, WaitingClaim, WaitingPause, WaitingOwner, WaitingSteps}
+	for _, c := range Causes {
+		out = append(out, LostBy(c))
+	}
+	return out
+}
+
+// waitStates are the states of waiting tasks by the phase of their job.
+var waitStates = map[Phase]State{Room: WaitingRoom, Rack: WaitingRack, Claim: WaitingClaim, Pause: WaitingPause, Takeover: WaitingOwner}
+
+// stretch is a part of the time of some tasks of a job in one state.
+type stretch struct {
+	state    State
+	from, to time.Time
+	tasks    int
+	// Of runs: the needs of each task, if they are known, and the run, once.
+	needs graph.Resources
+	sized bool
+	unit  *unitRun
+	run   *run
+}
+
+// walker passes the stretches of one job.
+type walker struct {
+	job      *job
+	end      time.Time // of the job or the lines
+	segments []span    // what the job waited for, in order of time
+	needs    map[int]graph.Resources
+	emit     func(stretch)
+}
+
+// walk passes the stretches of a job, in no order.
+func (j *Journal) walk(o *job, takeovers []span, emit func(stretch)) {
+	w := &walker{job: o, end: firstTime(o.ended, j.last), needs: o.needsByStep(), emit: emit}
+	w.segments = o.waitSegments(w.end, takeovers)
+	runs := o.byTask()
+	for _, ofTask := range runs {
+		w.walkTask(ofTask)
+	}
+	w.walkUnseen(max(0, o.tasks-len(runs)))
+}
+
+// needsByStep returns the needs of a task of each step of which a line tells them.
+func (o *job) needsByStep() map[int]graph.Resources {
+	out := map[int]graph.Resources{}
+	for _, u := range o.units {
+		for task := range u.members {
+			if u.sized {
+				out[stepOf(task)] = u.needs
+			}
+			break
+		}
+	}
+	return out
+}
+
+// walkTask passes the runs of a task and the waits before, between and after them.
+func (w *walker) walkTask(runs []taskRun) {
+	ready := w.readyAt(runs[0])
+	w.pass(stretch{state: WaitingSteps, from: w.job.began(), to: ready, tasks: 1})
+	cursor := ready
+	for i, r := range runs {
+		w.wait(cursor, r.run.begins(), 1)
+		var next time.Time
+		if i+1 < len(runs) {
+			next = runs[i+1].run.begins()
+		}
+		state, end := w.outcome(r, next)
+		w.passRun(r, state, end)
+		if cursor = latest(cursor, end); state == Kept || state == Open {
+			cursor = latest(cursor, w.end)
+		}
+	}
+	w.wait(cursor, w.end, 1)
+}
+
+// readyAt returns when the first run of a task could begin: after the last run of an
+// earlier step, as far as that is known.
+func (w *walker) readyAt(first taskRun) time.Time {
+	ready, step := w.job.began(), stepOf(first.run.task)
+	if step == 0 {
+		return ready
+	}
+	for _, u := range w.job.units {
+		for _, r := range u.members {
+			if r.end == endDone && stepOf(r.task) < step && !r.ended.After(first.run.begins()) {
+				ready = latest(ready, r.ended)
+			}
+		}
+	}
+	return ready
+}
+
+// outcome returns the state of a run and its end. next is the begin of the task's next run,
+// zero if it has none.
+func (w *walker) outcome(r taskRun, next time.Time) (State, time.Time) {
+	ended := r.run.ended
+	switch {
+	case r.run.end == endDone || r.unit.done():
+		return Kept, firstTime(ended, next, w.end)
+	case r.run.end != "":
+		return LostBy(r.unit.cause.cause), ended
+	case !next.IsZero():
+		return LostBy(CauseEndMissing), next
+	case w.job.ended.IsZero():
+		return Open, w.end
+	case w.job.outcome == "completed":
+		return Kept, w.end
+	default:
+		return LostBy(CauseEndMissing), w.end
+	}
+}
+
+func (w *walker) passRun(r taskRun, state State, end time.Time) {
+	s := stretch{state: state, from: r.run.worked(), to: latest(end, r.run.worked()), tasks: 1, unit: r.unit, needs: r.unit.needs, sized: r.unit.sized}
+	if !s.sized {
+		s.needs, s.sized = w.needs[stepOf(r.run.task)]
+	}
+	if !r.run.placed.IsZero() && r.run.started.After(r.run.placed) {
+		starting := s
+		starting.state, starting.from, starting.to = Placed, r.run.placed, r.run.started
+		w.pass(starting)
+	}
+	s.run = r.run
+	w.emit(s)
+}
+
+// walkUnseen passes the tasks of which no line tells a run.
+func (w *walker) walkUnseen(tasks int) {
+	if tasks == 0 || w.job.began().IsZero() {
+		return
+	}
+	cursor := w.job.began()
+	if w.job.steps > 1 {
+		for _, s := range w.job.active(w.end) {
+			w.wait(cursor, s.from, tasks)
+			w.pass(stretch{state: WaitingSteps, from: latest(cursor, s.from), to: s.to, tasks: tasks})
+			cursor = latest(cursor, s.to)
+		}
+	}
+	w.wait(cursor, w.end, tasks)
+}
+
+// active returns when runs of the job went on, in order and without overlaps.
+func (o *job) active(end time.Time) []span {
+	var all []span
+	for _, u := range o.units {
+		for _, r := range u.members {
+			all = append(all, span{from: r.begins(), to: firstTime(r.ended, end)})
+		}
+	}
+	slices.SortFunc(all, func(a, b span) int { return a.from.Compare(b.from) })
+	var out []span
+	for _, s := range all {
+		if n := len(out); n > 0 && !s.from.After(out[n-1].to) {
+			out[n-1].to = latest(out[n-1].to, s.to)
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// wait passes a wait, divided by what the job waited for.
+func (w *walker) wait(from, to time.Time, tasks int) {
+	if !from.Before(to) {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(w.segments, from, func(s span, at time.Time) int {
+		if s.to.After(at) {
+			return 1
+		}
+		return -1
+	})
+	for _, s := range w.segments[i:] {
+		if !s.from.Before(to) {
+			return
+		}
+		w.pass(stretch{state: waitStates[s.phase], from: latest(from, s.from), to: earliest(to, s.to), tasks: tasks})
+	}
+}
+
+func (w *walker) pass(s stretch) {
+	if s.from.Before(s.to) && !s.from.IsZero() {
+		w.emit(s)
+	}
+}
+
+// waitSegments divides the time of a job by what it waits for while it waits.
+func (o *job) waitSegments(end time.Time, takeovers []span) []span {
+	begin := o.began()
+	spans := append(o.waitSpans(end), takeovers...)
+	if o.accepted.After(begin) {
+		spans = append(spans, span{begin, o.accepted, Takeover})
+	}
+	cuts := []time.Time{begin, end}
+	for _, s := range spans {
+		cuts = append(cuts, s.from, s.to)
+	}
+	slices.SortFunc(cuts, time.Time.Compare)
+	var out []span
+	for i := 1; i < len(cuts); i++ {
+		from, to := latest(cuts[i-1], begin), earliest(end, cuts[i])
+		if from.Before(to) {
+			out = append(out, span{from, to, phaseAt(spans, from)})
+		}
+	}
+	return out
+}
