joblog: a timeline of what tasks did, as a table, JSON or a picture

Jobs also tell what stops for them cost others. A claim counts as such for 2 s at most, as its end has no line.

--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -35,6 +35,7 @@
 
 func logsCommands(e *env) []*command {
 	var times, lost, state logsFlags
+	var timeline timelineFlags
 	return []*command{{
 		name: "time", arguments: "[FILE...]", maxArgs: -1,
 		synopsis: "tell where the time of jobs went, from the log lines of all entries, the worst first",
@@ -59,6 +60,13 @@
 			state.registerSelection(f)
 		},
 		run: func(_ context.Context, args []string) error { return e.logsState(&state, args) },
+	}, {
+		name: "timeline", arguments: "[FILE...]", maxArgs: -1,
+		synopsis: "show what the tasks of all jobs or one did, step by step, as a table or a picture",
+		example: "  coltsfootctl logs timeline -plot day.png entry-*.log agent-*.log\n" +
+			"  collect-logs | coltsfootctl logs timeline -job 163823fafb624476 -step 500ms",
+		flags: timeline.register,
+		run:   func(_ context.Context, args []string) error { return e.logsTimeline(&timeline, args) },
 	}}
 }
 
--- a/internal/ctl/logslost.go
+++ b/internal/ctl/logslost.go
@@ -30,7 +30,11 @@
 	for _, s := range g.StatesInUse() {
 		rows = append(rows, usageRow(string(s), g.States[s]))
 	}
-	return e.printTable(append(rows, usageRow("all lost", g.Lost())))
+	rows = append(rows, usageRow("all lost", g.Lost()))
+	if g.CostOthers.Runs > 0 && by != string(joblog.ByAll) {
+		rows = append(rows, usageRow("lost by others for these", g.CostOthers))
+	}
+	return e.printTable(rows)
 }
 
 func groupTitle(by, key string) string {
@@ -58,14 +62,14 @@
 		x, y := a.Lost(), b.Lost()
 		return cmp.Or(cmp.Compare(y.CoreMS, x.CoreMS), cmp.Compare(y.TaskMS, x.TaskMS))
 	})
-	rows := [][]string{{"job", "queue", "account", "outcome", "took ms", "kept runs", "lost runs", "lost task-s", "lost core-s", "causes"}}
+	rows := [][]string{{"job", "queue", "account", "outcome", "took ms", "kept runs", "lost runs", "lost task-s", "lost core-s", "cost others core-s", "causes"}}
 	for _, t := range jobs {
 		lost := t.Lost()
 		if lost.Runs == 0 {
 			continue
 		}
 		rows = append(rows, []string{t.Job, orDash(t.Queue), orDash(t.Account), orDash(t.Outcome), fmt.Sprint(t.TookMS),
-			numberOrDash(t.States[joblog.Kept].Runs), fmt.Sprint(lost.Runs), seconds(lost.TaskMS), seconds(lost.CoreMS), describeCauses(t.Spent)})
+			numberOrDash(t.States[joblog.Kept].Runs), fmt.Sprint(lost.Runs), seconds(lost.TaskMS), seconds(lost.CoreMS), seconds(t.CostOthers.CoreMS), describeCauses(t.Spent)})
 	}
 	if len(rows) == 1 {
 		return nil
--- a/internal/joblog/causes.go
+++ b/internal/joblog/causes.go
@@ -117,14 +117,33 @@
 	return CauseStartUnknown, text
 }
 
-// causeOfStop returns the cause that a stop names, or none if another line tells it.
+// causeOfStop returns the cause that a stop names, or none if it follows from an end.
 func causeOfStop(l line) (cause Cause, detail string) {
-	if cause = stopCauses[l.Reason]; cause == CauseUnlisted && l.Token > termOf(l.Run) && termOf(l.Run) > 0 {
-		return CauseOwner, l.Reason
+	what, claimant, found := strings.Cut(l.Reason, " for ")
+	if cause = decisionCauses[what]; cause != "" && found {
+		return cause, claimantPrefix + claimant
+	}
+	if cause == "" {
+		cause = stopCauses[what]
+	}
+	if cause == CauseUnlisted && l.Token > termOf(l.Run) && termOf(l.Run) > 0 {
+		cause = CauseOwner
 	}
 	return cause, l.Reason
 }
 
+// claimantPrefix precedes the job for which a run was stopped.
+const claimantPrefix = "for "
+
+// claimant returns the job for which a unit was stopped, empty if it was not for one.
+func (e event) claimant() string {
+	id, _ := strings.CutPrefix(e.detail, claimantPrefix)
+	if !unitWide[e.cause] || id == e.detail {
+		return ""
+	}
+	return id
+}
+
 // runsPerTerm is the distance of the run numbers of two terms.
 const runsPerTerm = 1 << 24
 
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -330,7 +330,7 @@
 
 // addClaim records that a unit was stopped for another job.
 func (j *Journal) addClaim(l line) {
-	id, ok := strings.CutPrefix(l.Detail, "for ")
+	id, ok := strings.CutPrefix(l.Detail, claimantPrefix)
 	if !ok {
 		return
 	}
--- a/internal/joblog/phases.go
+++ b/internal/joblog/phases.go
@@ -119,6 +119,10 @@
 	return append(out, o.waitSpans(end)...)
 }
 
+// claimBound is the longest time for which a claim is shown. Its end has no line; the owner
+// gives it up when its victims have not stopped in time.
+const claimBound = 2 * time.Second
+
 // waitSpans returns what a job waited for, but for capacity in general and owners.
 func (o *job) waitSpans(end time.Time) []span {
 	var placements []time.Time
@@ -132,7 +136,7 @@
 	slices.SortFunc(placements, time.Time.Compare)
 	out := slices.Clone(o.pauses)
 	for _, at := range o.claims {
-		out = append(out, span{at, nextAfter(placements, at, end), Claim})
+		out = append(out, span{at, earliest(at.Add(claimBound), nextAfter(placements, at, end)), Claim})
 	}
 	for _, w := range o.waits {
 		if strings.Contains(w.Reason, "in one rack") {
--- a/internal/joblog/report.go
+++ b/internal/joblog/report.go
@@ -77,18 +77,22 @@
 	j.settle()
 	takeovers := j.takeovers()
 	out := make([]JobTime, 0, len(j.jobs))
+	costs := map[string]Usage{} // by the job for which others were stopped
 	for _, o := range j.jobs {
 		if !o.began().IsZero() {
-			out = append(out, j.timeOf(o, takeovers, runs))
+			out = append(out, j.timeOf(o, takeovers, runs, costs))
 		}
 	}
+	for i := range out {
+		out[i].CostOthers = costs[out[i].Job]
+	}
 	slices.SortFunc(out, func(a, b JobTime) int {
 		return cmp.Or(cmp.Compare(b.LostMS, a.LostMS), cmp.Compare(a.Job, b.Job))
 	})
 	return out
 }
 
-func (j *Journal) timeOf(o *job, takeovers []span, runs bool) JobTime {
+func (j *Journal) timeOf(o *job, takeovers []span, runs bool, costs map[string]Usage) JobTime {
 	t := JobTime{Job: o.id, Queue: o.queue, Account: o.account, Zone: j.zones[o.process], Began: o.began(),
 		Outcome: o.outcome, Detail: o.detail, PhaseMS: map[Phase]int64{}, Waits: sortWaits(o.waits), Held: sortWaits(o.held)}
 	for phase, d := range o.split(j.last, takeovers) {
@@ -100,6 +104,9 @@
 	}
 	j.walk(o, takeovers, func(s stretch) {
 		t.Spent.addStretch(s)
+		if id := s.claimant(); id != "" {
+			costs[id] = costs[id].plus(usageOf(s))
+		}
 		if runs && s.run != nil {
 			t.Runs = append(t.Runs, newRunTime(s))
 		}
--- a/internal/joblog/spent.go
+++ b/internal/joblog/spent.go
@@ -23,6 +23,8 @@
 	// Starts is the number of starts ordered, and Resumed that of those from a checkpoint.
 	Starts  int `json:"starts"`
 	Resumed int `json:"resumed"`
+	// CostOthers is what runs of other jobs lost that were stopped for these.
+	CostOthers Usage `json:"cost_others"`
 }
 
 // Lost adds up the runs that were lost, by any cause.
@@ -57,6 +59,7 @@
 	}
 	s.Starts += o.Starts
 	s.Resumed += o.Resumed
+	s.CostOthers = s.CostOthers.plus(o.CostOthers)
 }
 
 func (s *Spent) addUsage(state State, u Usage) {
--- a/internal/joblog/states.go
+++ b/internal/joblog/states.go
@@ -52,19 +52,28 @@
 	state    State
 	from, to time.Time
 	tasks    int
-	// Of runs: the needs of each task, if they are known, and the run, once.
+	// The needs of each task, if they are known, and of runs the run, once.
 	needs graph.Resources
 	sized bool
 	unit  *unitRun
 	run   *run
 }
 
+// claimant returns the job for which a lost run was stopped, or "".
+func (s stretch) claimant() string {
+	if s.run == nil || s.state != LostBy(s.unit.cause.cause) {
+		return ""
+	}
+	return s.unit.cause.claimant()
+}
+
 // walker passes the stretches of one job.
 type walker struct {
 	job      *job
 	end      time.Time // of the job or the lines
 	segments []span    // what the job waited for, in order of time
 	needs    map[int]graph.Resources
+	task     stretch // the needs of the present task
 	emit     func(stretch)
 }
 
@@ -96,6 +105,7 @@
 // walkTask passes the runs of a task and the waits before, between and after them.
 func (w *walker) walkTask(runs []taskRun) {
 	ready := w.readyAt(runs[0])
+	w.task.needs, w.task.sized = w.needs[stepOf(runs[0].run.task)]
 	w.pass(stretch{state: WaitingSteps, from: w.job.began(), to: ready, tasks: 1})
 	cursor := ready
 	for i, r := range runs {
@@ -153,7 +163,7 @@
 func (w *walker) passRun(r taskRun, state State, end time.Time) {
 	s := stretch{state: state, from: r.run.worked(), to: latest(end, r.run.worked()), tasks: 1, unit: r.unit, needs: r.unit.needs, sized: r.unit.sized}
 	if !s.sized {
-		s.needs, s.sized = w.needs[stepOf(r.run.task)]
+		s.needs, s.sized = w.task.needs, w.task.sized
 	}
 	if !r.run.placed.IsZero() && r.run.started.After(r.run.placed) {
 		starting := s
@@ -169,6 +179,7 @@
 	if tasks == 0 || w.job.began().IsZero() {
 		return
 	}
+	w.task = stretch{}
 	cursor := w.job.began()
 	if w.job.steps > 1 {
 		for _, s := range w.job.active(w.end) {
@@ -220,6 +231,9 @@
 }
 
 func (w *walker) pass(s stretch) {
+	if s.run == nil && !s.sized {
+		s.needs, s.sized = w.task.needs, w.task.sized
+	}
 	if s.from.Before(s.to) && !s.from.IsZero() {
 		w.emit(s)
 	}
