--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -236,7 +237,7 @@
 	if r.Checkpoint == "" {
 		return r.Cause
 	}
-	return r.Cause + " from checkpoint " + r.Checkpoint
+	return strings.TrimSpace(r.Cause + " from checkpoint " + r.Checkpoint)
 }
 
 func since(began, at time.Time) string {
--- a/internal/ctl/logslost.go
+++ b/internal/ctl/logslost.go
@@ -26,7 +26,7 @@
 
 func (e *env) printSpent(by string, g joblog.GroupTime) error {
 	fmt.Fprintf(e.stdout, "\n%s, %d jobs, %d starts, %d of them from a checkpoint\n", groupTitle(by, g.Key), g.Jobs, g.Starts, g.Resumed)
-	rows := [][]string{{"state", "runs", "hit itself", "task-s", "core-s", "accelerator-s", "runs without needs"}}
+	rows := [][]string{{"state", "runs", "hit itself", "task-s", "core-s", "with checkpoint", "accelerator-s", "runs without needs"}}
 	for _, s := range g.StatesInUse() {
 		rows = append(rows, usageRow(string(s), g.States[s]))
 	}
@@ -45,7 +45,7 @@
 }
 
 func usageRow(name string, u joblog.Usage) []string {
-	return []string{name, numberOrDash(u.Runs), numberOrDash(u.Direct), seconds(u.TaskMS), seconds(u.CoreMS), seconds(u.AcceleratorMS), numberOrDash(u.Unsized)}
+	return []string{name, numberOrDash(u.Runs), numberOrDash(u.Direct), seconds(u.TaskMS), seconds(u.CoreMS), seconds(u.CheckpointedMS), seconds(u.AcceleratorMS), numberOrDash(u.Unsized)}
 }
 
 func seconds(ms int64) string {
--- a/internal/joblog/causes.go
+++ b/internal/joblog/causes.go
@@ -160,6 +160,18 @@
 	follows      bool // from an earlier event if there is one at the same time
 }
 
+// describe returns the worker on which an event came and its detail.
+func (e event) describe() string {
+	switch {
+	case e.worker == "":
+		return e.detail
+	case e.detail == "":
+		return "on " + e.worker
+	default:
+		return "on " + e.worker + ": " + e.detail
+	}
+}
+
 // before orders events by time. Of those at one time, decisions come before what follows
 // from them.
 func (e event) before(o event) bool {
--- a/internal/joblog/phases.go
+++ b/internal/joblog/phases.go
@@ -66,37 +66,55 @@
 
 // split divides the time of a job among the phases.
 func (o *job) split(until time.Time, takeovers []span) map[Phase]time.Duration {
-	begin, end := o.began(), o.ended
-	if end.IsZero() {
-		end = until
+	end := firstTime(o.ended, until)
+	out := map[Phase]time.Duration{}
+	for _, s := range divide(o.began(), end, append(o.spans(end), takeovers...)) {
+		out[s.phase] += s.to.Sub(s.from)
 	}
-	spans := append(o.spans(end), takeovers...)
-	cuts := []time.Time{begin, end}
+	return out
+}
+
+// edge is the begin or the end of a span.
+type edge struct {
+	at    time.Time
+	phase int // in precedence
+	count int // 1 or -1
+}
+
+// divide returns the phase at each time between two, in order and without gaps. Spans may
+// overlap; where there is none it is the last one of precedence.
+func divide(begin, end time.Time, spans []span) []span {
+	if !begin.Before(end) {
+		return nil
+	}
+	edges := []edge{{at: begin}, {at: end}}
 	for _, s := range spans {
-		cuts = append(cuts, s.from, s.to)
+		from, to := latest(s.from, begin), earliest(s.to, end)
+		if from.Before(to) {
+			phase := slices.Index(precedence, s.phase)
+			edges = append(edges, edge{from, phase, 1}, edge{to, phase, -1})
+		}
 	}
-	slices.SortFunc(cuts, time.Time.Compare)
-	out := map[Phase]time.Duration{}
-	for i := 1; i < len(cuts); i++ {
-		from, to := cuts[i-1], cuts[i]
-		if from.Before(begin) || to.After(end) || !from.Before(to) {
-			continue
+	slices.SortFunc(edges, func(a, b edge) int { return a.at.Compare(b.at) })
+	var out []span
+	open := make([]int, len(precedence))
+	for i, e := range edges {
+		open[e.phase] += e.count
+		if i+1 < len(edges) && e.at.Before(edges[i+1].at) {
+			out = append(out, span{e.at, edges[i+1].at, highest(open)})
 		}
-		out[phaseAt(spans, from)] += to.Sub(from)
 	}
 	return out
 }
 
-// phaseAt returns the phase of a job at a time.
-func phaseAt(spans []span, at time.Time) Phase {
-	best := len(precedence) - 1
-	for _, s := range spans {
-		if s.from.After(at) || !s.to.After(at) {
-			continue
+// highest returns the first phase of precedence of which a span is open.
+func highest(open []int) Phase {
+	for i, n := range open {
+		if n > 0 {
+			return precedence[i]
 		}
-		best = min(best, slices.Index(precedence, s.phase))
 	}
-	return precedence[best]
+	return precedence[len(precedence)-1]
 }
 
 // spans returns the spans of a job's runs and of what it waited for. They may overlap.
--- a/internal/joblog/report.go
+++ b/internal/joblog/report.go
@@ -37,7 +37,7 @@
 	Ended   time.Time `json:"ended"`
 	End     string    `json:"end"`
 	State   State     `json:"state"`
-	// Cause tells more of a lost run: for which job, what a refusal said. Direct is false if
+	// Cause tells more of a lost run: on which worker, for which job, what a refusal said. Direct is false if
 	// it came on another member of the gang.
 	Cause  string `json:"cause,omitempty"`
 	Direct bool   `json:"direct"`
@@ -123,7 +123,7 @@
 	out := RunTime{Task: r.task, Run: s.unit.number, Worker: r.worker, Placed: r.placed, Started: r.started, Ended: r.ended, End: r.end, State: s.state,
 		Checkpoint: r.checkpoint, TaskMS: u.TaskMS, CoreMS: u.CoreMS}
 	if s.state == LostBy(s.unit.cause.cause) {
-		out.Cause, out.Direct = s.unit.cause.detail, s.unit.cause.hits(r)
+		out.Cause, out.Direct = s.unit.cause.describe(), s.unit.cause.hits(r)
 	}
 	return out
 }
--- a/internal/joblog/spent.go
+++ b/internal/joblog/spent.go
@@ -15,6 +15,9 @@
 	CoreMS        int64 `json:"core_ms"`
 	AcceleratorMS int64 `json:"accelerator_ms"`
 	Unsized       int   `json:"unsized,omitempty"`
+	// CheckpointedMS is the part of CoreMS in lost runs that have taken a checkpoint from
+	// which the next run began, so that not all of it was lost.
+	CheckpointedMS int64 `json:"checkpointed_core_ms,omitempty"`
 }
 
 // Spent is what the tasks of a job or of several spent their time on.
@@ -50,7 +53,8 @@
 }
 
 func (u Usage) plus(o Usage) Usage {
-	return Usage{u.Runs + o.Runs, u.Direct + o.Direct, u.TaskMS + o.TaskMS, u.CoreMS + o.CoreMS, u.AcceleratorMS + o.AcceleratorMS, u.Unsized + o.Unsized}
+	return Usage{u.Runs + o.Runs, u.Direct + o.Direct, u.TaskMS + o.TaskMS, u.CoreMS + o.CoreMS, u.AcceleratorMS + o.AcceleratorMS,
+		u.Unsized + o.Unsized, u.CheckpointedMS + o.CheckpointedMS}
 }
 
 func (s *Spent) add(o Spent) {
@@ -90,6 +94,9 @@
 		return u
 	}
 	u.Runs = 1
+	if s.checkpointed {
+		u.CheckpointedMS = u.CoreMS
+	}
 	if !s.sized {
 		u.Unsized = 1
 	}
--- a/internal/joblog/states.go
+++ b/internal/joblog/states.go
@@ -1,6 +1,7 @@
 package joblog
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -57,6 +58,9 @@
 	sized bool
 	unit  *unitRun
 	run   *run
+	// checkpointed is set if the next run of the task began from a checkpoint that this one
+	// has taken.
+	checkpointed bool
 }
 
 // claimant returns the job for which a lost run was stopped, or "".
@@ -73,17 +77,18 @@
 	end      time.Time // of the job or the lines
 	segments []span    // what the job waited for, in order of time
 	needs    map[int]graph.Resources
+	doneEnds map[int][]time.Time
 	task     stretch // the needs of the present task
 	emit     func(stretch)
 }
 
-// walk passes the stretches of a job, in no order.
+// walk passes the stretches of a job, task by task, so that sums of them are repeatable.
 func (j *Journal) walk(o *job, takeovers []span, emit func(stretch)) {
-	w := &walker{job: o, end: firstTime(o.ended, j.last), needs: o.needsByStep(), emit: emit}
+	w := &walker{job: o, end: firstTime(o.ended, j.last), needs: o.needsByStep(), doneEnds: o.doneEnds(), emit: emit}
 	w.segments = o.waitSegments(w.end, takeovers)
 	runs := o.byTask()
-	for _, ofTask := range runs {
-		w.walkTask(ofTask)
+	for _, task := range slices.Sorted(maps.Keys(runs)) {
+		w.walkTask(runs[task])
 	}
 	w.walkUnseen(max(0, o.tasks-len(runs)))
 }
@@ -110,12 +115,12 @@
 	cursor := ready
 	for i, r := range runs {
 		w.wait(cursor, r.run.begins(), 1)
-		var next time.Time
+		var next *run
 		if i+1 < len(runs) {
-			next = runs[i+1].run.begins()
+			next = runs[i+1].run
 		}
 		state, end := w.outcome(r, next)
-		w.passRun(r, state, end)
+		w.passRun(r, state, end, next != nil && next.checkpoint != "" && next.checkpoint != r.run.checkpoint)
 		if cursor = latest(cursor, end); state == Kept || state == Open {
 			cursor = latest(cursor, w.end)
 		}
@@ -127,23 +132,42 @@
 // earlier step, as far as that is known.
 func (w *walker) readyAt(first taskRun) time.Time {
 	ready, step := w.job.began(), stepOf(first.run.task)
-	if step == 0 {
-		return ready
+	for earlier, ends := range w.doneEnds {
+		i, found := slices.BinarySearchFunc(ends, first.run.begins(), time.Time.Compare)
+		if found {
+			i++
+		}
+		if earlier < step && i > 0 {
+			ready = latest(ready, ends[i-1])
+		}
 	}
-	for _, u := range w.job.units {
+	return ready
+}
+
+// doneEnds returns the ends of the runs that were done, by step and in order.
+func (o *job) doneEnds() map[int][]time.Time {
+	out := map[int][]time.Time{}
+	for _, u := range o.units {
 		for _, r := range u.members {
-			if r.end == endDone && stepOf(r.task) < step && !r.ended.After(first.run.begins()) {
-				ready = latest(ready, r.ended)
+			if r.end == endDone {
+				out[stepOf(r.task)] = append(out[stepOf(r.task)], r.ended)
 			}
 		}
 	}
-	return ready
+	for _, ends := range out {
+		slices.SortFunc(ends, time.Time.Compare)
+	}
+	return out
 }
 
-// outcome returns the state of a run and its end. next is the begin of the task's next run,
-// zero if it has none.
-func (w *walker) outcome(r taskRun, next time.Time) (State, time.Time) {
+// outcome returns the state of a run and its end. following is the task's next run, nil if it has
+// none.
+func (w *walker) outcome(r taskRun, following *run) (State, time.Time) {
 	ended := r.run.ended
+	var next time.Time
+	if following != nil {
+		next = following.begins()
+	}
 	switch {
 	case r.run.end == endDone || r.unit.done():
 		return Kept, firstTime(ended, next, w.end)
@@ -151,6 +175,8 @@
 		return LostBy(r.unit.cause.cause), ended
 	case !next.IsZero():
 		return LostBy(CauseEndMissing), next
+	case w.job.ended.IsZero() && r.unit.cause.cause != CauseUnexplained:
+		return LostBy(r.unit.cause.cause), w.end // it is being stopped
 	case w.job.ended.IsZero():
 		return Open, w.end
 	case w.job.outcome == "completed":
@@ -160,7 +186,7 @@
 	}
 }
 
-func (w *walker) passRun(r taskRun, state State, end time.Time) {
+func (w *walker) passRun(r taskRun, state State, end time.Time, checkpointed bool) {
 	s := stretch{state: state, from: r.run.worked(), to: latest(end, r.run.worked()), tasks: 1, unit: r.unit, needs: r.unit.needs, sized: r.unit.sized}
 	if !s.sized {
 		s.needs, s.sized = w.task.needs, w.task.sized
@@ -170,7 +196,7 @@
 		starting.state, starting.from, starting.to = Placed, r.run.placed, r.run.started
 		w.pass(starting)
 	}
-	s.run = r.run
+	s.run, s.checkpointed = r.run, checkpointed
 	w.emit(s)
 }
 
@@ -246,17 +272,5 @@
 	if o.accepted.After(begin) {
 		spans = append(spans, span{begin, o.accepted, Takeover})
 	}
-	cuts := []time.Time{begin, end}
-	for _, s := range spans {
-		cuts = append(cuts, s.from, s.to)
-	}
-	slices.SortFunc(cuts, time.Time.Compare)
-	var out []span
-	for i := 1; i < len(cuts); i++ {
-		from, to := latest(cuts[i-1], begin), earliest(end, cuts[i])
-		if from.Before(to) {
-			out = append(out, span{from, to, phaseAt(spans, from)})
-		}
-	}
-	return out
+	return divide(begin, end, spans)
 }
--- a/internal/joblog/timeline.go
+++ b/internal/joblog/timeline.go
@@ -1,6 +1,7 @@
 package joblog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -85,6 +86,7 @@
 			out = append(out, o)
 		}
 	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
