--- a/internal/graph/plan/unreadable.go
+++ b/internal/graph/plan/unreadable.go
@@ -67,7 +67,7 @@
 		return
 	}
 	for _, ack := range waiting {
-		c.recordLateEnd(*ack.held, ack)
+		c.recordLateEnd(w, *ack.held, ack)
 		ack.held = nil
 	}
 	c.acknowledgeEnds(w, false)
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -147,7 +147,7 @@
 	}
 	if report.WorkerLeft {
 		w.responsive = false
-		c.endLostMembers(w, noIncarnation)
+		c.endLostMembers(w, noIncarnation, causeWorkerLeft)
 		return
 	}
 	c.reconcileMembers(w, report)
@@ -170,7 +170,7 @@
 		return slices.Contains(report.Lost, ref) && !report.lists(ref)
 	}, true)
 	c.moveUnsettledMembers(w, report)
-	c.endLostMembers(w, incarnation)
+	c.endLostMembers(w, incarnation, causeWorkerRestarted)
 }
 
 // moveUnsettledMembers binds those members to the worker's new incarnation whose start may
@@ -191,6 +191,7 @@
 		m.incarnation, m.orderSession = report.Worker.Incarnation(), ""
 		m.running, m.accepted = false, false
 		if !listed {
+			m.unit.history.stopFor(stopUnsettledStart)
 			c.stopRun(m.unit)
 		}
 		c.requestSave(m.unit.job, nil)
@@ -205,12 +206,12 @@
 
 // endLostMembers ends all members on a worker except those placed on the given
 // incarnation. They cannot be running any more.
-func (c *Core) endLostMembers(w *worker, except string) {
+func (c *Core) endLostMembers(w *worker, except, cause string) {
 	for _, m := range slices.Clone(w.members) {
 		if m.incarnation == except {
 			continue
 		}
-		c.endMember(m, graph.EndWorkerLost, "")
+		c.endMemberFor(m, graph.EndWorkerLost, "", cause)
 		c.requestSave(m.unit.job, nil)
 	}
 }
@@ -253,7 +254,7 @@
 	}
 	w.unknownStops[RunRef{r.Task, r.Run}] = orderedStop{w.session, c.now}
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
-	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
+	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run, Reason: string(ReasonUnknownRun)})
 }
 
 func (c *Core) updateProgress(m *member, r graph.RunState, listedAt time.Duration) {
@@ -357,7 +358,7 @@
 		return
 	}
 	if m == nil {
-		c.recordLateEnd(e, ack)
+		c.recordLateEnd(w, e, ack)
 		return
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
@@ -377,8 +378,9 @@
 
 // recordLateEnd handles the end of a run that the owner no longer tracks. Nothing
 // depends on it unless the job's state is still being saved.
-func (c *Core) recordLateEnd(e graph.RunEnd, ack *pendingAck) {
-	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Detail: "late " + string(e.Kind)})
+func (c *Core) recordLateEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
+	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Worker: w.info.ID, Detail: "late " + string(e.Kind),
+		Cause: c.describeUntracked(e)})
 	ack.saved = true
 }
 
@@ -429,6 +431,7 @@
 			c.stopMember(m)
 		case listed[m.task] == m.run || e.MoreEnds:
 		case m.running || orderedBefore:
+			m.unit.history.stopFor(unlistedReason(m))
 			c.stopMember(m)
 		}
 	}
@@ -452,7 +455,7 @@
 	if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
 		c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
 	}
-	c.endLostMembers(w, noIncarnation)
+	c.endLostMembers(w, noIncarnation, causeLeaseOver)
 }
 
 // avoidsWorkers reports whether the unit has avoided workers in this term.
