agent: a restart is reported though the list after a stop was lost (LOST)

A list without an answer repeated all stops, and a stop without an answer those before it. Until then the worker gets no work, and the owner waits for the runs of the earlier incarnation until its lease ends.

Change: stops that were answered are not repeated on the same incarnation under the same epoch.

TestRestartIsReportedAfterALostList failed before: nothing is reported in 5 s. The tests of both cases share countingRunner's slowLists.

--- a/internal/agent/keeper/orders_test.go
+++ b/internal/agent/keeper/orders_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
@@ -56,43 +54,12 @@
 	}
 }
 
-// slowListRunner leaves the lists unanswered that are requested within settleRetryInterval of an
-// answered stop.
-type slowListRunner struct {
-	*standin.Runner
-	mu        sync.Mutex
-	stoppedAt time.Time
-}
-
-func (r *slowListRunner) Stop(ctx context.Context, instance string, o external.StopRun) (time.Duration, error) {
-	r.mu.Lock()
-	r.stoppedAt = time.Now()
-	r.mu.Unlock()
-	return r.Runner.Stop(ctx, instance, o)
-}
-
-func (r *slowListRunner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
-	r.mu.Lock()
-	slow := time.Since(r.stoppedAt) < settleRetryInterval
-	r.mu.Unlock()
-	if slow {
-		<-ctx.Done()
-		return external.RunList{}, external.ErrUnavailable
-	}
-	return r.Runner.Hold(ctx, instance, o)
-}
-
 // TestStopIsNotRepeatedForALostList guards against a run whose outcome is never reported, as its worker answers a stop but not the list right after it.
 func TestStopIsNotRepeatedForALostList(t *testing.T) {
-	clock := ledger.NewMonotonicClock()
-	runner := &slowListRunner{Runner: standin.NewRunner()}
-	k := New(runner, NewOwnerFinder(unavailableRows{}, "all", nil, clock, zerolog.Nop()), clock, metrics.NewRegistry(), zerolog.Nop())
-	worker := plan.WorkerInfo{ID: "w", Instance: runner.Instance(), StartUnixMillis: runner.StartCount()}
-	k.HandleHeartbeat(worker, 1)
+	k, runner, worker := orderedKeeper(t)
+	runner.slowLists.Store(true)
 	ref := rpc.TaskRefOf(graph.TaskID{Job: "j"}, 7)
-	if err := k.applyOrders(context.Background(), &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Stops: []*rpc.TaskRef{ref}}); err != nil {
-		t.Fatal(err)
-	}
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Stops: []*rpc.TaskRef{ref}})
 	bound, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	settled := func() bool {
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -58,9 +58,14 @@
 func (k *Keeper) settleEarlierStarts(ctx context.Context) {
 	begunAt := k.clock()
 	runs := len(k.unsettledRuns())
+	var last callTarget
+	var stopped map[runRef]bool // for last
 	for ctx.Err() == nil && k.canHold() {
 		t := k.target()
-		stopped := k.stopUnsettled(ctx, t)
+		if t.incarnation != last.incarnation || t.epoch != last.epoch {
+			last, stopped = t, map[runRef]bool{}
+		}
+		k.stopUnsettled(ctx, t, stopped)
 		if k.hold(ctx, 0) == nil {
 			k.recordSettled(t, stopped)
 		}
@@ -77,31 +82,34 @@
 	k.log.Info().Int("runs", runs).Dur("took_ms", took).Msg("unanswered starts of the earlier incarnation are settled")
 }
 
-// stopUnsettled stops the unsettled runs and returns those whose stop was answered.
-func (k *Keeper) stopUnsettled(ctx context.Context, t callTarget) (stopped []runRef) {
+// stopUnsettled stops the unsettled runs that are not stopped yet, and adds those whose stop
+// was answered.
+func (k *Keeper) stopUnsettled(ctx context.Context, t callTarget, stopped map[runRef]bool) {
 	for _, ref := range k.unsettledRuns() {
+		if stopped[ref] {
+			continue
+		}
 		if !k.isCurrent(t) {
-			return nil
+			return
 		}
 		switch err := k.callStop(ctx, t, ref); {
 		case errors.Is(err, external.ErrRunStaleEpoch), errors.Is(err, external.ErrRunWrongInstance), errors.Is(err, external.ErrUnavailable):
-			return stopped // tried again with the next target
+			return // tried again with the next target
 		case errors.Is(err, external.ErrRunWorkerUnhealthy):
 		default:
-			stopped = append(stopped, ref)
+			stopped[ref] = true
 		}
 	}
-	return stopped
 }
 
 // recordSettled records that runs were stopped before the last list was requested.
-func (k *Keeper) recordSettled(t callTarget, stopped []runRef) {
+func (k *Keeper) recordSettled(t callTarget, stopped map[runRef]bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.worker.Incarnation() != t.incarnation || k.listedEpoch != t.epoch {
 		return
 	}
-	for _, ref := range stopped {
+	for ref := range stopped {
 		if !k.listedRunning(ref) {
 			delete(k.unsettled, ref)
 		}
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -20,7 +20,8 @@
 )
 
 // countingRunner counts calls. It fails stop calls while failStops is set, and all calls
-// as a process that has ended does while ended is set.
+// as a process that has ended does while ended is set. While slowLists is set, lists that are
+// requested within settleRetryInterval of an answered stop get no answer.
 type countingRunner struct {
 	*standin.Runner
 	starts    atomic.Int32
@@ -28,6 +29,8 @@
 	holds     atomic.Int32
 	failStops atomic.Bool
 	ended     atomic.Bool
+	slowLists atomic.Bool
+	stoppedAt atomic.Int64 // Unix time in nanoseconds
 }
 
 func (r *countingRunner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
@@ -35,6 +38,10 @@
 	if r.ended.Load() {
 		return external.RunList{}, errors.WithType(external.ErrRunNotListening, external.ErrUnavailable)
 	}
+	if r.slowLists.Load() && time.Since(time.Unix(0, r.stoppedAt.Load())) < settleRetryInterval {
+		<-ctx.Done()
+		return external.RunList{}, external.ErrUnavailable
+	}
 	return r.Runner.Hold(ctx, instance, o)
 }
 
@@ -50,6 +57,7 @@
 	if r.failStops.Load() {
 		return 0, external.ErrUnavailable
 	}
+	r.stoppedAt.Store(time.Now().UnixNano())
 	return r.Runner.Stop(ctx, instance, o)
 }
 
@@ -208,6 +216,18 @@
 	k.awaitList(t)
 }
 
+// TestRestartIsReportedAfterALostList guards against a worker that is never reported again after a restart, as it answers a stop but not the list right after it.
+func TestRestartIsReportedAfterALostList(t *testing.T) {
+	k, runner, worker := orderedKeeper(t)
+	runner.SetFaults(standin.RunnerFaults{DropCalls: true})
+	k.startAt(t, runner, worker)
+	kernel.Sleep(context.Background(), orderTimeout/4)
+	runner.SetFaults(standin.RunnerFaults{})
+	runner.slowLists.Store(true)
+	restart(k, runner, worker)
+	k.awaitList(t)
+}
+
 // TestLateStartIsSettledBeforeRestartIsReported guards against a report of the next incarnation while a start can still take effect there.
 func TestLateStartIsSettledBeforeRestartIsReported(t *testing.T) {
 	for _, late := range []bool{false, true} {
