--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -36,6 +36,7 @@
 	for _, ref := range k.unanswered.runs(k.clock()) {
 		k.unsettled[ref] = true
 	}
+	k.awaitLateAcks(sameName)
 	k.worker = &info
 	wake(k.wakeSettle)
 }
@@ -92,7 +93,7 @@
 		if !k.isCurrent(t) {
 			return
 		}
-		switch err := k.callStop(ctx, t, ref); {
+		switch err := k.callStop(ctx, t, ref, orderTimeout); {
 		case errors.Is(err, external.ErrRunStaleEpoch), errors.Is(err, external.ErrRunWrongInstance), errors.Is(err, external.ErrUnavailable):
 			return // tried again with the next target
 		case errors.Is(err, external.ErrRunWorkerUnhealthy):
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -13,9 +13,10 @@
 // and then uses what is free: callers expect it to run within 3 s.
 
 const (
-	// maxRackWait is the time on an idle pool after which a gang of one rack is spread
-	// over several. It runs longer there, so this is the last resort.
-	maxRackWait = 2200 * time.Millisecond
+	// lastResortWait is the time on an idle pool after which a gang of one rack is spread
+	// over several, where it runs longer, and a unit on its last attempt uses workers with
+	// failures, and one that has crashed workers may run beside another such.
+	lastResortWait = 2200 * time.Millisecond
 	// maxLoan is how long a unit waits before it stops those that were started in the room
 	// reserved for it.
 	maxLoan = time.Minute
@@ -26,13 +27,14 @@
 	failures     bool // of workers
 	reservations bool // of other units
 	racks        bool // for a gang of one rack
+	suspects     bool // among the tasks that have crashed workers
 }
 
 // updateIdleJobs records since when jobs have had nothing running while their pool is idle.
 func (c *Core) updateIdleJobs() {
 	idle := map[string]bool{}
 	for _, j := range c.activeJobs {
-		if j.hasRuns() || !slices.ContainsFunc(j.units, func(u *unit) bool { return u.isReady(c.now) }) {
+		if !j.standsStill(c.now) {
 			j.idleSince = 0
 			continue
 		}
@@ -48,6 +50,19 @@
 	}
 }
 
+// standsStill reports whether nothing of a job runs while a unit could. A unit that is placed
+// does not run before its worker tells: it may still be refused.
+func (j *job) standsStill(now time.Duration) bool {
+	waits := false
+	for _, u := range j.units {
+		if slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended && (m.running || m.accepted || m.recovered) }) {
+			return false
+		}
+		waits = waits || u.phase == unitPlaced || u.isReady(now)
+	}
+	return waits
+}
+
 // hasRuns reports whether a unit of the job is placed.
 func (j *job) hasRuns() bool {
 	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced })
@@ -66,9 +81,10 @@
 	return used < idleFleetPart*total
 }
 
-// idleFor reports whether a job has had nothing running on an idle pool for d.
+// idleFor reports whether a job has had nothing running on an idle pool for d. Once a unit of
+// it is placed, the others wait like those of other jobs.
 func (c *Core) idleFor(j *job, d time.Duration) bool {
-	return j.idleSince > 0 && c.now-j.idleSince >= d
+	return j.idleSince > 0 && c.now-j.idleSince >= d && !j.hasRuns()
 }
 
 // searchWithWaivers looks for a place without one preference after the other, as far as the
@@ -82,16 +98,23 @@
 	if allocs := c.searchCandidates(u); allocs != nil {
 		return allocs
 	}
-	if u.step.SameRack && c.idleFor(u.job, maxRackWait) {
+	if u.step.SameRack && c.idleFor(u.job, lastResortWait) {
 		u.waived.racks = true
 		if allocs := c.searchCandidates(u); allocs != nil {
 			return allocs
 		}
 	}
-	if u.waived.failures || u.onLastAttempt() {
+	lastResort := c.idleFor(u.job, lastResortWait)
+	if !u.waived.failures && (lastResort || !u.onLastAttempt()) {
+		u.waived.failures = true
+		if allocs := c.searchCandidates(u); allocs != nil {
+			return allocs
+		}
+	}
+	if !lastResort || !u.crashes.mayRunBesideSuspects() {
 		return nil
 	}
-	u.waived.failures = true
+	u.waived.suspects = true
 	return c.searchCandidates(u)
 }
 
@@ -128,7 +151,10 @@
 	if u.step.SameRack && spansRacks(allocs) && c.fitsEmptyRack(u) {
 		out = append(out, "spread over racks")
 	}
-	if slices.ContainsFunc(allocs, func(a allocation) bool { return !c.eligible(a.worker, u) }) {
+	switch {
+	case slices.ContainsFunc(allocs, func(a allocation) bool { return c.conflictsWithSuspects(u, a.worker) }):
+		out = append(out, "beside tasks that have crashed workers")
+	case slices.ContainsFunc(allocs, func(a allocation) bool { return !c.eligible(a.worker, u) }):
 		out = append(out, "on workers with failures")
 	}
 	return strings.Join(out, ", ")
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -31,6 +31,7 @@
 	runDone   bool // a member of the current run ended with EndDone
 	runFailed bool // a member of the current run ended with EndFailed
 	stopping  bool // the current run is being stopped
+	history   runHistory
 	crashes   unitCrashes
 	// speedsLearned is set once the members of the current run were compared.
 	speedsLearned bool
@@ -41,6 +42,7 @@
 	notBefore      time.Duration
 	avoidUntil     map[string]time.Duration // by worker ID
 	avoidedAt      time.Duration            // when a worker was last added to avoidUntil
+	refusedUntil   map[string]time.Duration // by worker ID, until when one that refused the unit is not asked again
 	// waived holds while a search for a place is in progress.
 	waived waivers
 	claim  *claim
@@ -77,16 +79,18 @@
 	run    uint64
 	worker *worker
 	// incarnation is the worker's incarnation at placement.
-	incarnation  string
-	crashes      int  // taskCrashes.count of its task when the unit was placed
-	recovered    bool // placed in an earlier term
-	startSent    bool // the start was ordered in this term, or the worker reported the run
-	running      bool // the worker reported the run as running
-	accepted     bool // the worker has accepted the start since its last list
-	stopping     bool
-	ended        bool
-	orderSession string        // session of the last order
-	lastOrderAt  time.Duration // time of the last order
+	incarnation string
+	crashes     int // taskCrashes.count of its task when the unit was placed
+	// besideSuspects is set if the unit was placed although conflictsWithSuspects.
+	besideSuspects bool
+	recovered      bool // placed in an earlier term
+	startSent      bool // the start was ordered in this term, or the worker reported the run
+	running        bool // the worker reported the run as running
+	accepted       bool // the worker has accepted the start since its last list
+	stopping       bool
+	ended          bool
+	orderSession   string        // session of the last order
+	lastOrderAt    time.Duration // time of the last order
 
 	percent        int
 	lastProgressAt time.Duration // when percent last changed; at first when the start was sent
@@ -131,8 +135,11 @@
 	rejectedSaves    int // in this term
 	// rejected is set from a rejected save to the next one that is stored, saveAgainAt the
 	// time of the next try if nothing else changes.
-	rejected     bool
-	saveAgainAt  time.Duration
+	rejected      bool
+	rejectedSince time.Duration
+	saveAgainAt   time.Duration
+	// stateOnly is set once the table has rejected more than the final state for too long.
+	stateOnly    bool
 	arrivedAt    time.Duration // on the term's clock; negative if submitted before the term
 	idleSince    time.Duration // since when nothing has run while the pool is idle; 0 if that is not so
 	delayReports delayReports
@@ -243,6 +250,9 @@
 		p.State = graph.Running
 	}
 	j.stateInSave = p.State
+	if j.stateOnly {
+		return p
+	}
 	for _, u := range j.units {
 		p.Tasks = append(p.Tasks, u.progress()...)
 	}
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -25,6 +25,10 @@
 	}
 	c.observeDemand(j)
 	c.emit(Notice{Reason: ReasonAccepted, Job: j.ID, Detail: j.describe()})
+	if c.unreadable[j.ID] {
+		delete(c.unreadable, j.ID)
+		c.processHeldEnds(j.ID)
+	}
 }
 
 // describe returns a one-line summary of the job for the log.
@@ -69,6 +73,7 @@
 			u.phase = unitPlaced
 		}
 		if j.state.Final() || u.runFailed || u.crashes.inRun() {
+			u.history.stopFor(stopEarlierTerm)
 			c.stopRun(u)
 		}
 	}
@@ -80,6 +85,7 @@
 		recovered: true, lastProgressAt: c.now, runningSince: c.now}
 	u.run = max(u.run, t.Run)
 	u.members = append(u.members, m)
+	u.history.placedAt = c.now
 	c.occupy(m)
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -141,7 +141,7 @@
 			return allocs
 		}
 	}
-	if len(u.avoidUntil) == 0 && u.crashes.most() == 0 {
+	if !u.avoidsWorkers() && u.crashes.most() == 0 {
 		c.sched.noRoom[k] = true
 	}
 	return nil
@@ -219,30 +219,31 @@
 func (c *Core) bind(u *unit, allocs []allocation) {
 	c.learnRequeueWait(u)
 	c.sched.releases.valid = false
-	u.phase = unitPlaced
 	u.declinedSince = 0
 	u.waits = waitReports{}
 	u.run = c.nextRunNumber()
 	c.useHeadroom(u, allocs)
 	c.borrow(u, allocs)
-	u.job.idleSince = 0 // the job's other units wait like those of others
+	u.phase = unitPlaced
 	u.runDone, u.runFailed, u.stopping, u.speedsLearned = false, false, false, false
 	u.crashes.beginRun()
+	u.history = runHistory{placedAt: c.now}
 	u.endEstimatedAt = 0
 	i := 0
 	for _, p := range allocs {
+		besideSuspects := c.conflictsWithSuspects(u, p.worker)
 		for range p.tasks {
-			m := &member{unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
+			m := &member{besideSuspects: besideSuspects, unit: u, task: u.taskID(i), run: u.run, worker: p.worker, incarnation: p.worker.info.Incarnation()}
 			u.members = append(u.members, m)
 			c.occupy(m)
-			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID})
+			c.emit(Notice{Reason: ReasonPlaced, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: p.worker.info.ID, Size: u.sizeAt(i)})
 			i++
 		}
 	}
 	members := u.members
 	c.requestSaveOf(u.job, afterSave{
 		stored:   func() { c.startRun(u, members) },
-		rejected: func() { c.abandonRun(u, members) },
+		rejected: func() { c.abandonRun(u, members, causeSaveRejected) },
 	})
 }
 
@@ -251,12 +252,12 @@
 func (c *Core) startRun(u *unit, members []*member) {
 	for _, m := range members {
 		if !c.canStart(m) {
-			c.abandonRun(u, members)
+			c.abandonRun(u, members, c.whyNotStarted(m))
 			return
 		}
 	}
 	if !roomToStart(u, members) {
-		c.abandonRun(u, members)
+		c.abandonRun(u, members, causeCapacityShrunk)
 		return
 	}
 	for _, m := range members {
@@ -301,9 +302,9 @@
 }
 
 // abandonRun ends a run for which no start has been ordered.
-func (c *Core) abandonRun(u *unit, members []*member) {
+func (c *Core) abandonRun(u *unit, members []*member, cause string) {
 	for _, m := range members {
-		c.endMember(m, graph.EndNeverStarted, "")
+		c.endMemberFor(m, graph.EndNeverStarted, "", cause)
 	}
 	c.requestSave(u.job, nil)
 }
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -33,6 +33,13 @@
 // JobCancelled reports that the cancellation of a job is stored in the table.
 type JobCancelled struct{ Job graph.JobID }
 
+// JobUnreadable reports that rows of a job in the table cannot be read. JobSubmitted or
+// JobRemoved follows once they can, or are gone.
+type JobUnreadable struct{ Job graph.JobID }
+
+// JobRemoved reports that a job that was unreadable is not in the table any more.
+type JobRemoved struct{ Job graph.JobID }
+
 // WorkerInfo describes one incarnation of a worker.
 type WorkerInfo struct {
 	// ID is the host name; it survives restarts of the worker.
@@ -126,6 +133,8 @@
 
 func (JobSubmitted) event()  {}
 func (JobCancelled) event()  {}
+func (JobUnreadable) event() {}
+func (JobRemoved) event()    {}
 func (WorkerReport) event()  {}
 func (SessionClosed) event() {}
 func (ProgressSaved) event() {}
@@ -154,12 +163,13 @@
 }
 
 // StopRun orders a worker to stop a run, including one that may not have started.
-// The agent reports either the run's end or its absence.
+// The agent reports either the run's end or its absence. Reason is for the log.
 type StopRun struct {
 	Worker      string
 	Incarnation string
 	Task        graph.TaskID
 	Run         uint64
+	Reason      string
 }
 
 // GrantLease renews a worker's lease for its full duration, counted from the time
@@ -186,6 +196,9 @@
 	Number   uint64
 	Steps    []graph.Step
 	Progress graph.Progress
+	// StateOnly is set for a final job of which no task is stored, as the table has rejected
+	// them.
+	StateOnly bool
 }
 
 // Notice reports a decision for logging and metrics.
@@ -196,6 +209,17 @@
 	Run    uint64
 	Worker string
 	Detail string
+	// Cause tells why a run ended in the way that Detail says, where the owner knows more
+	// than that.
+	Cause string
+	// Size is set on ReasonPlaced, for the first task of the unit.
+	Size *UnitSize
+}
+
+// UnitSize is the number of tasks of a unit and what each of them needs.
+type UnitSize struct {
+	Tasks int
+	Needs graph.Resources
 }
 
 func (StartRun) action()        {}
@@ -225,6 +249,7 @@
 	ReasonWorkerDraining     Reason = "worker-draining"
 	ReasonNoProgress         Reason = "no-progress"
 	ReasonNoOutcome          Reason = "order-without-outcome"
+	ReasonUnitHeld           Reason = "unit-held"
 	ReasonWorkerUp           Reason = "worker-up"
 	ReasonWorkerLost         Reason = "worker-lost"
 	ReasonIncarnationChanged Reason = "worker-incarnation-changed"
@@ -245,5 +270,6 @@
 	ReasonHeadroomUsed       Reason = "headroom-used"
 	ReasonLongCheckpoint     Reason = "checkpoint-too-long"
 	ReasonSaveRejected       Reason = "save-rejected"
+	ReasonEndHeld            Reason = "end-held"
 	ReasonVictimStoppedOften Reason = "victim-stopped-often"
 )
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -23,7 +23,7 @@
 }
 
 // orderTimeout is the time an agent may take to report the outcome of an order. It
-// tries a start three times for 0.6 s each and then stops it.
+// tries a start for at most 2.6 s and then stops it.
 const orderTimeout = 5 * time.Second
 
 // watchOrders sends another stop for runs whose last order has had no outcome in a list
@@ -40,6 +40,7 @@
 		}
 		c.emit(Notice{Reason: ReasonNoOutcome, Job: m.unit.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
 		m.orderSession = ""
+		m.unit.history.stopFor(string(ReasonNoOutcome))
 		c.stopMember(m)
 	}
 }
@@ -88,6 +89,7 @@
 			continue
 		}
 		c.emit(Notice{Reason: ReasonWorkerDraining, Job: u.job.ID, Task: m.task.String(), Run: m.run, Worker: w.info.ID})
+		u.history.stopFor(string(ReasonWorkerDraining))
 		c.stopRun(u)
 		return
 	}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -61,7 +61,11 @@
 // pendingAck is a run end that is acknowledged once its effect is saved.
 type pendingAck struct {
 	number uint64
+	job    *job // nil if the owner did not track the run
 	saved  bool
+	// held is the end while its job is unreadable, since heldSince.
+	held      *graph.RunEnd
+	heldSince time.Duration
 }
 
 func (w *worker) connected() bool { return w.reported && w.session != "" && !w.lost }
@@ -143,7 +147,7 @@
 	}
 	if report.WorkerLeft {
 		w.responsive = false
-		c.endLostMembers(w, noIncarnation)
+		c.endLostMembers(w, noIncarnation, causeWorkerLeft)
 		return
 	}
 	c.reconcileMembers(w, report)
@@ -166,7 +170,7 @@
 		return slices.Contains(report.Lost, ref) && !report.lists(ref)
 	}, true)
 	c.moveUnsettledMembers(w, report)
-	c.endLostMembers(w, incarnation)
+	c.endLostMembers(w, incarnation, causeWorkerRestarted)
 }
 
 // moveUnsettledMembers binds those members to the worker's new incarnation whose start may
@@ -187,6 +191,7 @@
 		m.incarnation, m.orderSession = report.Worker.Incarnation(), ""
 		m.running, m.accepted = false, false
 		if !listed {
+			m.unit.history.stopFor(stopUnsettledStart)
 			c.stopRun(m.unit)
 		}
 		c.requestSave(m.unit.job, nil)
@@ -201,12 +206,12 @@
 
 // endLostMembers ends all members on a worker except those placed on the given
 // incarnation. They cannot be running any more.
-func (c *Core) endLostMembers(w *worker, except string) {
+func (c *Core) endLostMembers(w *worker, except, cause string) {
 	for _, m := range slices.Clone(w.members) {
 		if m.incarnation == except {
 			continue
 		}
-		c.endMember(m, graph.EndWorkerLost, "")
+		c.endMemberFor(m, graph.EndWorkerLost, "", cause)
 		c.requestSave(m.unit.job, nil)
 	}
 }
@@ -249,7 +254,7 @@
 	}
 	w.unknownStops[RunRef{r.Task, r.Run}] = orderedStop{w.session, c.now}
 	c.emit(Notice{Reason: ReasonUnknownRun, Job: r.Task.Job, Task: r.Task.String(), Run: r.Run, Worker: w.info.ID})
-	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run})
+	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run, Reason: string(ReasonUnknownRun)})
 }
 
 func (c *Core) updateProgress(m *member, r graph.RunState, listedAt time.Duration) {
@@ -348,24 +353,34 @@
 
 func (c *Core) processEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
 	m := c.memberOf(w, e)
+	if m == nil && c.unreadable[e.Task.Job] {
+		c.holdEnd(e, ack)
+		return
+	}
 	if m == nil {
-		c.processLateEnd(e, ack)
+		c.recordLateEnd(w, e, ack)
 		return
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
-	c.requestSave(m.unit.job, func() {
+	ack.job = m.unit.job
+	then := afterSave{stored: func() {
 		ack.saved = true
 		if w.info.Incarnation() == incarnation {
 			c.acknowledgeEnds(w, false)
 		}
-	})
+	}}
+	if e.Kind != graph.EndDone {
+		then.unstored = then.stored
+	}
+	c.requestSaveOf(m.unit.job, then)
 }
 
-// processLateEnd handles the end of a run that the owner no longer tracks. Nothing
+// recordLateEnd handles the end of a run that the owner no longer tracks. Nothing
 // depends on it unless the job's state is still being saved.
-func (c *Core) processLateEnd(e graph.RunEnd, ack *pendingAck) {
-	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Detail: "late " + string(e.Kind)})
+func (c *Core) recordLateEnd(w *worker, e graph.RunEnd, ack *pendingAck) {
+	c.emit(Notice{Reason: ReasonRunEnded, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Worker: w.info.ID, Detail: "late " + string(e.Kind),
+		Cause: c.describeUntracked(e)})
 	ack.saved = true
 }
 
@@ -390,7 +405,7 @@
 	u := m.unit
 	c.emit(Notice{Reason: ReasonRunEnded, Job: u.job.ID, Task: a.Task.String(), Run: a.Run, Worker: w.info.ID, Detail: "refused: " + a.Reason})
 	if !m.stopping {
-		c.avoidFor(u, w, refusalBackoff)
+		u.refusedBy(w, c.now+refusalBackoff)
 	}
 	c.endMember(m, graph.EndNeverStarted, "")
 	c.requestSave(u.job, nil)
@@ -416,6 +431,7 @@
 			c.stopMember(m)
 		case listed[m.task] == m.run || e.MoreEnds:
 		case m.running || orderedBefore:
+			m.unit.history.stopFor(unlistedReason(m))
 			c.stopMember(m)
 		}
 	}
@@ -439,15 +455,27 @@
 	if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
 		c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
 	}
-	c.endLostMembers(w, noIncarnation)
+	c.endLostMembers(w, noIncarnation, causeLeaseOver)
 }
 
+// avoidsWorkers reports whether the unit has avoided workers in this term.
+func (u *unit) avoidsWorkers() bool { return len(u.avoidUntil)+len(u.refusedUntil) > 0 }
+
 // avoidFor makes a unit avoid a worker for a time.
 func (c *Core) avoidFor(u *unit, w *worker, d time.Duration) {
 	u.avoidWorker(w.info.ID, c.now+d)
 	u.avoidedAt = c.now
 }
 
+// refusedBy makes a unit leave out a worker that refused it until the given time. It is so
+// short that nothing waives it.
+func (u *unit) refusedBy(w *worker, until time.Duration) {
+	if u.refusedUntil == nil {
+		u.refusedUntil = map[string]time.Duration{}
+	}
+	u.refusedUntil[w.info.ID] = until
+}
+
 func (u *unit) avoidWorker(id string, until time.Duration) {
 	if u.avoidUntil == nil {
 		u.avoidUntil = map[string]time.Duration{}
