--- a/internal/graph/plan/choose.go
+++ b/internal/graph/plan/choose.go
@@ -36,8 +36,10 @@
 // candidateSets returns the sets of candidates to try for a unit, in order.
 func (c *Core) candidateSets(u *unit, candidates []candidate) [][]candidate {
 	var sets [][]candidate
-	for _, preferred := range byCrashes(u, candidates) {
-		sets = append(sets, c.setsByFailuresAndSpeed(u, preferred)...)
+	for _, willing := range preferring(candidates, u.wasNotRefusedBy) {
+		for _, preferred := range byCrashes(u, willing) {
+			sets = append(sets, c.setsByFailuresAndSpeed(u, preferred)...)
+		}
 	}
 	return sets
 }
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -29,6 +29,8 @@
 	simCrashDelay       = 10 * time.Millisecond
 	simRestartTime      = 3 * time.Second
 	simResponsiveWindow = 2 * time.Second
+	// simStartTries is the time for which an agent tries a start that gets no answer.
+	simStartTries = 1800 * time.Millisecond
 )
 
 // simRun is a run on a simulated worker.
@@ -80,13 +82,17 @@
 
 // simWorker is a simulated worker with its agent.
 type simWorker struct {
-	info          WorkerInfo
-	session       int
-	linked        bool
-	partitioned   bool    // no messages pass between its agent and the owner
-	speed         float64 // 1 is full speed
-	faulty        bool    // fails all of its runs
-	refuses       bool    // refuses all starts
+	info        WorkerInfo
+	session     int
+	linked      bool
+	partitioned bool    // no messages pass between its agent and the owner
+	speed       float64 // 1 is full speed
+	faulty      bool    // fails all of its runs
+	refuses     bool    // refuses all starts
+	// ignoresStarts is set if starts have no effect and get no answer. Its agent reports them
+	// absent once it has tried them for simStartTries.
+	ignoresStarts bool
+	ignored       []ignoredStart
 	runs          []*simRun
 	ended         []graph.RunEnd
 	lastAcked     uint64
@@ -105,6 +111,12 @@
 	listedFor     *Core // owner under which it last listed its runs
 }
 
+// ignoredStart is a start without effect that is reported absent at a time.
+type ignoredStart struct {
+	at     time.Duration
+	absent RunAbsent
+}
+
 type simOrder struct {
 	deliverAt time.Duration
 	action    Action
@@ -471,6 +483,10 @@
 		w.reportNow = true
 		return
 	}
+	if w.ignoresStarts {
+		w.ignored = append(w.ignored, ignoredStart{s.now + simStartTries, RunAbsent{a.Task, a.Run, "no answer"}})
+		return
+	}
 	s.checkStart(w, u, a)
 	if !w.used().Add(u.step.Needs).Fits(w.info.Capacity) {
 		s.rejected++
@@ -592,6 +608,9 @@
 		}
 	}
 	w.highestEnded[key] = max(w.highestEnded[key], a.Run)
+	if slices.ContainsFunc(w.ignored, func(i ignoredStart) bool { return i.absent.Task == a.Task && i.absent.Run == a.Run }) {
+		return // settled with its start
+	}
 	w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "stopped"})
 	w.reportNow = true
 }
@@ -609,6 +628,11 @@
 		}
 		return
 	}
+	for len(w.ignored) > 0 && s.now >= w.ignored[0].at {
+		w.absent = append(w.absent, w.ignored[0].absent)
+		w.ignored = w.ignored[1:]
+		w.reportNow = true
+	}
 	if w.leaseEnd > 0 && s.now > w.leaseEnd {
 		for _, r := range slices.Clone(w.runs) {
 			s.endRun(w, r, graph.EndLeaseExpired)
@@ -805,7 +829,7 @@
 			}
 		}
 	}
-	w.runs, w.ended, w.absent = nil, nil, nil
+	w.runs, w.ended, w.absent, w.ignored = nil, nil, nil, nil
 }
 
 // restart begins a worker's next incarnation.
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -476,6 +476,13 @@
 	u.refusedUntil[w.info.ID] = until
 }
 
+// wasNotRefusedBy reports whether a worker has not refused the unit in this term. The unit
+// prefers such workers, as it may take longer than refusalBackoff until the next one refuses it.
+func (u *unit) wasNotRefusedBy(w *worker) bool {
+	_, refused := u.refusedUntil[w.info.ID]
+	return !refused
+}
+
 func (u *unit) avoidWorker(id string, until time.Duration) {
 	if u.avoidUntil == nil {
 		u.avoidUntil = map[string]time.Duration{}
