plan: the run of a job that is loaded late ends with its worker (LOST)

A job may be loaded after the beginning of a term: its progress was not readable then, as a part was missing, or the feed's history was gone and all jobs are read again. If it was bound to a worker that had been lost in this term by then, or that had reported another incarnation, its member never ended: the expiry of the lease and the change of the incarnation were handled once, and reports skip members of other incarnations. The job stood still for the rest of the term.

The members of a lost worker now end with each look at its lease, and those of earlier incarnations with each report. Both are safe for members that come late: the lease of such a worker has expired by the same bound, and a start that may have reached the new incarnation is stopped and settled there.

TestRunOfJobLoadedLateEnds failed before in both cases: "the run has not ended after 13s".

--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -106,6 +106,7 @@
 	if w.info.Incarnation() != report.Worker.Incarnation() {
 		c.changeIncarnation(w, report)
 	}
+	c.endEarlierMembers(w, report)
 	if report.WorkerResponsive {
 		c.takeBackCrashes(w)
 	}
@@ -169,8 +170,16 @@
 		ref := RunRef{m.task, m.run}
 		return slices.Contains(report.Lost, ref) && !report.lists(ref)
 	}, true)
-	c.moveUnsettledMembers(w, report)
-	c.endLostMembers(w, incarnation, causeWorkerRestarted)
+}
+
+// endEarlierMembers ends the members that were placed on an earlier incarnation than the one
+// that reports. A job that is loaded late may bring some back.
+func (c *Core) endEarlierMembers(w *worker, report WorkerReport) {
+	incarnation := report.Worker.Incarnation()
+	if slices.ContainsFunc(w.members, func(m *member) bool { return m.incarnation != incarnation }) {
+		c.moveUnsettledMembers(w, report)
+		c.endLostMembers(w, incarnation, causeWorkerRestarted)
+	}
 }
 
 // moveUnsettledMembers binds those members to the worker's new incarnation whose start may
@@ -444,16 +453,18 @@
 	}
 }
 
-// watchLease marks a worker as lost and ends its members once its lease has
-// certainly expired.
+// watchLease marks a worker as lost and ends its members, also those of jobs that are loaded
+// later, once its lease has certainly expired.
 func (c *Core) watchLease(w *worker) {
-	if w.lost || c.now-w.lastGrantAt <= c.cfg.LeaseBound {
+	if c.now-w.lastGrantAt <= c.cfg.LeaseBound {
 		return
 	}
-	w.lost = true
-	c.emit(Notice{Reason: ReasonWorkerLost, Worker: w.info.ID, Detail: (c.now - w.lastGrantAt).String()})
-	if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
-		c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
+	if !w.lost {
+		w.lost = true
+		c.emit(Notice{Reason: ReasonWorkerLost, Worker: w.info.ID, Detail: (c.now - w.lastGrantAt).String()})
+		if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
+			c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
+		}
 	}
 	c.endLostMembers(w, noIncarnation, causeLeaseOver)
 }
