plan: the stops for want of progress outlive their owner

What callers saw: nothing yet. The limit on silence doubles with each stop of a unit, so that a run that can't be told from a stalled one is left alone in the end. The count ended with the term: where owners change often, a slow job is stopped for ever (LOST).

Evidence, before: TestStopsForNoProgressStayRareAcrossTakeovers: "180 stops in an hour with a takeover each minute".

The progress holds the counts of at most 40 units, those with the most stops, without done units and final jobs: 1,011 bytes of JSON, in the head where the progress is in parts. TestLargestProgressFitsTheTable, with them: 696,819 of 700,000 bytes (before 695,808). A count for each task did not fit. Old rows read as before; an owner of an earlier version leaves the field out.

Crash counts, looked at: they are stored for each task. An owner of an earlier version keeps only those of a gang's first task.

--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -58,6 +58,8 @@
 	State      graph.State `json:"state"`
 	Tasks      partCount   `json:"tasks"`
 	FinishedAt time.Time   `json:"end,omitzero"`
+
+	Stalls []graph.UnitStalls `json:"stalls,omitempty"`
 }
 
 type partCount struct {
@@ -137,7 +139,7 @@
 		return r.prepareState(a.Progress)
 	}
 	groups := splitTasks(a.Steps, a.Progress.Tasks, len(r.parts))
-	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt}
+	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt, Stalls: a.Progress.Stalls}
 	out := pendingRows{
 		writes: []ledger.Write{{Key: progressKey(a.Job), Version: r.version, Data: ledger.Encode(head)}},
 		parts:  make([]partRow, len(groups)),
--- a/internal/entry/graphs/progressrows_test.go
+++ b/internal/entry/graphs/progressrows_test.go
@@ -67,6 +67,7 @@
 		a := progressOf(n)
 		if n > 20 {
 			a.Progress.Tasks[n/2].Done = true
+			a.Progress.Stalls = []graph.UnitStalls{{Step: 1, Index: n / 2, Count: 3}}
 		}
 		if _, err := s.SaveProgress(context.Background(), fence, a, rows); err != nil {
 			t.Fatalf("%d tasks: %v", n, err)
@@ -190,6 +191,9 @@
 	for _, perStep := range []int{20, graph.MaxTasks} {
 		a := plan.SaveProgress{Job: "00000000000000aa"}
 		a.Progress = graph.Progress{Job: a.Job, State: graph.Cancelled, FinishedAt: time.Now()}
+		for range graph.MaxStalledUnits {
+			a.Progress.Stalls = append(a.Progress.Stalls, graph.UnitStalls{Step: 99, Index: graph.MaxTasks - 1, Count: 99})
+		}
 		for s := range graph.MaxTasks / perStep {
 			a.Steps = append(a.Steps, graph.Step{Count: perStep})
 			for i := range perStep {
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -64,7 +64,7 @@
 	// maxSlowness excludes slower workers from a search while it is not 0.
 	maxSlowness float64
 	moves       int       // because its runs lagged
-	stalls      int       // stops because its runs made no progress, in this term
+	stalls      int       // stops because its runs made no progress
 	failedOn    []*worker // where its runs failed
 	// taskFailedOn is failedOn by task, by its index within the unit.
 	taskFailedOn map[int][]*worker
@@ -256,6 +256,7 @@
 	for _, u := range j.units {
 		p.Tasks = append(p.Tasks, u.progress()...)
 	}
+	p.Stalls = j.stalls()
 	return p
 }
 
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -68,6 +68,7 @@
 			c.restoreMember(u, t)
 		}
 	}
+	j.restoreStalls(p.Stalls)
 	for _, u := range j.units {
 		if len(u.members) > 0 && u.phase != unitDone {
 			u.phase = unitPlaced
--- a/internal/graph/plan/stalls.go
+++ b/internal/graph/plan/stalls.go
@@ -1,9 +1,12 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/runtimes"
 	"github.com/coltsfootlug/coltsfootlug/internal/workerhealth"
 )
@@ -101,6 +104,28 @@
 	return min(longestStep, max(u.step.Estimate, u.runTime())*estimateError/100)
 }
 
+// stalls returns the stops of the job's units to be stored: those of units that may run
+// again, and the most frequent ones if there are too many.
+func (j *job) stalls() []graph.UnitStalls {
+	var out []graph.UnitStalls
+	for _, u := range j.units {
+		if u.stalls > 0 && u.phase != unitDone && !j.state.Final() {
+			out = append(out, graph.UnitStalls{Step: u.stepIndex, Index: u.firstIndex, Count: min(u.stalls, maxStallDoublings)})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b graph.UnitStalls) int { return cmp.Compare(b.Count, a.Count) })
+	return out[:min(len(out), graph.MaxStalledUnits)]
+}
+
+// restoreStalls restores the stops of the job's units from its stored progress.
+func (j *job) restoreStalls(stalls []graph.UnitStalls) {
+	for _, s := range stalls {
+		if u := j.unitOf(s.Step, s.Index); u != nil {
+			u.stalls = max(0, min(s.Count, maxStallDoublings))
+		}
+	}
+}
+
 // stopStalled stops the run of a stalled member.
 func (c *Core) stopStalled(m *member) {
 	u := m.unit
--- a/internal/graph/plan/stalls_test.go
+++ b/internal/graph/plan/stalls_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -22,6 +23,9 @@
 	starts   map[graph.JobID]int
 	stops    map[graph.JobID]int
 	notices  []Notice
+	jobs     map[graph.JobID]*graph.Job
+	saved    map[graph.JobID][]byte // progress of each job, as it is stored
+	token    uint64
 }
 
 type listingWorker struct {
@@ -41,7 +45,8 @@
 
 func newListingFleet(workers int, interval time.Duration, features ...feature.Feature) *listingFleet {
 	f := &listingFleet{core: New(Config{FencingToken: 3, LeaseBound: simLeaseBound, TermStart: time.Unix(0, 0), Features: feature.NewSet(features...)}),
-		interval: interval, work: map[graph.JobID]time.Duration{}, stuckAt: map[graph.JobID]time.Duration{}, starts: map[graph.JobID]int{}, stops: map[graph.JobID]int{}}
+		interval: interval, work: map[graph.JobID]time.Duration{}, stuckAt: map[graph.JobID]time.Duration{}, starts: map[graph.JobID]int{}, stops: map[graph.JobID]int{},
+		jobs: map[graph.JobID]*graph.Job{}, saved: map[graph.JobID][]byte{}, token: 3}
 	f.core.skipStartupDelays()
 	f.step(PolicyChanged{loadPolicy()})
 	for i := range workers {
@@ -55,8 +60,9 @@
 func (f *listingFleet) submit(id graph.JobID, s graph.Step, work time.Duration) *job {
 	f.work[id] = work
 	s.Needs.MilliCPU = 1000
-	f.step(JobSubmitted{Job: &graph.Job{ID: id, Queue: "q", Account: "a0", Pool: "pool", Priority: 1, MaxAttempts: 2, Stretch: 2,
-		SubmittedAt: time.Unix(0, 0).Add(f.now), Steps: []graph.Step{s}}})
+	f.jobs[id] = &graph.Job{ID: id, Queue: "q", Account: "a0", Pool: "pool", Priority: 1, MaxAttempts: 2, Stretch: 2,
+		SubmittedAt: time.Unix(0, 0).Add(f.now), Steps: []graph.Step{s}}
+	f.step(JobSubmitted{Job: f.jobs[id]})
 	return f.core.jobs[id]
 }
 
@@ -66,6 +72,7 @@
 		case Notice:
 			f.notices = append(f.notices, a)
 		case SaveProgress:
+			f.saved[a.Job], _ = json.Marshal(a.Progress)
 			f.step(ProgressSaved{Job: a.Job, Number: a.Number})
 		case StartRun:
 			f.starts[a.Task.Job]++
@@ -270,3 +277,57 @@
 		}
 	}
 }
+
+// takeOver begins the term of the next owner, with what is stored.
+func (f *listingFleet) takeOver(t *testing.T) {
+	f.token++
+	f.core = New(Config{FencingToken: f.token, LeaseBound: simLeaseBound, TermStart: time.Unix(0, 0), Features: f.core.cfg.Features})
+	f.core.now = f.now
+	f.core.skipStartupDelays()
+	f.step(PolicyChanged{loadPolicy()})
+	for id, j := range f.jobs {
+		var p graph.Progress
+		if err := json.Unmarshal(f.saved[id], &p); err != nil {
+			t.Fatal(err)
+		}
+		f.step(JobSubmitted{Job: j, Progress: &p})
+	}
+}
+
+// TestStopsForNoProgressStayRareAcrossTakeovers guards against a slow run that each owner stops anew.
+func TestStopsForNoProgressStayRareAcrossTakeovers(t *testing.T) {
+	f := newListingFleet(4, time.Second)
+	f.stuckAt["stuck"] = 5 * time.Second
+	f.submit("stuck", graph.Step{Count: 1, Estimate: 10 * time.Second}, 10*time.Second)
+	for range 60 {
+		f.pass(time.Minute)
+		f.takeOver(t)
+	}
+	if n := f.stops["stuck"]; n > maxMoves+11 {
+		t.Errorf("%d stops in an hour with a takeover each minute", n)
+	}
+}
+
+// TestStoredStallsAreBounded guards against a row that grows with the number of slow tasks, and against counts of another writer.
+func TestStoredStallsAreBounded(t *testing.T) {
+	steps := []graph.Step{{Count: graph.MaxTasks - 4}, {Count: 4, Gang: true}}
+	j := newJob(&graph.Job{Steps: steps})
+	for i, u := range j.units {
+		u.stalls = i % 60
+	}
+	j.units[59].phase = unitDone
+	stored := j.progress().Stalls
+	if len(stored) != graph.MaxStalledUnits || stored[0].Count != maxStallDoublings || slices.ContainsFunc(stored, func(s graph.UnitStalls) bool { return s.Index == 59 }) {
+		t.Errorf("%d units: %+v", len(stored), stored)
+	}
+	next := newJob(&graph.Job{Steps: steps})
+	next.restoreStalls(append(stored, graph.UnitStalls{Step: 1, Count: 5}, graph.UnitStalls{Step: -1, Count: 1}, graph.UnitStalls{Index: graph.MaxTasks, Count: 1},
+		graph.UnitStalls{Index: 1, Count: 1 << 62}, graph.UnitStalls{Index: 2, Count: -1 << 62}))
+	if u := next.unitsByStep[1][0]; u.stalls != 5 || next.units[1].stalls != maxStallDoublings || next.units[2].stalls != 0 || next.units[stored[0].Index].stalls != stored[0].Count {
+		t.Errorf("restored %d, %d, %d", u.stalls, next.units[1].stalls, next.units[2].stalls)
+	}
+	j.state = graph.Completed
+	if s := j.progress().Stalls; len(s) > 0 {
+		t.Errorf("%d units of a final job", len(s))
+	}
+}
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -60,6 +60,20 @@
 	Tasks []TaskProgress `json:"tasks,omitempty"` // only tasks that have been placed
 	// FinishedAt is the owner's wall-clock time at which the state became final.
 	FinishedAt time.Time `json:"end,omitzero"`
+	// Stalls holds the units whose runs were stopped because they made no progress, at most
+	// MaxStalledUnits of them. Earlier versions leave it out.
+	Stalls []UnitStalls `json:"stalls,omitempty"`
+}
+
+// MaxStalledUnits bounds Progress.Stalls. The units with the most stops are kept.
+const MaxStalledUnits = 40
+
+// UnitStalls is the number of stops of a unit, a gang or a single task, named by its first
+// task.
+type UnitStalls struct {
+	Step  int `json:"s"`
+	Index int `json:"i"`
+	Count int `json:"n"`
 }
 
 // TaskProgress is the progress of one task. For a gang, the entry with Index 0
