keeper: an acknowledgement that its own list belies is sent again

A worker whose answer still lists the acknowledged ends has not taken note of them. The acknowledgement counted as answered, so the ends stayed listed for good. TestBeliedAcknowledgementIsSentAgain guards against that, and against calls without a pause.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -147,7 +147,7 @@
 			k.waitForWake(ctx, holdRetryInterval)
 			continue
 		}
-		if k.hasUnacknowledgedEnds() {
+		if k.hasUnacknowledgedEnds() || k.hasPendingAck() {
 			k.waitForWake(ctx, holdRetryInterval)
 		}
 	}
@@ -276,7 +276,7 @@
 		return err
 	}
 	list, err := k.runner.Hold(ctx, t.instance, external.HoldRuns{Epoch: t.epoch, Seen: t.acknowledged, Deadline: t.deadline, Wait: wait})
-	k.endHold(t, err)
+	k.endHold(t, list, err)
 	if err != nil {
 		metrics.GetOrRegisterCounter("keeper.hold_failures", k.registry).Inc(1)
 		k.recordHoldFailure(t, err)
--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -18,11 +18,14 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 )
 
-// ackRunner records the Hold calls with acknowledgements.
+// ackRunner records the Hold calls with acknowledgements. If late is set, the next one takes
+// effect after that time and gets no answer.
 type ackRunner struct {
 	*standin.Runner
+	late    atomic.Int64
 	acks    atomic.Int32
 	waiting atomic.Int32 // those of them that wait for an end
+	ignored atomic.Bool  // acknowledgements have no effect
 }
 
 func (r *ackRunner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
@@ -31,6 +34,14 @@
 		if o.Wait > 0 {
 			r.waiting.Add(1)
 		}
+		if r.ignored.Load() {
+			o.Seen = 0
+		}
+		if late := r.late.Swap(0); late > 0 {
+			time.AfterFunc(time.Duration(late), func() { _, _ = r.Runner.Hold(context.Background(), instance, o) })
+			<-ctx.Done()
+			return external.RunList{}, external.ErrUnavailable
+		}
 	}
 	return r.Runner.Hold(ctx, instance, o)
 }
@@ -63,10 +74,9 @@
 	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation()})
 	k.awaitList(t)
 	k.endOneRun(t, runner, worker, "earlier")
-	runner.SetFaults(standin.RunnerFaults{HoldDelay: late})
+	runner.late.Store(int64(late))
 	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Acknowledged: 1})
 	pollUntil(t, "an acknowledgement", func() bool { return runner.acks.Load() > 0 })
-	runner.SetFaults(standin.RunnerFaults{})
 	return k, runner, worker, clock
 }
 
@@ -167,3 +177,22 @@
 		t.Error("awaits an acknowledgement under the earlier name")
 	}
 }
+
+// TestBeliedAcknowledgementIsSentAgain guards against an end that a worker lists for ever, and against calls without a pause.
+func TestBeliedAcknowledgementIsSentAgain(t *testing.T) {
+	k, runner, worker, _ := lateAckKeeper(t, 0)
+	runner.ignored.Store(true)
+	k.endOneRun(t, runner, worker, "next")
+	before := runner.acks.Load()
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Acknowledged: 2})
+	time.Sleep(5 * holdRetryInterval)
+	if n := runner.acks.Load() - before; n < 2 || n > 8 {
+		t.Errorf("%d calls in %v, want one each %v", n, 5*holdRetryInterval, holdRetryInterval)
+	}
+	runner.ignored.Store(false)
+	pollUntil(t, "no ends", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.runs.Ended) == 0
+	})
+}
--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -30,15 +30,17 @@
 	return nil
 }
 
-// endHold records the outcome of a call.
-func (k *Keeper) endHold(t callTarget, err error) {
+// endHold records the outcome of a call. An acknowledgement that its own list belies has not
+// been answered.
+func (k *Keeper) endHold(t callTarget, list external.RunList, err error) {
 	if t.acknowledged == 0 || errors.Is(err, external.ErrUnavailable) && !errors.Is(err, external.ErrNotSent) {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.unansweredAcks.count = max(0, k.unansweredAcks.count-1)
-	if err == nil && k.worker.Incarnation() == t.incarnation {
+	belied := len(list.Ended) > 0 && list.Ended[0].Number <= t.acknowledged
+	if err == nil && !belied && k.worker.Incarnation() == t.incarnation {
 		k.ackAnswered = max(k.ackAnswered, t.acknowledged)
 	}
 }
@@ -52,6 +54,12 @@
 	return 0
 }
 
+func (k *Keeper) hasPendingAck() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pendingAck() > 0
+}
+
 // awaitLateAcks keeps work from a new incarnation while an acknowledgement may reach it. One
 // under another instance name refuses such a call. The caller holds the lock.
 func (k *Keeper) awaitLateAcks(sameName bool) {
