joblog: placements that were not stored, terms that ended; agents report stops without outcome

Placements of an owner whose term ended before they were stored counted as runs without an end. scheduling term ended names the epoch, not the token.

The lines did not tell why a stop had no outcome where the worker still listed the run: the agent says once, after 3 s, what it meets.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 fuzz:
 	$(GO) test $$(grep -rl --include=*_test.go pgregory.net/rapid internal test | xargs -r -n1 dirname | sort -u | sed 's|^|./|') -run Machine -rapid.checks=10000 -timeout 60m
 	for f in FuzzHeartbeat FuzzJob FuzzRuns FuzzConfig FuzzSettings; do $(GO) test ./platform -run "^$$" -fuzz "^$$f$$" -fuzztime 10m || exit 1; done
+	$(GO) test ./internal/joblog -run "^$$" -fuzz '^FuzzRead$$' -fuzztime 10m
 
 # Plays faults and load on processes: make soak SEED=7 MINUTES=10 HOSTS=30 FEATURES=admission. See docs/operations/soak.md.
 SEED ?= 1
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -23,6 +23,9 @@
 	retryListTimeout = 150 * time.Millisecond
 	// settleRetryInterval is the delay between two attempts to settle an order.
 	settleRetryInterval = 150 * time.Millisecond
+	// slowSettling is the time after which an order that is not settled is reported. The
+	// owner repeats it after 5 s.
+	slowSettling = 3 * time.Second
 )
 
 // order is a start or stop order in progress.
@@ -207,15 +210,19 @@
 // settleRun stops a run, which also prevents a delayed start call from starting it,
 // and then awaits what the worker's list shows of it.
 func (k *Keeper) settleRun(ctx context.Context, t callTarget, ref runRef, reason string) {
+	s := settling{ref: ref, since: k.clock()}
 	for ctx.Err() == nil && k.isCurrent(t) {
 		err := k.callStop(ctx, t, ref)
 		if errors.Is(err, external.ErrRunStaleEpoch) || errors.Is(err, external.ErrRunWrongInstance) {
 			return // left to the next owner or the new incarnation
 		}
-		if err == nil && k.hold(ctx, 0) == nil {
-			k.awaitPresence(ctx, t, ref, reason)
-			return
+		if err == nil {
+			if err = k.hold(ctx, 0); err == nil {
+				k.awaitPresence(ctx, t, &s, reason)
+				return
+			}
 		}
+		k.reportSlow(&s, err)
 		kernel.Sleep(ctx, settleRetryInterval)
 	}
 }
@@ -223,12 +230,33 @@
 // awaitPresence waits until a list shows a run that was stopped, or a complete list does
 // not, in which case the run is reported absent. The loop of Hold calls makes the lists:
 // one that is cut is followed by others as the owner acknowledges ends.
-func (k *Keeper) awaitPresence(ctx context.Context, t callTarget, ref runRef, reason string) {
-	for ctx.Err() == nil && !k.recordPresence(t, ref, reason) {
+func (k *Keeper) awaitPresence(ctx context.Context, t callTarget, s *settling, reason string) {
+	for ctx.Err() == nil && !k.recordPresence(t, s.ref, reason) {
+		k.reportSlow(s, errListCut)
 		kernel.Sleep(ctx, settleRetryInterval)
 	}
 }
 
+// errListCut means that the worker's lists do not tell of a run.
+const errListCut = errors.ConstError("the worker's lists are cut and do not show the run")
+
+// settling is an order that is being settled.
+type settling struct {
+	ref      runRef
+	since    time.Duration
+	reported bool
+}
+
+// reportSlow reports once that an order is not settled after slowSettling.
+func (k *Keeper) reportSlow(s *settling, err error) {
+	if s.reported || k.clock()-s.since < slowSettling {
+		return
+	}
+	s.reported = true
+	k.log.Warn().Err(err).Str("job", string(s.ref.task.Job)).Str("task", s.ref.task.String()).Uint64("run", s.ref.run).
+		Dur("after_ms", k.clock()-s.since).Msg("order of a run is not settled")
+}
+
 // recordPresence reports a run absent if the last list under t shows that. It returns false
 // if that list does not tell.
 func (k *Keeper) recordPresence(t callTarget, ref runRef, reason string) bool {
--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -43,14 +43,14 @@
 		example: "  coltsfootctl logs time -queue quotes entry-*.log\n" +
 			"  collect-logs entry | coltsfootctl logs time -job 163823fafb624476",
 		flags: func(f *flag.FlagSet) { times.register(f, joblog.ByQueue) },
-		run:   func(_ context.Context, args []string) error { return e.logsTime(&times, args, e.printLogs) },
+		run:   func(_ context.Context, args []string) error { return e.logsTime(&times, args, asFound, e.printLogs) },
 	}, {
 		name: "lost", arguments: "[FILE...]", maxArgs: -1,
 		synopsis: "tell which runs were kept and which lost, and by what, from the log lines of all processes",
 		example: "  coltsfootctl logs lost entry-*.log agent-*.log\n" +
 			"  collect-logs | coltsfootctl logs lost -job 163823fafb624476",
 		flags: func(f *flag.FlagSet) { lost.register(f, joblog.ByAll) },
-		run:   func(_ context.Context, args []string) error { return e.logsTime(&lost, args, e.printLost) },
+		run:   func(_ context.Context, args []string) error { return e.logsTime(&lost, args, byLoss, e.printLost) },
 	}, {
 		name: "state", arguments: "[FILE...]", maxArgs: -1,
 		synopsis: "tell what jobs that have not ended wait for, from the log lines of all processes",
@@ -101,7 +101,10 @@
 	return l.job != "" && t.Job != l.job || l.queue != "" && t.Queue != l.queue
 }
 
-func (e *env) logsTime(flags *logsFlags, files []string, print func(*logsFlags, logsReport) error) error {
+// asFound keeps the order of jobs.
+func asFound([]joblog.JobTime) {}
+
+func (e *env) logsTime(flags *logsFlags, files []string, sort func([]joblog.JobTime), print func(*logsFlags, logsReport) error) error {
 	if err := flags.check(); err != nil {
 		return err
 	}
@@ -113,6 +116,7 @@
 	if flags.job != "" && len(jobs) == 0 {
 		return errors.NotFoundf("job %q in the log lines", flags.job)
 	}
+	sort(jobs)
 	report := logsReport{Lines: journal.Lines, Malformed: journal.Skipped.Malformed, Skipped: journal.Skipped,
 		Groups: joblog.Group(jobs, joblog.Grouping(flags.by), flags.window), Jobs: jobs}
 	if flags.most > 0 && len(jobs) > flags.most {
--- a/internal/ctl/logslost.go
+++ b/internal/ctl/logslost.go
@@ -55,13 +55,16 @@
 	return fmt.Sprintf("%.1f", float64(ms)/1000)
 }
 
-// printLosers prints jobs, the one whose lost runs cost most first.
-func (e *env) printLosers(jobs []joblog.JobTime) error {
-	jobs = slices.Clone(jobs)
+// byLoss sorts jobs by what their lost runs cost, the most first.
+func byLoss(jobs []joblog.JobTime) {
 	slices.SortStableFunc(jobs, func(a, b joblog.JobTime) int {
 		x, y := a.Lost(), b.Lost()
 		return cmp.Or(cmp.Compare(y.CoreMS, x.CoreMS), cmp.Compare(y.TaskMS, x.TaskMS))
 	})
+}
+
+// printLosers prints the jobs that have lost runs.
+func (e *env) printLosers(jobs []joblog.JobTime) error {
 	rows := [][]string{{"job", "queue", "account", "outcome", "took ms", "kept runs", "lost runs", "lost task-s", "lost core-s", "cost others core-s", "causes"}}
 	for _, t := range jobs {
 		lost := t.Lost()
--- a/internal/joblog/causes.go
+++ b/internal/joblog/causes.go
@@ -47,6 +47,9 @@
 	// CauseOwner is the loss of a run that an earlier term placed, where no other cause is
 	// known.
 	CauseOwner Cause = "owner-changed"
+	// CauseNotStored is a placement that was not stored before its owner's term ended. No
+	// start was ordered, and the next owner did not know of it.
+	CauseNotStored Cause = "not-stored"
 	// CauseEndMissing is a run without an end whose task was placed again.
 	CauseEndMissing  Cause = "end-missing"
 	CauseUnexplained Cause = "unexplained"
@@ -57,7 +60,7 @@
 	CauseStartRoom, CauseStartFence, CauseStartOld, CauseStartLate, CauseStartUnhealthy, CauseStartUnreachable, CauseStartOther,
 	CauseStartDraining, CauseStartCapacity, CauseStartRefused, CauseStartUnknown, CauseNotStarted,
 	CausePreempted, CauseReclaimed, CauseRecalled, CauseLagging, CauseDraining, CauseNoProgress, CauseNoOutcome, CauseUnlisted,
-	CauseJobEnded, CauseOwner, CauseEndMissing, CauseUnexplained}
+	CauseJobEnded, CauseOwner, CauseNotStored, CauseEndMissing, CauseUnexplained}
 
 // The ends of runs that tell of a cause, and what precedes other texts in their place.
 const (
@@ -206,6 +209,7 @@
 	}
 	j.unsettled = false
 	j.Skipped.Unplaced = 0
+	j.begins = j.termBegins()
 	for _, o := range j.jobs {
 		for _, u := range o.units {
 			u.cause = j.firstCause(o, u)
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"maps"
 	"regexp"
@@ -35,16 +36,18 @@
 
 // Journal collects the lines of any number of processes, in any order.
 type Journal struct {
-	jobs      map[string]*job
-	zones     map[string]string       // by process
-	terms     map[uint64]*term        // by token
-	workers   map[string][]workerLoss // by worker
-	losses    int                     // in workers
-	runs      int                     // of tasks
-	limits    limits
-	until     time.Time // lines after it are left out, unless it is zero
-	last      time.Time
-	unsettled bool // lines were added since the causes were settled
+	jobs       map[string]*job
+	zones      map[string]string       // by process
+	terms      map[uint64]*term        // by token
+	epochsOver map[uint64]bool         // of terms that have ended
+	begins     []termBegin             // of terms, once settled
+	workers    map[string][]workerLoss // by worker
+	losses     int                     // in workers
+	runs       int                     // of tasks
+	limits     limits
+	until      time.Time // lines after it are left out, unless it is zero
+	last       time.Time
+	unsettled  bool // lines were added since the causes were settled
 
 	// Lines is the number of lines read, and Skipped tells which were left out.
 	Lines   int
@@ -77,7 +80,7 @@
 
 // New returns an empty journal.
 func New() *Journal {
-	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, workers: map[string][]workerLoss{},
+	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, epochsOver: map[uint64]bool{}, workers: map[string][]workerLoss{},
 		limits: limits{maxJobs, maxRuns}}
 }
 
@@ -85,7 +88,10 @@
 func (j *Journal) EndAt(at time.Time) { j.until = at }
 
 // term is what the lines tell of an owner's term.
-type term struct{ began, lastDecision, ended time.Time }
+type term struct {
+	began, lastDecision time.Time
+	epoch               uint64
+}
 
 // workerLoss is the end of a worker's incarnation or of its lease.
 type workerLoss struct {
@@ -166,10 +172,11 @@
 	case messageTerm:
 		if t := j.term(l.Token); t != nil {
 			setFirst(&t.began, l.Time)
+			t.epoch = l.Epoch
 		}
 	case messageTermOver:
-		if t := j.term(l.Token); t != nil {
-			setFirst(&t.ended, l.Time)
+		if len(j.epochsOver) < maxTerms {
+			j.epochsOver[l.Epoch] = true
 		}
 	case messageRequest:
 		j.addRequest(l)
@@ -183,6 +190,11 @@
 			cause, detail := causeOfRefusal(l.Error)
 			u.note(event{at: l.Time, cause: cause, task: l.Task, detail: detail})
 		}
+	case messageUnsettled:
+		if o := j.job(l.Job); o != nil {
+			l.Detail = fmt.Sprintf("%s: run %d of %s is not settled: %s", l.Process, l.Run, l.Task, l.Error)
+			o.held = appendWait(o.held, l)
+		}
 	case messageSaveRetried, messageSaveRejected, messageJobSkipped:
 		j.addFailedSave(l)
 	}
--- a/internal/joblog/line.go
+++ b/internal/joblog/line.go
@@ -19,6 +19,7 @@
 	messageTermOver = "scheduling term ended"
 	// Of agents: a start that its worker refused or did not answer.
 	messageStartFailed = "start order failed or has unknown outcome"
+	messageUnsettled   = "order of a run is not settled"
 	// Of owners: saves of a job's progress that do not succeed.
 	messageSaveRetried  = "failed to save job progress; retrying"
 	messageSaveRejected = "job progress cannot be stored"
@@ -42,6 +43,7 @@
 	Account string `json:"account"`
 
 	// Of decisions and terms.
+	Epoch  uint64 `json:"epoch"`
 	Token  uint64 `json:"token"`
 	Job    string `json:"job"`
 	What   string `json:"what"`
--- a/internal/joblog/runs.go
+++ b/internal/joblog/runs.go
@@ -106,7 +106,7 @@
 	})
 }
 
-// byTask returns the runs of each task of a job in the order in which they began.
+// byTask returns the runs of each task of a job by number, in which they follow each other.
 func (o *job) byTask() map[string][]taskRun {
 	out := map[string][]taskRun{}
 	for _, u := range o.units {
@@ -116,7 +116,7 @@
 	}
 	for _, runs := range out {
 		slices.SortFunc(runs, func(a, b taskRun) int {
-			return cmp.Or(a.run.begins().Compare(b.run.begins()), cmp.Compare(a.unit.number, b.unit.number))
+			return cmp.Compare(a.unit.number, b.unit.number)
 		})
 	}
 	return out
--- a/internal/joblog/standing.go
+++ b/internal/joblog/standing.go
@@ -101,7 +101,8 @@
 	if len(j.terms) == 0 {
 		return false
 	}
-	return !j.terms[slices.Max(slices.Collect(maps.Keys(j.terms)))].ended.IsZero()
+	last := j.terms[slices.Max(slices.Collect(maps.Keys(j.terms)))]
+	return !last.began.IsZero() && j.epochsOver[last.epoch]
 }
 
 func (j *Journal) standingOf(o *job, ownerless bool) JobStanding {
--- a/internal/joblog/states.go
+++ b/internal/joblog/states.go
@@ -1,6 +1,7 @@
 package joblog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -63,6 +64,23 @@
 	checkpointed bool
 }
 
+// termBegin is the begin of a term.
+type termBegin struct {
+	token uint64
+	at    time.Time
+}
+
+// termBegins returns the terms whose begin is known, by token.
+func (j *Journal) termBegins() []termBegin {
+	var out []termBegin
+	for _, token := range slices.Sorted(maps.Keys(j.terms)) {
+		if at := j.terms[token].began; !at.IsZero() {
+			out = append(out, termBegin{token, at})
+		}
+	}
+	return out
+}
+
 // claimant returns the job for which a lost run was stopped, or "".
 func (s stretch) claimant() string {
 	if s.run == nil || s.state != LostBy(s.unit.cause.cause) {
@@ -78,13 +96,14 @@
 	segments []span    // what the job waited for, in order of time
 	needs    map[int]graph.Resources
 	doneEnds map[int][]time.Time
+	terms    []termBegin
 	task     stretch // the needs of the present task
 	emit     func(stretch)
 }
 
 // walk passes the stretches of a job, task by task, so that sums of them are repeatable.
 func (j *Journal) walk(o *job, takeovers []span, emit func(stretch)) {
-	w := &walker{job: o, end: firstTime(o.ended, j.last), needs: o.needsByStep(), doneEnds: o.doneEnds(), emit: emit}
+	w := &walker{job: o, end: firstTime(o.ended, j.last), needs: o.needsByStep(), doneEnds: o.doneEnds(), terms: j.begins, emit: emit}
 	w.segments = o.waitSegments(w.end, takeovers)
 	runs := o.byTask()
 	for _, task := range slices.Sorted(maps.Keys(runs)) {
@@ -114,6 +133,10 @@
 	w.pass(stretch{state: WaitingSteps, from: w.job.began(), to: ready, tasks: 1})
 	cursor := ready
 	for i, r := range runs {
+		if w.notStored(r) {
+			cursor = latest(cursor, w.passNotStored(r, cursor))
+			continue
+		}
 		w.wait(cursor, r.run.begins(), 1)
 		var next *run
 		if i+1 < len(runs) {
@@ -128,6 +151,36 @@
 	w.wait(cursor, w.end, 1)
 }
 
+// notStored reports whether a run is a placement that a later owner did not know of.
+func (w *walker) notStored(r taskRun) bool {
+	return r.run.started.IsZero() && r.run.end == "" && !w.nextTerm(r.unit.number).IsZero()
+}
+
+// nextTerm returns when the first term began after the one that gave a run its number, zero
+// if there is none.
+func (w *walker) nextTerm(number uint64) time.Time {
+	i, _ := slices.BinarySearchFunc(w.terms, termOf(number)+1, func(t termBegin, token uint64) int { return cmp.Compare(t.token, token) })
+	if termOf(number) == 0 || i == len(w.terms) {
+		return time.Time{}
+	}
+	return w.terms[i].at
+}
+
+// passNotStored passes a placement that was not stored, up to the begin of the next term. An
+// owner that did not know of that term may have made it later; then it has no duration.
+func (w *walker) passNotStored(r taskRun, cursor time.Time) time.Time {
+	end := w.nextTerm(r.unit.number)
+	if end.After(r.run.placed) {
+		w.wait(cursor, r.run.placed, 1)
+	}
+	end = latest(end, r.run.placed)
+	w.passRun(r, LostBy(CauseNotStored), end, false)
+	if r.run.placed.Before(end) {
+		return end
+	}
+	return cursor
+}
+
 // readyAt returns when the first run of a task could begin: after the last run of an
 // earlier step, as far as that is known.
 func (w *walker) readyAt(first taskRun) time.Time {
