--- a/internal/joblog/causes.go
+++ b/internal/joblog/causes.go
@@ -1,6 +1,8 @@
 package joblog
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -176,12 +178,15 @@
 }
 
 // before orders events by time. Of those at one time, decisions come before what follows
-// from them.
+// from them, and others in the order of Causes, whatever the order of the lines.
 func (e event) before(o event) bool {
 	if !e.at.Equal(o.at) {
 		return e.at.Before(o.at)
 	}
-	return !e.follows && o.follows
+	if e.follows != o.follows {
+		return !e.follows
+	}
+	return cmp.Or(cmp.Compare(slices.Index(Causes, e.cause), slices.Index(Causes, o.cause)), compareTasks(e.task, o.task)) < 0
 }
 
 // hits reports whether an event came on a member itself and not on another one.
@@ -225,22 +230,19 @@
 
 // firstCause returns the first event that may have ended a unit's run.
 func (j *Journal) firstCause(o *job, u *unitRun) event {
-	first := event{cause: CauseUnexplained}
+	first := u.first
 	take := func(e event) {
-		if e.cause != "" && (first.at.IsZero() || e.before(first)) {
+		if e.cause != "" && (first.cause == "" || e.before(first)) {
 			first = e
 		}
 	}
-	for _, e := range u.events {
-		take(e)
-	}
 	for _, r := range u.sorted() {
 		take(j.causeOfEnd(r))
 		if o.endsAllRuns() && !r.ended.IsZero() && !r.ended.Before(o.ended) {
 			take(event{at: o.ended, cause: CauseJobEnded, detail: o.outcome, follows: true})
 		}
 	}
-	if first.at.IsZero() {
+	if first.cause == "" {
 		return u.fallback()
 	}
 	return first
--- a/internal/joblog/causes_test.go
+++ b/internal/joblog/causes_test.go
@@ -103,6 +103,30 @@
 	})
 }
 
+// TestAnyOrder guards against causes and times that depend on the order of the lines.
+func TestAnyOrder(t *testing.T) {
+	whole, err := os.ReadFile("testdata/causes")
+	if err != nil {
+		t.Fatal(err)
+	}
+	day, _, _ := strings.Cut(string(whole), "----")
+	journal := New()
+	if err := journal.Read(strings.NewReader(day)); err != nil {
+		t.Fatal(err)
+	}
+	want := printSpent(journal)
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.Permutation(strings.Split(day, "\n")).Draw(t, "lines")
+		journal := New()
+		if err := journal.Read(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+			t.Fatal(err)
+		}
+		if got := printSpent(journal); got != want {
+			t.Fatalf("got %s\nwant %s", got, want)
+		}
+	})
+}
+
 func FuzzRead(f *testing.F) {
 	whole, err := os.ReadFile("testdata/causes")
 	if err != nil {
--- a/internal/joblog/runs.go
+++ b/internal/joblog/runs.go
@@ -16,10 +16,10 @@
 type unitRun struct {
 	number  uint64
 	members map[string]*run // by task
-	events  []event         // what may have ended it, in the order of the lines
+	first   event           // the first decision or refusal that may have ended it
 	needs   graph.Resources // of each task
 	sized   bool            // needs is known
-	cause   event           // the first of events, once settled
+	cause   event           // the first of all that may have ended it, once settled
 }
 
 // run is one run of a task.
@@ -33,13 +33,10 @@
 	endToken               uint64 // of the term that saw its end
 }
 
-// maxEvents limits the events that are kept of a unit's run. The first one counts.
-const maxEvents = 64
-
-// note records an event of the run, unless it has too many.
+// note records an event of the run, if it is the first one.
 func (u *unitRun) note(e event) {
-	if len(u.events) < maxEvents {
-		u.events = append(u.events, e)
+	if u.first.cause == "" || e.before(u.first) {
+		u.first = e
 	}
 }
 
--- a/internal/joblog/standing.go
+++ b/internal/joblog/standing.go
@@ -154,7 +154,7 @@
 
 // stops reports whether the lines tell that a run is being stopped.
 func (u *unitRun) stops(o *job) bool {
-	if !o.ended.IsZero() || len(u.events) > 0 {
+	if !o.ended.IsZero() || u.first.cause != "" {
 		return true
 	}
 	for _, r := range u.members {
