--- a/internal/joblog/runs.go
+++ b/internal/joblog/runs.go
@@ -124,12 +124,3 @@
 	unit *unitRun
 	run  *run
 }
-
-// sortedUnits returns the runs of a job's units by number.
-func (o *job) sortedUnits() []*unitRun {
-	out := make([]*unitRun, 0, len(o.units))
-	for _, n := range slices.Sorted(maps.Keys(o.units)) {
-		out = append(out, o.units[n])
-	}
-	return out
-}
