--- a/internal/joblog/chart/chart.go
+++ b/internal/joblog/chart/chart.go
@@ -113,7 +113,7 @@
 	joblog.CauseCrashed: rgb(0xc0392b), joblog.CauseLease: rgb(0x7b241c), joblog.CauseLeft: rgb(0xa04000), joblog.CauseTaskFailed: rgb(0x6e2c00),
 	joblog.CauseMember: rgb(0xd98880), joblog.CauseStartUnreachable: rgb(0xff5fa2), joblog.CauseStartUnknown: rgb(0xffa8cf),
 	joblog.CausePreempted: rgb(0xe67e22), joblog.CauseReclaimed: rgb(0xf1c40f), joblog.CauseLagging: rgb(0xb7950b), joblog.CauseNoProgress: rgb(0x7d6608),
-	joblog.CauseJobEnded: rgb(0x8e44ad), joblog.CauseOwner: rgb(0x17202a), joblog.CauseUnlisted: rgb(0xbb8fce), joblog.CauseDraining: rgb(0x45b39d),
+	joblog.CauseJobEnded: rgb(0x8e44ad), joblog.CauseOwner: rgb(0x17202a), joblog.CauseUnlisted: rgb(0xbb8fce), joblog.CauseDraining: rgb(0x45b39d), joblog.CauseNotStored: rgb(0x5d6d7e),
 }
 
 var (
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -32,13 +32,14 @@
 // Journal collects the lines of any number of processes, in any order.
 type Journal struct {
 	jobs       map[string]*job
-	zones      map[string]string       // by process
-	terms      map[uint64]*term        // by token
-	epochsOver map[uint64]bool         // of terms that have ended
-	begins     []termBegin             // of terms, once settled
-	workers    map[string][]workerLoss // by worker
-	losses     int                     // in workers
-	runs       int                     // of tasks
+	zones      map[string]string         // by process
+	terms      map[uint64]*term          // by token
+	epochsOver map[uint64]bool           // of terms that have ended
+	begins     []termBegin               // of terms, once settled
+	workers    map[string][]workerLoss   // by worker
+	announced  map[string][]announcement // by worker
+	losses     int                       // in workers and announced
+	runs       int                       // of tasks
 	limits     limits
 	until      time.Time // lines after it are left out, unless it is zero
 	last       time.Time
@@ -75,7 +76,7 @@
 
 // New returns an empty journal.
 func New() *Journal {
-	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, epochsOver: map[uint64]bool{}, workers: map[string][]workerLoss{},
+	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, epochsOver: map[uint64]bool{}, workers: map[string][]workerLoss{}, announced: map[string][]announcement{},
 		limits: limits{maxJobs, maxRuns}}
 }
 
@@ -94,6 +95,12 @@
 	cause Cause
 }
 
+// announcement is the first heartbeat of an incarnation of a worker.
+type announcement struct {
+	at       time.Time
+	instance string
+}
+
 // job is what the lines tell of one job.
 type job struct {
 	id, queue, account, process string
@@ -185,6 +192,8 @@
 			cause, detail := causeOfRefusal(l.Error)
 			u.note(event{at: l.Time, cause: cause, task: l.Task, detail: detail})
 		}
+	case messageAnnounced:
+		j.addAnnouncement(l)
 	case messageUnsettled:
 		if o := j.job(l.Job); o != nil {
 			l.Detail = fmt.Sprintf("%s: run %d of %s is not settled: %s", l.Process, l.Run, l.Task, l.Error)
@@ -206,6 +215,15 @@
 	j.zones[l.Process] = l.Zone
 }
 
+func (j *Journal) addAnnouncement(l line) {
+	if j.losses >= maxWorkerEvents {
+		j.Skipped.OfOthers++
+		return
+	}
+	j.losses++
+	j.announced[l.Worker] = append(j.announced[l.Worker], announcement{l.Time, l.Instance})
+}
+
 func (j *Journal) addRequest(l line) {
 	if l.Verb != verbSubmit || l.Outcome != outcomeOK {
 		return
--- a/internal/joblog/line.go
+++ b/internal/joblog/line.go
@@ -16,7 +16,9 @@
 	messageRequest  = "request"
 	messageDecision = "decision"
 	messageTerm     = "scheduling term began"
-	messageTermOver = "scheduling term ended"
+	// Of agents: the first heartbeat of a worker's incarnation.
+	messageAnnounced = "worker announced"
+	messageTermOver  = "scheduling term ended"
 	// Of agents: a start that its worker refused or did not answer.
 	messageStartFailed = "start order failed or has unknown outcome"
 	messageUnsettled   = "order of a run is not settled"
@@ -43,14 +45,15 @@
 	Account string `json:"account"`
 
 	// Of decisions and terms.
-	Epoch  uint64 `json:"epoch"`
-	Token  uint64 `json:"token"`
-	Job    string `json:"job"`
-	What   string `json:"what"`
-	Task   string `json:"task"`
-	Run    uint64 `json:"run"`
-	Worker string `json:"worker"`
-	Detail string `json:"detail"`
+	Epoch    uint64 `json:"epoch"`
+	Token    uint64 `json:"token"`
+	Job      string `json:"job"`
+	What     string `json:"what"`
+	Task     string `json:"task"`
+	Run      uint64 `json:"run"`
+	Worker   string `json:"worker"`
+	Instance string `json:"instance"`
+	Detail   string `json:"detail"`
 
 	// Of placements, starts, stops and ends.
 	Tasks        int    `json:"tasks"`
--- a/internal/joblog/timeline.go
+++ b/internal/joblog/timeline.go
@@ -120,20 +120,50 @@
 			out = append(out, Mark{At: t.began, Token: token})
 		}
 	}
-	lost := map[time.Duration]map[string]bool{}
+	lost := map[time.Duration]int{}
+	for _, at := range j.lossTimes() {
+		if !at.Before(begin) {
+			lost[at.Sub(begin)/step]++
+		}
+	}
+	for _, i := range slices.Sorted(maps.Keys(lost)) {
+		out = append(out, Mark{At: begin.Add(i * step), Workers: lost[i]})
+	}
+	slices.SortFunc(out, func(a, b Mark) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// lossMerge is the time within which two lines tell of one loss of a worker: its agent sees
+// a new incarnation before the owner does.
+const lossMerge = 2 * time.Second
+
+// lossTimes returns when workers have lost an incarnation or a lease, by what owners tell
+// and by the incarnations that agents announce: a new owner does not know of the one before.
+func (j *Journal) lossTimes() []time.Time {
+	byWorker := map[string][]time.Time{}
 	for worker, losses := range j.workers {
 		for _, l := range losses {
-			if i := l.at.Sub(begin) / step; !l.at.Before(begin) {
-				if lost[i] == nil {
-					lost[i] = map[string]bool{}
-				}
-				lost[i][worker] = true
+			byWorker[worker] = append(byWorker[worker], l.at)
+		}
+	}
+	for worker, all := range j.announced {
+		slices.SortFunc(all, func(a, b announcement) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.instance, b.instance)) })
+		for i := 1; i < len(all); i++ {
+			if all[i].instance != all[i-1].instance {
+				byWorker[worker] = append(byWorker[worker], all[i].at)
 			}
 		}
 	}
-	for _, i := range slices.Sorted(maps.Keys(lost)) {
-		out = append(out, Mark{At: begin.Add(i * step), Workers: len(lost[i])})
+	var out []time.Time
+	for _, times := range byWorker {
+		slices.SortFunc(times, time.Time.Compare)
+		var last time.Time
+		for _, at := range times {
+			if last.IsZero() || at.Sub(last) > lossMerge {
+				out = append(out, at)
+			}
+			last = at
+		}
 	}
-	slices.SortFunc(out, func(a, b Mark) int { return a.At.Compare(b.At) })
 	return out
 }
