--- a/internal/joblog/causes.go
+++ b/internal/joblog/causes.go
@@ -1,6 +1,8 @@
 package joblog
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +49,9 @@
 	// CauseOwner is the loss of a run that an earlier term placed, where no other cause is
 	// known.
 	CauseOwner Cause = "owner-changed"
+	// CauseNotStored is a placement that was not stored before its owner's term ended. No
+	// start was ordered, and the next owner did not know of it.
+	CauseNotStored Cause = "not-stored"
 	// CauseEndMissing is a run without an end whose task was placed again.
 	CauseEndMissing  Cause = "end-missing"
 	CauseUnexplained Cause = "unexplained"
@@ -57,7 +62,7 @@
 	CauseStartRoom, CauseStartFence, CauseStartOld, CauseStartLate, CauseStartUnhealthy, CauseStartUnreachable, CauseStartOther,
 	CauseStartDraining, CauseStartCapacity, CauseStartRefused, CauseStartUnknown, CauseNotStarted,
 	CausePreempted, CauseReclaimed, CauseRecalled, CauseLagging, CauseDraining, CauseNoProgress, CauseNoOutcome, CauseUnlisted,
-	CauseJobEnded, CauseOwner, CauseEndMissing, CauseUnexplained}
+	CauseJobEnded, CauseOwner, CauseNotStored, CauseEndMissing, CauseUnexplained}
 
 // The ends of runs that tell of a cause, and what precedes other texts in their place.
 const (
@@ -173,12 +178,15 @@
 }
 
 // before orders events by time. Of those at one time, decisions come before what follows
-// from them.
+// from them, and others in the order of Causes, whatever the order of the lines.
 func (e event) before(o event) bool {
 	if !e.at.Equal(o.at) {
 		return e.at.Before(o.at)
 	}
-	return !e.follows && o.follows
+	if e.follows != o.follows {
+		return !e.follows
+	}
+	return cmp.Or(cmp.Compare(slices.Index(Causes, e.cause), slices.Index(Causes, o.cause)), compareTasks(e.task, o.task)) < 0
 }
 
 // hits reports whether an event came on a member itself and not on another one.
@@ -206,6 +214,7 @@
 	}
 	j.unsettled = false
 	j.Skipped.Unplaced = 0
+	j.begins = j.termBegins()
 	for _, o := range j.jobs {
 		for _, u := range o.units {
 			u.cause = j.firstCause(o, u)
@@ -221,22 +230,19 @@
 
 // firstCause returns the first event that may have ended a unit's run.
 func (j *Journal) firstCause(o *job, u *unitRun) event {
-	first := event{cause: CauseUnexplained}
+	first := u.first
 	take := func(e event) {
-		if e.cause != "" && (first.at.IsZero() || e.before(first)) {
+		if e.cause != "" && (first.cause == "" || e.before(first)) {
 			first = e
 		}
 	}
-	for _, e := range u.events {
-		take(e)
-	}
 	for _, r := range u.sorted() {
 		take(j.causeOfEnd(r))
 		if o.endsAllRuns() && !r.ended.IsZero() && !r.ended.Before(o.ended) {
 			take(event{at: o.ended, cause: CauseJobEnded, detail: o.outcome, follows: true})
 		}
 	}
-	if first.at.IsZero() {
+	if first.cause == "" {
 		return u.fallback()
 	}
 	return first
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -3,17 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"maps"
-	"regexp"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
-
-	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
 // Limits of what is kept. Lines beyond them are counted only.
@@ -35,16 +31,19 @@
 
 // Journal collects the lines of any number of processes, in any order.
 type Journal struct {
-	jobs      map[string]*job
-	zones     map[string]string       // by process
-	terms     map[uint64]*term        // by token
-	workers   map[string][]workerLoss // by worker
-	losses    int                     // in workers
-	runs      int                     // of tasks
-	limits    limits
-	until     time.Time // lines after it are left out, unless it is zero
-	last      time.Time
-	unsettled bool // lines were added since the causes were settled
+	jobs       map[string]*job
+	zones      map[string]string         // by process
+	terms      map[uint64]*term          // by token
+	epochsOver map[uint64]bool           // of terms that have ended
+	begins     []termBegin               // of terms, once settled
+	workers    map[string][]workerLoss   // by worker
+	announced  map[string][]announcement // by worker
+	losses     int                       // in workers and announced
+	runs       int                       // of tasks
+	limits     limits
+	until      time.Time // lines after it are left out, unless it is zero
+	last       time.Time
+	unsettled  bool // lines were added since the causes were settled
 
 	// Lines is the number of lines read, and Skipped tells which were left out.
 	Lines   int
@@ -77,7 +76,7 @@
 
 // New returns an empty journal.
 func New() *Journal {
-	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, workers: map[string][]workerLoss{},
+	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, epochsOver: map[uint64]bool{}, workers: map[string][]workerLoss{}, announced: map[string][]announcement{},
 		limits: limits{maxJobs, maxRuns}}
 }
 
@@ -85,7 +84,10 @@
 func (j *Journal) EndAt(at time.Time) { j.until = at }
 
 // term is what the lines tell of an owner's term.
-type term struct{ began, lastDecision, ended time.Time }
+type term struct {
+	began, lastDecision time.Time
+	epoch               uint64
+}
 
 // workerLoss is the end of a worker's incarnation or of its lease.
 type workerLoss struct {
@@ -93,6 +95,12 @@
 	cause Cause
 }
 
+// announcement is the first heartbeat of an incarnation of a worker.
+type announcement struct {
+	at       time.Time
+	instance string
+}
+
 // job is what the lines tell of one job.
 type job struct {
 	id, queue, account, process string
@@ -166,10 +174,11 @@
 	case messageTerm:
 		if t := j.term(l.Token); t != nil {
 			setFirst(&t.began, l.Time)
+			t.epoch = l.Epoch
 		}
 	case messageTermOver:
-		if t := j.term(l.Token); t != nil {
-			setFirst(&t.ended, l.Time)
+		if len(j.epochsOver) < maxTerms {
+			j.epochsOver[l.Epoch] = true
 		}
 	case messageRequest:
 		j.addRequest(l)
@@ -183,6 +192,13 @@
 			cause, detail := causeOfRefusal(l.Error)
 			u.note(event{at: l.Time, cause: cause, task: l.Task, detail: detail})
 		}
+	case messageAnnounced:
+		j.addAnnouncement(l)
+	case messageUnsettled:
+		if o := j.job(l.Job); o != nil {
+			l.Detail = fmt.Sprintf("%s: run %d of %s is not settled: %s", l.Process, l.Run, l.Task, l.Error)
+			o.held = appendWait(o.held, l)
+		}
 	case messageSaveRetried, messageSaveRejected, messageJobSkipped:
 		j.addFailedSave(l)
 	}
@@ -199,6 +215,15 @@
 	j.zones[l.Process] = l.Zone
 }
 
+func (j *Journal) addAnnouncement(l line) {
+	if j.losses >= maxWorkerEvents {
+		j.Skipped.OfOthers++
+		return
+	}
+	j.losses++
+	j.announced[l.Worker] = append(j.announced[l.Worker], announcement{l.Time, l.Instance})
+}
+
 func (j *Journal) addRequest(l line) {
 	if l.Verb != verbSubmit || l.Outcome != outcomeOK {
 		return
@@ -224,137 +249,6 @@
 	}
 }
 
-// addDecision adds a decision of the owner on a worker, a job or a run.
-func (j *Journal) addDecision(l line) {
-	switch l.What {
-	case "worker-incarnation-changed":
-		j.addLoss(l, CauseCrashed)
-	case "worker-lost":
-		j.addLoss(l, CauseLease)
-	}
-	o := j.job(l.Job)
-	if o == nil {
-		return
-	}
-	switch l.What {
-	case "accepted":
-		setFirst(&o.accepted, l.Time)
-		o.tasks, o.steps = max(o.tasks, numberBefore(l.Detail, tasksPattern)), max(o.steps, numberBefore(l.Detail, stepsPattern))
-	case "waits-for-room":
-		o.waits = appendWait(o.waits, l)
-	case "unit-held":
-		o.held = appendWait(o.held, l)
-	case "save-rejected":
-		if len(o.pauses) < maxPauses {
-			o.pauses = append(o.pauses, span{l.Time, l.Time.Add(pauseOf(l.Detail)), Pause})
-		}
-	case "job-completed", "job-failed", "job-cancelled", "job-crashes-workers":
-		if o.ended.IsZero() || l.Time.Before(o.ended) {
-			o.ended, o.outcome, o.detail = l.Time, strings.TrimPrefix(l.What, "job-"), l.Detail
-		}
-	default:
-		j.addRunDecision(o, l)
-	}
-}
-
-// addRunDecision adds a decision on a run.
-func (j *Journal) addRunDecision(o *job, l line) {
-	if cause, ok := decisionCauses[l.What]; ok {
-		if u := j.unitRun(l); u != nil {
-			u.note(event{at: l.Time, cause: cause, task: l.Task, worker: l.Worker, detail: l.Detail})
-		}
-		j.addClaim(l)
-		return
-	}
-	switch l.What {
-	case "placed":
-		if r, u := j.run(l); r != nil {
-			j.addPlacement(u, r, l)
-		}
-	case "start ordered":
-		if r, _ := j.run(l); r != nil {
-			r.worker = l.Worker
-			r.checkpoint = l.Checkpoint
-			setFirst(&r.started, l.Time)
-		}
-	case "stop ordered":
-		if r, u := j.run(l); r != nil {
-			setFirst(&r.stopOrdered, l.Time)
-			if cause, detail := causeOfStop(l); cause != "" {
-				u.note(event{at: l.Time, cause: cause, task: l.Task, detail: detail, follows: true})
-			}
-		}
-	case "run-ended":
-		j.addEnd(l)
-	}
-}
-
-func (j *Journal) addPlacement(u *unitRun, r *run, l line) {
-	if !r.placed.IsZero() {
-		j.Skipped.Repeated++
-		return
-	}
-	r.worker, r.placed, r.token = l.Worker, l.Time, l.Token
-	if l.Tasks > 0 {
-		u.sized, u.needs = true, graph.Resources{Accelerators: max(0, l.Accelerators), MilliCPU: max(0, l.MilliCPU)}
-	}
-}
-
-// addEnd adds the end of a run. A refusal is followed by the end that it leads to.
-func (j *Journal) addEnd(l line) {
-	if strings.HasPrefix(l.Detail, lateEnd) {
-		j.Skipped.LateEnds++
-		return
-	}
-	r, u := j.run(l)
-	if r == nil {
-		return
-	}
-	if reason, refused := strings.CutPrefix(l.Detail, refusedEnd); refused {
-		if cause, detail := causeOfRefusal(reason); cause != "" {
-			u.note(event{at: l.Time, cause: cause, task: l.Task, worker: l.Worker, detail: detail})
-		}
-		return
-	}
-	if r.end != "" {
-		j.Skipped.Repeated++
-		if !l.Time.Before(r.ended) {
-			return
-		}
-	}
-	r.end, r.ended, r.reason, r.endToken = l.Detail, l.Time, l.Reason, l.Token
-	if r.worker == "" {
-		r.worker = l.Worker
-	}
-}
-
-// addClaim records that a unit was stopped for another job.
-func (j *Journal) addClaim(l line) {
-	id, ok := strings.CutPrefix(l.Detail, claimantPrefix)
-	if !ok {
-		return
-	}
-	if claimant := j.job(id); claimant != nil && len(claimant.claims) < maxClaims {
-		claimant.claims = append(claimant.claims, l.Time)
-	}
-}
-
-func (j *Journal) addLoss(l line, cause Cause) {
-	if j.losses >= maxWorkerEvents {
-		j.Skipped.OfOthers++
-		return
-	}
-	j.losses++
-	j.workers[l.Worker] = append(j.workers[l.Worker], workerLoss{l.Time, cause})
-}
-
-func appendWait(waits []Wait, l line) []Wait {
-	if len(waits) >= maxWaits {
-		return waits
-	}
-	return append(waits, Wait{l.Time, l.Detail})
-}
-
 // job returns the job of an ID, or nil if the line names none or there are too many.
 func (j *Journal) job(id string) *job {
 	if id == "" {
@@ -449,30 +343,3 @@
 	}
 	return b
 }
-
-// The numbers in the descriptions of jobs and pauses.
-var (
-	tasksPattern = regexp.MustCompile(`(\d+) tasks`)
-	stepsPattern = regexp.MustCompile(`(\d+) steps`)
-	pausePattern = regexp.MustCompile(`next placement after (\S+)`)
-)
-
-// numberBefore returns the number that a pattern finds in a text, or 0.
-func numberBefore(text string, pattern *regexp.Regexp) int {
-	found := pattern.FindStringSubmatch(text)
-	if found == nil {
-		return 0
-	}
-	n, _ := strconv.Atoi(found[1])
-	return min(n, maxRuns)
-}
-
-// pauseOf returns the pause that the description of a rejected save names, or 0.
-func pauseOf(text string) time.Duration {
-	found := pausePattern.FindStringSubmatch(text)
-	if found == nil {
-		return 0
-	}
-	d, _ := time.ParseDuration(found[1])
-	return max(0, d)
-}
--- a/internal/joblog/runs.go
+++ b/internal/joblog/runs.go
@@ -16,10 +16,10 @@
 type unitRun struct {
 	number  uint64
 	members map[string]*run // by task
-	events  []event         // what may have ended it, in the order of the lines
+	first   event           // the first decision or refusal that may have ended it
 	needs   graph.Resources // of each task
 	sized   bool            // needs is known
-	cause   event           // the first of events, once settled
+	cause   event           // the first of all that may have ended it, once settled
 }
 
 // run is one run of a task.
@@ -33,13 +33,10 @@
 	endToken               uint64 // of the term that saw its end
 }
 
-// maxEvents limits the events that are kept of a unit's run. The first one counts.
-const maxEvents = 64
-
-// note records an event of the run, unless it has too many.
+// note records an event of the run, if it is the first one.
 func (u *unitRun) note(e event) {
-	if len(u.events) < maxEvents {
-		u.events = append(u.events, e)
+	if u.first.cause == "" || e.before(u.first) {
+		u.first = e
 	}
 }
 
@@ -106,7 +103,7 @@
 	})
 }
 
-// byTask returns the runs of each task of a job in the order in which they began.
+// byTask returns the runs of each task of a job by number, in which they follow each other.
 func (o *job) byTask() map[string][]taskRun {
 	out := map[string][]taskRun{}
 	for _, u := range o.units {
@@ -116,7 +113,7 @@
 	}
 	for _, runs := range out {
 		slices.SortFunc(runs, func(a, b taskRun) int {
-			return cmp.Or(a.run.begins().Compare(b.run.begins()), cmp.Compare(a.unit.number, b.unit.number))
+			return cmp.Compare(a.unit.number, b.unit.number)
 		})
 	}
 	return out
@@ -127,12 +124,3 @@
 	unit *unitRun
 	run  *run
 }
-
-// sortedUnits returns the runs of a job's units by number.
-func (o *job) sortedUnits() []*unitRun {
-	out := make([]*unitRun, 0, len(o.units))
-	for _, n := range slices.Sorted(maps.Keys(o.units)) {
-		out = append(out, o.units[n])
-	}
-	return out
-}
--- a/internal/joblog/standing.go
+++ b/internal/joblog/standing.go
@@ -101,7 +101,8 @@
 	if len(j.terms) == 0 {
 		return false
 	}
-	return !j.terms[slices.Max(slices.Collect(maps.Keys(j.terms)))].ended.IsZero()
+	last := j.terms[slices.Max(slices.Collect(maps.Keys(j.terms)))]
+	return !last.began.IsZero() && j.epochsOver[last.epoch]
 }
 
 func (j *Journal) standingOf(o *job, ownerless bool) JobStanding {
@@ -153,7 +154,7 @@
 
 // stops reports whether the lines tell that a run is being stopped.
 func (u *unitRun) stops(o *job) bool {
-	if !o.ended.IsZero() || len(u.events) > 0 {
+	if !o.ended.IsZero() || u.first.cause != "" {
 		return true
 	}
 	for _, r := range u.members {
