--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -71,6 +71,7 @@
 	submitted          time.Duration
 	cancelled          time.Duration
 	final              graph.State
+	lastStartAt        time.Duration // when a run last began
 	firstStepStartedAt time.Duration // when all tasks of the first step had started
 	withinGuarantee    bool          // the account's jobs of priority 0 have never exceeded its guarantee
 	finishedAt,
@@ -496,6 +497,7 @@
 		return
 	}
 	u.startedTasks[a.Task.Index] = true
+	u.job.lastStartAt = s.now
 	s.recordFirstStep(u.job)
 	r := &simRun{task: a.Task, run: a.Run, unit: u}
 	if a.Checkpoint != "" {
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -103,14 +103,8 @@
 			}
 			w.partitioned = true
 		},
-		"relink": func(t *rapid.T) {
-			w := m.drawWorker(t)
-			old := fmt.Sprintf("%s-%d", w.info.ID, w.session)
-			w.session++
-			w.absent = nil
-			w.reportNow = true
-			m.step(SessionClosed{Worker: w.info.ID, Session: old})
-		},
+		"relink":      func(t *rapid.T) { m.relink(m.drawWorker(t)) },
+		"lose orders": func(*rapid.T) { m.calmAt = m.now; m.loseOrders() },
 		"slow": func(t *rapid.T) {
 			w := m.drawWorker(t)
 			w.speed = rapid.SampledFrom([]float64{1, 0.2, 0}).Draw(t, "speed")
@@ -139,6 +133,26 @@
 	w.absent = nil
 }
 
+// relink replaces the connection of a worker's agent. Orders under way are lost.
+func (m *planMachine) relink(w *simWorker) {
+	old := fmt.Sprintf("%s-%d", w.info.ID, w.session)
+	w.session++
+	w.absent = nil
+	w.reportNow = true
+	m.step(SessionClosed{Worker: w.info.ID, Session: old})
+}
+
+// loseOrders loses the starts and stops under way.
+func (m *planMachine) loseOrders() {
+	m.orders = slices.DeleteFunc(m.orders, func(o simOrder) bool {
+		switch o.action.(type) {
+		case StartRun, StopRun:
+			return true
+		}
+		return false
+	})
+}
+
 func (m *planMachine) drain(w *simWorker) {
 	w.info.Draining = !w.info.Draining
 	w.info.DrainRemaining = 5 * time.Second
