joblog: leave out lines with a damaged date, and runs without any time

One changed digit of a year stretched the time of all jobs over centuries. A run of which only a refusal was left counted from the year 1.

--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -189,7 +189,7 @@
 		count int
 		what  string
 	}{
-		{s.Malformed, "malformed"}, {s.TooLong, "too long"}, {s.Repeated, "repeated"}, {s.Later, "later"},
+		{s.Malformed, "malformed"}, {s.TooLong, "too long"}, {s.Repeated, "repeated"}, {s.Later, "later"}, {s.Misdated, "misdated"},
 		{s.OfJobs, "of jobs beyond the bound"}, {s.OfRuns, "of runs beyond the bound"}, {s.OfOthers, "of workers, terms and processes beyond the bound"},
 		{s.LateEnds, "ends of runs that the owner did not track"}, {s.Unplaced, "ends of runs without a placement"},
 	} {
--- a/internal/joblog/causes.go
+++ b/internal/joblog/causes.go
@@ -213,13 +213,18 @@
 		return
 	}
 	j.unsettled = false
-	j.Skipped.Unplaced = 0
+	for _, l := range j.dates.rest() {
+		j.addLine(l)
+	}
+	j.Skipped.Unplaced, j.Skipped.Misdated = 0, j.dates.leftOut()
 	j.begins = j.termBegins()
 	for _, o := range j.jobs {
 		for _, u := range o.units {
 			u.cause = j.firstCause(o, u)
 			for _, r := range u.members {
-				setFirst(&o.firstRun, r.begins())
+				if from := r.begins(); !from.IsZero() {
+					setFirst(&o.firstRun, from)
+				}
 				if r.end != "" && r.placed.IsZero() && r.started.IsZero() {
 					j.Skipped.Unplaced++
 				}
--- a/internal/joblog/causes_test.go
+++ b/internal/joblog/causes_test.go
@@ -73,6 +73,7 @@
 		t.Fatal(err)
 	}
 	lines := bytes.SplitAfter(whole, []byte("\n"))
+	const maxTasksDrawn = 99 // a changed byte may raise the tasks of a job to that
 	rapid.Check(t, func(t *rapid.T) {
 		var text []byte
 		for range rapid.IntRange(0, 80).Draw(t, "lines") {
@@ -95,7 +96,7 @@
 		}
 		for _, j := range journal.Jobs(false) {
 			for s, u := range j.States {
-				if u.TaskMS < 0 || u.CoreMS < 0 {
+				if u.TaskMS < 0 || u.CoreMS < 0 || u.TaskMS > 80*maxTasksDrawn*86_400_000 {
 					t.Fatalf("%s of %s: %+v", s, j.Job, u)
 				}
 			}
@@ -137,6 +138,22 @@
 	f.Fuzz(func(_ *testing.T, text []byte) { readAll(text) })
 }
 
+// TestDamagedDate guards against a line with a damaged date that stretches the time of all
+// jobs, and against a gap in the lines that counts as one.
+func TestDamagedDate(t *testing.T) {
+	text := ""
+	for _, at := range []string{"7026-01-01T00:00:00Z", "2026-01-01T00:00:00Z", "2026-01-01T20:00:00Z", "2026-01-02T00:00:00Z", "2026-01-02T00:00:09Z", "2026-01-01T00:59:00Z"} {
+		text += fmt.Sprintf(`{"time":%q,"message":"decision","job":%q,"what":"accepted"}`+"\n", at, at)
+	}
+	journal := New()
+	if err := journal.Read(strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	if jobs := journal.Jobs(false); len(jobs) != 4 || jobs[0].TookMS != 24*3600*1000+9000 || journal.Skipped.Misdated != 2 {
+		t.Errorf("%d jobs, %+v, %+v", len(jobs), jobs[0], journal.Skipped)
+	}
+}
+
 // TestEndAt guards against lines after the end that are counted.
 func TestEndAt(t *testing.T) {
 	journal := New()
--- a/internal/joblog/journal.go
+++ b/internal/joblog/journal.go
@@ -40,6 +40,7 @@
 	announced  map[string][]announcement // by worker
 	losses     int                       // in workers and announced
 	runs       int                       // of tasks
+	dates      dates
 	limits     limits
 	until      time.Time // lines after it are left out, unless it is zero
 	last       time.Time
@@ -63,6 +64,8 @@
 	Repeated int `json:"repeated"`
 	// Later lines are behind the end that was set.
 	Later int `json:"later"`
+	// Misdated lines are the only ones within an hour or two of their time.
+	Misdated int `json:"misdated"`
 	// OfJobs, OfRuns and OfOthers are lines of jobs, runs, workers and terms beyond the
 	// bounds on memory.
 	OfJobs   int `json:"of_jobs_beyond_bound"`
@@ -77,7 +80,7 @@
 // New returns an empty journal.
 func New() *Journal {
 	return &Journal{jobs: map[string]*job{}, zones: map[string]string{}, terms: map[uint64]*term{}, epochsOver: map[uint64]bool{}, workers: map[string][]workerLoss{}, announced: map[string][]announcement{},
-		limits: limits{maxJobs, maxRuns}}
+		dates: newDates(), limits: limits{maxJobs, maxRuns}}
 }
 
 // EndAt makes Read leave out lines after a time, so that the journal is as it was then.
@@ -165,9 +168,13 @@
 		return
 	}
 	j.unsettled = true
-	if l.Time.After(j.last) {
-		j.last = l.Time
+	for _, l := range j.dates.admit(l) {
+		j.addLine(l)
 	}
+}
+
+func (j *Journal) addLine(l line) {
+	j.last = latest(j.last, l.Time)
 	switch l.Message {
 	case messageStarted:
 		j.addProcess(l)
--- a/internal/joblog/runs.go
+++ b/internal/joblog/runs.go
@@ -57,11 +57,11 @@
 
 // begins reports when the run began to hold its worker: at its placement, or the first
 // thing that is known of it.
-func (r *run) begins() time.Time { return firstTime(r.placed, r.started, r.ended) }
+func (r *run) begins() time.Time { return firstTime(r.placed, r.started, r.stopOrdered, r.ended) }
 
 // worked returns when the run's work began: at the order of its start, or at its placement
 // if it was never started.
-func (r *run) worked() time.Time { return firstTime(r.started, r.placed, r.ended) }
+func (r *run) worked() time.Time { return firstTime(r.started, r.begins()) }
 
 // firstTime returns the first of the times that is set.
 func firstTime(times ...time.Time) time.Time {
@@ -104,11 +104,14 @@
 }
 
 // byTask returns the runs of each task of a job by number, in which they follow each other.
+// Those are left out of which a line tells no time but that of a refusal.
 func (o *job) byTask() map[string][]taskRun {
 	out := map[string][]taskRun{}
 	for _, u := range o.units {
 		for task, r := range u.members {
-			out[task] = append(out[task], taskRun{u, r})
+			if !r.begins().IsZero() {
+				out[task] = append(out[task], taskRun{u, r})
+			}
 		}
 	}
 	for _, runs := range out {
--- a/internal/joblog/states.go
+++ b/internal/joblog/states.go
@@ -134,7 +134,7 @@
 	cursor := ready
 	for i, r := range runs {
 		if w.notStored(r) {
-			cursor = latest(cursor, w.passNotStored(r, cursor))
+			cursor = w.passNotStored(r, cursor)
 			continue
 		}
 		w.wait(cursor, r.run.begins(), 1)
@@ -166,18 +166,17 @@
 	return w.terms[i].at
 }
 
-// passNotStored passes a placement that was not stored, up to the begin of the next term. An
-// owner that did not know of that term may have made it later; then it has no duration.
+// passNotStored passes a placement that was not stored, up to the begin of the next term, and
+// the wait before it. An owner that did not know of that term may have made it later; then
+// it has no duration.
 func (w *walker) passNotStored(r taskRun, cursor time.Time) time.Time {
-	end := w.nextTerm(r.unit.number)
-	if end.After(r.run.placed) {
-		w.wait(cursor, r.run.placed, 1)
+	placed := r.run.begins()
+	end := latest(w.nextTerm(r.unit.number), placed)
+	if placed.Before(end) {
+		w.wait(cursor, placed, 1)
+		cursor = latest(cursor, end)
 	}
-	end = latest(end, r.run.placed)
 	w.passRun(r, LostBy(CauseNotStored), end, false)
-	if r.run.placed.Before(end) {
-		return end
-	}
 	return cursor
 }
 
@@ -275,7 +274,9 @@
 	var all []span
 	for _, u := range o.units {
 		for _, r := range u.members {
-			all = append(all, span{from: r.begins(), to: firstTime(r.ended, end)})
+			if from := r.begins(); !from.IsZero() {
+				all = append(all, span{from: from, to: firstTime(r.ended, end)})
+			}
 		}
 	}
 	slices.SortFunc(all, func(a, b span) int { return a.from.Compare(b.from) })
