--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -70,6 +70,7 @@
 	// on.
 	needsScheduling bool
 	lastPruneAt     time.Duration
+	heldCheckedAt   time.Duration
 	requeueWaits    map[int]time.Duration // by priority; see requeueWait
 	speeds          speedModel
 	runTimes        *runtimes.Model
--- a/internal/graph/plan/held.go
+++ b/internal/graph/plan/held.go
@@ -31,7 +31,9 @@
 	// heldAfter is the time from which on a unit that holds room without doing work is
 	// reported. Orders are repeated after orderTimeout.
 	heldAfter = 4 * time.Second
-	// maxHeldReports limits the reports of one tick, and maxHeldMembers the members that
+	// heldInterval is the least time between two looks at all units.
+	heldInterval = 500 * time.Millisecond
+	// maxHeldReports limits the reports of one look, and maxHeldMembers the members that
 	// one names.
 	maxHeldReports = 4
 	maxHeldMembers = 6
@@ -122,6 +124,10 @@
 // are stopped and ends are missing, and those that wait while the fleet is idle and no
 // waits-for-room tells what for. It reports each run and each wait of a unit once.
 func (c *Core) reportHeld() {
+	if c.now-c.heldCheckedAt < heldInterval {
+		return
+	}
+	c.heldCheckedAt = c.now
 	left := maxHeldReports
 	idle := c.usedPart() < idleFleetPart
 	for _, j := range c.activeJobs {
