--- a/internal/graph/plan/choose.go
+++ b/internal/graph/plan/choose.go
@@ -36,9 +36,9 @@
 // candidateSets returns the sets of candidates to try for a unit, in order.
 func (c *Core) candidateSets(u *unit, candidates []candidate) [][]candidate {
 	var sets [][]candidate
-	for _, willing := range preferring(candidates, u.wasNotRefusedBy) {
-		for _, preferred := range byCrashes(u, willing) {
-			sets = append(sets, c.setsByFailuresAndSpeed(u, preferred)...)
+	for _, preferred := range byCrashes(u, candidates) {
+		for _, willing := range preferring(preferred, func(w *worker) bool { return !c.refusedLately(u, w) }) {
+			sets = append(sets, c.setsByFailuresAndSpeed(u, willing)...)
 		}
 	}
 	return sets
--- a/internal/graph/plan/refusals_test.go
+++ b/internal/graph/plan/refusals_test.go
@@ -20,3 +20,36 @@
 		s.mustEnd(t, j, graph.Completed, 30*time.Second)
 	}
 }
+
+// TestOldRefusalDrivesNoUnitBesideSuspects guards against a unit that is placed beside a task that has crashed workers, as a sound worker refused it an hour ago.
+func TestOldRefusalDrivesNoUnitBesideSuspects(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	h.report("w1", nil)
+	sound, suspected := h.core.workers["w0"], h.core.workers["w1"]
+	suspected.suspects = 1
+	u := &unit{job: &job{Job: &graph.Job{ID: "j"}}, step: &graph.Step{}, taskCount: 1}
+	u.refusedBy(sound, time.Second)
+	h.now = time.Hour
+	h.step(Tick{})
+	sets := h.core.candidateSets(u, []candidate{{worker: sound}, {worker: suspected}})
+	if len(sets[0]) != 1 || sets[0][0].worker != sound {
+		t.Errorf("the first choice an hour after the refusal is %d workers, first %s (%d suspects there)", len(sets[0]), sets[0][0].worker.info.ID, sets[0][0].worker.suspects)
+	}
+}
+
+// TestOldRefusalDrivesNoSuspectBesideOthers guards against a task that has crashed a worker and is placed beside other runs, as an empty worker refused it an hour ago.
+func TestOldRefusalDrivesNoSuspectBesideOthers(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	h.report("w1", nil)
+	empty, busy := h.core.workers["w0"], h.core.workers["w1"]
+	busy.members = []*member{{}}
+	u := &unit{job: &job{Job: &graph.Job{ID: "j"}}, step: &graph.Step{}, taskCount: 1}
+	u.crashesOf(0).count = 1
+	u.refusedBy(empty, time.Second)
+	sets := h.core.candidateSets(u, []candidate{{worker: empty}, {worker: busy}})
+	if len(sets[0]) != 1 || sets[0][0].worker != empty {
+		t.Errorf("the first choice is %s with %d runs, an empty worker is left for later", sets[0][0].worker.info.ID, len(sets[0][0].worker.members))
+	}
+}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -13,6 +13,10 @@
 // refusalBackoff is the time for which a unit avoids a worker that refused it.
 const refusalBackoff = 1500 * time.Millisecond
 
+// refusalMemory is the time after refusalBackoff for which the unit prefers other workers. A
+// gang learns of one such worker with each of its runs.
+const refusalMemory = time.Minute
+
 // worker is the owner's view of a worker.
 type worker struct {
 	info         WorkerInfo
@@ -487,11 +491,11 @@
 	u.refusedUntil[w.info.ID] = until
 }
 
-// wasNotRefusedBy reports whether a worker has not refused the unit in this term. The unit
-// prefers such workers, as it may take longer than refusalBackoff until the next one refuses it.
-func (u *unit) wasNotRefusedBy(w *worker) bool {
-	_, refused := u.refusedUntil[w.info.ID]
-	return !refused
+// refusedLately reports whether a worker has refused the unit so lately that the unit prefers
+// others: it may take longer than refusalBackoff until the next one refuses it.
+func (c *Core) refusedLately(u *unit, w *worker) bool {
+	until, refused := u.refusedUntil[w.info.ID]
+	return refused && c.now < until+refusalMemory
 }
 
 func (u *unit) avoidWorker(id string, until time.Duration) {
