keeper: an old acknowledgement without an answer delays no restart (LOST)

Found by review. The calls with acknowledgements were counted, and the time was that of the last one, answered or not. One answer that was ever lost closed a worker that starts again under its name to work for 30 s, each time.

The times of the unanswered calls are kept; those of over 30 s ago do not count. TestOldUnansweredAcknowledgementDelaysNoRestart failed before: "no work for 29.997s; the only unanswered acknowledgement is an hour old".

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -65,7 +65,7 @@
 	runs            external.RunList
 	acknowledged    uint64 // number of the last end acknowledged by the owner
 	ackAnswered     uint64 // the last acknowledgement that the worker has answered
-	unansweredAcks  unansweredCalls
+	unansweredAcks  unansweredAcks
 	workFrom        time.Duration // when the current incarnation may get work
 	absent          []*rpc.AbsentTask
 	orders          map[runRef]*order // orders in progress
@@ -272,11 +272,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReplyMargin)
 	defer cancel()
-	if err := k.beginHold(t); err != nil {
+	sentAt, err := k.beginHold(t)
+	if err != nil {
 		return err
 	}
 	list, err := k.runner.Hold(ctx, t.instance, external.HoldRuns{Epoch: t.epoch, Seen: t.acknowledged, Deadline: t.deadline, Wait: wait})
-	k.endHold(t, list, err)
+	k.endHold(t, sentAt, list, err)
 	if err != nil {
 		metrics.GetOrRegisterCounter("keeper.hold_failures", k.registry).Inc(1)
 		k.recordHoldFailure(t, err)
--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -196,3 +196,28 @@
 		return len(k.runs.Ended) == 0
 	})
 }
+
+// TestOldUnansweredAcknowledgementDelaysNoRestart guards against a restarted worker that stands idle though no unanswered acknowledgement is younger than lateCallBound (LOST).
+func TestOldUnansweredAcknowledgementDelaysNoRestart(t *testing.T) {
+	k, runner, worker, clock := lateAckKeeper(t, time.Hour) // one lost answer; the repeated call is answered
+	pollUntil(t, "no ends", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.runs.Ended) == 0
+	})
+	clock.ahead.Store(int64(time.Hour))
+	k.endOneRun(t, runner, worker, "next")
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Acknowledged: 2})
+	pollUntil(t, "no ends", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.runs.Ended) == 0
+	})
+	runner.restartUnder(k, worker)
+	k.awaitList(t)
+	if !k.getsWork() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		t.Errorf("no work for %v; the only unanswered acknowledgement is an hour old", k.workFrom-k.clock())
+	}
+}
--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
@@ -15,30 +17,30 @@
 // lateCallBound after the last one without an answer: until then it is reported without
 // capacity, and its starts are refused.
 
-// beginHold records that a call is about to be sent. It returns an error if the worker's
-// incarnation has changed since t: the call must not be sent.
-func (k *Keeper) beginHold(t callTarget) error {
+// beginHold records that a call is about to be sent, and returns the time. It returns an error
+// if the worker's incarnation has changed since t: the call must not be sent.
+func (k *Keeper) beginHold(t callTarget) (sentAt time.Duration, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.worker == nil || k.worker.Incarnation() != t.incarnation {
-		return errors.Annotate(external.ErrRunWrongInstance, "the worker has changed meanwhile")
+		return 0, errors.Annotate(external.ErrRunWrongInstance, "the worker has changed meanwhile")
 	}
+	sentAt = k.clock()
 	if t.acknowledged > 0 {
-		k.unansweredAcks.count++
-		k.unansweredAcks.lastAt = k.clock()
+		k.unansweredAcks.begin(sentAt)
 	}
-	return nil
+	return sentAt, nil
 }
 
 // endHold records the outcome of a call. An acknowledgement that its own list belies has not
 // been answered.
-func (k *Keeper) endHold(t callTarget, list external.RunList, err error) {
+func (k *Keeper) endHold(t callTarget, sentAt time.Duration, list external.RunList, err error) {
 	if t.acknowledged == 0 || errors.Is(err, external.ErrUnavailable) && !errors.Is(err, external.ErrNotSent) {
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unansweredAcks.count = max(0, k.unansweredAcks.count-1)
+	k.unansweredAcks.answered(sentAt)
 	belied := len(list.Ended) > 0 && list.Ended[0].Number <= t.acknowledged
 	if err == nil && !belied && k.worker.Incarnation() == t.incarnation {
 		k.ackAnswered = max(k.ackAnswered, t.acknowledged)
@@ -64,15 +66,15 @@
 // under another instance name refuses such a call. The caller holds the lock.
 func (k *Keeper) awaitLateAcks(sameName bool) {
 	if !sameName {
-		k.unansweredAcks = unansweredCalls{}
+		k.unansweredAcks = nil
 	}
 	k.workFrom = 0
-	if wait := k.unansweredAcks.lastAt + lateCallBound - k.clock(); k.unansweredAcks.count > 0 && wait > 0 {
+	if wait := k.unansweredAcks.lastUntil() - k.clock(); wait > 0 {
 		k.workFrom = k.clock() + wait
 		k.log.Info().Dur("wait_ms", wait).Msg("restarted worker gets no work while an unanswered acknowledgement may reach it")
 		return
 	}
-	k.unansweredAcks = unansweredCalls{}
+	k.unansweredAcks = nil
 }
 
 // lateAcksPossible reports whether an acknowledgement for an earlier incarnation may reach
