--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -313,6 +313,9 @@
 		info.StartUnixMillis = list.StartUnixMillis
 		k.changeWorker(info)
 		k.heartbeatNumber = 0
+		// A start may have reached this incarnation since the list was made, which the list
+		// would show as absent.
+		return
 	}
 	if t.listOnly {
 		k.mustList = false
