keeper: lost answers to stops hold back no report of a restart (LOST)

The unanswered starts of an earlier incarnation are stopped before the next one is reported, one after the other, with 0.6 s for each answer, and each round ended at the first lost one.

Stops have the bounds of other calls with orders, and a round goes on after a lost answer. TestRestartIsReportedSoonThoughStopsAreLost, 12 runs and every other answer lost, failed before: "reported after 8.414s, 24 stop calls"; the bound is the 3 s within which work has to run.

--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -61,12 +61,13 @@
 	runs := len(k.unsettledRuns())
 	var last callTarget
 	var stopped map[runRef]bool // for last
+	tries := map[runRef]int{}
 	for ctx.Err() == nil && k.canHold() {
 		t := k.target()
 		if t.incarnation != last.incarnation || t.epoch != last.epoch {
 			last, stopped = t, map[runRef]bool{}
 		}
-		k.stopUnsettled(ctx, t, stopped)
+		k.stopUnsettled(ctx, t, stopped, tries)
 		if k.hold(ctx, 0) == nil {
 			k.recordSettled(t, stopped)
 		}
@@ -84,8 +85,8 @@
 }
 
 // stopUnsettled stops the unsettled runs that are not stopped yet, and adds those whose stop
-// was answered.
-func (k *Keeper) stopUnsettled(ctx context.Context, t callTarget, stopped map[runRef]bool) {
+// was answered. tries counts the calls.
+func (k *Keeper) stopUnsettled(ctx context.Context, t callTarget, stopped map[runRef]bool, tries map[runRef]int) {
 	for _, ref := range k.unsettledRuns() {
 		if stopped[ref] {
 			continue
@@ -93,10 +94,12 @@
 		if !k.isCurrent(t) {
 			return
 		}
-		switch err := k.callStop(ctx, t, ref, orderTimeout); {
-		case errors.Is(err, external.ErrRunStaleEpoch), errors.Is(err, external.ErrRunWrongInstance), errors.Is(err, external.ErrUnavailable):
+		timeout := callTimeout(tries[ref])
+		tries[ref]++
+		switch err := k.callStop(ctx, t, ref, timeout); {
+		case errors.Is(err, external.ErrRunStaleEpoch), errors.Is(err, external.ErrRunWrongInstance):
 			return // tried again with the next target
-		case errors.Is(err, external.ErrRunWorkerUnhealthy):
+		case errors.Is(err, external.ErrUnavailable), errors.Is(err, external.ErrRunWorkerUnhealthy):
 		default:
 			stopped[ref] = true
 		}
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -390,3 +390,46 @@
 		t.Errorf("starts are refused at %d of %d announcements, want %d at most", refused, announced, most)
 	}
 }
+
+// halfRunner answers every other stop.
+type halfRunner struct {
+	*countingRunner
+	stops atomic.Int32
+}
+
+func (r *halfRunner) Stop(ctx context.Context, instance string, o external.StopRun) (time.Duration, error) {
+	if r.stops.Add(1)%2 == 1 {
+		<-ctx.Done()
+		return 0, external.ErrUnavailable
+	}
+	return r.Runner.Stop(ctx, instance, o)
+}
+
+// TestRestartIsReportedSoonThoughStopsAreLost guards against a restarted worker out of use while unanswered starts are settled one after the other (LOST).
+func TestRestartIsReportedSoonThoughStopsAreLost(t *testing.T) {
+	clock := ledger.NewMonotonicClock()
+	runner := &halfRunner{countingRunner: &countingRunner{Runner: standin.NewRunner()}}
+	k := New(runner, NewOwnerFinder(unavailableRows{}, "all", nil, clock, zerolog.Nop()), clock, metrics.NewRegistry(), zerolog.Nop())
+	if err := k.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = k.Stop(context.Background()) }()
+	worker := plan.WorkerInfo{ID: "w", Instance: runner.Instance(), StartUnixMillis: runner.StartCount()}
+	k.HandleHeartbeat(worker, 1)
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation()})
+	k.awaitList(t)
+	k.mu.Lock()
+	for i := range 12 {
+		k.unanswered.begin(runRef{graph.TaskID{Job: "j", Index: i}, 7}, k.clock())
+	}
+	k.mu.Unlock()
+	worker = restart(k, runner.countingRunner, worker)
+	k.HandleHeartbeat(worker, 1)
+	begun := time.Now()
+	for !k.listIsCurrent() && time.Since(begun) < 20*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	if took := time.Since(begun); took > 3*time.Second {
+		t.Errorf("reported after %v, %d stop calls", took, runner.stops.Load())
+	}
+}
