--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -29,7 +29,7 @@
 // callTimeouts bound the calls with one order, in turn. A sound worker answers within
 // milliseconds, so a call whose answer is lost is repeated soon, and one that is slow gets
 // more time later. A gang waits three seconds for its members; a start call for each bound
-// and the lists between them fit into that time.
+// and the lists before them fit into that time.
 var callTimeouts = [...]time.Duration{150 * time.Millisecond, 150 * time.Millisecond, 200 * time.Millisecond,
 	300 * time.Millisecond, 450 * time.Millisecond, orderTimeout}
 
@@ -150,18 +150,18 @@
 		if (attempt > 0 || !k.extendsLease()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
-		if err = k.callStart(ctx, t, startRun, callTimeout(attempt)); !errors.Is(err, external.ErrUnavailable) {
+		if err = k.callStart(ctx, t, startRun, rpc.CapacityOf(o), callTimeout(attempt)); !errors.Is(err, external.ErrUnavailable) {
 			return err
 		}
 	}
 	return err
 }
 
-// callStart makes one call to start a run. It fails without a call if that may not be made
-// now.
-func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun, timeout time.Duration) (err error) {
+// callStart makes one call to start a run, whose placement rests on the given capacity of the
+// worker. It fails without a call if that may not be made now.
+func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun, capacity graph.Resources, timeout time.Duration) (err error) {
 	ref := runRef{o.Task, o.Run}
-	if o.Deadline, err = k.beginStart(t, ref); err != nil {
+	if o.Deadline, err = k.beginStart(t, ref, capacity); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -187,12 +187,18 @@
 func (k *Keeper) refusal(o *rpc.StartTask) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.refusalOf(rpc.CapacityOf(o))
+}
+
+// refusalOf is refusal for a placement that rests on the given capacity of the worker. The
+// caller holds the lock.
+func (k *Keeper) refusalOf(capacity graph.Resources) string {
 	switch {
 	case k.worker == nil || k.worker.Draining || k.leaving():
 		return "worker drains"
 	case k.lateAcksPossible():
 		return "an acknowledgement for the earlier incarnation may reach the worker"
-	case !rpc.CapacityOf(o).Fits(k.worker.Capacity):
+	case !capacity.Fits(k.worker.Capacity):
 		return "capacity has shrunk"
 	}
 	return ""
--- a/internal/agent/keeper/orders_test.go
+++ b/internal/agent/keeper/orders_test.go
@@ -72,16 +72,16 @@
 	}
 }
 
-// allAttempts is the longest time that the start calls of one order and the lists between
+// allAttempts is the longest time that the start calls of one order and the lists before
 // them take.
-const allAttempts = 2600 * time.Millisecond
+const allAttempts = 2750 * time.Millisecond
 
 // gangTimeout is the time that the members of a gang wait for each other.
 const gangTimeout = 3 * time.Second
 
 // TestStartAttemptsFitIntoGangTimeout guards against a member that starts after its gang has given up.
 func TestStartAttemptsFitIntoGangTimeout(t *testing.T) {
-	total := time.Duration(len(callTimeouts)-1) * startListTimeout
+	total := time.Duration(len(callTimeouts)) * startListTimeout
 	for i := range callTimeouts {
 		total += callTimeout(i)
 	}
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -8,6 +8,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
@@ -148,15 +149,25 @@
 	return k.mustList
 }
 
+// errStartRevoked means that a start must not be sent any more, as its run was ordered to stop
+// or the worker no longer takes it.
+const errStartRevoked = errors.ConstError("start revoked")
+
 // beginStart records that a start call is about to be sent, and returns its deadline. It fails
-// if t is no longer current, or with an ErrUnavailable if the worker gets no lease now: the call
-// must not be sent.
-func (k *Keeper) beginStart(t callTarget, ref runRef) (deadline time.Duration, err error) {
+// if t is no longer current, with an ErrUnavailable if the worker gets no lease now, or with
+// errStartRevoked: the call must not be sent.
+func (k *Keeper) beginStart(t callTarget, ref runRef, capacity graph.Resources) (deadline time.Duration, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.current(t) || k.leaving() || k.leaseTerm != t.leaseTerm {
 		return 0, errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
 	}
+	if o := k.orders[ref]; o != nil && o.stopEpoch > 0 {
+		return 0, errors.Annotate(errStartRevoked, "the run was ordered to stop")
+	}
+	if reason := k.refusalOf(capacity); reason != "" {
+		return 0, errors.Annotate(errStartRevoked, reason)
+	}
 	if !k.mayExtendLease() {
 		return 0, errors.Annotate(external.ErrUnavailable, "the worker has not answered lately and gets no lease")
 	}
--- a/internal/graph/plan/watch.go
+++ b/internal/graph/plan/watch.go
@@ -23,7 +23,7 @@
 }
 
 // orderTimeout is the time an agent may take to report the outcome of an order. It
-// tries a start for at most 2.6 s and then stops it.
+// tries a start for at most 2.75 s and then stops it.
 const orderTimeout = 5 * time.Second
 
 // watchOrders sends another stop for runs whose last order has had no outcome in a list
