--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -65,8 +65,6 @@
 	runs            external.RunList
 	acknowledged    uint64 // number of the last end acknowledged by the owner
 	ackAnswered     uint64 // the last acknowledgement that the worker has answered
-	unansweredAcks  unansweredAcks
-	workFrom        time.Duration // when the current incarnation may get work
 	absent          []*rpc.AbsentTask
 	orders          map[runRef]*order // orders in progress
 	wakeHold        chan struct{}
@@ -272,17 +270,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReplyMargin)
 	defer cancel()
-	sentAt, err := k.beginHold(t)
-	if err != nil {
+	if err := k.checkIncarnation(t); err != nil {
 		return err
 	}
 	list, err := k.runner.Hold(ctx, t.instance, external.HoldRuns{Epoch: t.epoch, Seen: t.acknowledged, Deadline: t.deadline, Wait: wait})
-	k.endHold(t, sentAt, list, err)
 	if err != nil {
 		metrics.GetOrRegisterCounter("keeper.hold_failures", k.registry).Inc(1)
 		k.recordHoldFailure(t, err)
 		return err
 	}
+	k.recordAckAnswer(t, list)
 	k.applyList(t, list)
 	return nil
 }
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -196,8 +196,6 @@
 	switch {
 	case k.worker == nil || k.worker.Draining || k.leaving():
 		return "worker drains"
-	case k.lateAcksPossible():
-		return "an acknowledgement for the earlier incarnation may reach the worker"
 	case !capacity.Fits(k.worker.Capacity):
 		return "capacity has shrunk"
 	}
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -37,7 +37,6 @@
 	for _, ref := range k.unanswered.runs(k.clock()) {
 		k.unsettled[ref] = true
 	}
-	k.awaitLateAcks(sameName)
 	k.worker = &info
 	wake(k.wakeSettle)
 }
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -190,7 +190,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	l.reportNumber++
-	r := rpc.ReportOf(k.offeredWorker())
+	r := rpc.ReportOf(*k.worker)
 	r.Beat, r.Listed = l.reportNumber, listed
 	l.answers.recordReport(l.reportNumber)
 	now := k.clock()
--- a/internal/agent/keeper/unanswered.go
+++ b/internal/agent/keeper/unanswered.go
@@ -63,29 +63,5 @@
 	}
 }
 
-// unansweredAcks holds when the calls with acknowledgements were sent that the worker has not
-// answered, in order.
-type unansweredAcks []time.Duration
-
-// begin records a call that is about to be sent.
-func (u *unansweredAcks) begin(now time.Duration) {
-	*u = append(slices.DeleteFunc(*u, func(at time.Duration) bool { return now-at > lateCallBound }), now)
-}
-
-// answered records that the call sent at the given time was answered or not sent.
-func (u *unansweredAcks) answered(sentAt time.Duration) {
-	if i := slices.Index(*u, sentAt); i >= 0 {
-		*u = slices.Delete(*u, i, i+1)
-	}
-}
-
-// lastUntil returns until when one of the calls may be executed, 0 if there is none.
-func (u unansweredAcks) lastUntil() time.Duration {
-	if len(u) == 0 {
-		return 0
-	}
-	return u[len(u)-1] + lateCallBound
-}
-
 // reset forgets all calls: a worker with another instance name refuses them.
 func (u *unansweredStarts) reset() { u.calls = nil }
