agent: be ready once all entries know that the endpoint takes work

Cause: /readyz asked only for a healthy endpoint and one open link. An entry whose link opens later, or opened during the first health check, did not use the endpoint yet: its first heartbeat said unhealthy, and the change went only to links that were open. The next agent was stopped meanwhile.

A heartbeat follows as a link opens. An agent whose endpoint has become healthy is ready once all known entries have answered a later heartbeat, or after 5 s.

Ruled out by reading: locks held during I/O on the path of a heartbeat.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,6 +40,9 @@
 	// leaveNoticeDelay is the time for the entries to receive the heartbeat that
 	// announces a planned stop, before the agent starts to wait for its work.
 	leaveNoticeDelay = 500 * time.Millisecond
+	// entriesGrace is how long an agent whose endpoint has become healthy waits for
+	// all entries to know it before it counts as ready.
+	entriesGrace = 5 * time.Second
 )
 
 // Config describes one agent and its endpoint.
@@ -70,6 +73,7 @@
 	mu         sync.Mutex
 	permission startPermission
 	healthy    bool
+	healthyAt  time.Duration // time at which the endpoint became healthy
 	leaving    bool
 
 	loops kernel.Loops
@@ -132,10 +136,12 @@
 	return nil
 }
 
-// Ready returns nil if the endpoint is healthy and an entry is linked.
+// Ready returns nil if the endpoint is healthy, an entry is linked, and all entries
+// know the health or entriesGrace is over.
 func (a *Agent) Ready() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	unanswered := a.links.unanswered(a.healthyAt)
 	switch {
 	case a.leaving:
 		return errors.New("leaving")
@@ -143,6 +149,8 @@
 		return errors.Errorf("endpoint of %q does not answer", a.cfg.ID)
 	case a.links.openCount() == 0:
 		return errors.New("no entry is linked")
+	case unanswered != "" && a.now()-a.healthyAt < entriesGrace:
+		return errors.Errorf("the entry at %q has not answered yet", unanswered)
 	}
 	return nil
 }
@@ -195,6 +203,9 @@
 	a.mu.Lock()
 	changed := a.healthy != (err == nil)
 	a.healthy = err == nil
+	if changed {
+		a.healthyAt = a.now()
+	}
 	a.mu.Unlock()
 	if !changed {
 		return
--- a/internal/agent/link.go
+++ b/internal/agent/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
@@ -39,6 +40,9 @@
 	address  string
 	outgoing chan *rpc.AgentMessage
 	cancel   context.CancelFunc
+	// echoMS is the agent's clock value in the latest of its heartbeats that the
+	// entry has answered, in ms.
+	echoMS atomic.Int64
 }
 
 // send queues a message. A session whose queue is full is closed; messages that
@@ -150,10 +154,13 @@
 			l.agent.host().handleMessage(s.entry, m)
 			continue
 		}
+		s.echoMS.Store(heartbeat.EchoClockMs)
 		if s.entry == "" {
 			s.entry = heartbeat.EntryId
 			l.setSession(s)
 			l.agent.host().linkUp(s.entry)
+			// A change announced before the session was open has not reached the entry.
+			s.send(heartbeatMessage(l.agent))
 		}
 		l.agent.handleHeartbeat(heartbeat)
 	}
--- a/internal/agent/links.go
+++ b/internal/agent/links.go
@@ -132,6 +132,22 @@
 	return out
 }
 
+// unanswered returns an address of an entry that has not answered a heartbeat sent
+// after the given time of the agent's clock, or "".
+func (s *linkSet) unanswered(after time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := ""
+	for address, l := range s.links {
+		sess := l.session()
+		answered := sess != nil && sess.echoMS.Load() > after.Milliseconds()
+		if !answered && (first == "" || address < first) {
+			first = address
+		}
+	}
+	return first
+}
+
 func (s *linkSet) openCount() int { return len(s.sessions()) }
 
 // send queues a message for one entry. The message is dropped if the entry is not
