keeper: settle a run by the deadline of its start where no stop is answered

Callers would see a job that stands still (LOST): a worker that answers lists and no order held the room of a run, and the job that it belongs to, until another owner or incarnation, as only an answered stop settled a run.

A worker refuses a start after its deadline, and one of an earlier epoch. The keeper now remembers epoch and latest deadline of the starts that it has sent to the incarnation. A complete list without the run settles it once the worker's clock is past that deadline, or the list was made under a higher epoch; no further start call of the run is made then. A run that is listed as ended needs no stop. Runs whose starts another process of the agent has sent still need an answered stop.

TestUnansweredStopIsSettledByTheStartsDeadline, TestUnansweredStopIsSettledByTheNextEpoch and TestEndSettlesUnansweredStop failed before (not settled within 5, 1 and 5 s) and pass. TestLateStartIsNotReportedAbsent fails without the check of the deadline, the first one without that check and without the refusal of further calls.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -49,6 +49,7 @@
 	accepted        map[runRef]bool  // runs that it has accepted and not listed yet
 	lost            lostRuns
 	unanswered      unansweredStarts
+	sent            sentStarts
 	unsettled       map[runRef]bool // runs of earlier incarnations that may start on this one
 	mustList        bool            // the last list was not answered
 	heartbeatNumber uint64          // number of its last heartbeat
@@ -132,6 +133,7 @@
 	k.listedEpoch, k.acknowledged, k.ackAnswered, k.leftAt, k.exitDeniedAt, k.gone = 0, 0, 0, 0, 0, false
 	k.absent = nil
 	k.orders = map[runRef]*order{}
+	k.sent.reset()
 }
 
 // holdLoop extends the lease and waits for runs to end.
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -230,7 +230,8 @@
 
 // settleRun stops a run, which also prevents a delayed start call from starting it, and then
 // awaits what a later list shows of it. A list without an answer does not make it stop the run
-// again: both calls would have to be answered in turn, by a worker that answers few.
+// again: both calls would have to be answered in turn, by a worker that answers few. A worker
+// may answer no stop at all: a run is settled too once it has ended, or can't begin any more.
 func (k *Keeper) settleRun(ctx context.Context, t callTarget, ref runRef, reason string) {
 	s := settling{ref: ref, since: k.clock()}
 	attempt, stopped := 0, false
@@ -244,6 +245,9 @@
 			stopped = err == nil
 			attempt++
 		}
+		if !stopped && k.recordWithoutStop(t, ref, reason) {
+			return
+		}
 		if stopped {
 			if err = k.hold(ctx, 0); err == nil {
 				k.awaitPresence(ctx, t, &s, reason)
@@ -301,6 +305,27 @@
 	return true
 }
 
+// recordWithoutStop reports whether the last list under t settles a run whose stop was not
+// answered: the run has ended, or is neither there nor can begin any more. It reports the latter
+// absent.
+func (k *Keeper) recordWithoutStop(t callTarget, ref runRef, reason string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.current(t) || k.listedEpoch != t.epoch {
+		return false
+	}
+	switch k.runs.Presence(ref.task, ref.run) {
+	case graph.PresenceListed:
+		return !k.listedRunning(ref)
+	case graph.PresenceAbsent:
+		if k.sent.closeIfOver(ref, k.runs, k.listedEpoch) {
+			k.addAbsent(ref, reason)
+			return true
+		}
+	}
+	return false
+}
+
 // isCurrent reports whether the worker's incarnation and the epoch are still those
 // of t.
 func (k *Keeper) isCurrent(t callTarget) bool {
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -170,8 +170,12 @@
 	if !k.mayExtendLease() {
 		return 0, errors.Annotate(external.ErrUnavailable, "the worker has not answered lately and gets no lease")
 	}
+	deadline = k.nextDeadline()
+	if !k.sent.begin(ref, t.epoch, deadline, k.clock()) {
+		return 0, errors.Annotate(errStartRevoked, "the run was reported absent")
+	}
 	k.unanswered.begin(ref, k.clock())
-	return k.nextDeadline(), nil
+	return deadline, nil
 }
 
 // endStart records the outcome of a start call.
