plan: claim no room of runs whose stop has no outcome for long

Callers would see an urgent job within its guarantee that does not start (RECLAIM), or a job that stands still (LOST): a search for victims counted all units that are being stopped as ended. Where such a stop had no outcome, as the worker answers no order, a unit claimed that room without stopping anybody, gave it up after claimTimeout and claimed it again, without end.

The search counts a unit as ended only while its stop is not older than claimTimeout, so the next search stops others.

TestGuaranteeClaimsNoRoomOfRunsWithoutOutcome failed before for a job that arrives with the stop and 3 s after it (not started within 2.9 s) and passes. Tests of claims, evictions, preemption, headroom, idle pools and the plan machines: green (80 s).

--- a/internal/graph/plan/eviction.go
+++ b/internal/graph/plan/eviction.go
@@ -45,13 +45,13 @@
 	candidateIndex map[*worker]int
 }
 
-// newEvictionTrial returns a trial in which the units that are being stopped
-// already have ended.
-func newEvictionTrial(u *unit, g workerGroup) *evictionTrial {
+// newEvictionTrial returns a trial in which the units that are being stopped already have
+// ended, if they may be expected to end within the time of a claim.
+func (c *Core) newEvictionTrial(u *unit, g workerGroup) *evictionTrial {
 	candidates := slices.Clone(g.candidates)
 	for i, s := range candidates {
 		for _, m := range s.members {
-			if m.unit.stopping {
+			if m.unit.stopping && c.now-m.unit.history.stoppingAt <= c.claimTimeout() {
 				candidates[i].available = candidates[i].available.Add(m.unit.step.Needs)
 			}
 		}
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -94,6 +94,7 @@
 	// absent once it has tried them for simStartTries.
 	ignoresStarts bool
 	ignored       []ignoredStart
+	ignoresOrders bool // starts and stops have no effect and no outcome
 	runs          []*simRun
 	ended         []graph.RunEnd
 	lastAcked     uint64
@@ -464,6 +465,9 @@
 func (s *sim) startRun(w *simWorker, a StartRun) {
 	s.starts++
 	u := s.unitOf(a.Task)
+	if w.ignoresOrders {
+		return
+	}
 	if w.highestEnded[a.Task.String()] >= a.Run {
 		w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "old"})
 		w.reportNow = true
@@ -592,6 +596,9 @@
 }
 
 func (s *sim) stopRun(w *simWorker, a StopRun) {
+	if w.ignoresOrders {
+		return
+	}
 	key := a.Task.String()
 	for _, r := range w.runs {
 		if r.task == a.Task && r.run == a.Run {
--- a/internal/graph/plan/reclaim.go
+++ b/internal/graph/plan/reclaim.go
@@ -128,7 +128,7 @@
 // loss, or returns nil. It evicts units greedily, the least loss per freed core
 // first, until the unit fits, and then restores those that are not needed.
 func (c *Core) planEviction(u *unit, g workerGroup, reason Reason) *evictionPlan {
-	trial := newEvictionTrial(u, g)
+	trial := c.newEvictionTrial(u, g)
 	victims := c.evictableUnits(u, g, reason, trial)
 	slices.SortStableFunc(victims, func(a, b victim) int { return cmp.Compare(a.lossPerCore, b.lossPerCore) })
 	evicted := 0
--- a/internal/graph/plan/victims.go
+++ b/internal/graph/plan/victims.go
@@ -57,7 +57,7 @@
 
 // planClaim finds victims within a group, or returns nil if they do not make room.
 func (c *Core) planClaim(u *unit, g workerGroup, rule victimRule) *evictionPlan {
-	trial := newEvictionTrial(u, g)
+	trial := c.newEvictionTrial(u, g)
 	s := &claimSearch{trial: trial, evicted: map[*unit]bool{}, victims: make([][]victim, len(g.candidates)), offers: make([]offer, len(g.candidates))}
 	for _, v := range c.evictableUnits(u, g, ReasonReclaimed, trial) {
 		if rule == ruleSparing && c.sparedFor(u, v) {
