plan: count no room of unlisted runs that are being stopped as used

What a worker's last list does not show and is being stopped is left out where the owner asks how much is in use.

--- a/internal/graph/plan/headroom.go
+++ b/internal/graph/plan/headroom.go
@@ -213,7 +213,7 @@
 	used, total := 0.0, 0.0
 	for _, w := range c.sortedWorkers {
 		if c.usableForHeadroom(w) {
-			used += w.used.Add(w.unknownUse).Add(w.claimed).Cores()
+			used += w.inUse().Add(w.claimed).Cores()
 			total += w.info.Capacity.Cores()
 		}
 	}
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
 // Reservations, racks and failures of workers are reasons to wait for a better place. A job
@@ -74,13 +76,26 @@
 	var used, total float64 // core equivalents
 	for _, w := range c.sortedWorkers {
 		if w.info.Pool == pool && w.connected() {
-			used += w.used.Add(w.unknownUse).Cores()
+			used += w.inUse().Cores()
 			total += w.info.Capacity.Cores()
 		}
 	}
 	return used < idleFleetPart*total
 }
 
+// inUse returns what runs use of a worker. Runs that are being stopped and that its last list
+// does not show hold their room until their outcome is known, which may take long at a worker
+// that leaves orders unanswered; to callers that room is free.
+func (w *worker) inUse() graph.Resources {
+	sum := w.used.Add(w.unknownUse)
+	for _, m := range w.members {
+		if m.stopping && !m.listedLast() {
+			sum = sum.Sub(m.unit.step.Needs)
+		}
+	}
+	return sum
+}
+
 // idleFor reports whether a job has had nothing running on an idle pool for d. Once a unit of
 // it is placed, the others wait like those of other jobs.
 func (c *Core) idleFor(j *job, d time.Duration) bool {
--- a/internal/graph/plan/idle_test.go
+++ b/internal/graph/plan/idle_test.go
@@ -107,3 +107,27 @@
 		t.Errorf("%d of 6 tasks started in the room reserved for another job, want 1", n)
 	}
 }
+
+// TestRunsWithoutOutcomeKeepNoPoolBusy guards against a gang that waits for one rack without end, as workers that answer no order hold room in which nothing runs.
+func TestRunsWithoutOutcomeKeepNoPoolBusy(t *testing.T) {
+	const workers, silent = 24, 15
+	s := newSim(workers, graph.Resources{MilliCPU: 16000, Accelerators: 8}, loadPolicy(), t.Fatalf, deployedFeatures...)
+	for i, w := range s.workers {
+		if w.ignoresOrders = i%2 == 0 || i < 6; w.ignoresOrders {
+			w.info.Labels = []string{"silent"}
+		}
+	}
+	s.runUntil(time.Second)
+	held := crashJob("held", silent, 8, false)
+	held.Steps[0].RequiredLabel = "silent"
+	s.submit(held)
+	s.runUntil(2 * time.Second)
+	s.cancel(held)
+	tight := crashJob("tight", 2, 8, true)
+	tight.Steps[0].SameRack = true
+	s.submit(tight)
+	s.runUntil(5 * time.Second)
+	if tight.lastStartAt == 0 {
+		t.Errorf("not started within 3s, though nothing runs on any of %d workers", workers)
+	}
+}
