standin: an acknowledgement forgets only ends that exist

An acknowledgement for the earlier incarnation was answered by the next one, which ran nothing yet; the stand-in kept its number and forgot the ends that followed.

The platform's workers don't. PROTOCOL.md says that "ends up to last_seen are forgotten". The stand-in is stricter nowhere else for it: an end that exists is forgotten as before, also by a call executed late.

AckDelay delays only calls with acknowledgements, for tests.

--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
@@ -31,7 +32,6 @@
 	startTime      time.Time
 	epoch          uint64
 	leaseEnd       time.Time
-	acknowledged   uint64
 	lastEndNumber  uint64
 	runs           map[graph.TaskID]*activeRun
 	unacknowledged []graph.RunEnd
@@ -43,6 +43,7 @@
 	spans          []*RunSpan // in order of their starts
 	faults         RunnerFaults
 	down           bool // crashed and not back yet
+	lateAcks       atomic.Int32
 }
 
 const (
@@ -60,6 +61,8 @@
 	// HoldDelay, if positive, is the time after which the leases and acknowledgements of
 	// Hold calls take effect. They get no answer.
 	HoldDelay time.Duration
+	// AckDelay is HoldDelay for the Hold calls that acknowledge ends.
+	AckDelay time.Duration
 	// Unhealthy refuses starts as an unhealthy worker does.
 	Unhealthy bool
 }
@@ -108,7 +111,7 @@
 	r.startCount++
 	r.down = false
 	r.startTime = time.Now()
-	r.epoch, r.acknowledged, r.lastEndNumber = 0, 0, 0
+	r.epoch, r.lastEndNumber = 0, 0
 	r.leaseEnd = time.Time{}
 	r.runs, r.unacknowledged, r.highestStopped = map[graph.TaskID]*activeRun{}, nil, map[graph.TaskID]uint64{}
 	r.endedSpans, r.expiredAt = map[uint64]*RunSpan{}, time.Time{}
@@ -309,11 +312,15 @@
 func (r *Runner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
 	r.mu.Lock()
 	silent, down, late := r.faults.DropCalls, r.down, r.faults.HoldDelay
+	if o.Seen > 0 {
+		late = max(late, r.faults.AckDelay)
+	}
 	r.mu.Unlock()
 	if down {
 		return external.RunList{}, external.ErrUnavailable
 	}
 	if late > 0 {
+		r.countLateAck(o)
 		time.AfterFunc(late, func() {
 			_, _ = r.holdNow(context.Background(), external.HoldRuns{Epoch: o.Epoch, Seen: o.Seen, Deadline: o.Deadline})
 		})
@@ -325,6 +332,15 @@
 	return r.holdNow(ctx, o)
 }
 
+func (r *Runner) countLateAck(o external.HoldRuns) {
+	if o.Seen > 0 {
+		r.lateAcks.Add(1)
+	}
+}
+
+// LateAcks returns the number of Hold calls whose acknowledgements take effect late.
+func (r *Runner) LateAcks() int { return int(r.lateAcks.Load()) }
+
 func (r *Runner) holdNow(ctx context.Context, o external.HoldRuns) (external.RunList, error) {
 	r.mu.Lock()
 	r.enforceLease()
@@ -333,8 +349,7 @@
 		return external.RunList{}, external.ErrRunStaleEpoch
 	}
 	r.extendLease(o.Deadline)
-	r.acknowledged = max(r.acknowledged, o.Seen)
-	r.dropAcknowledged()
+	r.dropAcknowledged(o.Seen)
 	if len(r.unacknowledged) == 0 && o.Wait > 0 {
 		r.waitForEnd(ctx, o.Wait)
 	}
@@ -358,8 +373,10 @@
 	r.mu.Lock()
 }
 
-func (r *Runner) dropAcknowledged() {
-	for len(r.unacknowledged) > 0 && r.unacknowledged[0].Number <= r.acknowledged {
+// dropAcknowledged forgets the ends up to a number. Ends that follow are kept whatever their
+// numbers.
+func (r *Runner) dropAcknowledged(number uint64) {
+	for len(r.unacknowledged) > 0 && r.unacknowledged[0].Number <= number {
 		end := r.unacknowledged[0]
 		if span := r.endedSpans[end.Number]; end.Kind == graph.EndDone && r.expiredAt.Before(span.End) {
 			span.DoneNoted = true
