plan, graphs: ends of an unreadable job are stored beside its rows

What callers would see: a job with a row that cannot be decoded is left out, and the ends of its runs are kept unacknowledged. Ends that hold back stored ends of other jobs for 10 minutes were given up: once the row was repaired after that, a task that was done ran again (TWICE). The same happened where the worker started again before the repair, as the owner forgot its unacknowledged ends with it.

Cause: the owner had no place for the effect of an end but the progress of the job, which it can't write as long as it can't read it.

Stored ends are acknowledged at once, so that they hold back nobody. Ends are applied once the job can be read, by this owner or a later one, and the save of the progress that contains them removes the row in the same transaction. Ends that the table does not take there either are given up as before, but this owner still applies those that it has kept.

The simulator lets a start be refused for room, without a failure, on a worker that still has runs of a job that the owner cannot read: the owner does not know what they need. No other test has such jobs. TestOddProgressRowRemovesNoOtherJob expects the row of ends among the rows that are removed with a job, which costs one more read for each removed job.

--- a/internal/entry/graphs/oddrows_test.go
+++ b/internal/entry/graphs/oddrows_test.go
@@ -207,7 +207,7 @@
 			t.Error(err)
 		}
 	}
-	if want := []string{jobKey("00000000000000ff"), cancelKey("00000000000000ff")}; !slices.Equal(table.keys, want) {
+	if want := []string{jobKey("00000000000000ff"), cancelKey("00000000000000ff"), endsKey("00000000000000ff")}; !slices.Equal(table.keys, want) {
 		t.Errorf("removes %v, want %v", table.keys, want)
 	}
 }
--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -109,6 +109,8 @@
 type progressRows struct {
 	version uint64    // of the row or the head, 0 if it does not exist
 	parts   []partRow // nil while the progress is in one row
+	// ends is the version of the row of ends, which a save removes; nil for none.
+	ends *rowVersion
 }
 
 type partRow struct {
@@ -124,11 +126,26 @@
 	// after the first.
 	parts   []partRow
 	written []int
+	// endsVersion is that of the row of ends, of which the removal is the last write; 0
+	// for none.
+	endsVersion uint64
 }
 
-// prepare returns the writes of a save. The head is always among them: its version
-// orders the saves of a job, also those whose outcome is unknown.
+// prepare returns the writes of a save, with the removal of the ends that it contains.
 func (r *progressRows) prepare(a plan.SaveProgress, maxBytes int) pendingRows {
+	out := r.prepareProgress(a, maxBytes)
+	if r.ends != nil {
+		out.endsVersion = r.ends.Load()
+	}
+	if out.endsVersion > 0 {
+		out.writes = append(out.writes, ledger.Write{Key: endsKey(a.Job), Version: out.endsVersion, Delete: true})
+	}
+	return out
+}
+
+// prepareProgress returns the writes of a progress. The head is always among them: its version
+// orders the saves of a job, also those whose outcome is unknown.
+func (r *progressRows) prepareProgress(a plan.SaveProgress, maxBytes int) pendingRows {
 	if r.parts == nil {
 		data := ledger.Encode(a.Progress)
 		if len(data) <= maxBytes {
@@ -187,6 +204,9 @@
 	for i, number := range p.written {
 		r.parts[number].version, r.parts[number].known = rows[i+1].Version, true
 	}
+	if p.endsVersion > 0 {
+		r.ends.CompareAndSwap(p.endsVersion, 0)
+	}
 }
 
 // conflicted records the current versions of the rows of a save that conflicted. What
@@ -202,6 +222,9 @@
 	for i := range r.parts {
 		r.parts[i].known = false
 	}
+	if p.endsVersion > 0 {
+		r.ends.CompareAndSwap(p.endsVersion, rows[len(p.writes)-1].Version)
+	}
 }
 
 // release frees the memory of a job that will hardly be saved again: it is final, and no
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -366,6 +366,9 @@
 			return errors.Trace(err)
 		case j == nil || j.job == nil && j.err == nil:
 			removed = append(removed, id)
+			if err := t.store.removeEnds(ctx, j); err != nil {
+				return errors.Trace(err)
+			}
 		default:
 			jobs = append(jobs, j)
 		}
--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -22,7 +22,8 @@
 
 // Row keys. A job has up to three rows: the request, written once by the entry
 // that accepts it; its cancellation, written once by any entry; and its progress,
-// written only by the owner. A large progress has further rows, see partsPrefix.
+// written only by the owner. A large progress has further rows, see partsPrefix, and one
+// that cannot be written has a row with ends beside it, see endsSuffix.
 const (
 	// graphPrefix is the prefix of all rows of this package.
 	graphPrefix    = "graph/"
@@ -205,7 +206,10 @@
 	partCount int             // of the progress; 0 if it is in one row
 	parts     map[int]partRow // by number
 	rows      progressRows
-	err       error // of the first row that could not be decoded
+	ends      []graph.RunEnd // that the progress lacks
+	err       error          // of the first row that could not be decoded
+
+	endsVersion uint64 // of the row of ends, 0 if it does not exist
 }
 
 func (s *storedJob) state() graph.State {
@@ -252,10 +256,19 @@
 }
 
 func (s *storedJob) decodeRow(id graph.JobID, kind string, part int, r ledger.Row) error {
+	if kind == endsSuffix {
+		s.endsVersion = r.Version
+	}
 	if r.Unreadable {
 		return errors.NotValidf("row %q", r.Key)
 	}
 	switch kind {
+	case endsSuffix:
+		ends, err := decodeEnds(id, r.Data)
+		if err != nil {
+			return errors.Annotatef(err, "row %q", r.Key)
+		}
+		s.ends = ends
 	case jobSuffix:
 		s.job = &graph.Job{}
 		if err := json.Unmarshal(r.Data, s.job); err != nil {
@@ -391,7 +404,7 @@
 					return err
 				}
 			}
-			return s.deleteRows(ctx, jobKey(id), cancelKey(id))
+			return s.deleteRows(ctx, jobKey(id), cancelKey(id), endsKey(id))
 		},
 	}
 }
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -46,9 +46,10 @@
 	mu           sync.Mutex
 	core         *plan.Core
 	progressRows map[graph.JobID]*progressRows
-	sessions     map[string]*session // by worker ID
-	unflushed    map[*session]bool   // with orders that their senders have not been told of
-	policy       *policy.Snapshot    // in force; nil before the first
+	endsVersions map[graph.JobID]*rowVersion // of jobs that have or had a row with ends
+	sessions     map[string]*session         // by worker ID
+	unflushed    map[*session]bool           // with orders that their senders have not been told of
+	policy       *policy.Snapshot            // in force; nil before the first
 	pacer        passPacer
 	passArranged bool // a timer will run the next pass
 	closed       bool
@@ -78,6 +79,7 @@
 		reportTurn:   make(chan struct{}, 1),
 		queryTurn:    make(chan struct{}, 1),
 		progressRows: map[graph.JobID]*progressRows{},
+		endsVersions: map[graph.JobID]*rowVersion{},
 		sessions:     map[string]*session{},
 		unflushed:    map[*session]bool{},
 	}
@@ -107,6 +109,9 @@
 	t.withCore(func() {
 		var events []plan.Event
 		for _, j := range jobs {
+			if j.endsVersion > 0 && t.endsVersions[j.id] == nil {
+				t.endsVersionOf(j.id).Store(j.endsVersion)
+			}
 			// The feed brings the head of a progress without its parts.
 			onlyHead := errors.Is(j.err, errPartMissing) && t.knowsJob(j.id)
 			if j.err != nil && !onlyHead {
@@ -115,7 +120,7 @@
 					t.log.Error().Err(j.err).Str("job", string(j.id)).Int("suppressed", suppressed).Msg("job skipped: a row of it cannot be decoded")
 				}
 				if validJobID(j.id) {
-					events = append(events, plan.JobUnreadable{Job: j.id})
+					events = append(events, plan.JobUnreadable{Job: j.id, Ends: j.ends})
 				}
 				continue
 			}
@@ -123,7 +128,7 @@
 				if j.progress != nil && t.progressRows[j.id] == nil {
 					t.progressRows[j.id] = &j.rows
 				}
-				events = append(events, plan.JobSubmitted{Job: j.job, Progress: j.progress})
+				events = append(events, plan.JobSubmitted{Job: j.job, Progress: j.progress, Ends: j.ends})
 			}
 			if j.cancelled {
 				events = append(events, plan.JobCancelled{Job: j.id})
@@ -143,6 +148,7 @@
 	if t.progressRows[id] == nil {
 		t.progressRows[id] = &progressRows{}
 	}
+	t.progressRows[id].ends = t.endsVersions[id]
 	return t.progressRows[id]
 }
 
@@ -277,6 +283,9 @@
 		case plan.SaveProgress:
 			go t.saveProgress(a, t.progressRowsOf(a.Job))
 			continue
+		case plan.SaveEnds:
+			go t.saveEnds(a, t.endsVersionOf(a.Job))
+			continue
 		}
 		if !ownershipChecked && !t.ownsScheduling() {
 			t.cancel(errors.New("ownership is over"))
@@ -399,28 +408,16 @@
 // content or the term ends.
 func (t *term) saveProgress(a plan.SaveProgress, rows *progressRows) {
 	start := time.Now()
-	for attempt := 0; t.ctx.Err() == nil; attempt++ {
-		fenceVersion, err := t.store.SaveProgress(t.ctx, t.fenceVersion, a, rows)
-		switch {
-		case err == nil:
-			metrics.GetOrRegisterTimer("plan.save", t.registry).UpdateSince(start)
-			t.recordSaved(a, rows)
-			return
-		case errors.Is(err, ledger.ErrConflict) && fenceVersion != t.fenceVersion:
-			t.cancel(errors.Annotatef(err, "another owner has begun its term"))
-			return
-		case errors.Is(err, ledger.ErrConflict): // the rows are known now
-		case errors.Is(err, ledger.ErrRejected):
-			t.log.Error().Err(err).Str("job", string(a.Job)).Int("tasks", len(a.Progress.Tasks)).Msg("job progress cannot be stored")
-			t.step(plan.SaveRejected{Job: a.Job, Number: a.Number})
-			return
-		default:
-			metrics.GetOrRegisterCounter("plan.save_retries", t.registry).Inc(1)
-			if attempt == 0 && t.ctx.Err() == nil {
-				t.log.Warn().Err(err).Str("job", string(a.Job)).Msg("failed to save job progress; retrying")
-			}
-			kernel.Sleep(t.ctx, saveRetryInterval)
-		}
+	err := t.retrySave(string(a.Job), func() (uint64, error) {
+		return t.store.SaveProgress(t.ctx, t.fenceVersion, a, rows)
+	})
+	switch {
+	case err == nil:
+		metrics.GetOrRegisterTimer("plan.save", t.registry).UpdateSince(start)
+		t.recordSaved(a, rows)
+	case errors.Is(err, ledger.ErrRejected):
+		t.log.Error().Err(err).Str("job", string(a.Job)).Int("tasks", len(a.Progress.Tasks)).Msg("job progress cannot be stored")
+		t.step(plan.SaveRejected{Job: a.Job, Number: a.Number})
 	}
 }
 
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -65,7 +65,8 @@
 	firstReportAt time.Duration
 	unsavedJobs   []*job
 	unreadable    map[graph.JobID]bool // jobs with rows that cannot be read
-	rejectedJobs  []*job               // may have to be saved again after a pause
+	keptEnds      map[graph.JobID]*keptEnds
+	rejectedJobs  []*job // may have to be saved again after a pause
 	lastSavedAt   time.Duration
 	sched         schedulingState
 	// needsScheduling is set when an event changes something that placement depends
@@ -85,7 +86,7 @@
 	if cfg.StopTime == 0 {
 		cfg.StopTime = defaultStopTime
 	}
-	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, unreadable: map[graph.JobID]bool{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
+	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, unreadable: map[graph.JobID]bool{}, keptEnds: map[graph.JobID]*keptEnds{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
 		speeds: newSpeedModel(cfg.Features), runTimes: &runtimes.Model{}, observed: map[string]observedRuns{}}
 }
 
@@ -136,7 +137,7 @@
 	case JobCancelled:
 		c.cancelJob(e.Job)
 	case JobUnreadable:
-		c.markUnreadable(e.Job)
+		c.markUnreadable(e)
 	case JobRemoved:
 		c.removeUnreadable(e.Job)
 	case WorkerReport:
@@ -147,6 +148,8 @@
 		c.handleSaved(e)
 	case SaveRejected:
 		c.handleSaveRejected(e)
+	case EndsSaved:
+		c.handleEndsSaved(e)
 	case PolicyChanged:
 		c.policy = e.Policy
 		c.needsScheduling = true
@@ -298,6 +301,7 @@
 	j.rejected = false
 	c.lastSavedAt = c.now
 	j.durableState = j.stateInSave
+	delete(c.keptEnds, j.ID) // the progress shows them
 	then := j.afterCurrentSave
 	j.afterCurrentSave = nil
 	for _, a := range then {
--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -141,7 +141,9 @@
 	jobs         []*simJob
 	byID         map[graph.JobID]*simJob
 	rows         map[graph.JobID]graph.Progress
-	rejectSave   func(SaveProgress) bool // nil for none
+	rejectSave   func(SaveProgress) bool        // nil for none
+	ends         map[graph.JobID][]graph.RunEnd // stored beside rows
+	unreadable   map[graph.JobID]bool           // new owners cannot read the rows of these
 	hasRow       map[graph.JobID]bool
 	orders       []simOrder
 	policy       *policy.Snapshot
@@ -177,7 +179,7 @@
 }
 
 func newSim(workers int, capacity graph.Resources, p *policy.Snapshot, fail func(string, ...any), features ...feature.Feature) *sim {
-	s := &sim{features: feature.NewSet(features...), byID: map[graph.JobID]*simJob{}, rows: map[graph.JobID]graph.Progress{}, hasRow: map[graph.JobID]bool{}, policy: p, fail: fail,
+	s := &sim{features: feature.NewSet(features...), byID: map[graph.JobID]*simJob{}, rows: map[graph.JobID]graph.Progress{}, ends: map[graph.JobID][]graph.RunEnd{}, unreadable: map[graph.JobID]bool{}, hasRow: map[graph.JobID]bool{}, policy: p, fail: fail,
 		stopTime: simStopTime, checkpointInterval: 1, crashLimit: 3}
 	for i := range workers {
 		zone := i / 4
@@ -258,10 +260,19 @@
 		if !s.hasRow[j.ID] {
 			continue
 		}
-		s.step(JobSubmitted{Job: j.Job, Progress: s.storedProgress(j.ID)})
-		if j.cancelled > 0 {
-			s.step(JobCancelled{j.ID})
-		}
+		s.load(j)
+	}
+}
+
+// load passes the rows of a job to the owner.
+func (s *sim) load(j *simJob) {
+	if s.unreadable[j.ID] {
+		s.step(JobUnreadable{Job: j.ID, Ends: s.ends[j.ID]})
+		return
+	}
+	s.step(JobSubmitted{Job: j.Job, Progress: s.storedProgress(j.ID), Ends: s.ends[j.ID]})
+	if j.cancelled > 0 {
+		s.step(JobCancelled{j.ID})
 	}
 }
 
@@ -387,7 +398,19 @@
 			return
 		}
 		s.rows[a.Job] = a.Progress
+		delete(s.ends, a.Job)
 		s.step(ProgressSaved{Job: a.Job, Number: a.Number})
+	case SaveEnds:
+		if s.storeDown {
+			order.deliverAt = s.now + simStep
+			s.orders = append(s.orders, order)
+			return
+		}
+		if order.core != s.core {
+			return // fenced off
+		}
+		s.ends[a.Job] = a.Ends
+		s.step(EndsSaved{Job: a.Job, Number: a.Number})
 	case StartRun:
 		if w := s.reachableWorker(a.Worker, a.Incarnation, order); w != nil {
 			s.startRun(w, a)
@@ -495,7 +518,10 @@
 	s.checkStart(w, u, a)
 	if !w.used().Add(u.step.Needs).Fits(w.info.Capacity) {
 		s.rejected++
-		s.fail("%v does not fit on %s", a.Task, w.info.ID)
+		// The owner does not know what runs of a job need that it cannot read.
+		if !slices.ContainsFunc(w.runs, func(r *simRun) bool { return s.unreadable[r.task.Job] }) {
+			s.fail("%v does not fit on %s", a.Task, w.info.ID)
+		}
 		w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "room"})
 		w.reportNow = true
 		return
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -300,6 +300,43 @@
 	})
 }
 
+// TestPlanMachineWithUnreadableJobs checks the same with jobs whose rows some owners cannot read,
+// until they are repaired. It guards against tasks that start again after an owner that could not
+// store their ends has acknowledged them.
+func TestPlanMachineWithUnreadableJobs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPlanMachine(t)
+		actions := m.actions()
+		actions["damage"] = func(t *rapid.T) {
+			m.storeDown = true // ends gather
+			m.runUntil(m.now + time.Duration(rapid.IntRange(100, 5000).Draw(t, "ms"))*time.Millisecond)
+			m.storeDown = false
+			for _, j := range m.jobs {
+				if j.final == "" && m.rnd.Intn(2) == 0 {
+					m.unreadable[j.ID] = true
+				}
+			}
+			m.takeOver()
+			m.runUntil(m.now + time.Second)
+		}
+		actions["repair"] = func(*rapid.T) { m.repair() }
+		m.runUntil(time.Second)
+		t.Repeat(actions)
+		m.repair()
+		m.recoverAndCheck(t)
+	})
+}
+
+// repair makes the rows of all jobs readable again.
+func (m *planMachine) repair() {
+	for _, j := range m.jobs {
+		if m.unreadable[j.ID] {
+			delete(m.unreadable, j.ID)
+			m.load(j)
+		}
+	}
+}
+
 func checkMachine(t *rapid.T, features ...feature.Feature) *planMachine {
 	m := newPlanMachine(t, features...)
 	m.check(t)
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -25,10 +25,12 @@
 	}
 	c.observeDemand(j)
 	c.emit(Notice{Reason: ReasonAccepted, Job: j.ID, Detail: j.describe()})
+	c.restoreKeptEnds(j.ID, e.Ends)
 	if c.unreadable[j.ID] {
 		delete(c.unreadable, j.ID)
 		c.processHeldEnds(j.ID)
 	}
+	c.applyKeptEnds(j)
 }
 
 // describe returns a one-line summary of the job for the log.
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -24,18 +24,22 @@
 type Event interface{ event() }
 
 // JobSubmitted adds a job that is stored in the table, with its progress if it
-// has any.
+// has any, and the ends of SaveEnds that are stored beside it.
 type JobSubmitted struct {
 	Job      *graph.Job
 	Progress *graph.Progress
+	Ends     []graph.RunEnd
 }
 
 // JobCancelled reports that the cancellation of a job is stored in the table.
 type JobCancelled struct{ Job graph.JobID }
 
 // JobUnreadable reports that rows of a job in the table cannot be read. JobSubmitted or
-// JobRemoved follows once they can, or are gone.
-type JobUnreadable struct{ Job graph.JobID }
+// JobRemoved follows once they can, or are gone. Ends are those of SaveEnds that are stored.
+type JobUnreadable struct {
+	Job  graph.JobID
+	Ends []graph.RunEnd
+}
 
 // JobRemoved reports that a job that was unreadable is not in the table any more.
 type JobRemoved struct{ Job graph.JobID }
@@ -125,6 +129,14 @@
 	Number uint64
 }
 
+// EndsSaved reports that the ends with this number are stored in the table, or that it
+// rejects them.
+type EndsSaved struct {
+	Job      graph.JobID
+	Number   uint64
+	Rejected bool
+}
+
 // PolicyChanged carries a new version of the operators' configuration.
 type PolicyChanged struct{ Policy *policy.Snapshot }
 
@@ -139,6 +151,7 @@
 func (SessionClosed) event() {}
 func (ProgressSaved) event() {}
 func (SaveRejected) event()  {}
+func (EndsSaved) event()     {}
 func (PolicyChanged) event() {}
 func (Tick) event()          {}
 
@@ -201,6 +214,15 @@
 	StateOnly bool
 }
 
+// SaveEnds stores all ends of a job's runs that are kept, as its progress cannot be stored.
+// They replace those stored before. The caller answers with EndsSaved, and removes them with
+// the next save of the progress.
+type SaveEnds struct {
+	Job    graph.JobID
+	Number uint64
+	Ends   []graph.RunEnd
+}
+
 // Notice reports a decision for logging and metrics.
 type Notice struct {
 	Reason Reason
@@ -227,6 +249,7 @@
 func (GrantLease) action()      {}
 func (AcknowledgeEnds) action() {}
 func (SaveProgress) action()    {}
+func (SaveEnds) action()        {}
 func (Notice) action()          {}
 
 // Reason is the typed reason for a decision.
--- a/internal/graph/plan/unreadable.go
+++ b/internal/graph/plan/unreadable.go
@@ -6,15 +6,16 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
-// maxUnreadableHold is the time for which the ends of a job with unreadable rows may keep
-// stored ends of other jobs unacknowledged. Rows that are repaired later have lost them.
+// maxUnreadableHold is the time for which ends that cannot be stored may keep stored ends of
+// other jobs unacknowledged. After that this owner alone knows of them.
 const maxUnreadableHold = 10 * time.Minute
 
 // markUnreadable records that a job exists whose rows cannot be read. Its ends wait until
 // they can, as their effect cannot be stored.
-func (c *Core) markUnreadable(id graph.JobID) {
-	if c.jobs[id] == nil {
-		c.unreadable[id] = true
+func (c *Core) markUnreadable(e JobUnreadable) {
+	if c.jobs[e.Job] == nil {
+		c.unreadable[e.Job] = true
+		c.restoreKeptEnds(e.Job, e.Ends)
 	}
 }
 
@@ -24,20 +25,23 @@
 // removeUnreadable records that such a job does not exist any more.
 func (c *Core) removeUnreadable(id graph.JobID) {
 	delete(c.unreadable, id)
+	delete(c.keptEnds, id)
 	c.processHeldEnds(id)
 }
 
-// holdEnd keeps the end of an unreadable job.
+// holdEnd keeps the end of an unreadable job. It is acknowledged once it is stored beside the
+// rows of the job.
 func (c *Core) holdEnd(e graph.RunEnd, ack *pendingAck) {
 	c.emit(Notice{Reason: ReasonEndHeld, Job: e.Task.Job, Task: e.Task.String(), Run: e.Run, Detail: string(e.Kind)})
-	ack.held, ack.heldSince = &e, c.now
+	ack.saved = c.keepEnd(e)
+	ack.held = !ack.saved
 }
 
 // processHeldEnds processes the ends of a job that can be read now, or does not exist.
 func (c *Core) processHeldEnds(id graph.JobID) {
 	for _, w := range c.sortedWorkers {
 		for _, ack := range w.pendingAcks {
-			if ack.held != nil && ack.held.Task.Job == id {
+			if ack.held && ack.end.Task.Job == id {
 				c.processHeldEnd(w, ack)
 			}
 		}
@@ -46,18 +50,18 @@
 }
 
 func (c *Core) processHeldEnd(w *worker, ack *pendingAck) {
-	e := *ack.held
-	ack.held = nil
-	c.processEnd(w, e, ack)
+	ack.held = false
+	c.processEnd(w, ack.end, ack)
 }
 
-// watchHeldEnds gives up the held ends of a worker that hold back others for too long.
+// watchHeldEnds gives up the held ends of a worker that hold back others for too long. They
+// are applied if the job is repaired in this term.
 func (c *Core) watchHeldEnds(w *worker) {
 	var waiting []*pendingAck
 	othersWait := w.moreEnds
 	for _, ack := range w.pendingAcks {
 		switch {
-		case ack.held != nil && c.now-ack.heldSince >= maxUnreadableHold:
+		case ack.held && c.now-ack.since >= maxUnreadableHold:
 			waiting = append(waiting, ack)
 		case ack.saved && ack.job != nil:
 			othersWait = othersWait || len(waiting) > 0
@@ -67,8 +71,8 @@
 		return
 	}
 	for _, ack := range waiting {
-		c.recordLateEnd(w, *ack.held, ack)
-		ack.held = nil
+		c.recordLateEnd(w, ack.end, ack)
+		ack.held = false
 	}
 	c.acknowledgeEnds(w, false)
 }
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -65,11 +65,11 @@
 // pendingAck is a run end that is acknowledged once its effect is saved.
 type pendingAck struct {
 	number uint64
-	job    *job // nil if the owner did not track the run
+	end    graph.RunEnd
+	since  time.Duration // when it was reported
+	job    *job          // nil if the owner did not track the run
 	saved  bool
-	// held is the end while its job is unreadable, since heldSince.
-	held      *graph.RunEnd
-	heldSince time.Duration
+	held   bool // its job is unreadable
 }
 
 func (w *worker) connected() bool { return w.reported && w.session != "" && !w.lost }
@@ -357,7 +357,7 @@
 			continue
 		}
 		w.lastEndSeen = e.Number
-		ack := &pendingAck{number: e.Number}
+		ack := &pendingAck{number: e.Number, end: e, since: c.now}
 		w.pendingAcks = append(w.pendingAcks, ack)
 		c.processEnd(w, e, ack)
 	}
