plan, keeper: count each member of a run that a worker refuses

Callers would see a gang that starts late (LOST): with eight of 24 workers that answer no start, a gang of four lost run after run to them. Only the first refusal of a run counted, as the other members are being stopped then, so that the gang left one such worker with each run.

A member that is being stopped counts as refused too unless its agent says that it was stopped. The agent says so of a start that a stop has ended only if fewer than three of its calls were unanswered.

--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
@@ -26,6 +27,10 @@
 	slowSettling = 3 * time.Second
 )
 
+// refusingCalls is the number of unanswered start calls of a run from which on its worker counts
+// as having refused it.
+const refusingCalls = 3
+
 // callTimeouts bound the calls with one order, in turn. A sound worker answers within
 // milliseconds, so a call whose answer is lost is repeated soon, and one that is slow gets
 // more time later. A gang waits three seconds for its members; a start call for each bound
@@ -123,11 +128,15 @@
 		return
 	}
 	if err == nil {
-		k.settleOrder(ctx, t, ref, inProgress, "stopped")
+		k.settleOrder(ctx, t, ref, inProgress, plan.AbsentStopped)
 		return
 	}
 	k.log.Info().Err(err).Str("job", string(task.Job)).Str("task", task.String()).Uint64("run", run).Msg("start order failed or has unknown outcome")
-	k.settleOrder(ctx, t, ref, inProgress, err.Error())
+	reason := err.Error()
+	if errors.Is(err, errStopOrdered) {
+		reason = plan.AbsentStopped
+	}
+	k.settleOrder(ctx, t, ref, inProgress, reason)
 }
 
 // recordAccepted records that an incarnation of the worker has accepted a run.
@@ -143,14 +152,19 @@
 }
 
 // startWithRetries returns nil once the worker has accepted or listed the run. It makes no
-// further attempt after the worker's incarnation or the epoch has changed.
+// further attempt after the worker's incarnation or the epoch has changed. A worker that has left
+// several calls unanswered has not started the run, though its stop was ordered meanwhile.
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
 	for attempt := range callTimeouts {
 		if (attempt > 0 || !k.extendsLease()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
-		if err = k.callStart(ctx, t, startRun, rpc.CapacityOf(o), callTimeout(attempt)); !errors.Is(err, external.ErrUnavailable) {
+		called := k.callStart(ctx, t, startRun, rpc.CapacityOf(o), callTimeout(attempt))
+		if errors.Is(called, errStopOrdered) && attempt >= refusingCalls {
+			return err
+		}
+		if err = called; !errors.Is(err, external.ErrUnavailable) {
 			return err
 		}
 	}
@@ -225,7 +239,7 @@
 	if inProgress == nil {
 		return
 	}
-	k.settleOrder(ctx, k.target(), ref, inProgress, "stopped")
+	k.settleOrder(ctx, k.target(), ref, inProgress, plan.AbsentStopped)
 }
 
 // settleRun stops a run, which also prevents a delayed start call from starting it, and then
--- a/internal/agent/keeper/orders_test.go
+++ b/internal/agent/keeper/orders_test.go
@@ -72,6 +72,28 @@
 	}
 }
 
+// TestStopHidesNoRefusal guards against a worker that counts as sound, as the stop of its run's gang came before it had left the last start call unanswered, and against one that counts as refusing for the first.
+func TestStopHidesNoRefusal(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		k, runner, worker := orderedKeeper(t)
+		runner.dropStarts.Store(int32(len(callTimeouts)))
+		k.startAt(t, runner, worker)
+		ref := rpc.TaskRefOf(graph.TaskID{Job: "j"}, 7)
+		bound, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if refuses && !kernel.PollUntil(bound, time.Millisecond, func() bool { return runner.starts.Load() >= refusingCalls }) {
+			t.Fatal("no more start calls")
+		}
+		k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Stops: []*rpc.TaskRef{ref}})
+		if !reportedAbsent(k, ref, 5*time.Second) {
+			t.Fatal("not settled")
+		}
+		if reason := k.absent[0].Reason; (reason != plan.AbsentStopped) != refuses {
+			t.Errorf("after %d calls: absent as %q", runner.starts.Load(), reason)
+		}
+	}
+}
+
 // allAttempts is the longest time that the start calls of one order and the lists before
 // them take.
 const allAttempts = 2750 * time.Millisecond
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -148,13 +148,16 @@
 	return k.mustList
 }
 
-// errStartRevoked means that a start must not be sent any more, as its run was ordered to stop
-// or the worker no longer takes it.
-const errStartRevoked = errors.ConstError("start revoked")
+// errStartRevoked means that a start must not be sent any more, as the worker no longer takes
+// it; errStopOrdered, as its run was ordered to stop.
+const (
+	errStartRevoked = errors.ConstError("start revoked")
+	errStopOrdered  = errors.ConstError("the run was ordered to stop")
+)
 
 // beginStart records that a start call is about to be sent, and returns its deadline. It fails
 // if t is no longer current, with an ErrUnavailable if the worker gets no lease now, or with
-// errStartRevoked: the call must not be sent.
+// errStartRevoked or errStopOrdered: the call must not be sent.
 func (k *Keeper) beginStart(t callTarget, ref runRef, capacity graph.Resources) (deadline time.Duration, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -162,7 +165,7 @@
 		return 0, errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
 	}
 	if o := k.orders[ref]; o != nil && o.stopEpoch > 0 {
-		return 0, errors.Annotate(errStartRevoked, "the run was ordered to stop")
+		return 0, errors.Trace(errStopOrdered)
 	}
 	if reason := k.refusalOf(capacity); reason != "" {
 		return 0, errors.Annotate(errStartRevoked, reason)
--- a/internal/graph/plan/refusals_test.go
+++ b/internal/graph/plan/refusals_test.go
@@ -21,6 +21,40 @@
 	}
 }
 
+// TestGangLeavesAllWorkersThatRefuseOneRun guards against a gang that leaves one of the workers that refuse it with each of its runs.
+func TestGangLeavesAllWorkersThatRefuseOneRun(t *testing.T) {
+	const tasks, bound = 4, 8 * time.Second
+	for _, spoil := range []func(*simWorker){func(w *simWorker) { w.ignoresStarts = true }, func(w *simWorker) { w.refuses = true }} {
+		s := crashSim(t, 24)
+		for _, w := range s.workers[:2*tasks] {
+			spoil(w)
+		}
+		s.runUntil(time.Second)
+		j := crashJob("gang", tasks, 8, true)
+		s.submit(j)
+		s.mustEnd(t, j, graph.Completed, bound)
+		t.Logf("done after %v", j.finishedAt-j.submitted)
+	}
+}
+
+// TestStoppedMemberLeavesNoWorker guards against a gang that leaves the sound workers of a run that another worker has refused.
+func TestStoppedMemberLeavesNoWorker(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	h.report("w1", nil)
+	started := starts(h.step(JobSubmitted{Job: crashJob("gang", 2, 8, true).Job}))
+	for i, reason := range []string{"no answer", AbsentStopped} {
+		r := capacityReport(graph.Resources{MilliCPU: 16000, Accelerators: 8}, nil)
+		r.Worker.ID, r.Worker.Instance = started[i].Worker, "i-"+started[i].Worker
+		r.Absent = []RunAbsent{{started[i].Task, started[i].Run, reason}}
+		h.step(r)
+	}
+	left := h.unitOf("gang").refusedUntil
+	if _, refused := left[started[0].Worker]; !refused || len(left) != 1 {
+		t.Errorf("%v have refused it, want only %s", left, started[0].Worker)
+	}
+}
+
 // TestOldRefusalDrivesNoUnitBesideSuspects guards against a unit that is placed beside a task that has crashed workers, as a sound worker refused it an hour ago.
 func TestOldRefusalDrivesNoUnitBesideSuspects(t *testing.T) {
 	h := newHarness(t)
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -71,13 +71,17 @@
 	return w.Instance + "@" + strconv.FormatInt(w.StartUnixMillis, 10)
 }
 
-// RunAbsent reports that a run is not on the worker and never will be.
+// RunAbsent reports that a run is not on the worker and never will be. Reason is AbsentStopped,
+// or tells why the worker has not started it.
 type RunAbsent struct {
 	Task   graph.TaskID
 	Run    uint64
 	Reason string
 }
 
+// AbsentStopped is the reason of a run that is absent because its owner has ordered it to stop.
+const AbsentStopped = "stopped"
+
 // RunRef identifies a run of a task.
 type RunRef struct {
 	Task graph.TaskID
