plan: an older list brings back no earlier checkpoint of a gang

A gang could resume from an earlier checkpoint than one that a worker had listed: its members share their checkpoints, the lists of their workers arrive in any order, and the last one that was processed counted. Now the one that was listed last counts.

TestLateListBringsBackNoEarlierCheckpoint failed before: 'the gang resumes from checkpoint "first"'.

--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -37,6 +37,10 @@
 	speedsLearned bool
 	failures      int
 	checkpoint    string
+	// checkpointListed is set once a worker has listed a checkpoint in this term, the last
+	// one at checkpointListedAt.
+	checkpointListed   bool
+	checkpointListedAt time.Duration
 	// longCheckpoint is set once a checkpoint was too long to be kept.
 	longCheckpoint bool
 	notBefore      time.Duration
