plan: a run of a job that is not loaded holds its whole worker

A worker that does not guard its capacity would be taken over it (LIMIT): a listed run of a job that is not loaded, as its row is unreadable or gone, counted as using nothing until it ended, so that others were started beside it.

Its size is not known, so it counts as using the worker's capacity while it is listed.

TestRunOfJobThatIsNotLoadedHoldsItsWorker failed before (a start beside the run, with and without an unreadable row) and passes.

--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -250,14 +250,11 @@
 }
 
 // stopUnknownRun stops a reported run that the owner did not place on the worker,
-// and counts its resources as used until it is gone. It repeats the last stop only in
+// and counts its resources as used until it is gone: all of the worker's if its job is not
+// loaded, as the row may be unreadable or its runs outlast it. It repeats the last stop only in
 // another session or after orderTimeout, as the run is listed until it has ended.
 func (c *Core) stopUnknownRun(w *worker, r graph.RunState, last orderedStop) {
-	if j := c.jobs[r.Task.Job]; j != nil {
-		if u := j.unitOf(r.Task.Step, r.Task.Index); u != nil {
-			w.unknownUse = w.unknownUse.Add(u.step.Needs)
-		}
-	}
+	w.unknownUse = w.unknownUse.Add(c.needsOfUnknownRun(w, r.Task))
 	if w.unknownStops == nil {
 		w.unknownStops = map[RunRef]orderedStop{}
 	}
@@ -270,6 +267,16 @@
 	c.emit(StopRun{Worker: w.info.ID, Incarnation: w.info.Incarnation(), Task: r.Task, Run: r.Run, Reason: string(ReasonUnknownRun)})
 }
 
+// needsOfUnknownRun returns the most that a run which the owner did not place may use.
+func (c *Core) needsOfUnknownRun(w *worker, task graph.TaskID) graph.Resources {
+	if j := c.jobs[task.Job]; j != nil {
+		if u := j.unitOf(task.Step, task.Index); u != nil {
+			return u.step.Needs
+		}
+	}
+	return w.info.Capacity
+}
+
 func (c *Core) updateProgress(m *member, r graph.RunState, listedAt time.Duration) {
 	if !m.running {
 		m.running = true
