plan: go on with waits on an idle pool that began in an earlier term

Callers would see a job that stands still for longer than 3 s on an idle pool after a takeover (LOST): each owner began the wait after which preferences end anew.

A job that was submitted before the term is taken to have waited since then, for lastResortWait at most, once nearly all workers have reported. Something of it that runs, or a pool that is not idle, ends that. Whether the pool was idle in the earlier term is not known: at worst a job leaves its preferences 2.2 s early after a takeover of an idle pool.

TestTakeoverBeginsNoIdleWaitAnew failed before for takeovers after 0.5, 1.2 and 1.9 s of the wait (not started within 3 s) and passes; without the wait for reports it fails too. A takeover 2 s into the wait still starts the gang later than 3 s in this test, as reports take 0.9 s.

--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -84,7 +84,7 @@
 		c.keepCheckpoint(m, checkpoint)
 	}
 	if kind != graph.EndNeverStarted && kind != graph.EndWorkerLost {
-		u.job.idleSince = 0 // it ran, possibly between two lists
+		u.job.endIdleWait() // it ran, possibly between two lists
 	}
 	switch kind {
 	case graph.EndDone:
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -37,7 +37,7 @@
 	idle := map[string]bool{}
 	for _, j := range c.activeJobs {
 		if !j.standsStill(c.now) {
-			j.idleSince = 0
+			j.endIdleWait()
 			continue
 		}
 		if _, known := idle[j.Pool]; !known {
@@ -45,13 +45,16 @@
 		}
 		switch {
 		case !idle[j.Pool]:
-			j.idleSince = 0
+			j.endIdleWait()
 		case j.idleSince == 0:
 			j.idleSince = max(1, c.now)
 		}
 	}
 }
 
+// endIdleWait records that something of the job runs, or that its pool is not idle.
+func (j *job) endIdleWait() { j.idleSince, j.idleBefore = 0, 0 }
+
 // standsStill reports whether nothing of a job runs while a unit could. A unit that is placed
 // does not run before its worker tells: it may still be refused.
 func (j *job) standsStill(now time.Duration) bool {
@@ -98,8 +101,18 @@
 
 // idleFor reports whether a job has had nothing running on an idle pool for d. Once a unit of
 // it is placed, the others wait like those of other jobs.
+//
+// A wait that began in an earlier term goes on in this one once nearly all workers have
+// reported: whether the pool was idle then is not known.
 func (c *Core) idleFor(j *job, d time.Duration) bool {
-	return j.idleSince > 0 && c.now-j.idleSince >= d && !j.hasRuns()
+	if j.idleSince == 0 || j.hasRuns() {
+		return false
+	}
+	waited := c.now - j.idleSince
+	if c.firstReportOlderThan(preemptionDelay) {
+		waited += j.idleBefore
+	}
+	return waited >= d
 }
 
 // searchWithWaivers looks for a place without one preference after the other, as far as the
--- a/internal/graph/plan/idle_test.go
+++ b/internal/graph/plan/idle_test.go
@@ -131,3 +131,31 @@
 		t.Errorf("not started within 3s, though nothing runs on any of %d workers", workers)
 	}
 }
+
+// TestTakeoverBeginsNoIdleWaitAnew guards against a gang that waits for one rack for longer than callers expect, as each owner begins its wait on an idle pool anew, and against one that is spread before most workers have reported.
+func TestTakeoverBeginsNoIdleWaitAnew(t *testing.T) {
+	const mostIdle = 3 * time.Second
+	for _, waited := range []time.Duration{500 * time.Millisecond, 1200 * time.Millisecond, 1900 * time.Millisecond} {
+		s := newSim(8, graph.Resources{MilliCPU: 16000, Accelerators: 8}, loadPolicy(), t.Fatalf, deployedFeatures...)
+		for i, w := range s.workers {
+			w.info.Labels = []string{fmt.Sprintf("l%d", i)}
+		}
+		s.runUntil(time.Second)
+		for i := 0; i < len(s.workers); i += 2 {
+			small := crashJob(graph.JobID(fmt.Sprint("small", i)), 1, 1, false)
+			small.Steps[0].RequiredLabel, small.Steps[0].Estimate, small.units[0][0].work = fmt.Sprintf("l%d", i), time.Minute, time.Minute
+			s.submit(small)
+		}
+		s.runUntil(2 * time.Second)
+		tight := crashJob("tight", 2, 8, true)
+		tight.Steps[0].SameRack = true
+		s.submit(tight)
+		s.runUntil(s.now + waited)
+		s.takeOver()
+		s.runUntil(tight.submitted + mostIdle + simStep)
+		reported := s.termStart + 300*time.Millisecond + preemptionDelay
+		if tight.firstStepStartedAt == 0 || tight.firstStepStartedAt < reported {
+			t.Errorf("taken over after %v: started at %v, submitted at %v; workers have reported at %v", waited, tight.firstStepStartedAt, tight.submitted, reported)
+		}
+	}
+}
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -146,6 +146,7 @@
 	stateOnly    bool
 	arrivedAt    time.Duration // on the term's clock; negative if submitted before the term
 	idleSince    time.Duration // since when nothing has run while the pool is idle; 0 if that is not so
+	idleBefore   time.Duration // for which it may have waited so in an earlier term
 	delayReports delayReports
 }
 
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -15,6 +15,7 @@
 	c.needsScheduling = true
 	j := newJob(e.Job)
 	j.arrivedAt = min(e.Job.SubmittedAt.Sub(c.cfg.TermStart), c.now)
+	j.idleBefore = min(max(0, -j.arrivedAt), lastResortWait)
 	c.jobs[j.ID] = j
 	if e.Progress != nil {
 		c.restoreJob(j, e.Progress)
