plan: checkpoints that workers list are saved

A task whose worker crashed together with the owner, or whose crash only the next owner saw, resumed from the checkpoint of the last save of its job: those that workers had listed since were saved only once something else of the job changed, and a long run lost all of them.

--- a/internal/graph/plan/checkpoints_test.go
+++ b/internal/graph/plan/checkpoints_test.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -50,3 +52,52 @@
 		t.Errorf("after a later list the gang resumes from checkpoint %q", got)
 	}
 }
+
+// TestCheckpointOutlivesOwnerAndWorker guards against a task that loses its checkpoints as its
+// worker and the owner crash together while nothing else of its job has changed.
+func TestCheckpointOutlivesOwnerAndWorker(t *testing.T) {
+	h := newHarness(t)
+	var saves []*graph.Progress
+	step := func(ev Event) []StartRun {
+		var out []Action
+		actions := h.core.Step(h.now, ev)
+		for ; len(actions) > 0; actions = actions[1:] {
+			out = append(out, actions[0])
+			if s, ok := actions[0].(SaveProgress); ok {
+				saves = append(saves, &s.Progress)
+				actions = append(actions, h.core.Step(h.now, ProgressSaved{Job: s.Job, Number: s.Number})...)
+			}
+		}
+		return starts(out)
+	}
+	h.report("w0", nil)
+	job := checkpointJob("long", 1, false)
+	s := step(JobSubmitted{Job: job})[0]
+	placed := len(saves)
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Number: 2, WorkerResponsive: true}
+	const seconds = 20
+	for i := range 10 * seconds {
+		h.now += 100 * time.Millisecond
+		report.Running = []graph.RunState{runningAt(s, fmt.Sprint(i/5))}
+		step(report)
+		step(Tick{})
+	}
+	if n := time.Duration(len(saves) - placed); n > seconds*time.Second/checkpointSaveDelay {
+		t.Errorf("%d saves in %d s", n, seconds)
+	}
+
+	next := newHarness(t)
+	next.step(JobSubmitted{Job: job, Progress: saves[len(saves)-1]})
+	report.Worker.StartUnixMillis, report.Running = 2, nil
+	report.Lost = []RunRef{{s.Task, s.Run}}
+	again := starts(next.step(report))
+	for end := next.now + 2*simLeaseBound; len(again) == 0 && next.now < end; next.now += time.Second {
+		again = append(starts(next.step(report)), starts(next.step(Tick{}))...)
+	}
+	if len(again) != 1 {
+		t.Fatalf("%d starts by the next owner", len(again))
+	}
+	if n, err := strconv.Atoi(again[0].Checkpoint); err != nil || n < 2*seconds-5 {
+		t.Errorf("the task resumes from checkpoint %q of %d", again[0].Checkpoint, 2*seconds)
+	}
+}
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -186,6 +186,7 @@
 	c.limitQuarantines()
 	for _, j := range c.activeJobs {
 		c.watchRuns(j)
+		c.saveCheckpoints(j)
 	}
 	c.reportHeld()
 }
@@ -285,7 +286,7 @@
 			c.unsavedJobs = append(c.unsavedJobs, j)
 			continue
 		}
-		j.saveInProgress, j.changedSinceSave = true, false
+		j.saveInProgress, j.changedSinceSave, j.hasUnsavedCheckpoint = true, false, false
 		j.saveNumber++
 		j.afterCurrentSave, j.afterNextSave = j.afterNextSave, nil
 		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: j.progress(), StateOnly: j.stateOnly})
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -136,7 +136,11 @@
 	changedSinceSave bool
 	afterCurrentSave []afterSave
 	afterNextSave    []afterSave
-	rejectedSaves    int // in this term
+	// hasUnsavedCheckpoint is set from unsavedSince to the next save.
+	hasUnsavedCheckpoint bool
+	unsavedSince         time.Duration
+
+	rejectedSaves int // in this term
 	// rejected is set from a rejected save to the next one that is stored, saveAgainAt the
 	// time of the next try if nothing else changes.
 	rejected      bool
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -313,7 +313,10 @@
 	}
 	u.checkpointListed, u.checkpointListedAt = true, m.worker.listedAt
 	if graph.FitsJSON(checkpoint, graph.MaxCheckpointBytes) {
-		u.checkpoint = checkpoint
+		if u.checkpoint != checkpoint {
+			u.checkpoint = checkpoint
+			u.job.noteCheckpoint(c.now)
+		}
 		return
 	}
 	if !u.longCheckpoint {
