--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -8,8 +8,10 @@
 
 // An acknowledgement that the next incarnation under the same instance name executes makes
 // it forget ends that nobody has seen, as it numbers them anew; nothing can take it back.
-// An acknowledgement is therefore sent until it is answered, in calls that do not wait, so
-// that few are under way when a worker ends.
+// That incarnation refuses it from the first call under its own epoch on, which its owner
+// gives it before the first start. Until then, and with an owner that gives it none, it helps
+// that an acknowledgement is sent only until it is answered, in calls that do not wait: few are
+// under way when a worker ends.
 
 // checkIncarnation returns an error if the worker's incarnation has changed since t: the call
 // must not be sent.
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -246,7 +246,9 @@
 		return errStaleEpoch
 	}
 	if o.Epoch > k.epoch {
-		k.log.Info().Uint64("epoch", o.Epoch).Uint64("before", k.epoch).Msg("owner changed")
+		if rpc.TokenOfEpoch(o.Epoch) != rpc.TokenOfEpoch(k.epoch) {
+			k.log.Info().Uint64("epoch", o.Epoch).Uint64("before", k.epoch).Msg("owner changed")
+		}
 		k.epoch = o.Epoch
 		go k.relistRuns(ctx)
 	}
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -18,6 +18,7 @@
 type session struct {
 	id     string
 	worker string // once it is the worker's session; the term's lock guards it
+	epoch  uint64 // of the worker's incarnation in the last report; the term's lock guards it
 
 	mu            sync.Mutex
 	pendingOrders []*rpc.WorkerOrders // in order; each for one worker incarnation
@@ -35,17 +36,22 @@
 const maxStartsPerMessage = 200
 
 // addOrder applies change to the pending orders of a worker incarnation.
-func (s *session) addOrder(token uint64, incarnation string, change func(*rpc.WorkerOrders)) {
+func (s *session) addOrder(epoch uint64, incarnation string, change func(*rpc.WorkerOrders)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.pendingOrders)
-	if n == 0 || s.pendingOrders[n-1].Incarnation != incarnation || len(s.pendingOrders[n-1].Starts) >= maxStartsPerMessage {
-		s.pendingOrders = append(s.pendingOrders, &rpc.WorkerOrders{Epoch: token, Incarnation: incarnation})
+	if n == 0 || !takesOrder(s.pendingOrders[n-1], epoch, incarnation) {
+		s.pendingOrders = append(s.pendingOrders, &rpc.WorkerOrders{Epoch: epoch, Incarnation: incarnation})
 		n++
 	}
 	change(s.pendingOrders[n-1])
 }
 
+// takesOrder reports whether an order for a worker incarnation may be added to a message.
+func takesOrder(o *rpc.WorkerOrders, epoch uint64, incarnation string) bool {
+	return o.Epoch == epoch && o.Incarnation == incarnation && len(o.Starts) < maxStartsPerMessage
+}
+
 // flush wakes the sender if orders are pending.
 func (s *session) flush() {
 	s.mu.Lock()
@@ -133,8 +139,8 @@
 }
 
 // handleReport passes a report that was received at the given time to the core. It
-// answers the report even if there are no orders, so that the agent learns the term's
-// token and that the owner handles its reports. It returns false if the term is over, the
+// answers the report even if there are no orders, so that the agent learns its worker's
+// epoch and that the owner handles its reports. It returns false if the term is over, the
 // session has been replaced or ctx, that of its connection, has ended: an agent that has
 // given up a late owner connects anew, and its earlier report would only delay the others.
 func (t *term) handleReport(ctx context.Context, r *rpc.WorkerReport, sess *session, receivedAt time.Duration) bool {
@@ -155,7 +161,8 @@
 			return
 		}
 		answered = true
-		sess.addOrder(t.token, event.Worker.Incarnation(), func(o *rpc.WorkerOrders) { o.AnsweredBeat = r.Beat })
+		sess.epoch = max(sess.epoch, t.epochs.of(event.Worker))
+		sess.addOrder(sess.epoch, event.Worker.Incarnation(), func(o *rpc.WorkerOrders) { o.AnsweredBeat = r.Beat })
 		if r.Listed {
 			event.ListAge += t.clock() - receivedAt
 			t.handle(event)
--- a/internal/entry/graphs/session_test.go
+++ b/internal/entry/graphs/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -136,6 +137,67 @@
 	}
 }
 
+// TestEachIncarnationGetsAHigherEpoch guards against late calls that the next incarnation of a worker takes for its owner's, and against agents whose calls a worker refuses.
+func TestEachIncarnationGetsAHigherEpoch(t *testing.T) {
+	term, _, _ := newTestTerm(&fakeOwnership{now: time.Second, ends: time.Hour})
+	var last uint64
+	for i, step := range []struct {
+		host   string
+		born   int64
+		rises  bool
+		listed bool
+	}{
+		{"w", 5, true, false}, {"w", 5, false, true}, {"w", 9, true, true}, {"w", 9, false, false},
+		{"renamed", 9, false, true},
+		{"w", 3, true, true}, // its clock was set back
+		{"w", 9, true, true},
+	} {
+		sess := newSession() // as the agent may have been replaced
+		r := workerReport(step.host, uint64(i+1))
+		r.Born, r.Listed = step.born, step.listed
+		if !term.handleReport(context.Background(), r, sess, term.clock()) {
+			t.Fatalf("report %d refused", i)
+		}
+		orders := sess.takeOrders()
+		epoch := orders[0].Epoch
+		if epoch < last || (epoch > last) != step.rises || rpc.TokenOfEpoch(epoch) != term.token {
+			t.Errorf("report %d: epoch %#x after %#x, rises %v", i, epoch, last, step.rises)
+		}
+		for _, o := range orders {
+			if o.Epoch != epoch {
+				t.Errorf("report %d: orders under %#x and %#x", i, epoch, o.Epoch)
+			}
+		}
+		last = epoch
+	}
+}
+
+// TestEpochsStayWithinTheirTerm guards against an epoch that belongs to the next term, and one below what a worker has seen.
+func TestEpochsStayWithinTheirTerm(t *testing.T) {
+	e := newWorkerEpochs(7)
+	last := uint64(0)
+	for i := range maxKeptEpochs + 100 {
+		w := plan.WorkerInfo{Instance: fmt.Sprint(i), StartUnixMillis: 1}
+		epoch := e.of(w)
+		if epoch <= last || e.of(w) != epoch {
+			t.Fatalf("worker %d: epoch %#x after %#x", i, epoch, last)
+		}
+		last = epoch
+	}
+	if n := len(e.byInstance); n > maxKeptEpochs {
+		t.Errorf("%d epochs kept", n)
+	}
+	if epoch := e.of(plan.WorkerInfo{Instance: "0", StartUnixMillis: 1}); epoch <= last {
+		t.Errorf("epoch %#x of a worker that was forgotten, after %#x", epoch, last)
+	}
+	e.drawn = rpc.EpochsPerTerm - 2
+	for i := range 3 {
+		if epoch := e.of(plan.WorkerInfo{Instance: "w", StartUnixMillis: int64(i)}); rpc.TokenOfEpoch(epoch) != 7 {
+			t.Errorf("epoch %#x in term 7", epoch)
+		}
+	}
+}
+
 // TestManyStartsFitTheirMessages guards against orders that wait for a slow connection and
 // grow beyond what an agent receives, which would break the connection each time.
 func TestManyStartsFitTheirMessages(t *testing.T) {
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -48,6 +48,7 @@
 	progressRows map[graph.JobID]*progressRows
 	endsVersions map[graph.JobID]*rowVersion // of jobs that have or had a row with ends
 	sessions     map[string]*session         // by worker ID
+	epochs       workerEpochs
 	unflushed    map[*session]bool           // with orders that their senders have not been told of
 	policy       *policy.Snapshot            // in force; nil before the first
 	pacer        passPacer
@@ -81,6 +82,7 @@
 		progressRows: map[graph.JobID]*progressRows{},
 		endsVersions: map[graph.JobID]*rowVersion{},
 		sessions:     map[string]*session{},
+		epochs:       newWorkerEpochs(token),
 		unflushed:    map[*session]bool{},
 	}
 }
@@ -344,7 +346,7 @@
 	if s == nil {
 		return
 	}
-	s.addOrder(t.token, incarnation, add)
+	s.addOrder(s.epoch, incarnation, add)
 	t.unflushed[s] = true
 }
 
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -7,6 +7,13 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 )
 
+// EpochsPerTerm is the number of epochs of one term of an owner, as WorkerOrders name them.
+// Tokens of terms stay below 2^28, so that JSON numbers hold each epoch exactly.
+const EpochsPerTerm = 1 << 24
+
+// TokenOfEpoch returns the fencing token of the term to which an epoch belongs.
+func TokenOfEpoch(epoch uint64) uint64 { return epoch / EpochsPerTerm }
+
 // TaskRefOf returns the message that identifies a run of a task.
 func TaskRefOf(t graph.TaskID, run uint64) *TaskRef {
 	return &TaskRef{Job: string(t.Job), Occurrence: int32(t.Occurrence), Step: int32(t.Step), Index: int32(t.Index), Run: run}
--- a/test/graphs/together_test.go
+++ b/test/graphs/together_test.go
@@ -1,6 +1,7 @@
 package graphs_test
 
 import (
+	"fmt"
 	"math/rand"
 	"slices"
 	"sync"
@@ -171,6 +172,51 @@
 	return w
 }
 
+// TestLateAcknowledgementForgetsNoUnseenEnd guards against a task that runs again after it was done: an acknowledgement meant for the earlier incarnation of its worker is executed before anyone has listed its end.
+func TestLateAcknowledgementForgetsNoUnseenEnd(t *testing.T) {
+	for _, agentReplaced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("agent replaced %v", agentReplaced), func(t *testing.T) { testLateAcknowledgement(t, agentReplaced) })
+	}
+}
+
+func testLateAcknowledgement(t *testing.T, agentReplaced bool) {
+	const late = 2500 * time.Millisecond
+	f := newFleet(t, 1, 1)
+	a := f.agents[0]
+	f.setTaskDuration(time.Second) // longer than a Hold call waits
+	a.runner.SetFaults(standin.RunnerFaults{AckDelay: late})
+	earlier := f.submit(f.entries[0], 1)
+	f.await("an acknowledgement", func() bool { return a.runner.LateAcks() > 0 })
+	executed := time.Now().Add(late)
+	if agentReplaced {
+		f.replaceAgent(a)
+	}
+	a.runner.Restart()
+	a.runner.SetFaults(standin.RunnerFaults{})
+	f.await("notice of the restart", func() bool { return a.knownStart() == a.runner.StartCount() })
+	next := f.submit(f.entries[0], 1)
+	f.await("the start of the next task", func() bool { return len(f.startCounts(next)) == 1 })
+	a.runner.SetFaults(standin.RunnerFaults{DropCalls: true})
+	time.Sleep(time.Until(executed) + 50*time.Millisecond)
+	if n := a.runner.Running(); n > 0 {
+		t.Fatalf("%d runs while the acknowledgement is executed, want an end that nobody has listed", n)
+	}
+	a.runner.SetFaults(standin.RunnerFaults{})
+	f.mustCompleteOnce([]graph.JobID{earlier, next}, 20*time.Second)
+	if n := len(a.runner.StartedTasks()); n != 2 {
+		t.Errorf("%d starts of two tasks", n)
+	}
+}
+
+// knownStart returns the start of the worker's incarnation that the agent knows.
+func (a *agent) knownStart() int64 {
+	worker, ok := a.keeper.DumpState().(map[string]any)["worker"].(*plan.WorkerInfo)
+	if !ok || worker == nil {
+		return 0
+	}
+	return worker.StartUnixMillis
+}
+
 // TestLateAcknowledgementsStartNoTaskAgain guards against a task that runs again after it was done, as its worker has forgotten the end on an acknowledgement meant for its earlier incarnation.
 func TestLateAcknowledgementsStartNoTaskAgain(t *testing.T) {
 	f := newFleet(t, 1, 2)
