--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -49,8 +49,8 @@
 	endsVersions map[graph.JobID]*rowVersion // of jobs that have or had a row with ends
 	sessions     map[string]*session         // by worker ID
 	epochs       workerEpochs
-	unflushed    map[*session]bool           // with orders that their senders have not been told of
-	policy       *policy.Snapshot            // in force; nil before the first
+	unflushed    map[*session]bool // with orders that their senders have not been told of
+	policy       *policy.Snapshot  // in force; nil before the first
 	pacer        passPacer
 	passArranged bool // a timer will run the next pass
 	closed       bool
