plan: a delayed report hides no later checkpoint of the same worker

Cause: the owner dates a list by the receipt of its report. A report that was delayed makes its list look later than the next one, whose checkpoint was then ignored for good: only a change of what the worker lists is looked at.

Only a later list of another worker keeps a checkpoint from counting. Lists of one worker arrive in order.

TestDelayedReportHidesNoLaterCheckpoint failed before: 'a second later the run resumes from checkpoint "first"'.

--- a/internal/graph/plan/checkpoints_test.go
+++ b/internal/graph/plan/checkpoints_test.go
@@ -101,3 +101,21 @@
 		t.Errorf("the task resumes from checkpoint %q of %d", again[0].Checkpoint, 2*seconds)
 	}
 }
+
+// TestDelayedReportHidesNoLaterCheckpoint guards against a run that resumes from an earlier checkpoint than the last list of its own worker shows, as the report of the list before was delayed.
+func TestDelayedReportHidesNoLaterCheckpoint(t *testing.T) {
+	h := newHarness(t)
+	h.report("w0", nil)
+	s := starts(h.step(JobSubmitted{Job: checkpointJob("j", 1, false)}))[0]
+	h.now = 5 * time.Second
+	h.list(s.Worker, "i-"+s.Worker, 10*time.Millisecond, runningAt(s, "first"))
+	h.list(s.Worker, "i-"+s.Worker, 300*time.Millisecond, runningAt(s, "second"))
+	if got := h.unitOf("j").checkpoint; got != "second" {
+		t.Errorf("checkpoint %q after the later list", got)
+	}
+	h.now += time.Second
+	h.list(s.Worker, "i-"+s.Worker, 0, runningAt(s, "second"))
+	if got := h.unitOf("j").checkpoint; got != "second" {
+		t.Errorf("a second later the run resumes from checkpoint %q", got)
+	}
+}
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -37,9 +37,9 @@
 	speedsLearned bool
 	failures      int
 	checkpoint    string
-	// checkpointListed is set once a worker has listed a checkpoint in this term, the last
-	// one at checkpointListedAt.
-	checkpointListed   bool
+	// checkpointFrom is the worker that has listed a checkpoint last in this term, at
+	// checkpointListedAt; nil before the first.
+	checkpointFrom     *worker
 	checkpointListedAt time.Duration
 	// longCheckpoint is set once a checkpoint was too long to be kept.
 	longCheckpoint bool
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -303,15 +303,16 @@
 }
 
 // keepCheckpoint makes a checkpoint the one from which the unit resumes, unless a later list
-// has shown another one: the members of a gang share its checkpoints, and the lists of their
-// workers may arrive in any order. One that is too long for the table is not kept, so that
-// the unit resumes from the one before.
+// of another worker has shown one: the members of a gang share its checkpoints, and the lists of
+// their workers may arrive in any order. Those of one worker arrive in order, also where delayed
+// reports make an earlier list look later. A checkpoint that is too long for the table is not
+// kept, so that the unit resumes from the one before.
 func (c *Core) keepCheckpoint(m *member, checkpoint string) {
 	u := m.unit
-	if u.checkpointListed && m.worker.listedAt < u.checkpointListedAt {
+	if u.checkpointFrom != nil && u.checkpointFrom != m.worker && m.worker.listedAt < u.checkpointListedAt {
 		return
 	}
-	u.checkpointListed, u.checkpointListedAt = true, m.worker.listedAt
+	u.checkpointFrom, u.checkpointListedAt = m.worker, m.worker.listedAt
 	if graph.FitsJSON(checkpoint, graph.MaxCheckpointBytes) {
 		if u.checkpoint != checkpoint {
 			u.checkpoint = checkpoint
