graphs: an owner of an earlier version names a token above all epochs

In an upgrade of one entry after the other an earlier version may become owner again.

A term takes 64 numbers of the fence row now, and the row holds the last of them, so that the token of any version that follows is above them. The first is the token; an incarnation of a worker gets the next one as the worker starts again under its name in the term. Beyond the last they share it, so only then is a late call not refused.

--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/ledger"
 	"github.com/coltsfootlug/coltsfootlug/internal/owner"
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
 
 // Row keys. A job has up to three rows: the request, written once by the entry
@@ -41,18 +42,20 @@
 	learnedKey = "graph/learned"
 )
 
-// Limits of fencing tokens, which count the terms.
+// Limits of fencing tokens. Each term has a range of rpc.EpochsPerTerm, of which its own is
+// the first.
 const (
 	// maxToken is the highest token that leads a run number. Run numbers stay below 2^53,
 	// up to which every program reads JSON numbers exactly.
 	maxToken = 1 << 28
 	// tokenRecoveryStep is how far a recovered token is above those that are known. It
 	// covers the terms since then that have placed nothing.
-	tokenRecoveryStep = 1 << 10
+	tokenRecoveryStep = rpc.EpochsPerTerm << 10
 )
 
 // tokenRecoveryStart is the time from which seconds are counted for a recovered token.
-// Terms begin less often than once a second, so that their tokens stay below that count.
+// Terms begin less often than once in rpc.EpochsPerTerm seconds, so that their tokens stay
+// below that count.
 var tokenRecoveryStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // scanPageRows is the page size of scans.
@@ -73,7 +76,7 @@
 type Store struct {
 	table        Table
 	maxDataBytes int           // of a row
-	lastToken    atomic.Uint64 // of this process's last term
+	lastToken    atomic.Uint64 // the highest of this process's last term
 }
 
 // NewStore returns a store on a table.
@@ -456,9 +459,11 @@
 	return errors.Annotatef(err, "removing the progress of job %q", id)
 }
 
-// fenceRow is the row that an owner writes at the start of each term. Token counts
-// terms: an owner that has lost its ownership briefly and regained it without
-// another owner in between begins a new term under the same epoch.
+// fenceRow is the row that an owner writes at the start of each term. Token is the
+// highest epoch that the term may name to workers; the next term's token follows, also that of an
+// owner of an earlier version, which names its token alone. It rises with each term: an owner
+// that has lost its ownership briefly and regained it without another owner in between begins
+// a new term under the same epoch.
 type fenceRow struct {
 	Epoch uint64 `json:"epoch"`
 	Token uint64 `json:"token"`
@@ -481,13 +486,14 @@
 	if current.Epoch > epoch {
 		return 0, 0, errors.Annotatef(ledger.ErrConflict, "epoch %d has been fenced off by %d", epoch, current.Epoch)
 	}
-	next := fenceRow{Epoch: epoch, Token: current.Token + 1}
+	token = current.Token + 1
+	next := fenceRow{Epoch: epoch, Token: current.Token + rpc.EpochsPerTerm}
 	written, err := s.table.Commit(ctx, ledger.CauseOwner, ledger.Write{Key: fenceKey, Version: rows[0].Version, Data: ledger.Encode(next)})
 	if err != nil {
 		return 0, 0, errors.Annotate(err, "writing the fence")
 	}
 	s.lastToken.Store(next.Token)
-	return next.Token, written[0].Version, nil
+	return token, written[0].Version, nil
 }
 
 // decodeFence decodes the fence row. It returns a NotValid error for one that no owner
--- a/internal/entry/graphs/workerepochs.go
+++ b/internal/entry/graphs/workerepochs.go
@@ -5,20 +5,20 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
 
-// workerEpochs gives each incarnation of a worker the epoch for its orders: the term's token,
-// and a number that rises with each incarnation that the term has seen. A worker refuses calls
-// with a lower epoch than it has seen, so the call that starts the first run on an incarnation
-// closes it to late calls for earlier ones of its name, whichever process of the agent sent
-// them. The term's lock guards it.
+// workerEpochs gives each incarnation of a worker the epoch for its orders: the term's token
+// and, as the worker starts again under its instance name, the numbers that follow. A worker
+// refuses calls with a lower epoch than it has seen, so the call that starts the first run on
+// an incarnation closes it to late calls for earlier ones of its name, whichever process of the
+// agent sent them. The term's lock guards it.
 type workerEpochs struct {
 	token      uint64
-	drawn      uint64
+	floor      uint64                      // number of instance names that are not kept
 	byInstance map[string]incarnationEpoch // of the last incarnation of each instance name
 }
 
 type incarnationEpoch struct {
 	incarnation string
-	epoch       uint64
+	number      uint64 // within the term
 }
 
 // maxKeptEpochs bounds the instance names that are kept. An incarnation whose epoch is not
@@ -29,17 +29,30 @@
 	return workerEpochs{token: token, byInstance: map[string]incarnationEpoch{}}
 }
 
-// of returns the epoch of a worker's incarnation.
+// of returns the epoch of a worker's incarnation. Incarnations of one name beyond the last
+// number of the term share it.
 func (e *workerEpochs) of(w plan.WorkerInfo) uint64 {
 	known, ok := e.byInstance[w.Instance]
-	if ok && known.incarnation == w.Incarnation() {
-		return known.epoch
+	switch {
+	case ok && known.incarnation == w.Incarnation():
+		return e.token + known.number
+	case !ok && len(e.byInstance) >= maxKeptEpochs:
+		e.forget()
 	}
-	if !ok && len(e.byInstance) >= maxKeptEpochs {
-		clear(e.byInstance)
+	number := e.floor
+	if ok {
+		number = e.limit(known.number + 1)
 	}
-	e.drawn = min(e.drawn+1, rpc.EpochsPerTerm-1)
-	next := incarnationEpoch{w.Incarnation(), e.token*rpc.EpochsPerTerm + e.drawn}
-	e.byInstance[w.Instance] = next
-	return next.epoch
+	e.byInstance[w.Instance] = incarnationEpoch{w.Incarnation(), number}
+	return e.token + number
 }
+
+// forget drops all instance names. Each gets a higher number than it has had.
+func (e *workerEpochs) forget() {
+	for _, known := range e.byInstance {
+		e.floor = max(e.floor, e.limit(known.number+1))
+	}
+	clear(e.byInstance)
+}
+
+func (e *workerEpochs) limit(number uint64) uint64 { return min(number, rpc.EpochsPerTerm-1) }
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -7,12 +7,13 @@
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 )
 
-// EpochsPerTerm is the number of epochs of one term of an owner, as WorkerOrders name them.
-// Tokens of terms stay below 2^28, so that JSON numbers hold each epoch exactly.
-const EpochsPerTerm = 1 << 24
+// EpochsPerTerm is the number of epochs that a term of an owner may name: its token and those
+// that follow.
+const EpochsPerTerm = 64
 
-// TokenOfEpoch returns the fencing token of the term to which an epoch belongs.
-func TokenOfEpoch(epoch uint64) uint64 { return epoch / EpochsPerTerm }
+// SameTerm reports whether two epochs are those of one term. It is exact while all owners are
+// of this version.
+func SameTerm(a, b uint64) bool { return (a-1)/EpochsPerTerm == (b-1)/EpochsPerTerm }
 
 // TaskRefOf returns the message that identifies a run of a task.
 func TaskRefOf(t graph.TaskID, run uint64) *TaskRef {
