--- a/internal/graph/plan/fleet_test.go
+++ b/internal/graph/plan/fleet_test.go
@@ -518,10 +518,7 @@
 	s.checkStart(w, u, a)
 	if !w.used().Add(u.step.Needs).Fits(w.info.Capacity) {
 		s.rejected++
-		// The owner does not know what runs of a job need that it cannot read.
-		if !slices.ContainsFunc(w.runs, func(r *simRun) bool { return s.unreadable[r.task.Job] }) {
-			s.fail("%v does not fit on %s", a.Task, w.info.ID)
-		}
+		s.fail("%v does not fit on %s", a.Task, w.info.ID)
 		w.absent = append(w.absent, RunAbsent{a.Task, a.Run, "room"})
 		w.reportNow = true
 		return
