plan: a done end whose job cannot be stored at all holds back no others for good

What callers would see: where the table rejects even the smallest final state of a job, a done end of it was never acknowledged, and with it no later end on its worker. From 500 on later ends are not listed, and the jobs behind them stand still.

Cause: nothing but the final state could replace the effect of a done end, and without that its task would run again.

30 s after the final state was rejected, the ends of the job are stored beside its progress, as those of an unreadable job are, and acknowledged then; a later owner applies them. If the table rejects that row too, they are given up once they have kept stored ends of others unacknowledged for 10 minutes (end-given-up): this owner holds the job as ended. In order, no done task runs again, the job keeps its one answer (it is seen as running until its state is stored), and ends of others are acknowledged. What remains: with both rows rejected, a later owner that the table lets write the progress again runs such a task again.

--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -300,6 +300,33 @@
 	})
 }
 
+// TestPlanMachineWithUnstorableStates checks the same with jobs of which the table takes nothing
+// once they run but the ends beside them, until after a takeover. It guards against done tasks
+// that start again as an end was acknowledged.
+func TestPlanMachineWithUnstorableStates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newPlanMachine(t)
+		m.rejectSave = func(a SaveProgress) bool {
+			j := m.byID[a.Job]
+			placed := slices.ContainsFunc(m.rows[a.Job].Tasks, func(p graph.TaskProgress) bool { return p.Run > 0 })
+			j.unstorable = j.unstorable || placed && m.rnd.Intn(4) == 0
+			return j.unstorable
+		}
+		m.runUntil(time.Second)
+		t.Repeat(m.actions())
+		m.storeDown = false
+		m.runUntil(m.now + 3*maxHoldBack)
+		if rapid.Bool().Draw(t, "last takeover") {
+			m.takeOver()
+			m.rejectSave = nil
+		}
+		m.runUntil(m.now + maxRejectionPause)
+		m.rejectSave = nil
+		m.runUntil(m.now + maxRejectionPause)
+		m.recoverAndCheck(t)
+	})
+}
+
 // TestPlanMachineWithUnreadableJobs checks the same with jobs whose rows some owners cannot read,
 // until they are repaired. It guards against tasks that start again after an owner that could not
 // store their ends has acknowledged them.
--- a/internal/graph/plan/rejected.go
+++ b/internal/graph/plan/rejected.go
@@ -64,9 +64,11 @@
 	for _, j := range jobs {
 		switch {
 		case !j.rejected:
-		case !j.saveInProgress && c.now-j.rejectedSince >= maxHoldBack && c.holdsBackOthers(j):
+		case j.saveInProgress:
+			c.rejectedJobs = append(c.rejectedJobs, j)
+		case c.now-j.rejectedSince >= maxHoldBack && c.holdsBackOthers(j):
 			c.endRejectedJob(j)
-		case c.now < j.saveAgainAt || j.saveInProgress:
+		case c.now < j.saveAgainAt:
 			c.rejectedJobs = append(c.rejectedJobs, j)
 		default:
 			c.requestSave(j, nil)
@@ -74,6 +76,16 @@
 	}
 }
 
+// keepPendingEnds keeps the ends of a job that a worker waits to have acknowledged.
+func (c *Core) keepPendingEnds(w *worker, j *job) {
+	for _, ack := range w.pendingAcks {
+		if ack.job == j && !ack.saved {
+			ack.saved = c.keepEnd(ack.end)
+		}
+	}
+	c.acknowledgeEnds(w, false)
+}
+
 // holdsBackOthers reports whether ends of a job that the table rejects keep stored ends of
 // other jobs unacknowledged. A table that rejects every job stores no such end.
 func (c *Core) holdsBackOthers(j *job) bool {
@@ -95,12 +107,16 @@
 }
 
 // endRejectedJob fails a job that holds back the ends of others, so that its state alone is
-// stored: no task of a final job starts again. If the table rejects that too, the ends of
-// which the loss starts no done task again are acknowledged without a save.
+// stored: no task of a final job starts again. If the table rejects that too, its ends are
+// stored beside it, and those of which the loss starts no done task again are acknowledged
+// without a save.
 func (c *Core) endRejectedJob(j *job) {
 	j.rejectedSince = c.now
 	switch {
 	case j.stateOnly:
+		for _, w := range c.sortedWorkers {
+			c.keepPendingEnds(w, j)
+		}
 		var kept []afterSave
 		for _, a := range j.afterNextSave {
 			if a.unstored == nil {
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -298,5 +298,6 @@
 	ReasonLongCheckpoint     Reason = "checkpoint-too-long"
 	ReasonSaveRejected       Reason = "save-rejected"
 	ReasonEndHeld            Reason = "end-held"
+	ReasonEndGivenUp         Reason = "end-given-up"
 	ReasonVictimStoppedOften Reason = "victim-stopped-often"
 )
--- a/internal/graph/plan/unreadable.go
+++ b/internal/graph/plan/unreadable.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
@@ -54,25 +55,42 @@
 	c.processEnd(w, ack.end, ack)
 }
 
-// watchHeldEnds gives up the held ends of a worker that hold back others for too long. They
-// are applied if the job is repaired in this term.
+// watchHeldEnds gives up the ends of a worker that cannot be stored and hold back others for
+// too long. This owner knows of them all the same, and applies those of an unreadable job if
+// that is repaired.
 func (c *Core) watchHeldEnds(w *worker) {
 	var waiting []*pendingAck
 	othersWait := w.moreEnds
 	for _, ack := range w.pendingAcks {
 		switch {
-		case ack.held && c.now-ack.since >= maxUnreadableHold:
+		case ack.unstorable() && c.now-ack.since >= maxUnreadableHold:
 			waiting = append(waiting, ack)
 		case ack.saved && ack.job != nil:
-			othersWait = othersWait || len(waiting) > 0
+			othersWait = othersWait || slices.ContainsFunc(waiting, func(o *pendingAck) bool { return o.job != ack.job })
 		}
 	}
 	if !othersWait {
 		return
 	}
 	for _, ack := range waiting {
-		c.recordLateEnd(w, ack.end, ack)
-		ack.held = false
+		c.giveUpEnd(w, ack)
 	}
 	c.acknowledgeEnds(w, false)
 }
+
+// unstorable reports whether the effect of an end cannot be stored: the rows of its job cannot
+// be read, or the table rejects its final state.
+func (a *pendingAck) unstorable() bool {
+	return a.held || !a.saved && a.job != nil && a.job.rejected && a.job.stateOnly
+}
+
+// giveUpEnd lets an end be acknowledged whose effect is not stored.
+func (c *Core) giveUpEnd(w *worker, ack *pendingAck) {
+	if ack.held {
+		ack.held = false
+		c.recordLateEnd(w, ack.end, ack)
+		return
+	}
+	ack.saved = true
+	c.emit(Notice{Reason: ReasonEndGivenUp, Job: ack.job.ID, Task: ack.end.Task.String(), Run: ack.end.Run, Worker: w.info.ID, Detail: string(ack.end.Kind)})
+}
