plan: a list of ends that a rejected job fills does not stay cut

What callers would see: with 500 ends of a job that the table rejects at the head of a worker's list, and no other save meanwhile, the ends behind them were never listed and their jobs stood still. Nothing of such a worker is settled either, as a cut list proves no absence.

Cause: a rejected job is ended only once another save shows that the table does not reject everything. A fleet whose ends are all behind such lists saves nothing.

After 30 s the ends of a rejected job are stored beside its progress where a list is cut, without ending the job. That is safe at any time, and shows whether the table takes anything.

--- a/internal/graph/plan/keptends_test.go
+++ b/internal/graph/plan/keptends_test.go
@@ -181,8 +181,10 @@
 		takesEnds bool
 		limit     time.Duration
 	}{
-		"one rejected end":           {1, 2 * listedEnds, true, 3 * maxHoldBack},
-		"one that is stored nowhere": {1, 2 * listedEnds, false, maxUnreadableHold + maxHoldBack},
+		"one rejected end":              {1, 2 * listedEnds, true, 3 * maxHoldBack},
+		"one that is stored nowhere":    {1, 2 * listedEnds, false, maxUnreadableHold + maxHoldBack},
+		"a list of rejected ends":       {listedEnds, 100, true, 2 * maxHoldBack},
+		"more of them than a row takes": {2 * listedEnds, 100, true, 2 * maxUnreadableHold},
 	} {
 		q := newEndQueue(t, c.bad, c.good, c.takesEnds)
 		at := q.emptiedAfter(c.limit)
--- a/internal/graph/plan/rejected.go
+++ b/internal/graph/plan/rejected.go
@@ -69,6 +69,7 @@
 		case c.now-j.rejectedSince >= maxHoldBack && c.holdsBackOthers(j):
 			c.endRejectedJob(j)
 		case c.now < j.saveAgainAt:
+			c.keepEndsOfCutLists(j)
 			c.rejectedJobs = append(c.rejectedJobs, j)
 		default:
 			c.requestSave(j, nil)
@@ -76,6 +77,20 @@
 	}
 }
 
+// keepEndsOfCutLists keeps the ends of a rejected job where a list of ends is cut. Unless a
+// save succeeds meanwhile, nothing shows whether they hold back others or the table rejects
+// everything: a fleet whose ends are all behind such lists saves nothing.
+func (c *Core) keepEndsOfCutLists(j *job) {
+	if c.now-j.rejectedSince < maxHoldBack {
+		return
+	}
+	for _, w := range c.sortedWorkers {
+		if w.moreEnds {
+			c.keepPendingEnds(w, j)
+		}
+	}
+}
+
 // keepPendingEnds keeps the ends of a job that a worker waits to have acknowledged.
 func (c *Core) keepPendingEnds(w *worker, j *job) {
 	for _, ack := range w.pendingAcks {
