graphs, plan: write no ends over a row of ends that cannot be read

Callers would see a done task run again (TWICE): where the row of ends of a job (graph/j/ID/ends) cannot be decoded, the job is left out, and the next end of one of its runs was written over that row. The job could be read then, without the ends that the row had held, and their acknowledged tasks started again.

The term writes no ends where it could not decode the row when it read it first. They wait at their workers, as those that the table rejects, for the repair of the row. The repaired ends are then added to those that the owner keeps, before the progress that contains them all removes the row.

TestOddRowOfEndsIsNotOverwritten failed before: 'the row of ends is {"ends":[{"s":0, "i":1,"r":6,"k":"stopped"}]}' in place of the odd one; without addRepaired: 'not within 10 s: the progress contains the end of the repaired row'. internal/entry/graphs passes with -race.

--- a/internal/entry/graphs/endsrow.go
+++ b/internal/entry/graphs/endsrow.go
@@ -55,7 +55,15 @@
 }
 
 // rowVersion is the version of a row that two saves may write, 0 if it does not exist.
-type rowVersion struct{ atomic.Uint64 }
+type rowVersion struct {
+	atomic.Uint64
+	// odd is set for good if the row could not be decoded when it was read first. No ends are
+	// written over it, so that it can be repaired. It is set before the first save.
+	odd bool
+}
+
+// errOddEnds means that the row of ends could not be decoded.
+const errOddEnds = errors.ConstError("the stored ends cannot be read, and are kept for a repair")
 
 // SaveEnds writes the ends of a job that its progress lacks if the fence row is unchanged, and
 // updates the version of their row. On ErrConflict it returns the current version of the fence
@@ -91,13 +99,16 @@
 
 // saveEnds writes the ends of a job that its progress lacks, retrying as saveProgress does.
 func (t *term) saveEnds(a plan.SaveEnds, known *rowVersion) {
-	err := t.retrySave(string(a.Job), func() (uint64, error) {
-		return t.store.SaveEnds(t.ctx, t.fenceVersion, a, known)
-	})
+	var err error = errOddEnds
+	if !known.odd {
+		err = t.retrySave(string(a.Job), func() (uint64, error) {
+			return t.store.SaveEnds(t.ctx, t.fenceVersion, a, known)
+		})
+	}
 	switch {
 	case err == nil:
 		t.step(plan.EndsSaved{Job: a.Job, Number: a.Number})
-	case errors.Is(err, ledger.ErrRejected):
+	case errors.Is(err, errOddEnds), errors.Is(err, ledger.ErrRejected):
 		t.log.Error().Err(err).Str("job", string(a.Job)).Int("ends", len(a.Ends)).Msg("ends of a job cannot be stored")
 		t.step(plan.EndsSaved{Job: a.Job, Number: a.Number, Rejected: true})
 	}
--- a/internal/entry/graphs/endsrow_test.go
+++ b/internal/entry/graphs/endsrow_test.go
@@ -93,11 +93,7 @@
 // TestTermStoresEndsOfUnreadableJob guards against a term that does not write the ends of a job that it cannot read, or loads the job without them.
 func TestTermStoresEndsOfUnreadableJob(t *testing.T) {
 	term, write := repairTerm(t, rowsOf(string(jobOfEnds), soundJob, `{"state":7}`)...)
-	fence, err := term.store.table.Commit(context.Background(), ledger.CauseOwner, ledger.Write{Key: fenceKey, Data: ledger.Encode(fenceRow{Epoch: 1, Token: 7})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	term.fenceVersion = fence[0].Version
+	fenceTerm(t, term)
 	report := reportOf(1)
 	report.Ended = []graph.RunEnd{{Number: 1, Task: graph.TaskID{Job: jobOfEnds}, Run: 5, Kind: graph.EndDone}}
 	term.step(report)
@@ -151,3 +147,35 @@
 		}
 	}
 }
+
+// TestOddRowOfEndsIsNotOverwritten guards against ends that are lost, as the owner writes others over a row of ends that it cannot read, or removes the repaired row with a progress that lacks them.
+func TestOddRowOfEndsIsNotOverwritten(t *testing.T) {
+	const odd = `{"ends":7}`
+	rows := append(rowsOf(string(jobOfEnds), soundJob, runningProgress), ledger.Row{Key: endsKey(jobOfEnds), Data: json.RawMessage(odd)})
+	term, write := repairTerm(t, rows...)
+	fenceTerm(t, term)
+	report := reportOf(1)
+	report.Ended = []graph.RunEnd{{Number: 1, Task: graph.TaskID{Job: jobOfEnds, Index: 1}, Run: 6, Kind: graph.EndStopped}}
+	term.step(report)
+	time.Sleep(100 * time.Millisecond)
+	stored, err := term.store.table.Get(context.Background(), ledger.CauseJob, endsKey(jobOfEnds))
+	if err != nil || string(stored[0].Data) != odd {
+		t.Fatalf("the row of ends is %s, %v", stored[0].Data, err)
+	}
+	write(endsKey(jobOfEnds), `{"ends":[{"s":0,"i":0,"r":5,"k":"done"}]}`)
+	term.withCore(term.runPass)
+	waitFor(t, "the progress contains the end of the repaired row", func() bool {
+		j, err := term.store.LoadJob(context.Background(), jobOfEnds)
+		return err == nil && j.err == nil && j.endsVersion == 0 && len(j.progress.Tasks) > 0 && j.progress.Tasks[0].Done
+	})
+}
+
+// fenceTerm writes the fence row of a term.
+func fenceTerm(t *testing.T, term *term) {
+	t.Helper()
+	fence, err := term.store.table.Commit(context.Background(), ledger.CauseOwner, ledger.Write{Key: fenceKey, Data: ledger.Encode(fenceRow{Epoch: 1, Token: 7})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	term.fenceVersion = fence[0].Version
+}
--- a/internal/entry/graphs/store.go
+++ b/internal/entry/graphs/store.go
@@ -213,6 +213,7 @@
 	err       error          // of the first row that could not be decoded
 
 	endsVersion uint64 // of the row of ends, 0 if it does not exist
+	oddEnds     bool   // that row could not be decoded
 }
 
 func (s *storedJob) state() graph.State {
@@ -260,7 +261,7 @@
 
 func (s *storedJob) decodeRow(id graph.JobID, kind string, part int, r ledger.Row) error {
 	if kind == endsSuffix {
-		s.endsVersion = r.Version
+		s.endsVersion, s.oddEnds = r.Version, true
 	}
 	if r.Unreadable {
 		return errors.NotValidf("row %q", r.Key)
@@ -271,7 +272,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "row %q", r.Key)
 		}
-		s.ends = ends
+		s.ends, s.oddEnds = ends, false
 	case jobSuffix:
 		s.job = &graph.Job{}
 		if err := json.Unmarshal(r.Data, s.job); err != nil {
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -112,7 +112,9 @@
 		var events []plan.Event
 		for _, j := range jobs {
 			if j.endsVersion > 0 && t.endsVersions[j.id] == nil {
-				t.endsVersionOf(j.id).Store(j.endsVersion)
+				known := t.endsVersionOf(j.id)
+				known.odd = j.oddEnds
+				known.Store(j.endsVersion)
 			}
 			// The feed brings the head of a progress without its parts.
 			onlyHead := errors.Is(j.err, errPartMissing) && t.knowsJob(j.id)
--- a/internal/graph/plan/keptends.go
+++ b/internal/graph/plan/keptends.go
@@ -46,9 +46,14 @@
 	k.ends = append(k.ends, e)
 }
 
-// restoreKeptEnds takes over the ends of a job that are stored beside its progress.
+// restoreKeptEnds takes over the ends of a job that are stored beside its progress. If others are
+// kept already, the row has been repaired since and is not written in this term.
 func (c *Core) restoreKeptEnds(id graph.JobID, stored []graph.RunEnd) {
-	if len(stored) == 0 || c.keptEnds[id] != nil {
+	if len(stored) == 0 {
+		return
+	}
+	if k := c.keptEnds[id]; k != nil {
+		k.addRepaired(stored)
 		return
 	}
 	k := &keptEnds{}
@@ -59,6 +64,16 @@
 	c.keptEnds[id] = k
 }
 
+// addRepaired adds the ends of a row that could not be read before, whether or not there is room:
+// they are not saved again.
+func (k *keptEnds) addRepaired(ends []graph.RunEnd) {
+	for _, e := range ends {
+		if k.find(e) < 0 {
+			k.ends = append(k.ends, e)
+		}
+	}
+}
+
 // keepEnd keeps an end of a job whose progress cannot be stored, and saves it. It reports
 // whether the end is stored already.
 func (c *Core) keepEnd(e graph.RunEnd) (stored bool) {
