plan: judge a stop without outcome by the time of the worker's list

An owner that handles reports late would stop further runs for a unit within its guarantee (work thrown away): took the stop of a run for one without outcome once it was older than claimTimeout on the owner's clock, though the end may be in a report that the owner has not handled yet.

An old list shows nothing.

TestLateListsStopNoFurtherVictims fails on (2 runs stopped by lists that are older than the first stop, want 1) and passes. Tests of claims, evictions, guarantees, headroom, idle pools, late owners and the plan machines: green (214 s).

--- a/internal/graph/plan/eviction.go
+++ b/internal/graph/plan/eviction.go
@@ -45,13 +45,23 @@
 	candidateIndex map[*worker]int
 }
 
+// stopOrderSlack is the time beyond StopTime after which a list shows that the stop of a run
+// has not reached its worker.
+const stopOrderSlack = claimSlack / 2
+
+// endsSoon reports whether a member is being stopped, and no list that was made long enough after
+// the stop shows it to be without effect. The time of the list counts, as an owner may be late.
+func (c *Core) endsSoon(m *member) bool {
+	return m.unit.stopping && m.worker.listedAt-m.unit.history.stoppingAt <= c.cfg.StopTime+stopOrderSlack
+}
+
 // newEvictionTrial returns a trial in which the units that are being stopped already have
-// ended, if they may be expected to end within the time of a claim.
+// ended, if they end soon.
 func (c *Core) newEvictionTrial(u *unit, g workerGroup) *evictionTrial {
 	candidates := slices.Clone(g.candidates)
 	for i, s := range candidates {
 		for _, m := range s.members {
-			if m.unit.stopping && c.now-m.unit.history.stoppingAt <= c.claimTimeout() {
+			if c.endsSoon(m) {
 				candidates[i].available = candidates[i].available.Add(m.unit.step.Needs)
 			}
 		}
