plan: a run begun before failures lifts no quarantine

Its gang was given to a worker that fails each start, though that had been quarantined three times.

Cause: a run that was done cleared all failures of its worker, also one that had begun before them. A worker that fails what it is given may finish what it has begun.

Such a run clears the failures before its start was sent now.

Ruled out: the gang's other failure, on a worker that had failed nothing before; the quarantine was over its time (16 s, 1 s before).

TestRunBegunBeforeFailuresLiftsNoQuarantine failed before ("w0 quarantined false with 0 failures").

--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -92,7 +92,7 @@
 		if !m.worker.endsDelayed {
 			c.learnFromEnd(m)
 		}
-		m.worker.failures.Succeed()
+		m.worker.failures.Succeed(m.startedAt)
 		m.worker.standsStill = standstill{}
 		m.worker.crashedJobs = nil
 	case graph.EndFailed:
--- a/internal/graph/plan/quarantine_test.go
+++ b/internal/graph/plan/quarantine_test.go
@@ -151,3 +151,34 @@
 		t.Errorf("%d workers are quarantined, each of two failed runs of three gangs", n)
 	}
 }
+
+// TestRunBegunBeforeFailuresLiftsNoQuarantine guards against tasks that are given to a worker which fails each start, as it still finishes what it had begun before.
+func TestRunBegunBeforeFailuresLiftsNoQuarantine(t *testing.T) {
+	for _, begunBefore := range []bool{true, false} {
+		h := newHarness(t)
+		for _, id := range []string{"w0", "w1", "w2"} {
+			h.report(id, nil)
+		}
+		w := h.core.workers["w0"]
+		fail := func() {
+			for range 2 {
+				h.core.recordFailure(w, &unit{job: newJob(&graph.Job{})}, 0)
+			}
+		}
+		if !begunBefore {
+			fail()
+			w.failures.EndQuarantine() // as it does after some time
+		}
+		h.now = time.Second
+		s := starts(h.submit("j", 1))[0]
+		h.now = 2 * time.Second
+		h.step(Tick{})
+		if begunBefore {
+			fail()
+		}
+		h.report(s.Worker, nil, graph.RunEnd{Number: 1, Task: s.Task, Run: s.Run, Kind: graph.EndDone})
+		if s.Worker != "w0" || w.failures.Quarantined(h.now) != begunBefore || (w.failures.Count() > 0) != begunBefore {
+			t.Errorf("begun before the failures: %v; done on %s; w0 quarantined %v with %d failures", begunBefore, s.Worker, w.failures.Quarantined(h.now), w.failures.Count())
+		}
+	}
+}
--- a/internal/workerhealth/failures.go
+++ b/internal/workerhealth/failures.go
@@ -9,7 +9,7 @@
 	// FailureWindow is the time for which a failed run counts against its worker.
 	FailureWindow = 12 * time.Second
 	// quarantineThreshold is the number of failed runs of different units, with no
-	// successful run in between, at which a worker is quarantined: it gets no new
+	// successful run begun since, at which a worker is quarantined: it gets no new
 	// work.
 	quarantineThreshold = 2
 	// initialQuarantine is the duration of the first quarantine. It doubles with
@@ -66,8 +66,18 @@
 // QuarantinedUntil returns when the last quarantine ends, 0 if there was none.
 func (f *Failures[U]) QuarantinedUntil() time.Duration { return f.quarantinedUntil }
 
-// Succeed clears the failures and the quarantine: a run on the worker was done.
-func (f *Failures[U]) Succeed() { *f = Failures[U]{} }
+// Succeed records that a run was done that had begun at the given time. It clears the failures
+// before that time, and the quarantine if it rests on them. Later ones count: a worker that
+// fails what it is given may finish what it had begun before.
+func (f *Failures[U]) Succeed(began time.Duration) {
+	f.recent = slices.DeleteFunc(f.recent, func(o failure[U]) bool { return o.at < began })
+	switch {
+	case len(f.recent) == 0:
+		*f = Failures[U]{}
+	case len(f.recent) < quarantineThreshold:
+		f.EndQuarantine()
+	}
+}
 
 // Restart adjusts the failures to a new incarnation of the worker. Its next quarantine
 // is longer if the earlier incarnation had any.
@@ -76,7 +86,7 @@
 // Quarantined reports whether the worker gets no new work.
 func (f *Failures[U]) Quarantined(now time.Duration) bool { return f.quarantinedUntil > now }
 
-// Count returns the number of recorded failures since the last successful run, of those
+// Count returns the number of recorded failures since the last successful run began, of those
 // that were recent at the last one.
 func (f *Failures[U]) Count() int { return len(f.recent) }
 
