--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -64,8 +64,9 @@
 	listedAt        time.Duration
 	unresponsive    bool // logged as unresponsive
 	runs            external.RunList
-	acknowledged    uint64 // number of the last end acknowledged by the owner
-	ackAnswered     uint64 // the last acknowledgement that the worker has answered
+	acknowledged    uint64        // number of the last end acknowledged by the owner
+	ackAnswered     uint64        // the last acknowledgement that the worker has answered
+	ackUnansweredAt time.Duration // when the first one since then was sent, 0 if none was
 	absent          []*rpc.AbsentTask
 	orders          map[runRef]*order // orders in progress
 	wakeHold        chan struct{}
@@ -131,6 +132,7 @@
 	k.lease.reset(k.clock())
 	k.runs = external.RunList{}
 	k.listedEpoch, k.acknowledged, k.ackAnswered, k.leftAt, k.exitDeniedAt, k.gone = 0, 0, 0, 0, 0, false
+	k.ackUnansweredAt = 0
 	k.absent = nil
 	k.orders = map[runRef]*order{}
 	k.sent.reset()
@@ -272,7 +274,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReplyMargin)
 	defer cancel()
-	if err := k.checkIncarnation(t); err != nil {
+	if err := k.beginHold(t); err != nil {
 		return err
 	}
 	list, err := k.runner.Hold(ctx, t.instance, external.HoldRuns{Epoch: t.epoch, Seen: t.acknowledged, Deadline: t.deadline, Wait: wait})
--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
@@ -13,14 +15,21 @@
 // that an acknowledgement is sent only until it is answered, in calls that do not wait: few are
 // under way when a worker ends.
 
-// checkIncarnation returns an error if the worker's incarnation has changed since t: the call
-// must not be sent.
-func (k *Keeper) checkIncarnation(t callTarget) error {
+// slowAck is the time after which an acknowledgement counts as unanswered. A sound worker
+// answers sooner, and none starts again within it.
+const slowAck = 20 * time.Millisecond
+
+// beginHold records that a Hold call is about to be sent. It returns an error if the worker's
+// incarnation has changed since t: the call must not be sent.
+func (k *Keeper) beginHold(t callTarget) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.worker == nil || k.worker.Incarnation() != t.incarnation {
 		return errors.Annotate(external.ErrRunWrongInstance, "the worker has changed meanwhile")
 	}
+	if t.acknowledged > 0 && k.ackUnansweredAt == 0 {
+		k.ackUnansweredAt = k.clock()
+	}
 	return nil
 }
 
@@ -32,9 +41,21 @@
 	belied := len(list.Ended) > 0 && list.Ended[0].Number <= t.acknowledged
 	if !belied && k.worker.Incarnation() == t.incarnation {
 		k.ackAnswered = max(k.ackAnswered, t.acknowledged)
+		if t.acknowledged > 0 {
+			k.ackUnansweredAt = 0
+		}
 	}
 }
 
+// ackOverdue reports whether an acknowledgement has no answer: the worker may have ended. A
+// start on its next incarnation, before that has its own epoch, would leave the end of the run
+// open to that acknowledgement.
+func (k *Keeper) ackOverdue() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ackUnansweredAt > 0 && k.clock()-k.ackUnansweredAt > slowAck
+}
+
 // pendingAck returns the acknowledgement that the worker has not answered, or 0. The caller
 // holds the lock.
 func (k *Keeper) pendingAck() uint64 {
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -157,7 +157,7 @@
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
 	for attempt := range callTimeouts {
-		if (attempt > 0 || !k.extendsLease()) && k.listBeforeStart(ctx, t, ref) {
+		if (attempt > 0 || !k.extendsLease() || k.ackOverdue()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
 		called := k.callStart(ctx, t, startRun, rpc.CapacityOf(o), callTimeout(attempt))
--- a/test/graphs/together_test.go
+++ b/test/graphs/together_test.go
@@ -175,11 +175,16 @@
 // TestLateAcknowledgementForgetsNoUnseenEnd guards against a task that runs again after it was done: an acknowledgement meant for the earlier incarnation of its worker is executed before anyone has listed its end.
 func TestLateAcknowledgementForgetsNoUnseenEnd(t *testing.T) {
 	for _, agentReplaced := range []bool{false, true} {
-		t.Run(fmt.Sprintf("agent replaced %v", agentReplaced), func(t *testing.T) { testLateAcknowledgement(t, agentReplaced) })
+		t.Run(fmt.Sprintf("agent replaced %v", agentReplaced), func(t *testing.T) { testLateAcknowledgement(t, agentReplaced, true) })
 	}
 }
 
-func testLateAcknowledgement(t *testing.T, agentReplaced bool) {
+// TestStartBeforeARestartIsKnownKeepsItsEnd guards against the same for a start that is meant for the earlier incarnation and reaches the next one before the agent knows of that.
+func TestStartBeforeARestartIsKnownKeepsItsEnd(t *testing.T) {
+	testLateAcknowledgement(t, false, false)
+}
+
+func testLateAcknowledgement(t *testing.T, agentReplaced, restartKnown bool) {
 	const late = 2500 * time.Millisecond
 	f := newFleet(t, 1, 1)
 	a := f.agents[0]
@@ -191,9 +196,12 @@
 	if agentReplaced {
 		f.replaceAgent(a)
 	}
+	time.Sleep(50 * time.Millisecond) // no worker is back sooner
 	a.runner.Restart()
 	a.runner.SetFaults(standin.RunnerFaults{})
-	f.await("notice of the restart", func() bool { return a.knownStart() == a.runner.StartCount() })
+	if restartKnown {
+		f.await("notice of the restart", func() bool { return a.knownStart() == a.runner.StartCount() })
+	}
 	next := f.submit(f.entries[0], 1)
 	f.await("the start of the next task", func() bool { return len(f.startCounts(next)) == 1 })
 	a.runner.SetFaults(standin.RunnerFaults{DropCalls: true})
