keeper: a test of late leases at the next incarnation

A lease that was meant for the earlier incarnation of a worker, executed by the next one, let its runs outlive the lease that the owner knows: its deadline is on the earlier clock.

--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -29,9 +29,11 @@
 	ignored atomic.Bool  // acknowledgements have no effect
 	// executed is the outcome of the last call that took effect late.
 	executed atomic.Pointer[error]
+	latest   atomic.Int64 // highest deadline of a call, in nanoseconds
 }
 
 func (r *ackRunner) Hold(ctx context.Context, instance string, o external.HoldRuns) (external.RunList, error) {
+	r.latest.Store(max(r.latest.Load(), int64(o.Deadline)))
 	if o.Seen > 0 {
 		r.acks.Add(1)
 		if o.Wait > 0 {
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -165,6 +165,13 @@
 	return out
 }
 
+// LeaseLeft returns the time until the worker's lease ends, 0 if it has none.
+func (r *Runner) LeaseLeft() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(0, time.Until(r.leaseEnd))
+}
+
 // Running returns the number of running tasks.
 func (r *Runner) Running() int {
 	r.mu.Lock()
