keeper: an entry that does not answer counts against the delay

Agents would be without an owner for up to 0.8 s after a takeover, where docs/design/platform.md says 0.2 to 0.6 s. An entry whose host is lost, or that is frozen, with its connections still established does not answer Locate. If no other entry names an owner yet, an agent waits for it for locateTimeout (0.4 s), and then for the delay to its next attempt (up to 0.4 s). The two added up.

The delay after a search without an owner now counts from the start of the search (Backoff.NextAfter). At least a shortest delay remains, with its jitter, so that agents which lost one owner do not ask together.

TestSilentEntryDelaysNoFollower failed before ("nothing within 600ms", 3 of 3 runs) and passes; it plays 100 moments of the takeover in simulated time. TestBackoffCountsTimeOfAttempt is that of the new function.

Not covered: a read of the ownership row that does not answer either takes up to 0.6 s more, once a second.

--- a/internal/agent/keeper/backoff_test.go
+++ b/internal/agent/keeper/backoff_test.go
@@ -137,3 +137,54 @@
 	e.refuses.Store(false)
 	await(t, e.answered, bound)
 }
+
+// electingEntry names no owner until it owns scheduling itself.
+type electingEntry struct {
+	rpc.UnimplementedFleetServer
+	address  string
+	owns     atomic.Bool
+	attended chan struct{}
+}
+
+func (e *electingEntry) Locate(context.Context, *rpc.LocateRequest) (*rpc.LocateReply, error) {
+	if !e.owns.Load() {
+		return &rpc.LocateReply{}, nil
+	}
+	return &rpc.LocateReply{OwnerAddress: e.address, Epoch: 2}, nil
+}
+
+func (e *electingEntry) Attend(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]) error {
+	e.attended <- struct{}{}
+	<-stream.Context().Done()
+	return nil
+}
+
+// silentEntry accepts calls and answers none.
+type silentEntry struct {
+	rpc.UnimplementedFleetServer
+}
+
+func (silentEntry) Locate(ctx context.Context, _ *rpc.LocateRequest) (*rpc.LocateReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestSilentEntryDelaysNoFollower guards against agents that add the time in which a lost entry does not answer to their delays.
+func TestSilentEntryDelaysNoFollower(t *testing.T) {
+	const (
+		agents     = 100
+		spacing    = 11 * time.Millisecond
+		followTime = 600 * time.Millisecond // docs/design/platform.md
+	)
+	for i := range agents {
+		simulateTime(t, func(t *testing.T) {
+			e, network := &electingEntry{address: "next", attended: make(chan struct{}, 16)}, newMemoryNetwork(t)
+			network.serve("lost", silentEntry{})
+			network.serve(e.address, e)
+			startKeeperIn(network, "lost", e.address)
+			time.Sleep(3*time.Second + time.Duration(i)*spacing)
+			e.owns.Store(true)
+			await(t, e.attended, followTime)
+		})
+	}
+}
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -45,12 +45,14 @@
 			kernel.Sleep(ctx, findRetryInterval)
 			continue
 		}
+		began := k.clock()
 		client, address := k.finder.Find(ctx)
 		if client == nil {
-			kernel.Sleep(ctx, retry.Next())
+			// An entry that does not answer takes up to locateTimeout of the delay.
+			kernel.Sleep(ctx, retry.NextAfter(k.clock()-began))
 			continue
 		}
-		began := k.clock()
+		began = k.clock()
 		answered, err := k.serveOwner(ctx, client, address)
 		if ctx.Err() != nil {
 			return
--- a/internal/kernel/backoff.go
+++ b/internal/kernel/backoff.go
@@ -16,7 +16,18 @@
 // Next returns the delay before the next attempt.
 func (b *Backoff) Next() time.Duration {
 	b.longest = min(max(2*b.longest, b.Min), b.Max)
-	half := b.longest / 2
+	return b.jittered(b.longest)
+}
+
+// NextAfter is Next for an attempt that took some time: the delay counts from its start.
+// What remains is at least a first delay, so that slow attempts are not repeated together
+// either.
+func (b *Backoff) NextAfter(took time.Duration) time.Duration {
+	return max(b.Next()-took, b.jittered(b.Min))
+}
+
+func (b *Backoff) jittered(longest time.Duration) time.Duration {
+	half := longest / 2
 	return half + time.Duration(b.Jitter()*float64(half))
 }
 
--- a/internal/kernel/backoff_test.go
+++ b/internal/kernel/backoff_test.go
@@ -22,3 +22,13 @@
 		}
 	}
 }
+
+// TestBackoffCountsTimeOfAttempt guards against delays that an attempt which takes long prolongs or leaves out.
+func TestBackoffCountsTimeOfAttempt(t *testing.T) {
+	b := Backoff{Min: 100 * time.Millisecond, Max: 400 * time.Millisecond, Jitter: func() float64 { return 0.5 }}
+	for _, tc := range []struct{ took, want time.Duration }{{0, 75}, {0, 150}, {100, 200}, {290, 75}, {400, 75}, {0, 300}} {
+		if got := b.NextAfter(tc.took * time.Millisecond); got != tc.want*time.Millisecond {
+			t.Errorf("delay after an attempt of %v ms: %v, want %v ms", int64(tc.took), got, int64(tc.want))
+		}
+	}
+}
