plan: look for stopping runs only on workers that have some

A pass over a large fleet would cost more since: while a job waits, each pass looked at every run of the pool for those that are being stopped.

A worker counts its members that are being stopped.

The machines check that no worker counts a stopping member once it has no run. They, and the tests of idle pools, headroom and guarantees, pass.

--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -53,7 +53,10 @@
 	if m.ended || m.stopping && m.orderSession == m.worker.session {
 		return
 	}
-	m.stopping = true
+	if !m.stopping {
+		m.stopping = true
+		m.worker.stopping++
+	}
 	if !m.startSent && !m.recovered {
 		return
 	}
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -91,6 +91,9 @@
 // that leaves orders unanswered; to callers that room is free.
 func (w *worker) inUse() graph.Resources {
 	sum := w.used.Add(w.unknownUse)
+	if w.stopping == 0 {
+		return sum
+	}
 	for _, m := range w.members {
 		if m.stopping && !m.listedLast() {
 			sum = sum.Sub(m.unit.step.Needs)
--- a/internal/graph/plan/machine_test.go
+++ b/internal/graph/plan/machine_test.go
@@ -204,8 +204,8 @@
 		}
 	}
 	for _, w := range m.core.sortedWorkers {
-		if w.used != (graph.Resources{}) {
-			t.Fatalf("%s: %+v counted as used without a run", w.info.ID, w.used)
+		if w.used != (graph.Resources{}) || w.stopping != 0 {
+			t.Fatalf("%s: %+v counted as used and %d as stopping without a run", w.info.ID, w.used, w.stopping)
 		}
 	}
 }
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -35,6 +35,7 @@
 	lost        bool // the lease has expired
 
 	members    []*member // members that have not ended
+	stopping   int       // of members
 	used       graph.Resources
 	unknownUse graph.Resources // used by runs that the owner did not place here
 	// unknownStops holds the last stop ordered for each such run.
@@ -98,6 +99,9 @@
 	w := m.worker
 	w.members = slices.DeleteFunc(w.members, func(o *member) bool { return o == m })
 	w.used = w.used.Sub(m.unit.step.Needs)
+	if m.stopping {
+		w.stopping--
+	}
 	if m.crashes > 0 {
 		w.suspects--
 	}
