graphs: a row of ends without ends is one that cannot be read

Callers would see a done task run again (TWICE): a row of ends that lacks them, as one of a later version with other names, was taken for an empty one. Its job was loaded without them, and its acknowledged tasks started again.

An owner writes no empty row, so such a row makes the job unreadable, as others that cannot be decoded do.

TestOddRowOfEndsIsNotOverwritten failed with such a row before, as the job counted as readable, and passes. internal/entry/graphs passes with -race.

--- a/internal/entry/graphs/endsrow.go
+++ b/internal/entry/graphs/endsrow.go
@@ -47,6 +47,9 @@
 	if err := json.Unmarshal(data, &row); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if len(row.Ends) == 0 { // no owner writes such a row
+		return nil, errors.NotValidf("row without ends")
+	}
 	out := make([]graph.RunEnd, len(row.Ends))
 	for i, e := range row.Ends {
 		out[i] = graph.RunEnd{Task: graph.TaskID{Job: id, Step: e.Step, Index: e.Index}, Run: e.Run, Kind: e.Kind, Checkpoint: e.Checkpoint}
--- a/internal/entry/graphs/endsrow_test.go
+++ b/internal/entry/graphs/endsrow_test.go
@@ -148,26 +148,28 @@
 	}
 }
 
-// TestOddRowOfEndsIsNotOverwritten guards against ends that are lost, as the owner writes others over a row of ends that it cannot read, or removes the repaired row with a progress that lacks them.
+// TestOddRowOfEndsIsNotOverwritten guards against ends that are lost, as the owner writes others over a row of ends that it cannot read, or removes such a row, or the repaired one, with a progress that lacks them.
 func TestOddRowOfEndsIsNotOverwritten(t *testing.T) {
-	const odd = `{"ends":7}`
-	rows := append(rowsOf(string(jobOfEnds), soundJob, runningProgress), ledger.Row{Key: endsKey(jobOfEnds), Data: json.RawMessage(odd)})
-	term, write := repairTerm(t, rows...)
-	fenceTerm(t, term)
-	report := reportOf(1)
-	report.Ended = []graph.RunEnd{{Number: 1, Task: graph.TaskID{Job: jobOfEnds, Index: 1}, Run: 6, Kind: graph.EndStopped}}
-	term.step(report)
-	time.Sleep(100 * time.Millisecond)
-	stored, err := term.store.table.Get(context.Background(), ledger.CauseJob, endsKey(jobOfEnds))
-	if err != nil || string(stored[0].Data) != odd {
-		t.Fatalf("the row of ends is %s, %v", stored[0].Data, err)
+	for _, odd := range []string{`{"ends":7}`, `{"ends_of_a_later_version":[{"s":0,"i":0,"r":5,"k":"done"}]}`} {
+		rows := append(rowsOf(string(jobOfEnds), soundJob, runningProgress), ledger.Row{Key: endsKey(jobOfEnds), Data: json.RawMessage(odd)})
+		term, write := repairTerm(t, rows...)
+		fenceTerm(t, term)
+		report := reportOf(1)
+		report.Ended = []graph.RunEnd{{Number: 1, Task: graph.TaskID{Job: jobOfEnds, Index: 1}, Run: 6, Kind: graph.EndStopped}}
+		term.step(report)
+		time.Sleep(100 * time.Millisecond)
+		stored, err := term.store.table.Get(context.Background(), ledger.CauseJob, endsKey(jobOfEnds))
+		if err != nil || string(stored[0].Data) != odd || !term.core.Unreadable(jobOfEnds) {
+			t.Errorf("the row of ends is %s and was %s, %v", stored[0].Data, odd, err)
+			continue
+		}
+		write(endsKey(jobOfEnds), `{"ends":[{"s":0,"i":0,"r":5,"k":"done"}]}`)
+		term.withCore(term.runPass)
+		waitFor(t, "the progress contains the end of the repaired row", func() bool {
+			j, err := term.store.LoadJob(context.Background(), jobOfEnds)
+			return err == nil && j.err == nil && j.endsVersion == 0 && len(j.progress.Tasks) > 0 && j.progress.Tasks[0].Done
+		})
 	}
-	write(endsKey(jobOfEnds), `{"ends":[{"s":0,"i":0,"r":5,"k":"done"}]}`)
-	term.withCore(term.runPass)
-	waitFor(t, "the progress contains the end of the repaired row", func() bool {
-		j, err := term.store.LoadJob(context.Background(), jobOfEnds)
-		return err == nil && j.err == nil && j.endsVersion == 0 && len(j.progress.Tasks) > 0 && j.progress.Tasks[0].Done
-	})
 }
 
 // fenceTerm writes the fence row of a term.
