--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -173,12 +173,11 @@
 	if !k.mayExtendLease() {
 		return 0, errors.Annotate(external.ErrUnavailable, "the worker has not answered lately and gets no lease")
 	}
-	now := k.clock()
-	deadline, ok := k.sent.begin(ref, t.epoch, k.nextDeadline(), k.lease.minWorkerClock(now), now)
-	if !ok {
+	deadline = k.nextDeadline()
+	if !k.sent.begin(ref, t.epoch, deadline, k.clock()) {
 		return 0, errors.Annotate(errStartRevoked, "the run was reported absent")
 	}
-	k.unanswered.begin(ref, now)
+	k.unanswered.begin(ref, k.clock())
 	return deadline, nil
 }
 
--- a/internal/agent/keeper/sentstarts.go
+++ b/internal/agent/keeper/sentstarts.go
@@ -12,13 +12,8 @@
 // sent, or one for an earlier incarnation, the deadline is not known.
 type sentStarts struct{ runs map[runRef]sentStart }
 
-// startValidity is the time after its first start call for which the calls of a run may take
-// effect on the worker. An agent gives up before, and a gang does not wait longer for its members.
-const startValidity = 3 * time.Second
-
 type sentStart struct {
 	epoch    uint64
-	until    time.Duration // the limit of all deadlines of the run, on the worker's clock
 	deadline time.Duration // the latest of the run's start calls, on the worker's clock
 	sentAt   time.Duration // on the agent's clock
 	closed   bool          // no further call may be made
@@ -28,20 +23,12 @@
 // run without outcome to stop long before.
 const sentStartRetention = 2 * lateCallBound
 
-// begin records a start call that is about to be sent under a lease until the given deadline, and
-// returns the deadline of the call. workerClock is a lower bound of the worker's clock. It reports
-// whether the call may be sent.
-//
-// A deadline never shortens the lease, which calls of Hold extend, so that it may be earlier.
-func (s *sentStarts) begin(ref runRef, epoch uint64, lease, workerClock, now time.Duration) (deadline time.Duration, ok bool) {
-	before, sent := s.runs[ref]
+// begin records a start call that is about to be sent. It reports whether it may be sent.
+func (s *sentStarts) begin(ref runRef, epoch uint64, deadline, now time.Duration) bool {
+	before := s.runs[ref]
 	if before.closed {
-		return 0, false
-	}
-	if !sent {
-		before.until = workerClock + startValidity
+		return false
 	}
-	deadline = min(lease, before.until)
 	if s.runs == nil {
 		s.runs = map[runRef]sentStart{}
 	}
@@ -50,8 +37,8 @@
 			delete(s.runs, old)
 		}
 	}
-	s.runs[ref] = sentStart{epoch: max(epoch, before.epoch), until: before.until, deadline: max(deadline, before.deadline), sentAt: now}
-	return deadline, true
+	s.runs[ref] = sentStart{epoch: max(epoch, before.epoch), deadline: max(deadline, before.deadline), sentAt: now}
+	return true
 }
 
 // closeIfOver reports whether no start of a run can take effect after a list that was made
