soak: a worker's token is an epoch of its term

It compares the terms of epochs and run numbers as before, and whole epochs for "never a lower one than before". TestChecksFindViolations has two more cases: no epoch, and a run of no term. go test ./test/soak passed.

--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -248,7 +248,7 @@
 		return errStaleEpoch
 	}
 	if o.Epoch > k.epoch {
-		if !rpc.SameTerm(o.Epoch, k.epoch) {
+		if rpc.TermOfEpoch(o.Epoch) != rpc.TermOfEpoch(k.epoch) {
 			k.log.Info().Uint64("epoch", o.Epoch).Uint64("before", k.epoch).Msg("owner changed")
 		}
 		k.epoch = o.Epoch
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -11,9 +11,9 @@
 // that follow.
 const EpochsPerTerm = 64
 
-// SameTerm reports whether two epochs are those of one term. It is exact while all owners are
-// of this version.
-func SameTerm(a, b uint64) bool { return (a-1)/EpochsPerTerm == (b-1)/EpochsPerTerm }
+// TermOfEpoch returns the number of the term to which an epoch belongs, 1 for the first. It is
+// exact while all owners are of this version.
+func TermOfEpoch(epoch uint64) uint64 { return (epoch + EpochsPerTerm - 1) / EpochsPerTerm }
 
 // TaskRefOf returns the message that identifies a run of a task.
 func TaskRefOf(t graph.TaskID, run uint64) *TaskRef {
--- a/test/soak/bounds.go
+++ b/test/soak/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/platform/standin"
 )
 
@@ -151,9 +152,9 @@
 	}
 }
 
-// checkTokens: a token is used only after the write that counts its term, by one
+// checkTokens: an epoch is used only after the write that begins its term, by one
 // owner, and at the latest for a lease after the write of the next term. A worker
-// never takes a lower token than before.
+// never takes a lower epoch than before.
 func checkTokens(r *Record, fail report) {
 	var terms []time.Duration
 	highest := map[string]uint64{}
@@ -164,18 +165,19 @@
 		case KindRestart:
 			delete(highest, e.Worker)
 		case KindStart:
-			if e.Token == 0 || e.Token > uint64(len(terms)) {
-				fail(e.At, "%s took token %d after %d terms", e.Worker, e.Token, len(terms))
+			term, began := rpc.TermOfEpoch(e.Token), uint64(len(terms))
+			if term == 0 || term > began {
+				fail(e.At, "%s took epoch %d after %d terms", e.Worker, e.Token, began)
 				continue
 			}
-			if e.Token < uint64(len(terms)) && e.At > terms[e.Token]+standin.MaxLease {
-				fail(e.At, "%s took token %d at a start, %v after the next term began", e.Worker, e.Token, e.At-terms[e.Token])
+			if term < began && e.At > terms[term]+standin.MaxLease {
+				fail(e.At, "%s took epoch %d at a start, %v after the next term began", e.Worker, e.Token, e.At-terms[term])
 			}
-			if e.Run>>runNumberBits != e.Token && e.Run>>runNumberBits > uint64(len(terms)) {
-				fail(e.At, "run %d on %s is of term %d, after %d terms", e.Run, e.Worker, e.Run>>runNumberBits, len(terms))
+			if of := rpc.TermOfEpoch(e.Run >> runNumberBits); of != term && of > began {
+				fail(e.At, "run %d on %s is of term %d, after %d terms", e.Run, e.Worker, of, began)
 			}
 			if e.Token < highest[e.Worker] {
-				fail(e.At, "%s took token %d after %d", e.Worker, e.Token, highest[e.Worker])
+				fail(e.At, "%s took epoch %d after %d", e.Worker, e.Token, highest[e.Worker])
 			}
 			highest[e.Worker] = e.Token
 		}
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 	"github.com/coltsfootlug/coltsfootlug/platform/standin"
 )
 
@@ -91,7 +92,11 @@
 		})},
 		{"zone-bound", "start in a zone that is out", change(func(r *Record) { r.with(Event{Kind: KindZoneOut, Zone: "z1"}, start(5100*time.Millisecond)) })},
 		{"drain-bound", "start on a draining worker", change(func(r *Record) { r.with(Event{Kind: KindDrain, Worker: "w1"}, start(2100*time.Millisecond)) })},
-		{"tokens", "token of no term", change(func(r *Record) { r.Events[2].Token = 2 })},
+		{"tokens", "epoch of no term", change(func(r *Record) { r.Events[2].Token = rpc.EpochsPerTerm + 1 })},
+		{"tokens", "no epoch", change(func(r *Record) { r.Events[2].Token = 0 })},
+		{"tokens", "run of no term", change(func(r *Record) {
+			r.with(func() Event { e := start(second); e.Run = (rpc.EpochsPerTerm + 1) << runNumberBits; return e }())
+		})},
 		{"tokens", "token of an earlier term", change(func(r *Record) { r.with(Event{Kind: KindFence, At: second}, start(second+standin.MaxLease+1)) })},
 		{"served-again", "not served", change(func(r *Record) { r.drop(func(e Event) bool { return e.Kind == KindServed && e.Entry == "e1" }) })},
 		{"served-again", "served late", change(func(r *Record) { r.Events[10].At = 17 * second })},
