plan: an absence without a reason is no refusal

A job would wait for 1.5 s more for the only worker that it may use: took the absence of a run that was being stopped for a refusal also where its agent names no reason.

--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -82,6 +82,9 @@
 // AbsentStopped is the reason of a run that is absent because its owner has ordered it to stop.
 const AbsentStopped = "stopped"
 
+// tellsRefusal reports whether the worker has not started the run for a reason of its own.
+func (a RunAbsent) tellsRefusal() bool { return a.Reason != "" && a.Reason != AbsentStopped }
+
 // RunRef identifies a run of a task.
 type RunRef struct {
 	Task graph.TaskID
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -438,7 +438,7 @@
 	}
 	u := m.unit
 	c.emit(Notice{Reason: ReasonRunEnded, Job: u.job.ID, Task: a.Task.String(), Run: a.Run, Worker: w.info.ID, Detail: "refused: " + a.Reason})
-	if !m.stopping || a.Reason != AbsentStopped { // several members of one run may be refused
+	if !m.stopping || a.tellsRefusal() { // several members of one run may be refused
 		u.refusedBy(w, c.now+refusalBackoff)
 	}
 	c.endMember(m, graph.EndNeverStarted, "")
