keeper: an owner that does not answer counts against the delay

Agents that are connected with a lost or frozen owner, which has answered none of their reports, could reach the next owner later than the 0.6 s in docs/design/platform.md. The last check for a successor begins up to 0.3 s before ownerReplyTimeout (1.2 s) ends the connection, and the delay to the next attempt (up to 0.4 s) was added after that. Such connections arise where the other entries still name the lost owner when the first one is ended.

The delay after a connection counts from the start of the attempt, too. For a refused one that is the same. After a longer one a shortest delay remains.

TestSilentOwnerDelaysNoFollower failed before ("nothing within 600ms", 5 of 5 runs) and passed in 5 of 5. It and TestSilentEntryDelaysNoFollower share a body now, which plays 200 moments in place of 100.

TestRefusedAgentBacksOff still counts 14 to 16 connections within 4 s.

--- a/internal/agent/keeper/backoff_test.go
+++ b/internal/agent/keeper/backoff_test.go
@@ -138,17 +138,18 @@
 	await(t, e.answered, bound)
 }
 
-// electingEntry names no owner until it owns scheduling itself.
+// electingEntry names the owner before it, if any, until it owns scheduling itself.
 type electingEntry struct {
 	rpc.UnimplementedFleetServer
 	address  string
+	before   string
 	owns     atomic.Bool
 	attended chan struct{}
 }
 
 func (e *electingEntry) Locate(context.Context, *rpc.LocateRequest) (*rpc.LocateReply, error) {
 	if !e.owns.Load() {
-		return &rpc.LocateReply{}, nil
+		return &rpc.LocateReply{OwnerAddress: e.before, Epoch: 1}, nil
 	}
 	return &rpc.LocateReply{OwnerAddress: e.address, Epoch: 2}, nil
 }
@@ -169,16 +170,33 @@
 	return nil, ctx.Err()
 }
 
+func (silentEntry) Attend(stream grpc.BidiStreamingServer[rpc.WorkerReport, rpc.WorkerOrders]) error {
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
 // TestSilentEntryDelaysNoFollower guards against agents that add the time in which a lost entry does not answer to their delays.
 func TestSilentEntryDelaysNoFollower(t *testing.T) {
+	checkFollowTime(t, "")
+}
+
+// TestSilentOwnerDelaysNoFollower guards against the same where an entry still names the lost one as the owner.
+func TestSilentOwnerDelaysNoFollower(t *testing.T) {
+	checkFollowTime(t, "lost")
+}
+
+// checkFollowTime lets an entry take over at various moments, while another entry does not
+// answer. It names the owner before it until then.
+func checkFollowTime(t *testing.T, before string) {
+	t.Helper()
 	const (
-		agents     = 100
+		moments    = 200
 		spacing    = 11 * time.Millisecond
 		followTime = 600 * time.Millisecond // docs/design/platform.md
 	)
-	for i := range agents {
+	for i := range moments {
 		simulateTime(t, func(t *testing.T) {
-			e, network := &electingEntry{address: "next", attended: make(chan struct{}, 16)}, newMemoryNetwork(t)
+			e, network := &electingEntry{address: "next", before: before, attended: make(chan struct{}, 16)}, newMemoryNetwork(t)
 			network.serve("lost", silentEntry{})
 			network.serve(e.address, e)
 			startKeeperIn(network, "lost", e.address)
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -36,7 +36,8 @@
 )
 
 // ownerLoop maintains a connection with the owner. Attempts back off until an owner has
-// answered a report.
+// answered a report. The delays count from the start of an attempt, as entries that do not
+// answer prolong it by up to locateTimeout and ownerReplyTimeout.
 func (k *Keeper) ownerLoop(ctx context.Context) {
 	retry := kernel.Backoff{Min: findRetryInterval, Max: maxFindRetryInterval, Jitter: rand.Float64}
 	lastReason := "" // reason of the last disconnect; repetitions are not logged
@@ -48,11 +49,10 @@
 		began := k.clock()
 		client, address := k.finder.Find(ctx)
 		if client == nil {
-			// An entry that does not answer takes up to locateTimeout of the delay.
 			kernel.Sleep(ctx, retry.NextAfter(k.clock()-began))
 			continue
 		}
-		began = k.clock()
+		connected := k.clock()
 		answered, err := k.serveOwner(ctx, client, address)
 		if ctx.Err() != nil {
 			return
@@ -60,12 +60,12 @@
 		if answered {
 			retry.Reset()
 		}
-		if lasted := k.clock() - began; lasted > findRetryInterval || err.Error() != lastReason {
+		if lasted := k.clock() - connected; lasted > findRetryInterval || err.Error() != lastReason {
 			lastReason = err.Error()
 			k.log.Info().Err(err).Str("owner", address).Dur("lasted_ms", lasted).Msg("connection to owner ended")
 		}
 		if !errors.Is(err, errOwnerSuperseded) {
-			kernel.Sleep(ctx, retry.Next())
+			kernel.Sleep(ctx, retry.NextAfter(k.clock()-began))
 		}
 	}
 }
