graphs: the epoch on a host does not fall as its worker gets another name (LOST)

Callers would see a worker without work until the term ends: it starts again under its instance name, later under another one, and then its connection to the owner breaks. The owner named the token for the new name, below what the agent had followed; the agent refused it ("rejected orders of an earlier owner") on each new connection. A new agent helps little: the incarnation was confirmed under the higher epoch, and refuses the lower one itself. Its runs count as lost. A name that comes from another host is hit alike.

Cause: numbers the incarnations of each instance name by itself, while an agent follows the highest epoch of all names on its host.

The number of an incarnation is now at least the last one of its worker ID too. Workers that name no machine have their instance name as ID; a new incarnation of those gets at least the highest number of the term.

TestRenamedWorkerIsNotRefused failed before in four of five cases ("another name: report 2: epoch 7 after 8, which the agent refuses") and passes. internal/entry/graphs passed with -race.

--- a/internal/entry/graphs/workerepochs.go
+++ b/internal/entry/graphs/workerepochs.go
@@ -9,11 +9,14 @@
 // and, as the worker starts again under its instance name, the numbers that follow. A worker
 // refuses calls with a lower epoch than it has seen, so the call that starts the first run on
 // an incarnation closes it to late calls for earlier ones of its name, whichever process of the
-// agent sent them. The term's lock guards it.
+// agent sent them. Nor does the number on a host fall when another name follows there: its agent
+// has followed the higher one. The term's lock guards it.
 type workerEpochs struct {
 	token      uint64
 	floor      uint64                      // number of instance names that are not kept
+	highest    uint64                      // number of the term
 	byInstance map[string]incarnationEpoch // of the last incarnation of each instance name
+	byHost     map[string]uint64           // highest number of each worker ID
 }
 
 type incarnationEpoch struct {
@@ -21,38 +24,44 @@
 	number      uint64 // within the term
 }
 
-// maxKeptEpochs bounds the instance names that are kept. An incarnation whose epoch is not
-// kept gets a higher one; its agent then lists its runs as for another owner.
+// maxKeptEpochs bounds the instance names that are kept, and the worker IDs. An incarnation
+// whose epoch is not kept gets a higher one; its agent then lists its runs as for another owner.
 const maxKeptEpochs = 1 << 16
 
 func newWorkerEpochs(token uint64) workerEpochs {
-	return workerEpochs{token: token, byInstance: map[string]incarnationEpoch{}}
+	return workerEpochs{token: token, byInstance: map[string]incarnationEpoch{}, byHost: map[string]uint64{}}
 }
 
 // of returns the epoch of a worker's incarnation. Incarnations of one name beyond the last
 // number of the term share it.
 func (e *workerEpochs) of(w plan.WorkerInfo) uint64 {
 	known, ok := e.byInstance[w.Instance]
+	host, hostKnown := e.byHost[w.ID]
+	if !ok && len(e.byInstance) >= maxKeptEpochs || !hostKnown && len(e.byHost) >= maxKeptEpochs {
+		e.forget()
+		known, ok, host = incarnationEpoch{}, false, 0
+	}
+	number := max(e.floor, host)
 	switch {
 	case ok && known.incarnation == w.Incarnation():
-		return e.token + known.number
-	case !ok && len(e.byInstance) >= maxKeptEpochs:
-		e.forget()
+		number = max(number, known.number)
+	case ok:
+		number = max(number, e.limit(known.number+1))
 	}
-	number := e.floor
-	if ok {
-		number = e.limit(known.number + 1)
+	if w.ID == w.Instance && known.incarnation != w.Incarnation() {
+		number = max(number, e.highest) // any host's agent may have had an earlier name
 	}
+	e.highest = max(e.highest, number)
 	e.byInstance[w.Instance] = incarnationEpoch{w.Incarnation(), number}
+	e.byHost[w.ID] = number
 	return e.token + number
 }
 
-// forget drops all instance names. Each gets a higher number than it has had.
+// forget drops all instance names and worker IDs. Each gets a higher number than it has had.
 func (e *workerEpochs) forget() {
-	for _, known := range e.byInstance {
-		e.floor = max(e.floor, e.limit(known.number+1))
-	}
+	e.floor = e.limit(e.highest + 1)
 	clear(e.byInstance)
+	clear(e.byHost)
 }
 
 func (e *workerEpochs) limit(number uint64) uint64 { return min(number, rpc.EpochsPerTerm-1) }
