--- a/test/graphs/faults_test.go
+++ b/test/graphs/faults_test.go
@@ -83,7 +83,7 @@
 	id := f.submit(f.entries[0], 12)
 	f.await("twelve starts", func() bool { return len(f.startCounts(id)) == 12 })
 	left := f.agents[0]
-	left.keeper.HandleWorkerLeft(left.runner.Instance())
+	left.keeper.HandleWorkerLeft(left.instance())
 	left.stop()
 	if err := left.keeper.Stop(context.Background()); err != nil {
 		t.Fatal(err)
--- a/test/graphs/fleet_test.go
+++ b/test/graphs/fleet_test.go
@@ -190,6 +190,7 @@
 	keeper   *keeper.Keeper
 	stop     context.CancelFunc
 	draining atomic.Bool
+	renames  atomic.Int32 // of its worker's instance
 }
 
 // fleet is a deployment of entries and agents that share one table.
@@ -354,6 +355,14 @@
 	go a.sendHeartbeats(ctx, a.keeper)
 }
 
+// instance returns the name of the worker's instance.
+func (a *agent) instance() string {
+	if n := a.renames.Load(); n > 0 {
+		return fmt.Sprintf("%s-%d", a.runner.Instance(), n)
+	}
+	return a.runner.Instance()
+}
+
 // replaceAgent stops the agent of a worker without notice and starts another one.
 func (f *fleet) replaceAgent(a *agent) {
 	f.t.Helper()
@@ -378,7 +387,7 @@
 func (a *agent) sendHeartbeats(ctx context.Context, k *keeper.Keeper) {
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 		k.HandleHeartbeat(plan.WorkerInfo{
-			ID: a.id, Instance: a.runner.Instance(), StartUnixMillis: a.runner.StartCount(), Pool: "pool", Zone: a.zone, Rack: "r-" + a.zone,
+			ID: a.id, Instance: a.instance(), StartUnixMillis: a.runner.StartCount(), Pool: "pool", Zone: a.zone, Rack: "r-" + a.zone,
 			Capacity: graph.Resources{MilliCPU: 16000, MemoryMB: 64000, Accelerators: 8},
 			Draining: a.draining.Load(), DrainRemaining: 3 * time.Second,
 		}, sequence)
--- a/test/graphs/together_test.go
+++ b/test/graphs/together_test.go
@@ -155,7 +155,7 @@
 
 // foreignHeartbeat returns a heartbeat that the agent's worker has not sent.
 func (a *agent) foreignHeartbeat(rnd *rand.Rand) plan.WorkerInfo {
-	w := plan.WorkerInfo{ID: a.id, Instance: a.runner.Instance(), StartUnixMillis: a.runner.StartCount(), Pool: "pool", Zone: a.zone, Rack: "r-" + a.zone,
+	w := plan.WorkerInfo{ID: a.id, Instance: a.instance(), StartUnixMillis: a.runner.StartCount(), Pool: "pool", Zone: a.zone, Rack: "r-" + a.zone,
 		Capacity: graph.Resources{MilliCPU: 16000, MemoryMB: 64000, Accelerators: 8}}
 	switch rnd.Intn(5) {
 	case 0:
@@ -216,6 +216,21 @@
 	}
 }
 
+// TestRenamedWorkerGetsWork guards against a worker that is refused until the term ends: it has started again under its name and then under another one, and its agent is replaced.
+func TestRenamedWorkerGetsWork(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.setTaskDuration(200 * time.Millisecond)
+	a := f.agents[0]
+	for _, renames := range []int32{0, 1} {
+		a.renames.Store(renames)
+		a.runner.Restart()
+		f.await("notice of the restart", func() bool { return a.knownStart() == a.runner.StartCount() })
+		f.awaitJobState(f.entries[0], f.submit(f.entries[0], 1), graph.Completed)
+	}
+	f.replaceAgent(a)
+	f.awaitJobState(f.entries[0], f.submit(f.entries[0], 1), graph.Completed)
+}
+
 // knownStart returns the start of the worker's incarnation that the agent knows.
 func (a *agent) knownStart() int64 {
 	worker, ok := a.keeper.DumpState().(map[string]any)["worker"].(*plan.WorkerInfo)
