workerhealth: a run begun before all failures lifts no quarantine that outlives them

Callers would see what mended once more: tasks given to a worker that fails each start. A quarantine of 16 s lasts longer than failures count (12 s). One more failure drops the earlier ones then, and the next run that is done ends the quarantine, also one that had begun before all of them: fewer failures are left than a quarantine takes.

Such a run ends the quarantine only if it has cleared a failure, as TakeBack has it.

TestOlderRunLiftsNoLaterQuarantine failed before ("1 failures, quarantined until 0s, want 19s") and passes; internal/workerhealth passed with -race, and the tests of quarantines and failures of plan.

--- a/internal/workerhealth/failures.go
+++ b/internal/workerhealth/failures.go
@@ -70,11 +70,12 @@
 // before that time, and the quarantine if it rests on them. Later ones count: a worker that
 // fails what it is given may finish what it had begun before.
 func (f *Failures[U]) Succeed(began time.Duration) {
+	before := len(f.recent)
 	f.recent = slices.DeleteFunc(f.recent, func(o failure[U]) bool { return o.at < began })
 	switch {
 	case len(f.recent) == 0:
 		*f = Failures[U]{}
-	case len(f.recent) < quarantineThreshold:
+	case len(f.recent) < before && len(f.recent) < quarantineThreshold:
 		f.EndQuarantine()
 	}
 }
