graphs: an instance name on two hosts raises no epochs

Where the agents of two hosts report one instance name, as of a worker that has moved while the agent it has left still reports it, each report drew another epoch for an incarnation that was known. An agent that learns of a higher epoch drops the orders under way, lists anew and leaves what is not settled to the owner's repetition after 5 s; and the 63 numbers of the name are used up within a term, so that later restarts share the last.

An incarnation that is the last one of its worker ID keeps its epoch now.

TestSharedInstanceNameRaisesNoEpochs failed before ("epochs 9 and 10, before 7 and 8") and passes. internal/entry/graphs passed with -race; TestRenamedWorkerGetsWork, TestLateAcknowledgementForgetsNoUnseenEnd, TestStartBeforeARestartIsKnownKeepsItsEnd and TestWorkersRestartTogetherUnderTheirNames passed once each. The lost orders were read from the code, not played.

--- a/internal/entry/graphs/workerepochs.go
+++ b/internal/entry/graphs/workerepochs.go
@@ -16,7 +16,7 @@
 	floor      uint64                      // number of instance names that are not kept
 	highest    uint64                      // number of the term
 	byInstance map[string]incarnationEpoch // of the last incarnation of each instance name
-	byHost     map[string]uint64           // highest number of each worker ID
+	byHost     map[string]incarnationEpoch // of the last incarnation of each worker ID
 }
 
 type incarnationEpoch struct {
@@ -29,7 +29,7 @@
 const maxKeptEpochs = 1 << 16
 
 func newWorkerEpochs(token uint64) workerEpochs {
-	return workerEpochs{token: token, byInstance: map[string]incarnationEpoch{}, byHost: map[string]uint64{}}
+	return workerEpochs{token: token, byInstance: map[string]incarnationEpoch{}, byHost: map[string]incarnationEpoch{}}
 }
 
 // of returns the epoch of a worker's incarnation. Incarnations of one name beyond the last
@@ -39,12 +39,14 @@
 	host, hostKnown := e.byHost[w.ID]
 	if !ok && len(e.byInstance) >= maxKeptEpochs || !hostKnown && len(e.byHost) >= maxKeptEpochs {
 		e.forget()
-		known, ok, host = incarnationEpoch{}, false, 0
+		known, ok, host, hostKnown = incarnationEpoch{}, false, incarnationEpoch{}, false
 	}
-	number := max(e.floor, host)
+	number := max(e.floor, host.number)
 	switch {
 	case ok && known.incarnation == w.Incarnation():
 		number = max(number, known.number)
+	case hostKnown && host.incarnation == w.Incarnation():
+		return e.token + number // another host reports the name meanwhile
 	case ok:
 		number = max(number, e.limit(known.number+1))
 	}
@@ -52,8 +54,8 @@
 		number = max(number, e.highest) // any host's agent may have had an earlier name
 	}
 	e.highest = max(e.highest, number)
-	e.byInstance[w.Instance] = incarnationEpoch{w.Incarnation(), number}
-	e.byHost[w.ID] = number
+	last := incarnationEpoch{w.Incarnation(), number}
+	e.byInstance[w.Instance], e.byHost[w.ID] = last, last
 	return e.token + number
 }
 
--- a/internal/entry/graphs/workerepochs_test.go
+++ b/internal/entry/graphs/workerepochs_test.go
@@ -39,3 +39,23 @@
 		}
 	}
 }
+
+// TestSharedInstanceNameRaisesNoEpochs guards against orders that are dropped under way, and against the end of the term's numbers, as the agents of two hosts report one instance name in turn.
+func TestSharedInstanceNameRaisesNoEpochs(t *testing.T) {
+	e := newWorkerEpochs(7)
+	left := plan.WorkerInfo{ID: "left", Instance: "x", StartUnixMillis: 1}
+	moved := plan.WorkerInfo{ID: "moved", Instance: "x", StartUnixMillis: 2}
+	before, after := e.of(left), e.of(moved)
+	if after <= before {
+		t.Fatalf("epoch %d of the next incarnation, after %d", after, before)
+	}
+	for range 3 {
+		if a, b := e.of(left), e.of(moved); a != before || b != after {
+			t.Fatalf("epochs %d and %d, before %d and %d", a, b, before, after)
+		}
+	}
+	left.StartUnixMillis = 3
+	if epoch := e.of(left); epoch <= after {
+		t.Errorf("epoch %d of the third incarnation, after %d", epoch, after)
+	}
+}
