--- a/test/soak/bounds.go
+++ b/test/soak/bounds.go
@@ -153,8 +153,8 @@
 }
 
 // checkTokens: an epoch is used only after the write that begins its term, by one
-// owner, and at the latest for a lease after the write of the next term. A worker
-// never takes a lower epoch than before.
+// owner, and at the latest for a lease after the write of the next term. A run number
+// begins with the first epoch of a term. A worker never takes a lower epoch than before.
 func checkTokens(r *Record, fail report) {
 	var terms []time.Duration
 	highest := map[string]uint64{}
@@ -173,8 +173,9 @@
 			if term < began && e.At > terms[term]+standin.MaxLease {
 				fail(e.At, "%s took epoch %d at a start, %v after the next term began", e.Worker, e.Token, e.At-terms[term])
 			}
-			if of := rpc.TermOfEpoch(e.Run >> runNumberBits); of != term && of > began {
-				fail(e.At, "run %d on %s is of term %d, after %d terms", e.Run, e.Worker, of, began)
+			token := e.Run >> runNumberBits
+			if of := rpc.TermOfEpoch(token); token%rpc.EpochsPerTerm != 1 || of > began {
+				fail(e.At, "run %d on %s is of token %d in term %d, after %d terms", e.Run, e.Worker, token, of, began)
 			}
 			if e.Token < highest[e.Worker] {
 				fail(e.At, "%s took epoch %d after %d", e.Worker, e.Token, highest[e.Worker])
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -94,6 +94,9 @@
 		{"drain-bound", "start on a draining worker", change(func(r *Record) { r.with(Event{Kind: KindDrain, Worker: "w1"}, start(2100*time.Millisecond)) })},
 		{"tokens", "epoch of no term", change(func(r *Record) { r.Events[2].Token = rpc.EpochsPerTerm + 1 })},
 		{"tokens", "no epoch", change(func(r *Record) { r.Events[2].Token = 0 })},
+		{"tokens", "run of a later epoch of its term", change(func(r *Record) {
+			r.with(func() Event { e := start(second); e.Run = 2 << runNumberBits; return e }())
+		})},
 		{"tokens", "run of no term", change(func(r *Record) {
 			r.with(func() Event { e := start(second); e.Run = (rpc.EpochsPerTerm + 1) << runNumberBits; return e }())
 		})},
