plan: each save of ends has its own number

Callers might see a done task run again (TWICE): saves of ends were numbered by job from 1 again once its progress was stored. A late answer to one from before that counted for the next one, so that an end was acknowledged whose save had no answer.

The numbers count for all jobs of the term now.

TestLateAnswerStoresNoLaterEnd failed before ("stored, though its save has no answer") and passes. The tests of plan that match Ends, Rejected, Unreadable or Held passed with -race.

--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -66,6 +66,7 @@
 	unsavedJobs   []*job
 	unreadable    map[graph.JobID]bool // jobs with rows that cannot be read
 	keptEnds      map[graph.JobID]*keptEnds
+	endsSaves     uint64 // number of the last save of kept ends, of any job
 	rejectedJobs  []*job // may have to be saved again after a pause
 	lastSavedAt   time.Duration
 	sched         schedulingState
--- a/internal/graph/plan/keptends.go
+++ b/internal/graph/plan/keptends.go
@@ -97,7 +97,8 @@
 	if k.inSave > 0 {
 		return
 	}
-	k.saveNumber++
+	c.endsSaves++ // a late answer may be of a save from before the ends of the job were dropped
+	k.saveNumber = c.endsSaves
 	k.inSave = len(k.ends)
 	c.emit(SaveEnds{Job: id, Number: k.saveNumber, Ends: slices.Clone(k.ends)})
 }
--- a/internal/graph/plan/keptends_test.go
+++ b/internal/graph/plan/keptends_test.go
@@ -194,3 +194,24 @@
 		}
 	}
 }
+
+// TestLateAnswerStoresNoLaterEnd guards against an end that is acknowledged unstored: the answer is that of a save from before the progress of its job was stored, and with it the ends until then.
+func TestLateAnswerStoresNoLaterEnd(t *testing.T) {
+	h := newHarness(t)
+	const id = "00000000000000aa"
+	end := func(index int) graph.RunEnd {
+		return graph.RunEnd{Task: graph.TaskID{Job: id, Index: index}, Run: uint64(index + 1), Kind: graph.EndDone}
+	}
+	h.core.keepEnd(end(0))
+	first := h.core.keptEnds[id].saveNumber
+	delete(h.core.keptEnds, id) // as with a progress that is stored
+	h.core.keepEnd(end(1))
+	h.step(EndsSaved{Job: id, Number: first})
+	if h.core.keepEnd(end(1)) {
+		t.Error("stored, though its save has no answer")
+	}
+	h.step(EndsSaved{Job: id, Number: h.core.keptEnds[id].saveNumber})
+	if !h.core.keepEnd(end(1)) {
+		t.Error("not stored after the answer of its save")
+	}
+}
