workerhealth: a first quarantine is lifted by any run that was done

Sound workers on which two units had failed for reasons of their own were out of service for longer.

--- a/internal/workerhealth/failures.go
+++ b/internal/workerhealth/failures.go
@@ -67,13 +67,14 @@
 func (f *Failures[U]) QuarantinedUntil() time.Duration { return f.quarantinedUntil }
 
 // Succeed records that a run was done that had begun at the given time. It clears the failures
-// before that time, and the quarantine if it rests on them. Later ones count: a worker that
-// fails what it is given may finish what it had begun before.
+// and a first quarantine, as units may have failed for reasons of their own. After more
+// failures only those before that time are cleared, and the quarantine if it rests on them: a
+// worker that fails what it is given may finish what it had begun before.
 func (f *Failures[U]) Succeed(began time.Duration) {
 	before := len(f.recent)
 	f.recent = slices.DeleteFunc(f.recent, func(o failure[U]) bool { return o.at < began })
 	switch {
-	case len(f.recent) == 0:
+	case len(f.recent) == 0 || f.quarantines <= 1:
 		*f = Failures[U]{}
 	case len(f.recent) < before && len(f.recent) < quarantineThreshold:
 		f.EndQuarantine()
