review: a job is failed because its minions were silent (LOST)

The owner counts a crash for each run whose worker falls silent until its lease is over, and fails the job at the third one. A worker that answers again takes the count back, but only in the term that made it: the count is stored with the job's progress, what is needed to take it back is not. Two changes of the owner leave three counts of a job under which nothing has crashed or failed.

Case 6 cuts the minion that works on a job off for 12 s, three times in turn, and kills the owner twice meanwhile.

--- /dev/null
+++ b/review/second/platform/cases.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// minionsOfOneKind returns minions of kind a, spread over the zones and two racks.
+func minionsOfOneKind(count int) []minionSpec {
+	var out []minionSpec
+	for i := range count {
+		out = append(out, minionSpec{zone: zones[i%len(zones)], kind: "a", rack: fmt.Sprintf("r1-%d", i%2+1), gpu: 8})
+	}
+	return out
+}
+
+// The lengths of the disruption of silentMinions.
+const (
+	cutLength   = 12 * time.Second
+	killAfter   = 10 * time.Second
+	cutsOfAJob  = 3
+	silentWork  = 8 * time.Second
+	settleAfter = 2 * time.Second
+)
+
+// silentMinions cuts one minion off for a while, three times in turn, each time the one that
+// works on the job. The process that owns the scheduling is killed after the first two cuts.
+func silentMinions() scenario {
+	return scenario{minions: minionsOfOneKind(6), play: func(d *deployment, trouble bool) (string, error) {
+		const id = "5c0e7a21d94b36f8"
+		if err := d.submit(id, encodeSpec(silentWork, 1), step{Count: 1, CPU: 15000, Memory: 31000, GPU: 1, EstimateMS: int(silentWork.Milliseconds())}); err != nil {
+			return "", err
+		}
+		for number := 1; trouble && number <= cutsOfAJob; number++ {
+			start, err := d.awaitStart(id, number, 12*time.Second)
+			if err != nil {
+				d.rec.add("script", "%v", err)
+				break
+			}
+			m := d.minionByName(start.minion)
+			time.Sleep(time.Until(start.at.Add(time.Second)))
+			m.setCut(true)
+			time.AfterFunc(cutLength, func() { m.setCut(false) })
+			if number < cutsOfAJob {
+				time.Sleep(killAfter)
+				if h := d.ownerHost(); h != nil {
+					d.signal(h, syscall.SIGKILL)
+				}
+				time.Sleep(settleAfter)
+			}
+		}
+		state := d.awaitState(id, 40*time.Second, "completed", "failed", "cancelled")
+		ends := d.endsOf(id)
+		failed := 0
+		for _, how := range ends {
+			if how == "failed" {
+				failed++
+			}
+		}
+		d.rec.add("script", "job %s is %q; its runs have ended %v", id, state, ends)
+		switch {
+		case state == "failed" && failed < standinAttempts:
+			return fmt.Sprintf("LOST: job %s is shown as failed, and %d of its runs have ended failed (attempts %d)", id, failed, standinAttempts), nil
+		case state != "completed":
+			return fmt.Sprintf("LOST: job %s is %q", id, state), nil
+		}
+		return "", nil
+	}}
+}
+
+// standinAttempts is the number of attempts that the configuration of the stand-in gives.
+const standinAttempts = 3
+
+// otherKind has one minion of kind a, which crashes and starts again under its id as one of
+// kind b. Jobs that require kind a come then.
+func otherKind() scenario {
+	minions := minionsOfOneKind(8)
+	for i := range minions {
+		minions[i].kind = "b"
+	}
+	minions[0].kind = "a"
+	return scenario{minions: minions, play: func(d *deployment, trouble bool) (string, error) {
+		needsA := step{Count: 1, CPU: 15000, Memory: 31000, GPU: 1, EstimateMS: 500, Requires: "a"}
+		const first = "5c0e7a21d94b36f8"
+		if err := d.submit(first, encodeSpec(500*time.Millisecond, 1), needsA); err != nil {
+			return "", err
+		}
+		if s := d.awaitState(first, 10*time.Second, "completed"); s != "completed" {
+			return "", fmt.Errorf("job %s is %q before the disruption", first, s)
+		}
+		m := d.minions[0]
+		if trouble {
+			m.crash()
+			time.Sleep(500 * time.Millisecond)
+			m.spec.kind = "b"
+			if err := m.begin(); err != nil {
+				return "", err
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		for i := range 8 {
+			id := fmt.Sprintf("5c0e7a21d94b3%03x", i)
+			if err := d.submit(id, encodeSpec(500*time.Millisecond, 1), needsA); err != nil {
+				return "", err
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+		time.Sleep(4 * time.Second)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		wrong := 0
+		var example startedRun
+		for _, s := range d.starts {
+			if s.task[:13] == "5c0e7a21d94b3" && !slices.Contains(s.labels, "a") {
+				wrong++
+				example = s
+			}
+		}
+		if wrong > 0 {
+			return fmt.Sprintf("ROUTE: %d starts without the label in requires, the last one of %s on %s with labels %v", wrong, example.task, example.minion, example.labels), nil
+		}
+		return "", nil
+	}}
+}
