review: a late start on the next life of a minion outlives the lease that the owner waits for (TWICE)

The deadline of a start is a time on the minion's clock, which begins anew with each life. Carried out by the next life, a start brings a lease of up to max_hold_ms; the owner waits 6.54 s from the last report and starts the task elsewhere.

Case 6 cuts a minion off as it gets a start, lets it crash and start again behind the cut, and carries the start out 2.1 s late.

--- a/review/second/platform/cases.go
+++ b/review/second/platform/cases.go
@@ -208,3 +208,74 @@
 		return "", nil
 	}}
 }
+
+// The moments of rebornInCut, from the start order that gets no answer on.
+const (
+	crashInCut  = 800 * time.Millisecond
+	rebirth     = 2100 * time.Millisecond
+	endOfCut    = 11500 * time.Millisecond
+	longWork    = 14 * time.Second
+	timeForBoth = 45 * time.Second
+)
+
+// rebornInCut cuts a minion off as it gets a start order. Behind the cut it crashes and starts
+// again under its id, and carries out that order 2.1 s after it was sent.
+func rebornInCut() scenario {
+	minions := minionsOfOneKind(8)
+	for i := range minions[2:] {
+		minions[2+i].kind = "b"
+	}
+	return scenario{minions: minions, play: func(d *deployment, trouble bool) (string, error) {
+		const id = "5c0e7a21d94b36f8"
+		candidates := d.minions[:2]
+		if trouble {
+			for _, m := range candidates {
+				m.setLate(func(path string, _ *order) bool { return path == "/coltsfootlug/run-start" })
+			}
+		}
+		needsA := step{Count: 1, CPU: 15000, Memory: 31000, GPU: 1, EstimateMS: int(longWork.Milliseconds()), Requires: "a"}
+		if err := d.submit(id, encodeSpec(longWork, 1), needsA); err != nil {
+			return "", err
+		}
+		if trouble {
+			m, start, err := awaitKept(candidates, 5*time.Second)
+			if err != nil {
+				return "", err
+			}
+			m.setCut(true)
+			for _, c := range candidates {
+				c.setLate(nil)
+			}
+			time.Sleep(time.Until(start.at.Add(crashInCut)))
+			m.loseAll()
+			time.Sleep(time.Until(start.at.Add(rebirth)))
+			m.beginLife([]keptOrder{start})
+			time.AfterFunc(time.Until(start.at.Add(endOfCut)), func() { m.setCut(false) })
+		}
+		state := d.awaitState(id, timeForBoth, "completed", "failed")
+		time.Sleep(time.Second)
+		for _, s := range d.startsOf(id) {
+			if len(s.beside) > 0 {
+				o := s.beside[0]
+				return fmt.Sprintf("TWICE: run %d of task %s starts on %s beside run %d, which is at work on %s since %.1f s", s.run, s.task, s.minion,
+					o.run, o.minion, s.at.Sub(o.at).Seconds()), nil
+			}
+		}
+		if state != "completed" {
+			return fmt.Sprintf("LOST: job %s is %q", id, state), nil
+		}
+		return "", nil
+	}}
+}
+
+// awaitKept waits until one of the minions has left an order unanswered.
+func awaitKept(minions []*minion, within time.Duration) (*minion, keptOrder, error) {
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		for _, m := range minions {
+			if kept := m.keptOrders(func(keptOrder) bool { return true }); len(kept) > 0 {
+				return m, kept[0], nil
+			}
+		}
+	}
+	return nil, keptOrder{}, fmt.Errorf("no start order has come within %v", within)
+}
--- a/review/second/platform/deployment.go
+++ b/review/second/platform/deployment.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -66,8 +67,9 @@
 	mu     sync.Mutex
 	owner  string // the host that wrote to the fence row last
 	starts []startedRun
-	ends   map[string][]string // by task, how its runs have ended
-	noted  map[string]bool     // tasks of which an end done was taken note of
+	ends   map[string][]string     // by task, how its runs have ended
+	noted  map[string]bool         // tasks of which an end done was taken note of
+	active map[string][]startedRun // by task, runs that have not ended
 }
 
 func startDeployment(root string, rec *recorder, s scenario) (*deployment, error) {
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{rec: rec, dir: dir, root: root, store: standin.NewStore(), ends: map[string][]string{}, noted: map[string]bool{}}
+	d := &deployment{rec: rec, dir: dir, root: root, store: standin.NewStore(), ends: map[string][]string{}, noted: map[string]bool{}, active: map[string][]startedRun{}}
 	d.store.OnFence = func(host string) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -146,12 +148,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s.afterDone = d.noted[s.task]
+	s.beside = slices.Clone(d.active[s.task])
+	d.active[s.task] = append(d.active[s.task], s)
 	d.starts = append(d.starts, s)
 }
 
-func (d *deployment) recordEnd(task string, _ uint64, how string) {
+func (d *deployment) recordEnd(task string, run uint64, how string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.active[task] = slices.DeleteFunc(d.active[task], func(s startedRun) bool { return s.run == run })
 	d.ends[task] = append(d.ends[task], how)
 }
 
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -31,6 +31,7 @@
 	"silent-minions": silentMinions,
 	"other-kind":     otherKind,
 	"late-orders":    lateOrders,
+	"reborn-in-cut":  rebornInCut,
 }
 
 // longestCase bounds the time that a case may take.
--- a/review/second/platform/minion.go
+++ b/review/second/platform/minion.go
@@ -57,6 +57,8 @@
 	run    uint64
 	// afterDone is set if an end done of the task had been taken note of before.
 	afterDone bool
+	// beside holds the runs of the task that had not ended.
+	beside []startedRun
 }
 
 // minion is a stand-in of a minion, as the platform's pages describe it.
@@ -112,7 +114,19 @@
 	if err != nil {
 		return err
 	}
+	server := &http.Server{Handler: m}
 	m.mu.Lock()
+	m.server = server
+	m.mu.Unlock()
+	m.beginLife(atBirth)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// beginLife starts a life of the minion; orders atBirth are the first ones that it carries out.
+func (m *minion) beginLife(atBirth []keptOrder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.born, m.up = time.Now(), true
 	m.fence, m.lease, m.seq, m.lastEnd = 0, time.Time{}, 0, 0
 	m.runs, m.ended, m.highest = map[string]*minionRun{}, nil, map[string]uint64{}
@@ -121,26 +135,31 @@
 	for _, k := range atBirth {
 		m.carryOut(k)
 	}
-	m.server = &http.Server{Handler: m}
-	server, born := m.server, m.born
-	m.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
-	go m.checkIns(born)
-	go m.work(born)
-	return nil
+	go m.checkIns(m.born)
+	go m.work(m.born)
 }
 
-// crash ends the minion's process: it closes its connections and forgets everything.
-func (m *minion) crash() {
+// loseAll ends a life of the minion: what it runs is gone, and it forgets everything.
+func (m *minion) loseAll() {
 	m.mu.Lock()
-	server := m.server
+	defer m.mu.Unlock()
 	m.up = false
 	for _, r := range m.runs {
 		m.rec.add(m.name, "run %s %d is lost with the minion", r.task, r.run)
+		if m.onEnd != nil {
+			m.onEnd(r.task, r.run, "lost")
+		}
 	}
 	m.runs = map[string]*minionRun{}
-	m.mu.Unlock()
 	m.rec.add(m.name, "crashes")
+}
+
+// crash ends the minion's process: it closes its connections and forgets everything.
+func (m *minion) crash() {
+	m.loseAll()
+	m.mu.Lock()
+	server := m.server
+	m.mu.Unlock()
 	_ = server.Close()
 }
 
