plan: the crash of a silent worker is taken back in any term

The end of a lease under a run counts as a crash until the same incarnation answers. The count was stored with the progress of the job, the worker that it rested on was not, so an owner that began its term in between kept the count for good.

Such a crash is now stored with worker, incarnation and tasks, in the same write as the count. Any term takes it back when that incarnation answers, and lets it stand when another one reports. The number for a job is bounded; one beyond the bound is not counted.

--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -59,7 +59,8 @@
 	Tasks      partCount   `json:"tasks"`
 	FinishedAt time.Time   `json:"end,omitzero"`
 
-	Stalls []graph.UnitStalls `json:"stalls,omitempty"`
+	Stalls    []graph.UnitStalls     `json:"stalls,omitempty"`
+	Suspected []graph.SuspectedCrash `json:"suspected,omitempty"`
 }
 
 type partCount struct {
@@ -156,7 +157,8 @@
 		return r.prepareState(a.Progress)
 	}
 	groups := splitTasks(a.Steps, a.Progress.Tasks, len(r.parts))
-	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt, Stalls: a.Progress.Stalls}
+	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt,
+		Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected}
 	out := pendingRows{
 		writes: []ledger.Write{{Key: progressKey(a.Job), Version: r.version, Data: ledger.Encode(head)}},
 		parts:  make([]partRow, len(groups)),
--- a/internal/entry/graphs/progressrows_test.go
+++ b/internal/entry/graphs/progressrows_test.go
@@ -68,6 +68,7 @@
 		if n > 20 {
 			a.Progress.Tasks[n/2].Done = true
 			a.Progress.Stalls = []graph.UnitStalls{{Step: 1, Index: n / 2, Count: 3}}
+			a.Progress.Suspected = []graph.SuspectedCrash{{Worker: "w0", Incarnation: "i@1", Tasks: []graph.TaskRef{{Step: 1, Index: n / 2}}}}
 		}
 		if _, err := s.SaveProgress(context.Background(), fence, a, rows); err != nil {
 			t.Fatalf("%d tasks: %v", n, err)
@@ -194,6 +195,13 @@
 		for range graph.MaxStalledUnits {
 			a.Progress.Stalls = append(a.Progress.Stalls, graph.UnitStalls{Step: 99, Index: graph.MaxTasks - 1, Count: 99})
 		}
+		for range graph.MaxSuspectedCrashes {
+			s := graph.SuspectedCrash{Worker: text(graph.MaxWorkerIDBytes), Incarnation: text(graph.MaxIncarnationBytes)}
+			for range graph.MaxSuspectedTasks / graph.MaxSuspectedCrashes {
+				s.Tasks = append(s.Tasks, graph.TaskRef{Step: 99, Index: graph.MaxTasks - 1})
+			}
+			a.Progress.Suspected = append(a.Progress.Suspected, s)
+		}
 		for s := range graph.MaxTasks / perStep {
 			a.Steps = append(a.Steps, graph.Step{Count: perStep})
 			for i := range perStep {
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -57,7 +57,8 @@
 	jobs          map[graph.JobID]*job
 	activeJobs    []*job // jobs that are not final, in the order they were added
 	workers       map[string]*worker
-	sortedWorkers []*worker // by ID
+	suspected     map[string][]*suspectedCrash // by worker ID
+	sortedWorkers []*worker                    // by ID
 	runCounter    uint64
 	// hasReports is set by the first report of the term, received at
 	// firstReportAt.
@@ -87,7 +88,7 @@
 	if cfg.StopTime == 0 {
 		cfg.StopTime = defaultStopTime
 	}
-	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, unreadable: map[graph.JobID]bool{}, keptEnds: map[graph.JobID]*keptEnds{}, workers: map[string]*worker{}, requeueWaits: map[int]time.Duration{},
+	return &Core{cfg: cfg, jobs: map[graph.JobID]*job{}, unreadable: map[graph.JobID]bool{}, keptEnds: map[graph.JobID]*keptEnds{}, workers: map[string]*worker{}, suspected: map[string][]*suspectedCrash{}, requeueWaits: map[int]time.Duration{},
 		speeds: newSpeedModel(cfg.Features), runTimes: &runtimes.Model{}, observed: map[string]observedRuns{}}
 }
 
--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -133,7 +133,7 @@
 			u.crashes.resetCounts()
 			continue
 		}
-		if inconclusive {
+		if inconclusive || !restarted && !c.suspectCrash(w, r) {
 			continue
 		}
 		limit, earlier := maxSharedCrashes, 0
@@ -150,9 +150,6 @@
 		}
 		others := withoutJob(w.crashedJobs, u.job)
 		w.crashedJobs = append(others[max(0, len(others)+1-maxCrashedJobs):], u.job.ID)
-		if !restarted {
-			w.expiredCrashes = append(w.expiredCrashes, r)
-		}
 		c.emit(Notice{Reason: ReasonWorkerCrashed, Job: u.job.ID, Task: u.taskID(r.tasks[0]).String(), Run: u.run, Worker: w.info.ID,
 			Detail: fmt.Sprintf("%d earlier crashes, %d tasks of the unit and %d units on the worker", earlier, len(r.tasks), len(runs))})
 	}
@@ -216,28 +213,6 @@
 		Detail: fmt.Sprintf("; %d crashes, in this term of %s", u.crashes.tasks[deadly].count, strings.Join(u.crashes.workers, ", "))})
 }
 
-// takeBackCrashes takes back the crashes that were recorded when the worker's lease
-// expired: it answers again, so it has not crashed.
-func (c *Core) takeBackCrashes(w *worker) {
-	for _, r := range w.expiredCrashes {
-		u := r.unit
-		w.crashedJobs = withoutJob(w.crashedJobs, u.job)
-		if u.job.state.Final() {
-			continue
-		}
-		for _, i := range r.tasks {
-			t := u.crashesOf(i)
-			if t.inRun {
-				t.inRun = false
-			} else {
-				t.count = max(0, t.count-1)
-			}
-		}
-		c.requestSave(u.job, nil)
-	}
-	w.expiredCrashes = nil
-}
-
 // conflictsWithSuspects reports whether a unit must not be placed on a worker because
 // another one there has crashed workers too, and the next crash would fail one of them. Of
 // two that always crash together, the innocent one would be failed with the other. Once a
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -152,6 +152,7 @@
 	idleSince    time.Duration // since when nothing has run while the pool is idle; 0 if that is not so
 	idleBefore   time.Duration // for which it may have waited so in an earlier term
 	delayReports delayReports
+	suspected    []*suspectedCrash // under tasks of the job
 }
 
 func newJob(g *graph.Job) *job {
@@ -266,6 +267,7 @@
 		p.Tasks = append(p.Tasks, u.progress()...)
 	}
 	p.Stalls = j.stalls()
+	p.Suspected = j.suspectedCrashes()
 	return p
 }
 
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -72,6 +72,7 @@
 		}
 	}
 	j.restoreStalls(p.Stalls)
+	c.restoreSuspectedCrashes(j, p.Suspected)
 	for _, u := range j.units {
 		if len(u.members) > 0 && u.phase != unitDone {
 			u.phase = unitPlaced
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -53,7 +53,6 @@
 	standsStill     standstill
 	suspects        int           // members whose units have crashed workers
 	crashedJobs     []graph.JobID // that it crashed under since a run was done on it
-	expiredCrashes  []crashedRun  // recorded when the lease of this incarnation expired
 	drainReportedAt time.Duration
 }
 
@@ -115,9 +114,7 @@
 		c.changeIncarnation(w, report)
 	}
 	c.endEarlierMembers(w, report)
-	if report.WorkerResponsive {
-		c.takeBackCrashes(w)
-	}
+	c.resolveSuspectedCrashes(w.info.ID, report.Worker.Incarnation(), report.WorkerResponsive)
 	lost := !report.WorkerResponsive && c.now-w.lastGrantAt > c.cfg.LeaseBound
 	if !w.reported || w.lost && !lost {
 		c.emit(Notice{Reason: ReasonWorkerUp, Worker: report.Worker.ID, Detail: report.Worker.Rack})
@@ -173,7 +170,6 @@
 	w.failures.Restart()
 	w.standsStill = standstill{}
 	c.restartSpeed(w, report.Worker)
-	w.expiredCrashes = nil
 	c.recordCrashes(w, func(m *member) bool {
 		ref := RunRef{m.task, m.run}
 		return slices.Contains(report.Lost, ref) && !report.lists(ref)
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -63,11 +63,35 @@
 	// Stalls holds the units whose runs were stopped because they made no progress, at most
 	// MaxStalledUnits of them. Earlier versions leave it out.
 	Stalls []UnitStalls `json:"stalls,omitempty"`
+	// Suspected holds the crashes among TaskProgress.Crashes and RunCrashed that are taken
+	// back if their worker answers again. Earlier versions leave it out.
+	Suspected []SuspectedCrash `json:"suspected,omitempty"`
 }
 
 // MaxStalledUnits bounds Progress.Stalls. The units with the most stops are kept.
 const MaxStalledUnits = 40
 
+// MaxSuspectedCrashes bounds Progress.Suspected, MaxSuspectedTasks the tasks in it. Further
+// crashes of that kind are not counted.
+const (
+	MaxSuspectedCrashes = 8
+	MaxSuspectedTasks   = 64
+)
+
+// SuspectedCrash is the end of the lease of a worker that its agent could not reach: it has
+// crashed, or was only cut off. Tasks had begun there.
+type SuspectedCrash struct {
+	Worker      string    `json:"w"`
+	Incarnation string    `json:"b"`
+	Tasks       []TaskRef `json:"t"`
+}
+
+// TaskRef names a task of a job.
+type TaskRef struct {
+	Step  int `json:"s"`
+	Index int `json:"i"`
+}
+
 // UnitStalls is the number of stops of a unit, a gang or a single task, named by its first
 // task.
 type UnitStalls struct {
