plan: a gang's crash keeps the limit of shared workers across terms

A gang could be failed after the third crash under a task although the unit was beside others on that worker, where four are allowed: the number of crashes was stored while other members still stopped, the limit of the crash was not, and the next owner took the lower one.

A crash of an earlier term now counts as one beside others. A gang that was alone starts once more at most.

TestCrashOfEarlierTermMayHaveBeenBesideOthers failed before: "3 crashes: the job is failed".

--- a/internal/graph/plan/crashes.go
+++ b/internal/graph/plan/crashes.go
@@ -38,7 +38,7 @@
 	count int
 	inRun bool // a worker has crashed under the current run
 	// limit is the count at which the job is failed, by the crash under the current run; 0
-	// if that was in an earlier term.
+	// if that was in an earlier term, which may have found the unit beside others.
 	limit int
 }
 
@@ -195,7 +195,7 @@
 		}
 		limit := t.limit
 		if limit == 0 {
-			limit = maxCrashes
+			limit = maxSharedCrashes
 		}
 		t.inRun, t.limit = false, 0
 		t.count++
--- a/internal/graph/plan/crashes_test.go
+++ b/internal/graph/plan/crashes_test.go
@@ -601,3 +601,18 @@
 		t.Errorf("%s after %d crashes under task %d, the last beside another job; at most %d are allowed there", u.job.state, u.crashes.of(index).count, index, maxSharedCrashes)
 	}
 }
+
+// TestCrashOfEarlierTermMayHaveBeenBesideOthers guards against failing a gang early, as the owner changes between a crash beside other jobs and the end of the run.
+func TestCrashOfEarlierTermMayHaveBeenBesideOthers(t *testing.T) {
+	for crashes, fails := range map[int]bool{maxCrashes: false, maxSharedCrashes: true} {
+		h := newHarness(t)
+		h.step(JobSubmitted{Job: crashJob("gang", 2, 8, true).Job, Progress: &graph.Progress{Job: "gang", State: graph.Running, Tasks: []graph.TaskProgress{
+			{Step: 0, Index: 0, Crashes: crashes - 1, RunCrashed: true},
+			{Step: 0, Index: 1, Run: 1<<24 + 1, Worker: "w1", Incarnation: "i-w1@1"}}}})
+		u := h.unitOf("gang")
+		h.report("w1", nil, graph.RunEnd{Number: 1, Task: u.taskID(1), Run: 1<<24 + 1, Kind: graph.EndStopped})
+		if failed := u.job.state == graph.Failed; failed != fails {
+			t.Errorf("%d crashes: the job is %s", crashes, u.job.state)
+		}
+	}
+}
