plan, keeper: owners wait for leases that calls for an earlier incarnation gave

A call that reaches the next incarnation of a worker carries a deadline on the clock of the earlier one. The worker takes it for the longest lease that it accepts, max_hold_ms from then on, by a clock that may be 2 % slow. The owner waited 6.54 s from the last granted report, whatever that lease was.

The agent now reports whether the lease may rest on such a call and since when none can have been executed: since the first answer under the incarnation's own epoch. The owner waits for it. The next owner hears the same from the agent before the first list; where the agent is gone too, the progress of the job tells when it was last placed. Workers and runs that are not in doubt keep their bound.

TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice plays it with real processes, with the owner, the agents, both or neither killed.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -49,6 +49,8 @@
 	accepted        map[runRef]bool  // runs that it has accepted and not listed yet
 	lost            lostRuns
 	unanswered      unansweredStarts
+	lateLease       lateLease
+	startedAt       time.Duration
 	sent            sentStarts
 	unsettled       map[runRef]bool // runs of earlier incarnations that may start on this one
 	mustList        bool            // the last list was not answered
@@ -97,7 +99,8 @@
 		wakeSettle:  make(chan struct{}, 1),
 		confirmSlot: make(chan struct{}, 1),
 	}
-	k.lease.reset(clock())
+	k.startedAt = clock()
+	k.lease.reset(k.startedAt)
 	return k
 }
 
@@ -323,6 +326,7 @@
 	}
 	k.recordAnswerAfterExit(t)
 	now := k.clock()
+	k.lateLease.recordAnswer(now, t.epoch)
 	k.lease.observeClock(now, list.Clock)
 	if list.Clock < k.runs.Clock || t.epoch < k.listedEpoch {
 		return
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -182,6 +182,9 @@
 	defer cancel()
 	_, err = k.runner.Start(ctx, t.instance, o)
 	k.endStart(ref, err)
+	if err == nil {
+		k.recordCallUnder(t)
+	}
 	if !errors.Is(err, external.ErrUnavailable) {
 		metrics.GetOrRegisterCounter("keeper.starts", k.registry).Inc(1)
 	}
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -30,6 +30,8 @@
 func (k *Keeper) changeWorker(info plan.WorkerInfo) {
 	sameName := k.worker != nil && k.worker.Instance == info.Instance
 	k.resetWorkerState()
+	// The process before may have called an earlier incarnation of the first one's name.
+	k.lateLease.begin(sameName || k.worker == nil)
 	k.unsettled = map[runRef]bool{}
 	if !sameName {
 		k.unanswered.reset()
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -197,6 +197,8 @@
 	l.answers.recordReport(l.reportNumber)
 	now := k.clock()
 	r.Answering, r.Gone = k.workerResponsive(), k.workerGone()
+	r.AgentAgeMs = (now - k.startedAt).Milliseconds()
+	r.LateLease, r.LateLeaseAgeMs = k.lateLease.possible, k.lateLease.age(now).Milliseconds()
 	if listed {
 		r.Running = rpc.RunningTasksOf(k.runs.Running)
 		r.ListAgeMs = (now - k.listedAt).Milliseconds()
@@ -256,6 +258,7 @@
 	}
 	forThisIncarnation := k.worker != nil && o.Incarnation == k.worker.Incarnation()
 	if forThisIncarnation {
+		k.lateLease.recordEpoch(o.Epoch)
 		k.renewLease(o.GrantedBeat, time.Duration(o.LeaseMs)*time.Millisecond)
 		if o.Acknowledged > k.acknowledged {
 			k.acknowledged = o.Acknowledged
--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -59,6 +59,7 @@
 	Tasks      partCount   `json:"tasks"`
 	FinishedAt time.Time   `json:"end,omitzero"`
 
+	PlacedAt  int64                  `json:"placed,omitempty"`
 	Stalls    []graph.UnitStalls     `json:"stalls,omitempty"`
 	Suspected []graph.SuspectedCrash `json:"suspected,omitempty"`
 }
@@ -158,7 +159,7 @@
 	}
 	groups := splitTasks(a.Steps, a.Progress.Tasks, len(r.parts))
 	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt,
-		Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected}
+		PlacedAt: a.Progress.PlacedAt, Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected}
 	out := pendingRows{
 		writes: []ledger.Write{{Key: progressKey(a.Job), Version: r.version, Data: ledger.Encode(head)}},
 		parts:  make([]partRow, len(groups)),
--- a/internal/entry/graphs/scheduler.go
+++ b/internal/entry/graphs/scheduler.go
@@ -71,6 +71,15 @@
 	return time.Duration(float64(l.leaseDuration())*(1+2*maxClockDrift)) + leaseSlack
 }
 
+// lateLeaseBound is the time after a worker has taken a lease of any length by which that has
+// expired; 0 if the length is not limited.
+func (l Limits) lateLeaseBound() time.Duration {
+	if l.MaxLease == 0 {
+		return 0
+	}
+	return time.Duration(float64(l.MaxLease)*(1+2*maxClockDrift)) + leaseSlack
+}
+
 // Ownership reports whether this process owns scheduling.
 type Ownership interface {
 	Current() owner.Authority
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -166,6 +166,8 @@
 		if r.Listed {
 			event.ListAge += t.clock() - receivedAt
 			t.handle(event)
+		} else {
+			t.handle(plan.AgentConnected{Worker: event.Worker.ID, Late: event.Late})
 		}
 		sess.flush()
 	})
@@ -176,7 +178,7 @@
 	return plan.WorkerReport{Worker: rpc.WorkerInfoOf(r), Session: sess.id,
 		Running: rpc.RunStatesOf(r.Running), Ended: rpc.RunEndsOf(r.Ended), MoreEnds: r.MoreEnds, Absent: absentRuns(r.Absent), ListAge: time.Duration(r.ListAgeMs) * time.Millisecond,
 		Number: r.Beat, WorkerResponsive: r.Answering, WorkerLeft: r.Gone,
-		Accepted: rpc.RunRefsOf(r.Accepted), Lost: rpc.RunRefsOf(r.Lost)}
+		Accepted: rpc.RunRefsOf(r.Accepted), Lost: rpc.RunRefsOf(r.Lost), Late: rpc.LateCallsOf(r)}
 }
 
 // setSession makes sess the worker's current session and closes the previous one. It
--- a/internal/entry/graphs/term.go
+++ b/internal/entry/graphs/term.go
@@ -92,6 +92,7 @@
 		FencingToken:    token,
 		TermStart:       s.now(),
 		LeaseBound:      s.limits.leaseBound(),
+		LateLeaseBound:  s.limits.lateLeaseBound(),
 		StopTime:        s.limits.StopTime,
 		TakeoverOverlap: s.owner.Overlap(),
 		Features:        s.features,
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -20,6 +20,10 @@
 	// LeaseBound is the time after a worker's last granted report by which its lease
 	// has certainly expired.
 	LeaseBound time.Duration
+	// LateLeaseBound is the time after a worker has executed a call that was meant for an
+	// earlier incarnation by which the lease of that call has certainly expired; 0 if no
+	// worker does so.
+	LateLeaseBound time.Duration
 	// StopTime is the time a worker may take to stop a run; 0 means
 	// defaultStopTime.
 	StopTime time.Duration
@@ -144,6 +148,10 @@
 		c.removeUnreadable(e.Job)
 	case WorkerReport:
 		c.handleReport(e)
+	case AgentConnected:
+		if w := c.workers[e.Worker]; w != nil {
+			c.recordLateCalls(w, e.Late)
+		}
 	case SessionClosed:
 		c.handleSessionClosed(e)
 	case ProgressSaved:
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
@@ -28,9 +29,10 @@
 	phase     unitPhase
 	members   []*member // one per task of the current run
 	run       uint64
-	runDone   bool // a member of the current run ended with EndDone
-	runFailed bool // a member of the current run ended with EndFailed
-	stopping  bool // the current run is being stopped
+	placedAt  time.Duration // that the stored placement names
+	runDone   bool          // a member of the current run ended with EndDone
+	runFailed bool          // a member of the current run ended with EndFailed
+	stopping  bool          // the current run is being stopped
 	history   runHistory
 	crashes   unitCrashes
 	// speedsLearned is set once the members of the current run were compared.
@@ -88,13 +90,16 @@
 	// besideSuspects is set if the unit was placed although conflictsWithSuspects.
 	besideSuspects bool
 	recovered      bool // placed in an earlier term
-	startSent      bool // the start was ordered in this term, or the worker reported the run
-	running        bool // the worker reported the run as running
-	accepted       bool // the worker has accepted the start since its last list
-	stopping       bool
-	ended          bool
-	orderSession   string        // session of the last order
-	lastOrderAt    time.Duration // time of the last order
+	// latestEnd is the time by which the run has ended on a worker that stays silent, where its
+	// lease may have been over before.
+	latestEnd    time.Duration
+	startSent    bool // the start was ordered in this term, or the worker reported the run
+	running      bool // the worker reported the run as running
+	accepted     bool // the worker has accepted the start since its last list
+	stopping     bool
+	ended        bool
+	orderSession string        // session of the last order
+	lastOrderAt  time.Duration // time of the last order
 
 	percent        int
 	lastProgressAt time.Duration // when percent last changed; at first when the start was sent
@@ -128,6 +133,7 @@
 	state       graph.State                // as decided, possibly not yet saved
 	started     bool                       // a task has been started
 	finishedAt  time.Time                  // when the state became final
+	placedAt    time.Time                  // when a unit was last placed
 
 	durableState     graph.State // as stored in the table
 	stateInSave      graph.State // as written by the save in progress
@@ -266,6 +272,9 @@
 	for _, u := range j.units {
 		p.Tasks = append(p.Tasks, u.progress()...)
 	}
+	if slices.ContainsFunc(p.Tasks, func(t graph.TaskProgress) bool { return t.Worker != "" }) && !j.placedAt.IsZero() {
+		p.PlacedAt = j.placedAt.UnixMilli()
+	}
 	p.Stalls = j.stalls()
 	p.Suspected = j.suspectedCrashes()
 	return p
--- /dev/null
+++ b/internal/graph/plan/latecalls_test.go
@@ -0,0 +1,126 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// lateLeaseBound is Config.LateLeaseBound of these tests.
+const lateLeaseBound = 10500 * time.Millisecond
+
+func newLateHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	h.core.cfg.LateLeaseBound, h.core.cfg.TermStart = lateLeaseBound, time.Unix(1_000_000, 0)
+	return h
+}
+
+// endsAfter lets the worker of a run stay silent and returns after what time the owner takes the run for ended.
+func (h *harness) endsAfter(t *testing.T, id graph.JobID, each func()) time.Duration {
+	t.Helper()
+	run, from := h.unitOf(id).run, h.now
+	for ; h.now < from+time.Minute; h.now += 100 * time.Millisecond {
+		each()
+		h.step(Tick{})
+		if u := h.unitOf(id); u.run != run || len(u.members) == 0 {
+			return h.now - from
+		}
+	}
+	t.Fatal("the run does not end")
+	return 0
+}
+
+func within(got, want time.Duration) bool { return got >= want && got <= want+200*time.Millisecond }
+
+// TestLateLeaseOfSilentWorkerIsAwaited guards against starting a task elsewhere while a lease goes on that a call for an earlier incarnation has given its worker.
+func TestLateLeaseOfSilentWorkerIsAwaited(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late LateCalls
+		want time.Duration
+	}{
+		{"no late lease", LateCalls{AgentAge: time.Hour}, simLeaseBound},
+		{"possible until now", LateCalls{AgentAge: time.Hour, Lease: true}, lateLeaseBound},
+		{"over for 2 s", LateCalls{AgentAge: time.Hour, Lease: true, LeaseAge: 2 * time.Second}, lateLeaseBound - 2*time.Second},
+		{"shorter than the granted one", LateCalls{AgentAge: time.Hour, Lease: true, LeaseAge: 8 * time.Second}, simLeaseBound},
+	} {
+		for _, agentStays := range []bool{true, false} {
+			h := newLateHarness(t)
+			h.report("w0", nil)
+			run := starts(h.submit("j0", 8))[0]
+			report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Number: 2, WorkerResponsive: true, Late: c.late,
+				Running: []graph.RunState{{Task: run.Task, Run: run.Run}}}
+			h.step(report)
+			report.WorkerResponsive = false
+			got := h.endsAfter(t, "j0", func() {
+				if agentStays {
+					report.Number++
+					if c.late.Lease {
+						report.Late.LeaseAge = c.late.LeaseAge + h.now
+					}
+					h.step(report)
+				}
+			})
+			if !within(got, c.want) {
+				t.Errorf("%s, agent stays %v: ended after %v, want %v", c.name, agentStays, got, c.want)
+			}
+		}
+	}
+}
+
+// TestNextOwnerAwaitsLateLeases guards against the same where the owner has changed, so that it never hears of the worker.
+func TestNextOwnerAwaitsLateLeases(t *testing.T) {
+	const inDoubt = startWindow + maxClockOffset + lateLeaseBound
+	known := LateCalls{AgentAge: time.Hour}
+	late := LateCalls{AgentAge: time.Hour, Lease: true, LeaseAge: time.Second}
+	fresh := LateCalls{AgentAge: time.Second}
+	for _, c := range []struct {
+		name   string
+		placed time.Duration // before the term
+		agent  *LateCalls    // nil if it is gone too
+		want   time.Duration
+	}{
+		{"agent gone", 3 * time.Second, nil, inDoubt - 3*time.Second},
+		{"agent gone, clock of the earlier owner ahead", -time.Minute, nil, inDoubt - maxClockOffset},
+		{"agent gone, placed long ago", time.Minute, nil, simLeaseBound},
+		{"placed by an earlier version", 0, nil, simLeaseBound},
+		{"agent is another process", 3 * time.Second, &fresh, inDoubt - 3*time.Second},
+		{"agent knows of no late lease", 3 * time.Second, &known, simLeaseBound},
+		{"agent knows of a late lease", 3 * time.Second, &late, lateLeaseBound - time.Second},
+	} {
+		h := newLateHarness(t)
+		j := crashJob("j0", 1, 8, false).Job
+		p := &graph.Progress{Job: j.ID, State: graph.Running, Tasks: []graph.TaskProgress{{Run: 1<<24 + 1, Worker: "w0", Incarnation: "i-w0@1"}}}
+		if c.placed != 0 {
+			p.PlacedAt = h.core.cfg.TermStart.Add(-c.placed).UnixMilli()
+		}
+		h.step(JobSubmitted{Job: j, Progress: p})
+		if c.agent != nil {
+			h.step(AgentConnected{Worker: "w0", Late: *c.agent})
+		}
+		if got := h.endsAfter(t, "j0", func() {}); !within(got, c.want) {
+			t.Errorf("%s: ended after %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestStartFollowsARecentPlacement guards against a start whose stored placement is so old that the next owner would not wait for its lease.
+func TestStartFollowsARecentPlacement(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	save, ok := first[SaveProgress](h.core.Step(h.now, JobSubmitted{Job: crashJob("j0", 1, 8, false).Job}))
+	if !ok {
+		t.Fatal("no save")
+	}
+	h.now += maxPlacementAge + time.Millisecond
+	h.report("w0", nil)
+	late := h.core.Step(h.now, ProgressSaved{Job: "j0", Number: save.Number})
+	again, ok := first[SaveProgress](late)
+	if want := h.core.cfg.TermStart.Add(h.now).UnixMilli(); len(starts(late)) > 0 || !ok || again.Progress.PlacedAt != want {
+		t.Fatalf("after a save of %v: starts %+v, placement of %d (want %d)", h.now, starts(late), again.Progress.PlacedAt, want)
+	}
+	if s := starts(h.core.Step(h.now, ProgressSaved{Job: "j0", Number: again.Number})); len(s) != 1 {
+		t.Errorf("starts %+v", s)
+	}
+}
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
@@ -53,6 +54,9 @@
 func (c *Core) restoreJob(j *job, p *graph.Progress) {
 	j.state, j.durableState, j.finishedAt = p.State, p.State, p.FinishedAt
 	j.started = p.State != graph.Queued
+	if p.PlacedAt > 0 {
+		j.placedAt = time.UnixMilli(p.PlacedAt)
+	}
 	for _, t := range p.Tasks {
 		u := j.unitOf(t.Step, t.Index)
 		if u == nil {
@@ -91,6 +95,7 @@
 	u.run = max(u.run, t.Run)
 	u.members = append(u.members, m)
 	u.history.placedAt = c.now
+	m.latestEnd = c.latestEndOf(u.job)
 	c.occupy(m)
 }
 
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -240,7 +240,13 @@
 			i++
 		}
 	}
-	members := u.members
+	c.savePlacement(u, u.members)
+}
+
+// savePlacement saves the placement of a unit and then orders its starts.
+func (c *Core) savePlacement(u *unit, members []*member) {
+	u.placedAt = c.now
+	u.job.placedAt = c.cfg.TermStart.Add(c.now)
 	c.requestSaveOf(u.job, afterSave{
 		stored:   func() { c.startRun(u, members) },
 		rejected: func() { c.abandonRun(u, members, causeSaveRejected) },
@@ -260,6 +266,10 @@
 		c.abandonRun(u, members, causeCapacityShrunk)
 		return
 	}
+	if c.now-u.placedAt > maxPlacementAge {
+		c.savePlacement(u, members)
+		return
+	}
 	for _, m := range members {
 		if w := m.worker; !m.ended {
 			m.startSent = true
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -117,6 +117,26 @@
 	// holds those that its earlier incarnation had accepted or listed when that ended
 	// without notice while this agent ran.
 	Accepted, Lost []RunRef
+	Late           LateCalls
+}
+
+// LateCalls is what an agent knows of calls to its worker that may take effect late, also on
+// the next incarnation of the worker's name.
+type LateCalls struct {
+	// AgentAge is the time for which the agent has run. It knows nothing of the calls of the
+	// process before.
+	AgentAge time.Duration
+	// Lease is set if the worker's lease may rest on a call that was meant for an earlier
+	// incarnation, and was executed LeaseAge ago at the latest.
+	Lease    bool
+	LeaseAge time.Duration
+}
+
+// AgentConnected reports what an agent knows of late calls before it has listed the runs of its
+// worker under the term's epoch.
+type AgentConnected struct {
+	Worker string
+	Late   LateCalls
 }
 
 // SessionClosed reports that the connection to a worker's agent has ended.
@@ -150,17 +170,18 @@
 // Tick advances time without another event.
 type Tick struct{}
 
-func (JobSubmitted) event()  {}
-func (JobCancelled) event()  {}
-func (JobUnreadable) event() {}
-func (JobRemoved) event()    {}
-func (WorkerReport) event()  {}
-func (SessionClosed) event() {}
-func (ProgressSaved) event() {}
-func (SaveRejected) event()  {}
-func (EndsSaved) event()     {}
-func (PolicyChanged) event() {}
-func (Tick) event()          {}
+func (JobSubmitted) event()   {}
+func (JobCancelled) event()   {}
+func (JobUnreadable) event()  {}
+func (JobRemoved) event()     {}
+func (WorkerReport) event()   {}
+func (AgentConnected) event() {}
+func (SessionClosed) event()  {}
+func (ProgressSaved) event()  {}
+func (SaveRejected) event()   {}
+func (EndsSaved) event()      {}
+func (PolicyChanged) event()  {}
+func (Tick) event()           {}
 
 // Action is an output of the core, to be executed by the caller.
 type Action interface{ action() }
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -33,6 +33,9 @@
 	responsive  bool
 	session     string
 	lost        bool // the lease has expired
+	// lateLeaseEnd is when a lease has expired that a call for an earlier incarnation may
+	// have given; 0 if there is none.
+	lateLeaseEnd time.Duration
 
 	members    []*member // members that have not ended
 	stopping   int       // of members
@@ -115,7 +118,7 @@
 	}
 	c.endEarlierMembers(w, report)
 	c.resolveSuspectedCrashes(w.info.ID, report.Worker.Incarnation(), report.WorkerResponsive)
-	lost := !report.WorkerResponsive && c.now-w.lastGrantAt > c.cfg.LeaseBound
+	lost := !report.WorkerResponsive && c.now > c.leaseEnd(w)
 	if !w.reported || w.lost && !lost {
 		c.emit(Notice{Reason: ReasonWorkerUp, Worker: report.Worker.ID, Detail: report.Worker.Rack})
 	}
@@ -138,6 +141,7 @@
 		c.emit(GrantLease{Worker: w.info.ID, Incarnation: w.info.Incarnation(), ReportNumber: report.Number})
 	}
 	w.session = report.Session
+	c.recordLateCalls(w, report.Late)
 	c.updateRunning(w, report.Running, c.now-report.ListAge)
 	for _, m := range w.members {
 		m.accepted = false
@@ -166,7 +170,7 @@
 	if w.reported {
 		c.emit(Notice{Reason: ReasonIncarnationChanged, Worker: w.info.ID, Detail: incarnation})
 	}
-	w.pendingAcks, w.lastEndSeen, w.lastEndAcked = nil, 0, 0
+	w.pendingAcks, w.lastEndSeen, w.lastEndAcked, w.lateLeaseEnd = nil, 0, 0, 0
 	w.failures.Restart()
 	w.standsStill = standstill{}
 	c.restartSpeed(w, report.Worker)
@@ -220,8 +224,12 @@
 // endLostMembers ends all members on a worker except those placed on the given
 // incarnation. They cannot be running any more.
 func (c *Core) endLostMembers(w *worker, except, cause string) {
+	c.endMembersWhere(w, func(m *member) bool { return m.incarnation != except }, cause)
+}
+
+func (c *Core) endMembersWhere(w *worker, isOver func(*member) bool, cause string) {
 	for _, m := range slices.Clone(w.members) {
-		if m.incarnation == except {
+		if !isOver(m) {
 			continue
 		}
 		c.endMemberFor(m, graph.EndWorkerLost, "", cause)
@@ -477,7 +485,7 @@
 // watchLease marks a worker as lost and ends its members, also those of jobs that are loaded
 // later, once its lease has certainly expired.
 func (c *Core) watchLease(w *worker) {
-	if c.now-w.lastGrantAt <= c.cfg.LeaseBound {
+	if c.now <= c.leaseEnd(w) {
 		return
 	}
 	if !w.lost {
@@ -487,7 +495,7 @@
 			c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
 		}
 	}
-	c.endLostMembers(w, noIncarnation, causeLeaseOver)
+	c.endMembersWhere(w, func(m *member) bool { return c.now > m.latestEnd }, causeLeaseOver)
 }
 
 // avoidsWorkers reports whether the unit has avoided workers in this term.
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -60,6 +60,9 @@
 	Tasks []TaskProgress `json:"tasks,omitempty"` // only tasks that have been placed
 	// FinishedAt is the owner's wall-clock time at which the state became final.
 	FinishedAt time.Time `json:"end,omitzero"`
+	// PlacedAt is the owner's wall-clock time in milliseconds since 1970 at which it last placed
+	// a task, 0 while none is placed. Earlier versions leave it out.
+	PlacedAt int64 `json:"placed,omitempty"`
 	// Stalls holds the units whose runs were stopped because they made no progress, at most
 	// MaxStalledUnits of them. Earlier versions leave it out.
 	Stalls []UnitStalls `json:"stalls,omitempty"`
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// LateCallsOf returns what a report tells of calls that may take effect late.
+func LateCallsOf(r *WorkerReport) plan.LateCalls {
+	return plan.LateCalls{
+		AgentAge: time.Duration(r.AgentAgeMs) * time.Millisecond,
+		Lease:    r.LateLease,
+		LeaseAge: time.Duration(r.LateLeaseAgeMs) * time.Millisecond,
+	}
+}
+
 // ReportOf returns the report that describes a worker, without the lists of
 // running and ended tasks.
 func ReportOf(w plan.WorkerInfo) *WorkerReport {
--- /dev/null
+++ b/test/soak/recut_test.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/standin"
+	hosted "github.com/coltsfootlug/coltsfootlug/platform/standin"
+)
+
+const (
+	// darkTime is how long a worker is down before it starts again under its name, cutAfter the
+	// time from then to the cut, and cutTime that of the cut.
+	darkTime = 600 * time.Millisecond
+	cutAfter = 1200 * time.Millisecond
+	cutTime  = 9 * time.Second
+	// slowClock is the rate of the slowest clock of a worker.
+	slowClock = 0.98
+	// recutWork is longer than a worker is cut off.
+	recutWork = 15 * time.Second
+	// fillTime leaves room on the workers for the jobs that come while they are down.
+	fillTime = 300 * time.Millisecond
+	// submitGap is the time between two jobs while the workers are down.
+	submitGap = 40 * time.Millisecond
+)
+
+// recut lets workers crash, start again under their names and be cut off soon after. Processes
+// that kill names are killed before the cut and start again after it.
+type recut struct {
+	rig     *rig
+	load    *load
+	workers []*node
+	kill    func() []*node
+}
+
+// cut cuts a worker off from its agent, or ends the cut. Nothing of what is sent meanwhile arrives.
+func (n *node) cut(cut bool) {
+	for _, link := range []string{"worker", "heartbeats"} {
+		n.relays[link].RefuseConnections(cut)
+		if cut {
+			n.relays[link].Stall()
+			n.relays[link].Hold(standin.Directions{ToTarget: true, ToClient: true})
+		} else {
+			n.relays[link].Cut()
+			n.relays[link].Hold(standin.Directions{})
+		}
+	}
+}
+
+func (r *recut) submit() {
+	steps := []hosted.TaskStep{{Count: 1, MilliCPU: 1000, Accelerators: 1, WorkMS: int(recutWork.Milliseconds())}}
+	j := r.load.addJob(accountOther, 1, steps)
+	sent := r.rig.recorder.Now()
+	key := r.rig.operator.key(j.Account)
+	reply := r.rig.caller(0).Submit(queues[j.Priority].Prefix+j.ID, key, steps, callerWait)
+	r.rig.recorder.Add(Event{Sent: sent, Kind: KindSubmit, Job: j.ID, Entry: r.rig.entries[0].name, Key: key, Status: reply.Status, State: reply.State})
+}
+
+func (r *recut) submitFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(submitGap) {
+		r.submit()
+	}
+}
+
+// play plays one round.
+func (r *recut) play() {
+	for _, n := range r.workers {
+		n.worker.CrashSilently()
+	}
+	r.submitFor(darkTime)
+	for _, n := range r.workers {
+		n.worker.Return()
+	}
+	time.Sleep(cutAfter)
+	var killed []*node
+	if r.kill != nil {
+		killed = r.kill()
+	}
+	for _, n := range killed {
+		n.process().Kill()
+	}
+	for _, n := range r.workers {
+		n.cut(true)
+	}
+	for _, n := range killed {
+		r.rig.restart(n)
+	}
+	time.Sleep(cutTime)
+	for _, n := range r.workers {
+		n.cut(false)
+	}
+}
+
+// owner returns the entry that has begun the last term.
+func (g *rig) owner() *node {
+	name := ""
+	for _, e := range g.recorder.Record().Events {
+		if e.Kind == KindFence {
+			name = e.Entry
+		}
+	}
+	i := slices.IndexFunc(g.entries, func(n *node) bool { return n.name == name })
+	if i < 0 {
+		return nil
+	}
+	return g.entries[i]
+}
+
+// playRecut plays one round with half of the workers and returns the violations.
+func playRecut(t *testing.T, bin string, kill func(*rig, []*node) []*node) {
+	recorder := NewRecorder()
+	dir, err := makeFolder(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := startRig(dir, bin, "", 8, recorder)
+	if g != nil {
+		defer g.close()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range g.agents {
+		n.worker.SetClockRate(slowClock)
+	}
+	r := &recut{rig: g, load: &load{rig: g}, workers: g.agents[:len(g.agents)/2]}
+	if kill != nil {
+		r.kill = func() []*node { return kill(g, r.workers) }
+	}
+	// A deadline of the earlier incarnation is then beyond the longest lease of the next one.
+	time.Sleep(hosted.MaxLease)
+	r.submitFor(fillTime)
+	r.play()
+	recorder.Add(Event{Kind: KindHealed})
+	g.awaitServed()
+	g.settle()
+	record := recorder.Record()
+	t.Log(record.Summary())
+	for _, v := range Check(record) {
+		t.Error(v)
+	}
+	if t.Failed() {
+		if err := record.Write(dir + "/record.jsonl"); err != nil {
+			t.Error(err)
+		}
+		t.Fatalf("logs and record: %s", dir)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice guards against tasks that are started elsewhere while a lease goes on which a late start for the
+// earlier incarnation has given the next one.
+func TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice(t *testing.T) {
+	bin := buildBinaries(t)
+	for name, kill := range map[string]func(*rig, []*node) []*node{
+		"none":             nil,
+		"owner":            func(g *rig, _ []*node) []*node { return []*node{g.owner()} },
+		"agents":           func(_ *rig, workers []*node) []*node { return workers },
+		"owner and agents": func(g *rig, workers []*node) []*node { return append([]*node{g.owner()}, workers...) },
+	} {
+		t.Run(fmt.Sprintf("killed: %s", name), func(t *testing.T) {
+			t.Parallel()
+			playRecut(t, bin, kill)
+		})
+	}
+}
