plan, keeper: runs with unanswered starts are awaited on lost workers

The owner took the end of the worker's lease for the end of each run on it. A run of which a start had no answer may begin on an incarnation that nobody has heard of, up to 12 s after the call, with a lease of its own.

The agent reports the runs of which a start call had no answer and which the worker has neither accepted nor listed. On a lost worker such a run counts as ended 12 s and the longest lease after that call. An order of which the owner has heard nothing counts as a call too, and a run that was placed lately if owner and agent are gone. So that few starts are in doubt, agents call a worker to start a run only if it has answered a list within 0.1 s.

--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -27,6 +27,17 @@
 	slowSettling = 3 * time.Second
 )
 
+// longestStart is the longest time that the calls to start a run take. A gang waits three
+// seconds for its members.
+const longestStart = 2750 * time.Millisecond
+
+// errStartNotSent means that no call to start a run was made, as the worker answered no list.
+const errStartNotSent = errors.ConstError("the worker answers no list before the start")
+
+// freshAnswer is the age of the last list up to which a run's first start call is made without
+// another one. A worker that is lost meanwhile leaves that call unanswered.
+const freshAnswer = 100 * time.Millisecond
+
 // refusingCalls is the number of unanswered start calls of a run from which on its worker counts
 // as having refused it.
 const refusingCalls = 3
@@ -133,6 +144,12 @@
 	}
 	k.log.Info().Err(err).Str("job", string(task.Job)).Str("task", task.String()).Uint64("run", run).Msg("start order failed or has unknown outcome")
 	reason := err.Error()
+	if errors.Is(err, errStartNotSent) {
+		k.reportAbsent(ref, reason) // no other process of the agent gets this order
+		if k.finishUnlessStopOrdered(ref, inProgress, 0) {
+			return
+		}
+	}
 	if errors.Is(err, errStopOrdered) {
 		reason = plan.AbsentStopped
 	}
@@ -156,7 +173,17 @@
 // several calls unanswered has not started the run, though its stop was ordered meanwhile.
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
 	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
+	begun := k.clock()
+	if k.listUntilAnswered(ctx, t, ref) {
+		return nil
+	}
+	if !k.answeredLately() {
+		return errors.Trace(errStartNotSent)
+	}
 	for attempt := range callTimeouts {
+		if attempt > 0 && k.clock()-begun+callTimeout(attempt) > longestStart {
+			return err
+		}
 		if (attempt > 0 || !k.extendsLease() || k.ackOverdue()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
--- a/internal/agent/keeper/orders_test.go
+++ b/internal/agent/keeper/orders_test.go
@@ -127,3 +127,33 @@
 		t.Errorf("started after %v, want within %v", took, gangTimeout/2)
 	}
 }
+
+// TestRunThatWasNeverSentIsReportedAbsent guards against a start in doubt on a worker that was silent before it was ordered, and against a run that waits for the lease of that worker.
+func TestRunThatWasNeverSentIsReportedAbsent(t *testing.T) {
+	k, runner, worker := orderedKeeper(t)
+	dropCalls(t, runner)
+	kernel.Sleep(context.Background(), 2*freshAnswer)
+	ref := rpc.TaskRefOf(graph.TaskID{Job: "j"}, 7)
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), Starts: []*rpc.StartTask{{Ref: ref}}})
+	if !reportedAbsent(k, ref, longestStart+time.Second) {
+		t.Fatal("not reported absent")
+	}
+	if n := runner.starts.Load(); n != 0 {
+		t.Errorf("%d start calls, want none", n)
+	}
+}
+
+// TestUnansweredStartsAreReported guards against an owner that takes a run for ended which an incarnation that nobody has heard of may begin.
+func TestUnansweredStartsAreReported(t *testing.T) {
+	k, runner, worker := orderedKeeper(t)
+	unanswered := func() []*rpc.UnansweredStart {
+		return k.nextReport(&ownerLink{keeper: k, answers: answerMonitor{clock: k.clock}}, false).Unanswered
+	}
+	runner.dropStarts.Store(1)
+	k.startAt(t, runner, worker)
+	if u := unanswered(); len(u) != 1 || u[0].Ref.Run != 7 || u[0].AgeMs > callTimeout(0).Milliseconds() {
+		t.Errorf("without an answer: %v", u)
+	}
+	pollUntil(t, "the accepted run", func() bool { return len(runner.StartedTasks()) == 1 })
+	pollUntil(t, "a report without the run", func() bool { return len(unanswered()) == 0 })
+}
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -144,6 +144,27 @@
 	return k.holdAs(ctx, k.listTarget(), 0) == nil && k.listsRun(t, ref)
 }
 
+// listUntilAnswered lists the runs before the first start call of a run until the worker answers,
+// for no longer than start calls are made. Of a start that was not sent nothing is in doubt, while
+// one without an answer may be executed by an incarnation that nobody has heard of. It reports
+// whether the worker lists the run.
+func (k *Keeper) listUntilAnswered(ctx context.Context, t callTarget, ref runRef) (listed bool) {
+	for begun := k.clock(); !listed && !k.answeredLately() && k.isCurrent(t) && ctx.Err() == nil && k.clock()-begun < longestStart; {
+		listed = k.listBeforeStart(ctx, t, ref)
+		if !listed && !k.answeredLately() {
+			kernel.Sleep(ctx, minReportSpacing) // a worker may refuse at once
+		}
+	}
+	return listed
+}
+
+// answeredLately reports whether the worker has answered a list within freshAnswer.
+func (k *Keeper) answeredLately() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listedEpoch > 0 && k.clock()-k.listedAt <= freshAnswer
+}
+
 func (k *Keeper) listRequired() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
@@ -199,6 +200,13 @@
 	r.Answering, r.Gone = k.workerResponsive(), k.workerGone()
 	r.AgentAgeMs = (now - k.startedAt).Milliseconds()
 	r.LateLease, r.LateLeaseAgeMs = k.lateLease.possible, k.lateLease.age(now).Milliseconds()
+	for _, ref := range k.unanswered.runs(now) {
+		if k.accepted[ref] || k.runs.Presence(ref.task, ref.run) == graph.PresenceListed {
+			continue
+		}
+		age := now - k.unanswered.calls[ref].lastAt
+		r.Unanswered = append(r.Unanswered, &rpc.UnansweredStart{Ref: rpc.TaskRefOf(ref.task, ref.run), AgeMs: age.Milliseconds()})
+	}
 	if listed {
 		r.Running = rpc.RunningTasksOf(k.runs.Running)
 		r.ListAgeMs = (now - k.listedAt).Milliseconds()
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -150,7 +150,8 @@
 		c.handleReport(e)
 	case AgentConnected:
 		if w := c.workers[e.Worker]; w != nil {
-			c.recordLateCalls(w, e.Late)
+			c.recordLateLease(w, e.Late)
+			c.recordLateStarts(w, e.Late)
 		}
 	case SessionClosed:
 		c.handleSessionClosed(e)
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -1,11 +1,15 @@
 package plan
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A worker may start again under its instance name and then execute a call that was meant for
 // the earlier incarnation. A lease in such a call is a time on the earlier clock, so the worker
 // takes it for the longest that it accepts, from that moment on. The agent tells until when that
-// may have happened; where the agent is gone too, the time of the placement bounds it.
+// may have happened, and of which runs a start had no answer: they may begin on an incarnation
+// that has not been heard of. Where the agent is gone too, the time of the placement bounds both.
 
 const (
 	// startWindow is the longest time from a stored placement to the last call that starts the run.
@@ -15,6 +19,9 @@
 	maxPlacementAge = 2 * time.Second
 	// maxClockOffset is the largest difference between the wall clocks of two owners.
 	maxClockOffset = 2 * time.Second
+	// lateCallTime is the longest time after which a worker executes a call that it has not
+	// answered.
+	lateCallTime = 12 * time.Second
 )
 
 // leaseEnd returns the time by which a worker's lease has expired if no other one is granted.
@@ -22,21 +29,56 @@
 	return max(w.lastGrantAt+c.cfg.LeaseBound, w.lateLeaseEnd)
 }
 
-// recordLateCalls records what a worker's agent knows of late calls.
-func (c *Core) recordLateCalls(w *worker, l LateCalls) {
+// recordLateLease records until when a worker's lease may go on by a late call.
+func (c *Core) recordLateLease(w *worker, l LateCalls) {
+	if l.Lease && c.cfg.LateLeaseBound > 0 {
+		w.lateLeaseEnd = max(w.lateLeaseEnd, c.now-l.LeaseAge+c.cfg.LateLeaseBound)
+	}
+}
+
+// recordLateStarts records which runs on a worker may begin by a late call.
+func (c *Core) recordLateStarts(w *worker, l LateCalls) {
 	if c.cfg.LateLeaseBound == 0 {
 		return
 	}
-	if l.Lease {
-		w.lateLeaseEnd = max(w.lateLeaseEnd, c.now-l.LeaseAge+c.cfg.LateLeaseBound)
-	}
 	for _, m := range w.members {
-		if m.recovered && c.now-c.placedAt(m.unit.job)+maxClockOffset < l.AgentAge {
-			m.latestEnd = 0 // the agent has made all calls of the run
+		i := slices.IndexFunc(l.Starts, func(s LateStart) bool { return s.Task == m.task && s.Run == m.run })
+		switch {
+		case m.running || m.accepted:
+			m.latestEnd = 0
+		case i >= 0:
+			m.latestEnd = c.now - l.Starts[i].Age + lateCallTime + c.cfg.LateLeaseBound
+		case c.allCallsMade(m) && c.sinceStart(m) < l.AgentAge:
+			m.latestEnd = 0
 		}
 	}
 }
 
+// allCallsMade reports whether no start call is made any more of a member's run, which its worker
+// has not accepted.
+func (c *Core) allCallsMade(m *member) bool {
+	if m.recovered {
+		return c.now-c.placedAt(m.unit.job) > startWindow+maxClockOffset
+	}
+	return c.now-m.startedAt > orderTimeout
+}
+
+// sinceStart returns the longest time since a start call of a member's run may have been made.
+func (c *Core) sinceStart(m *member) time.Duration {
+	if m.recovered {
+		return c.now - c.placedAt(m.unit.job) + maxClockOffset
+	}
+	return c.now - m.startedAt
+}
+
+// latestEndOfStart returns member.latestEnd for a run of which the start is ordered now.
+func (c *Core) latestEndOfStart() time.Duration {
+	if c.cfg.LateLeaseBound == 0 {
+		return 0
+	}
+	return c.now + orderTimeout + lateCallTime + c.cfg.LateLeaseBound
+}
+
 // placedAt returns when a unit of a job was last placed, by the clock of the owner that did it.
 func (c *Core) placedAt(j *job) time.Duration { return j.placedAt.Sub(c.cfg.TermStart) }
 
@@ -45,5 +87,5 @@
 	if c.cfg.LateLeaseBound == 0 || j.placedAt.IsZero() {
 		return 0
 	}
-	return min(c.placedAt(j)+maxClockOffset, 0) + startWindow + c.cfg.LateLeaseBound
+	return min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime + c.cfg.LateLeaseBound
 }
--- a/internal/graph/plan/latecalls_test.go
+++ b/internal/graph/plan/latecalls_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,17 @@
 	return 0
 }
 
+// after returns what an agent reports a time later.
+func (l LateCalls) after(d time.Duration) LateCalls {
+	l.AgentAge += d
+	l.LeaseAge += d
+	l.Starts = slices.Clone(l.Starts)
+	for i := range l.Starts {
+		l.Starts[i].Age += d
+	}
+	return l
+}
+
 func within(got, want time.Duration) bool { return got >= want && got <= want+200*time.Millisecond }
 
 // TestLateLeaseOfSilentWorkerIsAwaited guards against starting a task elsewhere while a lease goes on that a call for an earlier incarnation has given its worker.
@@ -56,9 +68,7 @@
 			got := h.endsAfter(t, "j0", func() {
 				if agentStays {
 					report.Number++
-					if c.late.Lease {
-						report.Late.LeaseAge = c.late.LeaseAge + h.now
-					}
+					report.Late = c.late.after(h.now)
 					h.step(report)
 				}
 			})
@@ -71,10 +81,11 @@
 
 // TestNextOwnerAwaitsLateLeases guards against the same where the owner has changed, so that it never hears of the worker.
 func TestNextOwnerAwaitsLateLeases(t *testing.T) {
-	const inDoubt = startWindow + maxClockOffset + lateLeaseBound
+	const inDoubt = startWindow + maxClockOffset + lateCallTime + lateLeaseBound
 	known := LateCalls{AgentAge: time.Hour}
 	late := LateCalls{AgentAge: time.Hour, Lease: true, LeaseAge: time.Second}
 	fresh := LateCalls{AgentAge: time.Second}
+	unanswered := LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef: RunRef{graph.TaskID{Job: "j0"}, 1<<24 + 1}, Age: 4 * time.Second}}}
 	for _, c := range []struct {
 		name   string
 		placed time.Duration // before the term
@@ -88,6 +99,7 @@
 		{"agent is another process", 3 * time.Second, &fresh, inDoubt - 3*time.Second},
 		{"agent knows of no late lease", 3 * time.Second, &known, simLeaseBound},
 		{"agent knows of a late lease", 3 * time.Second, &late, lateLeaseBound - time.Second},
+		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, lateCallTime + lateLeaseBound - 4*time.Second},
 	} {
 		h := newLateHarness(t)
 		j := crashJob("j0", 1, 8, false).Job
@@ -96,10 +108,12 @@
 			p.PlacedAt = h.core.cfg.TermStart.Add(-c.placed).UnixMilli()
 		}
 		h.step(JobSubmitted{Job: j, Progress: p})
-		if c.agent != nil {
-			h.step(AgentConnected{Worker: "w0", Late: *c.agent})
+		connect := func() { // agents connect again and again while their workers are silent
+			if c.agent != nil {
+				h.step(AgentConnected{Worker: "w0", Late: c.agent.after(h.now)})
+			}
 		}
-		if got := h.endsAfter(t, "j0", func() {}); !within(got, c.want) {
+		if got := h.endsAfter(t, "j0", connect); !within(got, c.want) {
 			t.Errorf("%s: ended after %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -124,3 +138,61 @@
 		t.Errorf("starts %+v", s)
 	}
 }
+
+// TestRunWithUnansweredStartIsAwaited guards against starting a task elsewhere while a start without an answer may be executed by an incarnation that nobody has heard of.
+func TestRunWithUnansweredStartIsAwaited(t *testing.T) {
+	const agent = time.Hour
+	for _, c := range []struct {
+		name     string
+		starts   func(RunRef) []LateStart // that the agent reports
+		age      time.Duration            // of the agent
+		accepted bool
+		want     time.Duration
+	}{
+		{"no start call", func(RunRef) []LateStart { return nil }, agent, false, simLeaseBound},
+		{"unanswered for 1 s", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, false, lateCallTime + lateLeaseBound - time.Second},
+		{"another run unanswered", func(r RunRef) []LateStart { return []LateStart{{RunRef{r.Task, r.Run - 1}, 0}} }, agent, false, simLeaseBound},
+		{"accepted", func(RunRef) []LateStart { return nil }, agent, true, simLeaseBound},
+		{"another agent, not accepted", func(RunRef) []LateStart { return nil }, time.Millisecond, false, orderTimeout + lateCallTime + lateLeaseBound},
+	} {
+		h := newLateHarness(t)
+		h.report("w0", nil)
+		run := starts(h.submit("j0", 8))[0]
+		ref := RunRef{run.Task, run.Run}
+		h.now += 100 * time.Millisecond
+		late := LateCalls{AgentAge: c.age, Starts: c.starts(ref)}
+		report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Number: 2, WorkerResponsive: true, Late: late}
+		if c.accepted {
+			report.Accepted = []RunRef{ref}
+		}
+		h.step(report)
+		report.WorkerResponsive = false
+		from := h.now
+		got := h.endsAfter(t, "j0", func() {
+			report.Late = late.after(h.now - from)
+			if c.age < agent {
+				report.Late.AgentAge = c.age
+			}
+			h.step(report)
+		})
+		if c.age < agent {
+			got += from // its bound counts from the order
+		}
+		if !within(got, c.want) {
+			t.Errorf("%s: ended after %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestUnreportedStartIsAwaited guards against the same where the agent is lost right after a start was ordered.
+func TestUnreportedStartIsAwaited(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	if s := starts(h.submit("j0", 8)); len(s) != 1 {
+		t.Fatalf("%+v", s)
+	}
+	h.step(SessionClosed{Worker: "w0", Session: "s"})
+	if got, want := h.endsAfter(t, "j0", func() {}), orderTimeout+lateCallTime+lateLeaseBound; !within(got, want) {
+		t.Errorf("ended after %v, want %v", got, want)
+	}
+}
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -130,6 +130,15 @@
 	// incarnation, and was executed LeaseAge ago at the latest.
 	Lease    bool
 	LeaseAge time.Duration
+	// Starts holds the runs of which a start call of the agent had no answer lately, and which
+	// the worker has neither accepted nor listed.
+	Starts []LateStart
+}
+
+// LateStart is a run of which a start call has had no answer. Age is that of the last one.
+type LateStart struct {
+	RunRef
+	Age time.Duration
 }
 
 // AgentConnected reports what an agent knows of late calls before it has listed the runs of its
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -141,7 +141,7 @@
 		c.emit(GrantLease{Worker: w.info.ID, Incarnation: w.info.Incarnation(), ReportNumber: report.Number})
 	}
 	w.session = report.Session
-	c.recordLateCalls(w, report.Late)
+	c.recordLateLease(w, report.Late)
 	c.updateRunning(w, report.Running, c.now-report.ListAge)
 	for _, m := range w.members {
 		m.accepted = false
@@ -151,6 +151,7 @@
 			m.accepted = true
 		}
 	}
+	c.recordLateStarts(w, report.Late)
 	c.processEnds(w, report.Ended)
 	for _, a := range report.Absent {
 		c.handleAbsent(w, a)
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -44,11 +44,16 @@
 
 // LateCallsOf returns what a report tells of calls that may take effect late.
 func LateCallsOf(r *WorkerReport) plan.LateCalls {
-	return plan.LateCalls{
+	out := plan.LateCalls{
 		AgentAge: time.Duration(r.AgentAgeMs) * time.Millisecond,
 		Lease:    r.LateLease,
 		LeaseAge: time.Duration(r.LateLeaseAgeMs) * time.Millisecond,
 	}
+	for _, u := range r.Unanswered {
+		task, run := TaskOf(u.Ref)
+		out.Starts = append(out.Starts, plan.LateStart{RunRef: plan.RunRef{Task: task, Run: run}, Age: time.Duration(u.AgeMs) * time.Millisecond})
+	}
+	return out
 }
 
 // ReportOf returns the report that describes a worker, without the lists of
--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"os"
 	"slices"
 	"testing"
@@ -34,6 +33,8 @@
 	load    *load
 	workers []*node
 	kill    func() []*node
+	// unseen is set if the workers are cut off before they are back.
+	unseen bool
 }
 
 // cut cuts a worker off from its agent, or ends the cut. Nothing of what is sent meanwhile arrives.
@@ -71,14 +72,25 @@
 		n.worker.CrashSilently()
 	}
 	r.submitFor(darkTime)
+	if r.unseen {
+		r.beginCut()
+	}
 	for _, n := range r.workers {
 		n.worker.Return()
 	}
-	time.Sleep(cutAfter)
-	var killed []*node
-	if r.kill != nil {
-		killed = r.kill()
+	if !r.unseen {
+		time.Sleep(cutAfter)
+		r.beginCut()
+	}
+	time.Sleep(cutTime)
+	for _, n := range r.workers {
+		n.cut(false)
 	}
+}
+
+// beginCut cuts the workers off and replaces the processes that are to be killed.
+func (r *recut) beginCut() {
+	killed := r.kill()
 	for _, n := range killed {
 		n.process().Kill()
 	}
@@ -88,10 +100,6 @@
 	for _, n := range killed {
 		r.rig.restart(n)
 	}
-	time.Sleep(cutTime)
-	for _, n := range r.workers {
-		n.cut(false)
-	}
 }
 
 // owner returns the entry that has begun the last term.
@@ -110,7 +118,8 @@
 }
 
 // playRecut plays one round with half of the workers and returns the violations.
-func playRecut(t *testing.T, bin string, kill func(*rig, []*node) []*node) {
+func playRecut(t *testing.T, bin string, unseen bool, kill func(*rig, []*node) []*node) {
+	t.Helper()
 	recorder := NewRecorder()
 	dir, err := makeFolder(0)
 	if err != nil {
@@ -126,10 +135,8 @@
 	for _, n := range g.agents {
 		n.worker.SetClockRate(slowClock)
 	}
-	r := &recut{rig: g, load: &load{rig: g}, workers: g.agents[:len(g.agents)/2]}
-	if kill != nil {
-		r.kill = func() []*node { return kill(g, r.workers) }
-	}
+	r := &recut{rig: g, load: &load{rig: g}, workers: g.agents[:len(g.agents)/2], unseen: unseen}
+	r.kill = func() []*node { return kill(g, r.workers) }
 	// A deadline of the earlier incarnation is then beyond the longest lease of the next one.
 	time.Sleep(hosted.MaxLease)
 	r.submitFor(fillTime)
@@ -153,19 +160,34 @@
 	}
 }
 
+// killedInCut are the processes that are killed as the workers are cut off.
+var killedInCut = map[string]func(g *rig, workers []*node) []*node{
+	"none":             func(*rig, []*node) []*node { return nil },
+	"owner":            func(g *rig, _ []*node) []*node { return []*node{g.owner()} },
+	"agents":           func(_ *rig, workers []*node) []*node { return workers },
+	"owner and agents": func(g *rig, workers []*node) []*node { return append([]*node{g.owner()}, workers...) },
+}
+
 // TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice guards against tasks that are started elsewhere while a lease goes on which a late start for the
 // earlier incarnation has given the next one.
 func TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice(t *testing.T) {
 	bin := buildBinaries(t)
-	for name, kill := range map[string]func(*rig, []*node) []*node{
-		"none":             nil,
-		"owner":            func(g *rig, _ []*node) []*node { return []*node{g.owner()} },
-		"agents":           func(_ *rig, workers []*node) []*node { return workers },
-		"owner and agents": func(g *rig, workers []*node) []*node { return append([]*node{g.owner()}, workers...) },
-	} {
-		t.Run(fmt.Sprintf("killed: %s", name), func(t *testing.T) {
+	for name, kill := range killedInCut {
+		t.Run("killed: "+name, func(t *testing.T) {
+			t.Parallel()
+			playRecut(t, bin, false, kill)
+		})
+	}
+}
+
+// TestWorkersThatRestartUnseenRunNoTaskTwice guards against tasks that are started elsewhere while an incarnation that nobody has heard of works on a start for
+// the earlier one.
+func TestWorkersThatRestartUnseenRunNoTaskTwice(t *testing.T) {
+	bin := buildBinaries(t)
+	for name, kill := range killedInCut {
+		t.Run("killed: "+name, func(t *testing.T) {
 			t.Parallel()
-			playRecut(t, bin, kill)
+			playRecut(t, bin, true, kill)
 		})
 	}
 }
