keeper: a worker that restarts as another kind gets no work of the kind before

A list showed the new incarnation first. The agent gave it the labels of the one before and refused its heartbeats, which named others, as those of another host.

An incarnation that only a list has shown now gets no starts until its own heartbeat is accepted, and that heartbeat may name another kind and capacity on the same host, zone, pool and rack.

--- a/internal/agent/keeper/heartbeat.go
+++ b/internal/agent/keeper/heartbeat.go
@@ -97,7 +97,7 @@
 	}
 	k.log.Info().Str("worker", info.ID).Str("instance", info.Incarnation()).Str("rack", info.Rack).Msg("worker announced")
 	k.changeWorker(info)
-	k.heartbeatNumber, k.heartbeatAt = number, k.clock()
+	k.unannounced, k.heartbeatNumber, k.heartbeatAt = false, number, k.clock()
 	wake(k.wakeHold)
 	wake(k.wakeSend)
 	return nil
@@ -106,7 +106,11 @@
 // checkHost returns an error if a heartbeat names another host than the last one, unless that
 // is heartbeatSilence ago. The caller holds the lock.
 func (k *Keeper) checkHost(info plan.WorkerInfo) error {
-	if !k.heartbeatsCurrent() || sameHost(info, *k.worker) {
+	same := sameHost
+	if k.unannounced || info.Incarnation() != k.worker.Incarnation() {
+		same = samePlace
+	}
+	if !k.heartbeatsCurrent() || same(info, *k.worker) {
 		return nil
 	}
 	return errors.Annotatef(external.ErrForeignWorker, "heartbeat of %q: host %q in %q with labels %q, known is %q in %q with %q",
@@ -136,11 +140,15 @@
 	if late {
 		return nil
 	}
+	if k.unannounced {
+		k.log.Info().Str("worker", info.ID).Str("instance", info.Incarnation()).Strs("labels", info.Labels).Strs("before", k.worker.Labels).Msg("restarted worker announced")
+		wake(k.wakeSend)
+	}
 	if info.Capacity != k.worker.Capacity {
 		k.log.Info().Str("worker", info.ID).Interface("capacity", info.Capacity).Interface("before", k.worker.Capacity).Msg("worker capacity changed")
 		wake(k.wakeSend)
 	}
-	k.worker, k.heartbeatNumber, k.heartbeatAt = &info, number, k.clock()
+	k.worker, k.unannounced, k.heartbeatNumber, k.heartbeatAt = &info, false, number, k.clock()
 	return nil
 }
 
@@ -149,3 +157,9 @@
 func sameHost(a, b plan.WorkerInfo) bool {
 	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && slices.Equal(a.Labels, b.Labels)
 }
+
+// samePlace reports whether two heartbeats name one host in one rack, as those of two incarnations
+// of a worker do. Their kinds may differ.
+func samePlace(a, b plan.WorkerInfo) bool {
+	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && a.Rack == b.Rack && (b.Rack == "" || slices.Contains(a.Labels, b.Rack))
+}
--- a/internal/agent/keeper/heartbeat_test.go
+++ b/internal/agent/keeper/heartbeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -210,3 +211,34 @@
 		h.now += 5 * time.Second
 	}
 }
+
+// TestNextIncarnationOfAnotherKindGetsNoWorkOfTheEarlierOne guards against starts on a worker that has restarted under its name as another kind (ROUTE).
+func TestNextIncarnationOfAnotherKindGetsNoWorkOfTheEarlierOne(t *testing.T) {
+	for _, listedFirst := range []bool{true, false} {
+		h := newHeartbeatTest(t)
+		k := h.keeper
+		next := h.runner.restart("i-1", 1_700_000_009_000)
+		next.Labels, next.Capacity = []string{"b", "r1"}, graph.Resources{MilliCPU: 8000}
+		refusal := func() string {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			return k.refusalOf(graph.Resources{})
+		}
+		if listedFirst {
+			k.applyList(k.target(), external.RunList{Clock: time.Second, StartUnixMillis: next.StartUnixMillis})
+			if k.worker.Incarnation() != next.Incarnation() || refusal() == "" {
+				t.Errorf("listed, not announced: %+v, refusal %q", k.worker, refusal())
+			}
+		}
+		foreign := next
+		foreign.Labels = []string{"b", "r2"}
+		h.beat(foreign, 7, external.ErrForeignWorker)
+		h.beat(next, 1, nil)
+		if h.wantWorker(next, "announced"); !slices.Equal(k.worker.Labels, next.Labels) || refusal() != "" {
+			t.Errorf("listed first %v: labels %q, refusal %q", listedFirst, k.worker.Labels, refusal())
+		}
+		changed := next
+		changed.Labels = []string{"a", "r1"}
+		h.beat(changed, 2, external.ErrForeignWorker)
+	}
+}
--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -46,6 +46,7 @@
 
 	mu              sync.Mutex
 	worker          *plan.WorkerInfo // nil before its first heartbeat
+	unannounced     bool             // only a list has shown its incarnation: it may be of another kind
 	accepted        map[runRef]bool  // runs that it has accepted and not listed yet
 	lost            lostRuns
 	unanswered      unansweredStarts
@@ -316,7 +317,7 @@
 		info := *k.worker
 		info.StartUnixMillis = list.StartUnixMillis
 		k.changeWorker(info)
-		k.heartbeatNumber = 0
+		k.unannounced, k.heartbeatNumber = true, 0
 		// A start may have reached this incarnation since the list was made, which the list
 		// would show as absent.
 		return
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -240,6 +240,8 @@
 	switch {
 	case k.worker == nil || k.worker.Draining || k.leaving():
 		return "worker drains"
+	case k.unannounced:
+		return "worker has restarted and not told its kind"
 	case !capacity.Fits(k.worker.Capacity):
 		return "capacity has shrunk"
 	}
