--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -89,3 +90,17 @@
 	}
 	return min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime + c.cfg.LateLeaseBound
 }
+
+// describeAwaited tells how many runs on a lost worker may still begin, or go on, by a late call.
+func (c *Core) describeAwaited(w *worker) string {
+	awaited, latest := 0, time.Duration(0)
+	for _, m := range w.members {
+		if m.latestEnd > c.now {
+			awaited, latest = awaited+1, max(latest, m.latestEnd)
+		}
+	}
+	if awaited == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d runs may begin by a late start and are awaited, for %v at most", awaited, latest-c.now)
+}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -491,7 +491,7 @@
 	}
 	if !w.lost {
 		w.lost = true
-		c.emit(Notice{Reason: ReasonWorkerLost, Worker: w.info.ID, Detail: (c.now - w.lastGrantAt).String()})
+		c.emit(Notice{Reason: ReasonWorkerLost, Worker: w.info.ID, Detail: (c.now - w.lastGrantAt).String() + c.describeAwaited(w)})
 		if w.session != "" && c.now-w.lastReportAt <= maxReportAge {
 			c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
 		}
