plan: runs that their workers have confirmed are not awaited by the next owner

The time of the last placement counted for all runs of the job.

The progress names the lowest run in doubt as well: one whose start had no answer yet, or whose worker may have a late lease.

TestConfirmedRunsAreNotInDoubt.

--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -60,6 +60,7 @@
 	FinishedAt time.Time   `json:"end,omitzero"`
 
 	PlacedAt  int64                  `json:"placed,omitempty"`
+	LateFrom  uint64                 `json:"late,omitempty"`
 	Stalls    []graph.UnitStalls     `json:"stalls,omitempty"`
 	Suspected []graph.SuspectedCrash `json:"suspected,omitempty"`
 }
@@ -159,7 +160,7 @@
 	}
 	groups := splitTasks(a.Steps, a.Progress.Tasks, len(r.parts))
 	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt,
-		PlacedAt: a.Progress.PlacedAt, Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected}
+		PlacedAt: a.Progress.PlacedAt, LateFrom: a.Progress.LateFrom, Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected}
 	out := pendingRows{
 		writes: []ledger.Write{{Key: progressKey(a.Job), Version: r.version, Data: ledger.Encode(head)}},
 		parts:  make([]partRow, len(groups)),
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
@@ -272,7 +271,7 @@
 	for _, u := range j.units {
 		p.Tasks = append(p.Tasks, u.progress()...)
 	}
-	if slices.ContainsFunc(p.Tasks, func(t graph.TaskProgress) bool { return t.Worker != "" }) && !j.placedAt.IsZero() {
+	if p.LateFrom = j.firstLateRun(); p.LateFrom > 0 && !j.placedAt.IsZero() {
 		p.PlacedAt = j.placedAt.UnixMilli()
 	}
 	p.Stalls = j.stalls()
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -83,12 +83,36 @@
 // placedAt returns when a unit of a job was last placed, by the clock of the owner that did it.
 func (c *Core) placedAt(j *job) time.Duration { return j.placedAt.Sub(c.cfg.TermStart) }
 
-// latestEndOf returns member.latestEnd for the runs of a job that an earlier owner has placed.
-func (c *Core) latestEndOf(j *job) time.Duration {
-	if c.cfg.LateLeaseBound == 0 || j.placedAt.IsZero() {
-		return 0
+// firstLateRun returns the lowest number of a run of the job that may begin, or go on, by a late
+// call; 0 if there is none.
+func (j *job) firstLateRun() uint64 {
+	first := uint64(0)
+	for _, u := range j.units {
+		for _, m := range u.members {
+			w := m.worker
+			late := !m.startSent && !m.recovered || m.latestEnd > 0 || w.lateLeaseEnd > w.lastReportAt
+			if !m.ended && late && (first == 0 || m.run < first) {
+				first = m.run
+			}
+		}
+	}
+	return first
+}
+
+// restoreLateRuns sets member.latestEnd of the runs from a number on, which an earlier owner has
+// placed.
+func (c *Core) restoreLateRuns(j *job, from uint64) {
+	if c.cfg.LateLeaseBound == 0 || j.placedAt.IsZero() || from == 0 {
+		return
+	}
+	latest := min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime + c.cfg.LateLeaseBound
+	for _, u := range j.units {
+		for _, m := range u.members {
+			if m.run >= from {
+				m.latestEnd = latest
+			}
+		}
 	}
-	return min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime + c.cfg.LateLeaseBound
 }
 
 // describeAwaited tells how many runs on a lost worker may still begin, or go on, by a late call.
--- a/internal/graph/plan/latecalls_test.go
+++ b/internal/graph/plan/latecalls_test.go
@@ -91,21 +91,23 @@
 		placed time.Duration // before the term
 		agent  *LateCalls    // nil if it is gone too
 		want   time.Duration
+		from   uint64 // that the progress names, if not the run itself
 	}{
-		{"agent gone", 3 * time.Second, nil, inDoubt - 3*time.Second},
-		{"agent gone, clock of the earlier owner ahead", -time.Minute, nil, inDoubt - maxClockOffset},
-		{"agent gone, placed long ago", time.Minute, nil, simLeaseBound},
-		{"placed by an earlier version", 0, nil, simLeaseBound},
-		{"agent is another process", 3 * time.Second, &fresh, inDoubt - 3*time.Second},
-		{"agent knows of no late lease", 3 * time.Second, &known, simLeaseBound},
-		{"agent knows of a late lease", 3 * time.Second, &late, lateLeaseBound - time.Second},
-		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, lateCallTime + lateLeaseBound - 4*time.Second},
+		{"agent gone", 3 * time.Second, nil, inDoubt - 3*time.Second, 0},
+		{"agent gone, only a later run of the job in doubt", 3 * time.Second, nil, simLeaseBound, 1<<24 + 2},
+		{"agent gone, clock of the earlier owner ahead", -time.Minute, nil, inDoubt - maxClockOffset, 0},
+		{"agent gone, placed long ago", time.Minute, nil, simLeaseBound, 0},
+		{"placed by an earlier version", 0, nil, simLeaseBound, 0},
+		{"agent is another process", 3 * time.Second, &fresh, inDoubt - 3*time.Second, 0},
+		{"agent knows of no late lease", 3 * time.Second, &known, simLeaseBound, 0},
+		{"agent knows of a late lease", 3 * time.Second, &late, lateLeaseBound - time.Second, 0},
+		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, lateCallTime + lateLeaseBound - 4*time.Second, 0},
 	} {
 		h := newLateHarness(t)
 		j := crashJob("j0", 1, 8, false).Job
 		p := &graph.Progress{Job: j.ID, State: graph.Running, Tasks: []graph.TaskProgress{{Run: 1<<24 + 1, Worker: "w0", Incarnation: "i-w0@1"}}}
 		if c.placed != 0 {
-			p.PlacedAt = h.core.cfg.TermStart.Add(-c.placed).UnixMilli()
+			p.PlacedAt, p.LateFrom = h.core.cfg.TermStart.Add(-c.placed).UnixMilli(), max(c.from, 1<<24+1)
 		}
 		h.step(JobSubmitted{Job: j, Progress: p})
 		connect := func() { // agents connect again and again while their workers are silent
@@ -196,3 +198,28 @@
 		t.Errorf("ended after %v, want %v", got, want)
 	}
 }
+
+// TestConfirmedRunsAreNotInDoubt guards against runs that wait for long on lost hosts, as another run of their job was placed right before the owner changed.
+func TestConfirmedRunsAreNotInDoubt(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	j := crashJob("j0", 2, 8, false).Job
+	first := starts(h.step(JobSubmitted{Job: j}))[0]
+	progress := func() graph.Progress { return h.core.jobs["j0"].progress() }
+	if p := progress(); p.LateFrom != first.Run || p.PlacedAt == 0 {
+		t.Errorf("start without an answer: late from %d, placed at %d", p.LateFrom, p.PlacedAt)
+	}
+	running := []graph.RunState{{Task: first.Task, Run: first.Run}}
+	h.report("w0", running)
+	if p := progress(); p.LateFrom != 0 || p.PlacedAt != 0 {
+		t.Errorf("listed: late from %d, placed at %d", p.LateFrom, p.PlacedAt)
+	}
+	second := starts(h.report("w1", nil))[0]
+	if p := progress(); p.LateFrom != second.Run || second.Run <= first.Run {
+		t.Errorf("late from %d after starts of %d and %d", p.LateFrom, first.Run, second.Run)
+	}
+	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Number: 3, Running: running, WorkerResponsive: true, Late: LateCalls{Lease: true}})
+	if p := progress(); p.LateFrom != first.Run {
+		t.Errorf("late lease of the first worker: late from %d, its run is %d", p.LateFrom, first.Run)
+	}
+}
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -75,6 +75,7 @@
 			c.restoreMember(u, t)
 		}
 	}
+	c.restoreLateRuns(j, p.LateFrom)
 	j.restoreStalls(p.Stalls)
 	c.restoreSuspectedCrashes(j, p.Suspected)
 	for _, u := range j.units {
@@ -95,7 +96,6 @@
 	u.run = max(u.run, t.Run)
 	u.members = append(u.members, m)
 	u.history.placedAt = c.now
-	m.latestEnd = c.latestEndOf(u.job)
 	c.occupy(m)
 }
 
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -61,8 +61,11 @@
 	// FinishedAt is the owner's wall-clock time at which the state became final.
 	FinishedAt time.Time `json:"end,omitzero"`
 	// PlacedAt is the owner's wall-clock time in milliseconds since 1970 at which it last placed
-	// a task, 0 while none is placed. Earlier versions leave it out.
+	// a task. Earlier versions leave it and LateFrom out.
 	PlacedAt int64 `json:"placed,omitempty"`
+	// LateFrom is the lowest number of a run that may begin, or go on, by a late call to its
+	// worker; 0 if there is none.
+	LateFrom uint64 `json:"late,omitempty"`
 	// Stalls holds the units whose runs were stopped because they made no progress, at most
 	// MaxStalledUnits of them. Earlier versions leave it out.
 	Stalls []UnitStalls `json:"stalls,omitempty"`
