--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -26,8 +26,8 @@
 	submitGap = 40 * time.Millisecond
 )
 
-// recut lets workers crash, start again under their names and be cut off soon after. Processes
-// that kill names are killed before the cut and start again after it.
+// recut lets workers crash, start again under their names and be cut off soon after. The
+// processes that kill returns are killed as the cut begins and start again at once.
 type recut struct {
 	rig     *rig
 	load    *load
@@ -37,7 +37,7 @@
 	unseen bool
 }
 
-// cut cuts a worker off from its agent, or ends the cut. Nothing of what is sent meanwhile arrives.
+// cut cuts a worker off from its agent, or ends the cut. What is sent meanwhile does not arrive.
 func (n *node) cut(cut bool) {
 	for _, link := range []string{"worker", "heartbeats"} {
 		n.relays[link].RefuseConnections(cut)
@@ -117,7 +117,7 @@
 	return g.entries[i]
 }
 
-// playRecut plays one round with half of the workers and returns the violations.
+// playRecut plays one round with half of the workers and checks its record.
 func playRecut(t *testing.T, bin string, unseen bool, kill func(*rig, []*node) []*node) {
 	t.Helper()
 	recorder := NewRecorder()
@@ -168,26 +168,22 @@
 	"owner and agents": func(g *rig, workers []*node) []*node { return append([]*node{g.owner()}, workers...) },
 }
 
-// TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice guards against tasks that are started elsewhere while a lease goes on which a late start for the
-// earlier incarnation has given the next one.
-func TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice(t *testing.T) {
+// playInEachForm plays a round with each set of killed processes.
+func playInEachForm(t *testing.T, unseen bool) {
+	t.Helper()
 	bin := buildBinaries(t)
 	for name, kill := range killedInCut {
 		t.Run("killed: "+name, func(t *testing.T) {
 			t.Parallel()
-			playRecut(t, bin, false, kill)
+			playRecut(t, bin, unseen, kill)
 		})
 	}
 }
 
+// TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice guards against tasks that are started elsewhere while a lease goes on which a call for the earlier
+// incarnation has given the next one.
+func TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice(t *testing.T) { playInEachForm(t, false) }
+
 // TestWorkersThatRestartUnseenRunNoTaskTwice guards against tasks that are started elsewhere while an incarnation that nobody has heard of works on a start for
 // the earlier one.
-func TestWorkersThatRestartUnseenRunNoTaskTwice(t *testing.T) {
-	bin := buildBinaries(t)
-	for name, kill := range killedInCut {
-		t.Run("killed: "+name, func(t *testing.T) {
-			t.Parallel()
-			playRecut(t, bin, true, kill)
-		})
-	}
-}
+func TestWorkersThatRestartUnseenRunNoTaskTwice(t *testing.T) { playInEachForm(t, true) }
