keeper: a start waits for the first heartbeat of a restarted worker

A start now waits for that heartbeat, for a second at most, and labels have to keep the rack only where they have named it.

--- a/internal/agent/keeper/heartbeat.go
+++ b/internal/agent/keeper/heartbeat.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
 
 const (
@@ -19,6 +20,9 @@
 	// with a lower number, or from another host, is accepted again. A number far ahead
 	// that another program has sent therefore shuts out the worker only for this time.
 	heartbeatSilence = 3 * time.Second
+	// announceTime is the longest time for which a start waits for the first heartbeat of a
+	// worker that has restarted. It is sent at once.
+	announceTime = time.Second
 )
 
 // HandleHeartbeat records the state that the worker reports of itself. Heartbeats
@@ -152,14 +156,26 @@
 	return nil
 }
 
+// awaitAnnouncement waits for the first heartbeat of the incarnation of t.
+func (k *Keeper) awaitAnnouncement(ctx context.Context, t callTarget) {
+	ctx, cancel := context.WithTimeout(ctx, announceTime)
+	defer cancel()
+	kernel.PollUntil(ctx, minReportSpacing, func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return !k.unannounced || !k.current(t)
+	})
+}
+
 // sameHost reports whether two heartbeats name the same host. An incarnation stays on its
 // host, in its pool and zone.
 func sameHost(a, b plan.WorkerInfo) bool {
 	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && slices.Equal(a.Labels, b.Labels)
 }
 
-// samePlace reports whether two heartbeats name one host in one rack, as those of two incarnations
-// of a worker do. Their kinds may differ.
-func samePlace(a, b plan.WorkerInfo) bool {
-	return a.ID == b.ID && a.Pool == b.Pool && a.Zone == b.Zone && a.Rack == b.Rack && (b.Rack == "" || slices.Contains(a.Labels, b.Rack))
+// samePlace reports whether a heartbeat names the host and the rack of a known worker, as those of
+// its next incarnation do. Their kinds may differ.
+func samePlace(a, known plan.WorkerInfo) bool {
+	keepsRackLabel := slices.Contains(a.Labels, known.Rack) || !slices.Contains(known.Labels, known.Rack)
+	return a.ID == known.ID && a.Pool == known.Pool && a.Zone == known.Zone && a.Rack == known.Rack && keepsRackLabel
 }
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -126,6 +126,7 @@
 	if inProgress == nil {
 		return
 	}
+	k.awaitAnnouncement(ctx, t)
 	if reason := k.refusal(o); reason != "" {
 		k.reportAbsent(ref, reason)
 		k.finishOrder(ref, inProgress)
