plan, keeper: a task waits until unanswered start calls of its last run are too old

A start call without an answer may be executed seconds later, by any incarnation of its worker's name that has not been called under a higher epoch. The owner took a run for settled though earlier calls of it had no answer: once a later call was accepted or the run was listed, once a stop was answered and a list did not show it, and once the next incarnation had reported. What an incarnation has stopped or refused binds none after it.

The agent now reports each run with an unanswered start call, whether or not it has begun or ended since, with the time of the last such call. The owner keeps a run whose members have all ended bound to its worker until these calls are too old, 12 s, and a list made after that does not show it; on a silent worker for a lease longer, or two where calls under way may have extended the first. The run stays in the progress of the job meanwhile, so that the next owner waits too. If it ends done by a late call, the task is done. Runs without such a call, and those of workers that come back under another name, wait for nothing.

TestUnansweredStartsAreReported asked for a report without the run once it was accepted, which is the fault; it asks for the run with the age of the unanswered call now. The bounds of four cases of silent workers grow by the time in which a Hold call under way may extend the lease. TestConfirmedRunsAreNotInDoubt reported as an agent of age 0, which knows of no calls before it; its agent is older now. With the wait in finishRunIfEnded switched off TestTaskIsNotPlacedElsewhereWhileALateStartMayBegin fails, without leaseCallTime TestSettledRunIsAwaitedOnSilentWorker, without awaitedMember TestLateDoneEndCompletesItsTask.

--- a/internal/agent/keeper/orders_test.go
+++ b/internal/agent/keeper/orders_test.go
@@ -143,17 +143,31 @@
 	}
 }
 
-// TestUnansweredStartsAreReported guards against an owner that takes a run for ended which an incarnation that nobody has heard of may begin.
+// TestUnansweredStartsAreReported guards against an owner that takes a run for ended which a later incarnation may begin, also after the run was accepted by another call.
 func TestUnansweredStartsAreReported(t *testing.T) {
 	k, runner, worker := orderedKeeper(t)
 	unanswered := func() []*rpc.UnansweredStart {
 		return k.nextReport(&ownerLink{keeper: k, answers: answerMonitor{clock: k.clock}}, false).Unanswered
 	}
 	runner.dropStarts.Store(1)
+	begun := time.Now()
 	k.startAt(t, runner, worker)
 	if u := unanswered(); len(u) != 1 || u[0].Ref.Run != 7 || u[0].AgeMs > callTimeout(0).Milliseconds() {
 		t.Errorf("without an answer: %v", u)
 	}
 	pollUntil(t, "the accepted run", func() bool { return len(runner.StartedTasks()) == 1 })
-	pollUntil(t, "a report without the run", func() bool { return len(unanswered()) == 0 })
+	pollUntil(t, "a report of the unanswered call alone", func() bool {
+		u := unanswered()
+		return len(u) == 1 && u[0].Ref.Run == 7 && u[0].AgeMs >= (time.Since(begun)-100*time.Millisecond).Milliseconds()
+	})
+}
+
+// TestAnsweredStartsAreNotReported guards against runs that wait though nothing of them is in doubt.
+func TestAnsweredStartsAreNotReported(t *testing.T) {
+	k, runner, worker := orderedKeeper(t)
+	k.startAt(t, runner, worker)
+	pollUntil(t, "the accepted run", func() bool { return len(runner.StartedTasks()) == 1 })
+	pollUntil(t, "a report without the run", func() bool {
+		return len(k.nextReport(&ownerLink{keeper: k, answers: answerMonitor{clock: k.clock}}, false).Unanswered) == 0
+	})
 }
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -308,10 +308,10 @@
 	u.begin(b, time.Second)
 	u.answered(b)
 	u.answered(b)
-	if got := u.runs(time.Second + lateCallBound); len(got) != 1 || got[0] != a {
-		t.Errorf("%v, want the run with one unanswered start of two", got)
+	if got := u.runs(lateCallBound); len(got) != 1 || got[0] != a || u.age(a, lateCallBound) != lateCallBound {
+		t.Errorf("%v, want the run with one unanswered start of two, which was sent first", got)
 	}
-	if got := u.runs(time.Second + lateCallBound + 1); len(got) != 0 {
+	if got := u.runs(lateCallBound + 1); len(got) != 0 {
 		t.Errorf("%v after the bound", got)
 	}
 }
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
-	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
 )
@@ -201,10 +200,7 @@
 	r.AgentAgeMs = (now - k.startedAt).Milliseconds()
 	r.LateLease, r.LateLeaseAgeMs = k.lateLease.possible, k.lateLease.age(now).Milliseconds()
 	for _, ref := range k.unanswered.runs(now) {
-		if k.accepted[ref] || k.runs.Presence(ref.task, ref.run) == graph.PresenceListed {
-			continue
-		}
-		age := now - k.unanswered.calls[ref].lastAt
+		age := k.unanswered.age(ref, now)
 		r.Unanswered = append(r.Unanswered, &rpc.UnansweredStart{Ref: rpc.TaskRefOf(ref.task, ref.run), AgeMs: age.Milliseconds()})
 	}
 	if listed {
--- a/internal/agent/keeper/unanswered.go
+++ b/internal/agent/keeper/unanswered.go
@@ -13,33 +13,35 @@
 // unansweredStarts holds the runs with start calls that the worker has not answered. Such
 // a call may be executed late, also by the next incarnation under the same instance name,
 // which knows no run number. It does no I/O; times are on the agent's clock.
-type unansweredStarts struct{ calls map[runRef]unansweredCalls }
-
-type unansweredCalls struct {
-	count  int
-	lastAt time.Duration
+type unansweredStarts struct {
+	calls map[runRef][]time.Duration // by run, when its calls were sent, in order
 }
 
 // begin records a start call that is about to be sent.
 func (u *unansweredStarts) begin(ref runRef, now time.Duration) {
 	u.dropOld(now)
 	if u.calls == nil {
-		u.calls = map[runRef]unansweredCalls{}
+		u.calls = map[runRef][]time.Duration{}
 	}
-	u.calls[ref] = unansweredCalls{count: u.calls[ref].count + 1, lastAt: now}
+	u.calls[ref] = append(u.calls[ref], now)
 }
 
-// answered records that one start call of a run was answered or not sent.
+// answered records that the last start call of a run was answered or not sent. Calls of a run
+// are made in turn.
 func (u *unansweredStarts) answered(ref runRef) {
-	c, ok := u.calls[ref]
-	if !ok {
-		return
-	}
-	if c.count--; c.count == 0 {
+	switch n := len(u.calls[ref]); n {
+	case 0:
+	case 1:
 		delete(u.calls, ref)
-		return
+	default:
+		u.calls[ref] = u.calls[ref][:n-1]
 	}
-	u.calls[ref] = c
+}
+
+// age returns the time since the last unanswered call of a run.
+func (u *unansweredStarts) age(ref runRef, now time.Duration) time.Duration {
+	sent := u.calls[ref]
+	return now - sent[len(sent)-1]
 }
 
 // runs returns the runs whose start may still be executed, ordered by task and run.
@@ -56,8 +58,8 @@
 }
 
 func (u *unansweredStarts) dropOld(now time.Duration) {
-	for ref, c := range u.calls {
-		if now-c.lastAt > lateCallBound {
+	for ref := range u.calls {
+		if u.age(ref, now) > lateCallBound {
 			delete(u.calls, ref)
 		}
 	}
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -63,6 +63,7 @@
 	workers       map[string]*worker
 	suspected     map[string][]*suspectedCrash // by worker ID
 	sortedWorkers []*worker                    // by ID
+	awaitingCalls []*unit                      // whose members have ended; see awaitLateCalls
 	runCounter    uint64
 	// hasReports is set by the first report of the term, received at
 	// firstReportAt.
@@ -151,7 +152,7 @@
 	case AgentConnected:
 		if w := c.workers[e.Worker]; w != nil {
 			c.recordLateLease(w, e.Late)
-			c.recordLateStarts(w, e.Late)
+			c.recordLateStarts(w, e.Late, settlesNothing)
 		}
 	case SessionClosed:
 		c.handleSessionClosed(e)
@@ -194,6 +195,7 @@
 		c.watchHeldEnds(w)
 		c.watchOrders(w)
 	}
+	c.watchLateCalls()
 	c.limitQuarantines()
 	for _, j := range c.activeJobs {
 		c.watchRuns(j)
--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -78,7 +78,7 @@
 	if m.ended {
 		return
 	}
-	m.ended = true
+	m.ended, m.awaitsCalls = true, kind != graph.EndDone && c.awaitsLateCalls(m)
 	c.needsScheduling = true
 	c.release(m)
 	u := m.unit
@@ -131,9 +131,13 @@
 			return
 		}
 	}
+	over := u.phase == unitDone || u.job.state.Final()
+	if !over && c.awaitLateCalls(u) {
+		return
+	}
 	u.members = nil
 	u.stopping = false
-	if u.phase == unitDone || u.job.state.Final() {
+	if over {
 		return
 	}
 	u.phase = unitWaiting
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -32,8 +32,10 @@
 	runDone   bool          // a member of the current run ended with EndDone
 	runFailed bool          // a member of the current run ended with EndFailed
 	stopping  bool          // the current run is being stopped
-	history   runHistory
-	crashes   unitCrashes
+	// awaitedRun is the last run of which late calls were awaited after all members had ended.
+	awaitedRun uint64
+	history    runHistory
+	crashes    unitCrashes
 	// speedsLearned is set once the members of the current run were compared.
 	speedsLearned bool
 	failures      int
@@ -89,9 +91,10 @@
 	// besideSuspects is set if the unit was placed although conflictsWithSuspects.
 	besideSuspects bool
 	recovered      bool // placed in an earlier term
-	// latestEnd is the time by which the run has ended on a worker that stays silent, where its
-	// lease may have been over before.
-	latestEnd    time.Duration
+	// callsUntil is the time until which a start call of the run that had no answer may be
+	// executed; 0 if there is none.
+	callsUntil   time.Duration
+	awaitsCalls  bool // it has ended, and callsUntil keeps its task from being placed elsewhere
 	startSent    bool // the start was ordered in this term, or the worker reported the run
 	running      bool // the worker reported the run as running
 	accepted     bool // the worker has accepted the start since its last list
@@ -283,7 +286,7 @@
 func (u *unit) progress() []graph.TaskProgress {
 	active := make(map[int]*member, len(u.members))
 	for _, m := range u.members {
-		if !m.ended {
+		if !m.ended || m.awaitsCalls {
 			active[m.index()] = m
 		}
 	}
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 )
 
 // A worker may start again under its instance name and then execute a call that was meant for
@@ -23,6 +26,9 @@
 	// lateCallTime is the longest time after which a worker executes a call that it has not
 	// answered.
 	lateCallTime = 12 * time.Second
+	// leaseCallTime is the longest time from a granted report to a Hold call of the agent that
+	// extends the lease: the first one without an answer is given up after it.
+	leaseCallTime = 1100 * time.Millisecond
 )
 
 // leaseEnd returns the time by which a worker's lease has expired if no other one is granted.
@@ -37,26 +43,54 @@
 	}
 }
 
-// recordLateStarts records which runs on a worker may begin by a late call.
-func (c *Core) recordLateStarts(w *worker, l LateCalls) {
+// recordLateStarts records until when start calls of the runs on a worker may be executed. That a
+// run has begun, ended or was stopped settles none of them: the next incarnation of the worker
+// knows nothing of it. settled reports whether the agent makes no more calls of a run.
+func (c *Core) recordLateStarts(w *worker, l LateCalls, settled func(RunRef) bool) {
 	if c.cfg.LateLeaseBound == 0 {
 		return
 	}
 	for _, m := range w.members {
-		i := slices.IndexFunc(l.Starts, func(s LateStart) bool { return s.Task == m.task && s.Run == m.run })
+		ref := RunRef{m.task, m.run}
+		i := slices.IndexFunc(l.Starts, func(s LateStart) bool { return s.RunRef == ref })
 		switch {
-		case m.running || m.accepted:
-			m.latestEnd = 0
 		case i >= 0:
-			m.latestEnd = c.now - l.Starts[i].Age + lateCallTime + c.cfg.LateLeaseBound
-		case c.allCallsMade(m) && c.sinceStart(m) < l.AgentAge:
-			m.latestEnd = 0
+			m.callsUntil = c.now - l.Starts[i].Age + lateCallTime
+		case m.callsUntil > c.now && (settled(ref) || c.allCallsMade(m)) && c.sinceStart(m) < l.AgentAge:
+			m.callsUntil = 0
+		}
+		if w.responsive && w.listedAt > m.callsUntil {
+			m.callsUntil = 0
 		}
 	}
 }
 
-// allCallsMade reports whether no start call is made any more of a member's run, which its worker
-// has not accepted.
+// dropLateCalls drops the calls to earlier incarnations of a worker that had another instance
+// name: the one that reports refuses them.
+func (c *Core) dropLateCalls(w *worker, instance string) {
+	drop := func(members []*member) {
+		for _, m := range members {
+			if m.worker == w && !strings.HasPrefix(m.incarnation, instance+"@") {
+				m.callsUntil = 0
+			}
+		}
+	}
+	drop(w.members)
+	for _, u := range c.awaitingCalls {
+		drop(u.members)
+	}
+}
+
+// settles reports whether the agent that reports makes no more start calls of a run.
+func (r *WorkerReport) settles(ref RunRef) bool {
+	return r.lists(ref) || slices.Contains(r.Accepted, ref) || slices.Contains(r.Lost, ref) ||
+		slices.ContainsFunc(r.Absent, func(a RunAbsent) bool { return a.Task == ref.Task && a.Run == ref.Run })
+}
+
+// settlesNothing is for agents that have not listed the runs of their workers.
+func settlesNothing(RunRef) bool { return false }
+
+// allCallsMade reports whether it is too late for another start call of a member's run.
 func (c *Core) allCallsMade(m *member) bool {
 	if m.recovered {
 		return c.now-c.placedAt(m.unit.job) > startWindow+maxClockOffset
@@ -72,12 +106,94 @@
 	return c.now - m.startedAt
 }
 
-// latestEndOfStart returns member.latestEnd for a run of which the start is ordered now.
-func (c *Core) latestEndOfStart() time.Duration {
+// callsOfOrder returns member.callsUntil for a run of which the start is ordered now.
+func (c *Core) callsOfOrder() time.Duration {
 	if c.cfg.LateLeaseBound == 0 {
 		return 0
 	}
-	return c.now + orderTimeout + lateCallTime + c.cfg.LateLeaseBound
+	return c.now + orderTimeout + lateCallTime
+}
+
+// latestEnd returns the time by which a member's run has ended, also if a late call has begun it
+// on an incarnation of its worker that stays silent, and others have extended the lease there.
+func (c *Core) latestEnd(m *member) time.Duration {
+	w := m.worker
+	if m.callsUntil == 0 {
+		return 0
+	}
+	lastCall := max(m.callsUntil, w.lastGrantAt+leaseCallTime+lateCallTime)
+	for _, o := range w.members {
+		lastCall = max(lastCall, o.callsUntil)
+	}
+	return min(lastCall, m.callsUntil+c.cfg.LateLeaseBound) + c.cfg.LateLeaseBound
+}
+
+// awaitsLateCalls reports whether the run of a member that has ended may begin again, or go on,
+// by a late call to a later incarnation of its worker.
+func (c *Core) awaitsLateCalls(m *member) bool {
+	w := m.worker
+	switch {
+	case m.callsUntil == 0 || c.now > c.latestEnd(m):
+		return false
+	case c.now <= m.callsUntil:
+		return true
+	}
+	_, listed := w.unknownStops[RunRef{m.task, m.run}]
+	return listed || !w.connected() || !w.responsive || w.listedAt <= m.callsUntil
+}
+
+// awaitLateCalls reports whether a unit whose members have all ended must not be placed again
+// yet, and if so has it checked later.
+func (c *Core) awaitLateCalls(u *unit) bool {
+	var first *member
+	for _, m := range u.members {
+		if m.awaitsCalls = c.awaitsLateCalls(m); m.awaitsCalls && first == nil {
+			first = m
+		}
+	}
+	if first == nil {
+		return false
+	}
+	if !slices.Contains(c.awaitingCalls, u) {
+		c.awaitingCalls = append(c.awaitingCalls, u)
+	}
+	if u.awaitedRun != u.run {
+		u.awaitedRun = u.run
+		c.emit(Notice{Reason: ReasonAwaitsLateCalls, Job: u.job.ID, Task: first.task.String(), Run: first.run, Worker: first.worker.info.ID,
+			Detail: fmt.Sprintf("for %v", first.callsUntil-c.now)})
+	}
+	return true
+}
+
+// awaitedMember returns the member whose run has ended before, and again after a late call, or nil.
+func (c *Core) awaitedMember(e graph.RunEnd) *member {
+	j := c.jobs[e.Task.Job]
+	if j == nil {
+		return nil
+	}
+	u := j.unitOf(e.Task.Step, e.Task.Index)
+	if u == nil {
+		return nil
+	}
+	for _, m := range u.members {
+		if m.task == e.Task && m.run == e.Run && m.awaitsCalls {
+			return m
+		}
+	}
+	return nil
+}
+
+// watchLateCalls ends the runs of units whose start calls are too old to be executed.
+func (c *Core) watchLateCalls() {
+	units := c.awaitingCalls
+	c.awaitingCalls = nil
+	for _, u := range units {
+		c.finishRunIfEnded(u)
+		if len(u.members) == 0 {
+			c.needsScheduling = true
+			c.requestSave(u.job, nil)
+		}
+	}
 }
 
 // placedAt returns when a unit of a job was last placed, by the clock of the owner that did it.
@@ -90,8 +206,8 @@
 	for _, u := range j.units {
 		for _, m := range u.members {
 			w := m.worker
-			late := !m.startSent && !m.recovered || m.latestEnd > 0 || w.lateLeaseEnd > w.lastReportAt
-			if !m.ended && late && (first == 0 || m.run < first) {
+			late := !m.startSent && !m.recovered || m.callsUntil > 0 || w.lateLeaseEnd > w.lastReportAt
+			if (!m.ended || m.awaitsCalls) && late && (first == 0 || m.run < first) {
 				first = m.run
 			}
 		}
@@ -99,17 +215,17 @@
 	return first
 }
 
-// restoreLateRuns sets member.latestEnd of the runs from a number on, which an earlier owner has
+// restoreLateRuns sets member.callsUntil of the runs from a number on, which an earlier owner has
 // placed.
 func (c *Core) restoreLateRuns(j *job, from uint64) {
 	if c.cfg.LateLeaseBound == 0 || j.placedAt.IsZero() || from == 0 {
 		return
 	}
-	latest := min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime + c.cfg.LateLeaseBound
+	latest := min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime
 	for _, u := range j.units {
 		for _, m := range u.members {
 			if m.run >= from {
-				m.latestEnd = latest
+				m.callsUntil = latest
 			}
 		}
 	}
@@ -119,8 +235,8 @@
 func (c *Core) describeAwaited(w *worker) string {
 	awaited, latest := 0, time.Duration(0)
 	for _, m := range w.members {
-		if m.latestEnd > c.now {
-			awaited, latest = awaited+1, max(latest, m.latestEnd)
+		if end := c.latestEnd(m); end > c.now {
+			awaited, latest = awaited+1, max(latest, end)
 		}
 	}
 	if awaited == 0 {
--- a/internal/graph/plan/latecalls_test.go
+++ b/internal/graph/plan/latecalls_test.go
@@ -101,7 +101,7 @@
 		{"agent is another process", 3 * time.Second, &fresh, inDoubt - 3*time.Second, 0},
 		{"agent knows of no late lease", 3 * time.Second, &known, simLeaseBound, 0},
 		{"agent knows of a late lease", 3 * time.Second, &late, lateLeaseBound - time.Second, 0},
-		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, lateCallTime + lateLeaseBound - 4*time.Second, 0},
+		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, leaseCallTime + lateCallTime + lateLeaseBound, 0},
 	} {
 		h := newLateHarness(t)
 		j := crashJob("j0", 1, 8, false).Job
@@ -152,9 +152,10 @@
 		want     time.Duration
 	}{
 		{"no start call", func(RunRef) []LateStart { return nil }, agent, false, simLeaseBound},
-		{"unanswered for 1 s", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, false, lateCallTime + lateLeaseBound - time.Second},
+		{"unanswered for 1 s", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, false, lateCallTime + leaseCallTime + lateLeaseBound},
 		{"another run unanswered", func(r RunRef) []LateStart { return []LateStart{{RunRef{r.Task, r.Run - 1}, 0}} }, agent, false, simLeaseBound},
 		{"accepted", func(RunRef) []LateStart { return nil }, agent, true, simLeaseBound},
+		{"accepted by a later call", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, true, lateCallTime + leaseCallTime + lateLeaseBound},
 		{"another agent, not accepted", func(RunRef) []LateStart { return nil }, time.Millisecond, false, orderTimeout + lateCallTime + lateLeaseBound},
 	} {
 		h := newLateHarness(t)
@@ -210,7 +211,8 @@
 		t.Errorf("start without an answer: late from %d, placed at %d", p.LateFrom, p.PlacedAt)
 	}
 	running := []graph.RunState{{Task: first.Task, Run: first.Run}}
-	h.report("w0", running)
+	known := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Running: running, WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour}}
+	h.step(known)
 	if p := progress(); p.LateFrom != 0 || p.PlacedAt != 0 {
 		t.Errorf("listed: late from %d, placed at %d", p.LateFrom, p.PlacedAt)
 	}
@@ -218,8 +220,102 @@
 	if p := progress(); p.LateFrom != second.Run || second.Run <= first.Run {
 		t.Errorf("late from %d after starts of %d and %d", p.LateFrom, first.Run, second.Run)
 	}
-	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", Number: 3, Running: running, WorkerResponsive: true, Late: LateCalls{Lease: true}})
+	known.Late.Lease = true
+	h.step(known)
 	if p := progress(); p.LateFrom != first.Run {
 		t.Errorf("late lease of the first worker: late from %d, its run is %d", p.LateFrom, first.Run)
 	}
 }
+
+// TestTaskIsNotPlacedElsewhereWhileALateStartMayBegin guards against two runs of a task, as a later incarnation of its worker executes a start call of an earlier run that was settled.
+func TestTaskIsNotPlacedElsewhereWhileALateStartMayBegin(t *testing.T) {
+	const age = 2 * time.Second
+	type settle func(*WorkerReport, RunRef)
+	for name, settle := range map[string]settle{
+		"absent": func(r *WorkerReport, ref RunRef) {
+			r.Absent = []RunAbsent{{Task: ref.Task, Run: ref.Run, Reason: "no answer"}}
+		},
+		"failed": func(r *WorkerReport, ref RunRef) {
+			r.Ended = []graph.RunEnd{{Number: 1, Task: ref.Task, Run: ref.Run, Kind: graph.EndFailed}}
+		},
+		"lost with the incarnation": func(r *WorkerReport, ref RunRef) {
+			r.Worker.StartUnixMillis, r.Lost = 2, []RunRef{ref}
+		},
+	} {
+		for _, unanswered := range []bool{false, true} {
+			h := newLateHarness(t)
+			h.report("w0", nil)
+			run := starts(h.submit("j0", 8))[0]
+			ref := RunRef{run.Task, run.Run}
+			h.now += 100 * time.Millisecond
+			report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour}}
+			if unanswered {
+				report.Late.Starts = []LateStart{{ref, age}}
+			}
+			settle(&report, ref)
+			if p := h.core.jobs["j0"].progress(); p.Tasks[0].Worker != "w0" {
+				t.Fatalf("progress %+v", p)
+			}
+			settledAt := h.now
+			again := starts(h.step(report))
+			if p := h.core.jobs["j0"].progress(); unanswered && (len(p.Tasks) == 0 || p.Tasks[0].Worker != "w0" || p.Tasks[0].Run != ref.Run || p.LateFrom != ref.Run) {
+				t.Errorf("%s: progress %+v does not name the run", name, p)
+			}
+			report = WorkerReport{Worker: report.Worker, Session: "s", WorkerResponsive: true, Late: report.Late}
+			for ; len(again) == 0 && h.now < settledAt+time.Minute; h.now += 100 * time.Millisecond {
+				again = append(again, starts(h.step(report))...)
+				again = append(again, starts(h.report("w1", nil))...)
+				again = append(again, starts(h.step(Tick{}))...)
+			}
+			want := time.Duration(0)
+			if unanswered {
+				want = lateCallTime - age
+			}
+			if got := h.now - settledAt; got < want || got > want+refusalBackoff+300*time.Millisecond {
+				t.Errorf("%s, unanswered %v: started again after %v, want %v", name, unanswered, got, want)
+			}
+		}
+	}
+}
+
+// TestSettledRunIsAwaitedOnSilentWorker guards against the same where nothing is heard of the worker after the calls are too old.
+func TestSettledRunIsAwaitedOnSilentWorker(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	ref := RunRef{run.Task, run.Run}
+	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: ref.Task, Run: ref.Run, Reason: AbsentStopped}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{ref, 0}}}})
+	if got, want := h.endsAfter(t, "j0", func() {}), leaseCallTime+lateCallTime+lateLeaseBound; !within(got, want) {
+		t.Errorf("placed again after %v, want %v", got, want)
+	}
+}
+
+// TestRenamedWorkerEndsItsRunsAtOnce guards against tasks that wait for late calls which no incarnation takes.
+func TestRenamedWorkerEndsItsRunsAtOnce(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Lost: []RunRef{{run.Task, run.Run}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}}
+	report.Worker.Instance, report.Worker.StartUnixMillis = "other", 2
+	if s := starts(h.step(report)); len(s) != 1 {
+		t.Errorf("starts %+v", s)
+	}
+}
+
+// TestLateDoneEndCompletesItsTask guards against a task that starts again after the end of a run that a late call has begun was taken note of.
+func TestLateDoneEndCompletesItsTask(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: AbsentStopped}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}}
+	h.step(report)
+	report.Worker.StartUnixMillis, report.Absent = 2, nil
+	report.Ended = []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndDone}}
+	again := starts(h.step(report))
+	if status, _ := h.core.JobStatus("j0"); status.State != graph.Completed || len(again) > 0 {
+		t.Errorf("job is %s, starts %+v", status.State, again)
+	}
+}
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -272,7 +272,7 @@
 	}
 	for _, m := range members {
 		if w := m.worker; !m.ended {
-			m.startSent, m.latestEnd = true, c.latestEndOfStart()
+			m.startSent, m.callsUntil = true, c.callsOfOrder()
 			m.orderSession = w.session
 			m.lastOrderAt, m.lastProgressAt = c.now, c.now
 			m.startedAt, m.startedAfresh = c.now, u.resumeCheckpoint() == ""
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -130,12 +130,12 @@
 	// incarnation, and was executed LeaseAge ago at the latest.
 	Lease    bool
 	LeaseAge time.Duration
-	// Starts holds the runs of which a start call of the agent had no answer lately, and which
-	// the worker has neither accepted nor listed.
+	// Starts holds the runs of which a start call of the agent had no answer lately, whether or
+	// not they have begun or ended since.
 	Starts []LateStart
 }
 
-// LateStart is a run of which a start call has had no answer. Age is that of the last one.
+// LateStart is a run of which a start call has had no answer. Age is that of the last such call.
 type LateStart struct {
 	RunRef
 	Age time.Duration
@@ -310,6 +310,7 @@
 	ReasonNoProgress         Reason = "no-progress"
 	ReasonNoOutcome          Reason = "order-without-outcome"
 	ReasonUnitHeld           Reason = "unit-held"
+	ReasonAwaitsLateCalls    Reason = "late-starts-awaited"
 	ReasonWorkerUp           Reason = "worker-up"
 	ReasonWorkerLost         Reason = "worker-lost"
 	ReasonIncarnationChanged Reason = "worker-incarnation-changed"
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -113,6 +113,7 @@
 func (c *Core) handleReport(report WorkerReport) {
 	c.recordFirstReport()
 	w := c.worker(report.Worker.ID)
+	c.recordLateStarts(w, report.Late, report.settles)
 	if w.info.Incarnation() != report.Worker.Incarnation() {
 		c.changeIncarnation(w, report)
 	}
@@ -151,7 +152,6 @@
 			m.accepted = true
 		}
 	}
-	c.recordLateStarts(w, report.Late)
 	c.processEnds(w, report.Ended)
 	for _, a := range report.Absent {
 		c.handleAbsent(w, a)
@@ -172,6 +172,7 @@
 		c.emit(Notice{Reason: ReasonIncarnationChanged, Worker: w.info.ID, Detail: incarnation})
 	}
 	w.pendingAcks, w.lastEndSeen, w.lastEndAcked, w.lateLeaseEnd = nil, 0, 0, 0
+	c.dropLateCalls(w, report.Worker.Instance)
 	w.failures.Restart()
 	w.standsStill = standstill{}
 	c.restartSpeed(w, report.Worker)
@@ -396,10 +397,17 @@
 		c.holdEnd(e, ack)
 		return
 	}
+	if m == nil && e.Kind == graph.EndDone {
+		m = c.awaitedMember(e)
+	}
 	if m == nil {
 		c.recordLateEnd(w, e, ack)
 		return
 	}
+	if m.ended {
+		m.unit.runDone = true
+		c.finishRunIfEnded(m.unit)
+	}
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
 	ack.job = m.unit.job
@@ -496,7 +504,7 @@
 			c.recordCrashes(w, func(m *member) bool { return m.listedLast() || m.accepted }, false)
 		}
 	}
-	c.endMembersWhere(w, func(m *member) bool { return c.now > m.latestEnd }, causeLeaseOver)
+	c.endMembersWhere(w, func(m *member) bool { return c.now > c.latestEnd(m) }, causeLeaseOver)
 }
 
 // avoidsWorkers reports whether the unit has avoided workers in this term.
