plan: the end of a done run is acknowledged once its unanswered start calls are too old

A done run whose first start call had no answer could begin again after its end was taken note of, on the next incarnation of its worker (TWICE). Nothing can keep that incarnation from it. The job is shown as completed at once. Behind a cut list nothing waits.

With the wait switched off TestDoneEndIsAcknowledgedOnceItsCallsAreTooOld fails.

--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -193,6 +193,7 @@
 	for _, w := range c.sortedWorkers {
 		c.watchLease(w)
 		c.watchHeldEnds(w)
+		c.acknowledgeEnds(w, false)
 		c.watchOrders(w)
 	}
 	c.watchLateCalls()
--- a/internal/graph/plan/latecalls_test.go
+++ b/internal/graph/plan/latecalls_test.go
@@ -304,6 +304,32 @@
 	}
 }
 
+// TestDoneEndIsAcknowledgedOnceItsCallsAreTooOld guards against a task that begins again after its end was taken note of, by a late start on a later incarnation.
+func TestDoneEndIsAcknowledgedOnceItsCallsAreTooOld(t *testing.T) {
+	const age = 2 * time.Second
+	for _, unanswered := range []bool{false, true} {
+		h := newLateHarness(t)
+		h.report("w0", nil)
+		run := starts(h.submit("j0", 8))[0]
+		report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour},
+			Ended: []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndDone}}}
+		want := time.Duration(0)
+		if unanswered {
+			want, report.Late.Starts = lateCallTime-age, []LateStart{{RunRef{run.Task, run.Run}, age}}
+		}
+		_, acknowledged := first[AcknowledgeEnds](h.step(report))
+		if status, _ := h.core.JobStatus("j0"); status.State != graph.Completed {
+			t.Fatalf("job is %s", status.State)
+		}
+		for ; !acknowledged && h.now < time.Minute; h.now += 100 * time.Millisecond {
+			_, acknowledged = first[AcknowledgeEnds](append(h.step(report), h.step(Tick{})...))
+		}
+		if !within(h.now, want) {
+			t.Errorf("unanswered %v: acknowledged after %v, want %v", unanswered, h.now, want)
+		}
+	}
+}
+
 // TestLateDoneEndCompletesItsTask guards against a task that starts again after the end of a run that a late call has begun was taken note of.
 func TestLateDoneEndCompletesItsTask(t *testing.T) {
 	h := newLateHarness(t)
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -71,8 +71,11 @@
 	end    graph.RunEnd
 	since  time.Duration // when it was reported
 	job    *job          // nil if the owner did not track the run
-	saved  bool
-	held   bool // its job is unreadable
+	// notBefore is set on the end of a run that a later incarnation of the worker may begin
+	// again: a crash before then loses the end, so that it never counts as taken note of.
+	notBefore time.Duration
+	saved     bool
+	held      bool // its job is unreadable
 }
 
 func (w *worker) connected() bool { return w.reported && w.session != "" && !w.lost }
@@ -411,6 +414,9 @@
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
 	ack.job = m.unit.job
+	if e.Kind == graph.EndDone {
+		ack.notBefore = m.callsUntil
+	}
 	then := afterSave{stored: func() {
 		ack.saved = true
 		if w.info.Incarnation() == incarnation {
@@ -432,10 +438,11 @@
 }
 
 // acknowledgeEnds acknowledges the ends up to the first one whose effect is not
-// saved yet. With resend it repeats an acknowledgement that was sent before.
+// saved yet, or that waits for late calls. Behind a cut list there may be ends of
+// others, so none waits. With resend it repeats an acknowledgement that was sent before.
 func (c *Core) acknowledgeEnds(w *worker, resend bool) {
 	before := w.lastEndAcked
-	for len(w.pendingAcks) > 0 && w.pendingAcks[0].saved {
+	for len(w.pendingAcks) > 0 && w.pendingAcks[0].saved && (w.moreEnds || c.now >= w.pendingAcks[0].notBefore) {
 		w.lastEndAcked = w.pendingAcks[0].number
 		w.pendingAcks = w.pendingAcks[1:]
 	}
