plan, keeper: runs without a start call in doubt wait for nothing

Four reasons, each seen in the logs:

- A start whose answer alone was lost.
A list that shows the run proves that one of its calls was executed; where no call was answered, the first one counts as that.
- An agent that had begun less than 2 s before the run was placed, on a host that had just joined.
Its age does not show that it has made all calls of the run.
Young agents name the runs that they have called themselves.
- An owner that followed another.
The progress named the run as in doubt, as it was when its placement was saved, though its agent had confirmed it since.
The progress is saved again, 1 s after the last save at the earliest, once it names such a run in vain.
- A worker that had announced its exit and ended.

--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -335,10 +335,10 @@
 	changed := k.listedEpoch != t.epoch || runsDiffer(k.runs, list)
 	k.runs, k.listedEpoch, k.listedAt = list, t.epoch, now
 	for _, r := range list.Running {
-		delete(k.accepted, runRef{r.Task, r.Run})
+		k.recordListed(runRef{r.Task, r.Run})
 	}
 	for _, e := range list.Ended {
-		delete(k.accepted, runRef{e.Task, e.Run})
+		k.recordListed(runRef{e.Task, e.Run})
 	}
 	if k.unresponsive {
 		k.unresponsive = false
@@ -349,6 +349,12 @@
 	}
 }
 
+// recordListed records that a list shows a run. The caller holds the lock.
+func (k *Keeper) recordListed(ref runRef) {
+	delete(k.accepted, ref)
+	k.unanswered.listed(ref)
+}
+
 // runsDiffer reports whether the lists contain different runs or ends. Progress is
 // not compared.
 func runsDiffer(a, b external.RunList) bool {
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -206,10 +206,8 @@
 
 // endStart records the outcome of a start call.
 func (k *Keeper) endStart(ref runRef, err error) {
-	if errors.Is(err, external.ErrUnavailable) && !errors.Is(err, external.ErrNotSent) {
-		return
-	}
+	unanswered := errors.Is(err, external.ErrUnavailable) && !errors.Is(err, external.ErrNotSent)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unanswered.answered(ref)
+	k.unanswered.end(ref, !unanswered, err == nil)
 }
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -303,12 +303,17 @@
 	var u unansweredStarts
 	a, b := runRef{graph.TaskID{Job: "a"}, 1}, runRef{graph.TaskID{Job: "b"}, 1}
 	u.begin(a, 0)
+	u.end(a, false, false)
 	u.begin(a, time.Second)
-	u.answered(a)
+	u.end(a, true, true)
+	u.listed(a)
 	u.begin(b, time.Second)
-	u.answered(b)
-	u.answered(b)
-	if got := u.runs(lateCallBound); len(got) != 1 || got[0] != a || u.age(a, lateCallBound) != lateCallBound {
+	u.end(b, true, true)
+	u.end(b, true, true)
+	if age, _ := u.age(a, lateCallBound); age != lateCallBound {
+		t.Errorf("the unanswered start is %v old", age)
+	}
+	if got := u.runs(lateCallBound); len(got) != 1 || got[0] != a {
 		t.Errorf("%v, want the run with one unanswered start of two, which was sent first", got)
 	}
 	if got := u.runs(lateCallBound + 1); len(got) != 0 {
@@ -316,6 +321,28 @@
 	}
 }
 
+// TestListedRunHasExecutedAStartCall guards against tasks that wait for a late call though the only one has been executed, and against those that don't though another one may be.
+func TestListedRunHasExecutedAStartCall(t *testing.T) {
+	ref := runRef{graph.TaskID{Job: "a"}, 1}
+	for calls, want := range []int{0, 0, 1, 2} {
+		var u unansweredStarts
+		for range calls {
+			u.begin(ref, 0)
+			u.listed(ref) // the call under way may be the one
+			u.end(ref, false, false)
+		}
+		u.listed(ref)
+		u.listed(ref)
+		left := 0
+		if c := u.calls[ref]; c != nil {
+			left = len(c.unanswered)
+		}
+		if left != want {
+			t.Errorf("%d of %d calls may be executed, want %d", left, calls, want)
+		}
+	}
+}
+
 // exitReported returns when the keeper reports that its worker has left, up to bound.
 func (k *Keeper) exitReported(bound time.Duration) (time.Duration, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -199,8 +199,13 @@
 	r.Answering, r.Gone = k.workerResponsive(), k.workerGone()
 	r.AgentAgeMs = (now - k.startedAt).Milliseconds()
 	r.LateLease, r.LateLeaseAgeMs = k.lateLease.possible, k.lateLease.age(now).Milliseconds()
+	if now-k.startedAt < lateCallBound {
+		for _, ref := range k.unanswered.called(now) {
+			r.Called = append(r.Called, rpc.TaskRefOf(ref.task, ref.run))
+		}
+	}
 	for _, ref := range k.unanswered.runs(now) {
-		age := k.unanswered.age(ref, now)
+		age, _ := k.unanswered.age(ref, now)
 		r.Unanswered = append(r.Unanswered, &rpc.UnansweredStart{Ref: rpc.TaskRefOf(ref.task, ref.run), AgeMs: age.Milliseconds()})
 	}
 	if listed {
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -201,6 +201,7 @@
 	for _, j := range c.activeJobs {
 		c.watchRuns(j)
 		c.saveCheckpoints(j)
+		c.saveSettledCalls(j)
 	}
 	c.reportHeld()
 }
@@ -303,7 +304,9 @@
 		j.saveInProgress, j.changedSinceSave, j.hasUnsavedCheckpoint = true, false, false
 		j.saveNumber++
 		j.afterCurrentSave, j.afterNextSave = j.afterNextSave, nil
-		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: j.progress(), StateOnly: j.stateOnly})
+		progress := j.progress()
+		j.lateInSave, j.savedAt = progress.LateFrom, c.now
+		c.emit(SaveProgress{Job: j.ID, Number: j.saveNumber, Steps: j.Steps, Progress: progress, StateOnly: j.stateOnly})
 	}
 }
 
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -142,6 +142,8 @@
 	saveNumber       uint64
 	saveInProgress   bool
 	changedSinceSave bool
+	lateInSave       uint64        // Progress.LateFrom of the last save
+	savedAt          time.Duration // when that was requested
 	afterCurrentSave []afterSave
 	afterNextSave    []afterSave
 	// hasUnsavedCheckpoint is set from unsavedSince to the next save.
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -56,7 +56,7 @@
 		switch {
 		case i >= 0:
 			m.callsUntil = c.now - l.Starts[i].Age + lateCallTime
-		case m.callsUntil > c.now && (settled(ref) || c.allCallsMade(m)) && c.sinceStart(m) < l.AgentAge:
+		case m.callsUntil > c.now && (settled(ref) || c.allCallsMade(m)) && (c.sinceStart(m) < l.AgentAge || slices.Contains(l.Called, ref)):
 			m.callsUntil = 0
 		}
 		if w.responsive && w.listedAt > m.callsUntil {
@@ -66,7 +66,7 @@
 }
 
 // dropLateCalls drops the calls to earlier incarnations of a worker that had another instance
-// name: the one that reports refuses them.
+// name: the one that reports refuses them. instance is empty for a worker that has left.
 func (c *Core) dropLateCalls(w *worker, instance string) {
 	drop := func(members []*member) {
 		for _, m := range members {
@@ -215,6 +215,18 @@
 	return first
 }
 
+// settledSaveDelay is the time after a save from which on a job is saved again because fewer of
+// its runs may begin by a late call than that save names.
+const settledSaveDelay = time.Second
+
+// saveSettledCalls requests a save of a job whose stored progress names runs that may begin by a
+// late call and cannot any more. The next owner, with other agents, would wait for them.
+func (c *Core) saveSettledCalls(j *job) {
+	if j.lateInSave > 0 && !j.rejected && !j.saveInProgress && c.now-j.savedAt >= settledSaveDelay && j.firstLateRun() != j.lateInSave {
+		c.requestSave(j, nil)
+	}
+}
+
 // restoreLateRuns sets member.callsUntil of the runs from a number on, which an earlier owner has
 // placed.
 func (c *Core) restoreLateRuns(j *job, from uint64) {
--- a/internal/graph/plan/latecalls_test.go
+++ b/internal/graph/plan/latecalls_test.go
@@ -291,16 +291,52 @@
 	}
 }
 
-// TestRenamedWorkerEndsItsRunsAtOnce guards against tasks that wait for late calls which no incarnation takes.
-func TestRenamedWorkerEndsItsRunsAtOnce(t *testing.T) {
+// TestRunsWithoutCallsInDoubtWaitForNothing guards against tasks that wait for late calls which no incarnation takes, or of which there is none.
+func TestRunsWithoutCallsInDoubtWaitForNothing(t *testing.T) {
+	type settle func(*WorkerReport, RunRef)
+	for name, settle := range map[string]settle{
+		"another instance name": func(r *WorkerReport, ref RunRef) {
+			r.Worker.Instance, r.Worker.StartUnixMillis, r.Lost = "other", 2, []RunRef{ref}
+			r.Late = LateCalls{AgentAge: time.Hour, Starts: []LateStart{{ref, 0}}}
+		},
+		"worker has left": func(r *WorkerReport, ref RunRef) {
+			r.WorkerLeft, r.Late = true, LateCalls{AgentAge: time.Hour, Starts: []LateStart{{ref, 0}}}
+		},
+		"all calls made by a young agent": func(r *WorkerReport, ref RunRef) {
+			r.Absent = []RunAbsent{{Task: ref.Task, Run: ref.Run, Reason: AbsentStopped}}
+			r.Late = LateCalls{AgentAge: time.Millisecond, Called: []RunRef{ref}}
+		},
+	} {
+		h := newLateHarness(t)
+		h.report("w0", nil)
+		run := starts(h.submit("j0", 8))[0]
+		h.now += 100 * time.Millisecond
+		report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true}
+		settle(&report, RunRef{run.Task, run.Run})
+		again := starts(h.step(report))
+		again = append(again, starts(h.report("w1", nil))...)
+		if len(again) != 1 {
+			t.Errorf("%s: starts %+v", name, again)
+		}
+	}
+}
+
+// TestSettledCallsAreSaved guards against an owner that waits for late calls of which the owner before knew that there are none.
+func TestSettledCallsAreSaved(t *testing.T) {
 	h := newLateHarness(t)
 	h.report("w0", nil)
 	run := starts(h.submit("j0", 8))[0]
-	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Lost: []RunRef{{run.Task, run.Run}},
-		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}}
-	report.Worker.Instance, report.Worker.StartUnixMillis = "other", 2
-	if s := starts(h.step(report)); len(s) != 1 {
-		t.Errorf("starts %+v", s)
+	h.now += settledSaveDelay
+	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour},
+		Running: []graph.RunState{{Task: run.Task, Run: run.Run}}})
+	save, ok := first[SaveProgress](h.core.Step(h.now, Tick{}))
+	if !ok || save.Progress.LateFrom != 0 {
+		t.Fatalf("saved %v: %+v", ok, save)
+	}
+	h.step(ProgressSaved{Job: "j0", Number: save.Number})
+	h.now += settledSaveDelay
+	if _, ok := first[SaveProgress](h.core.Step(h.now, Tick{})); ok {
+		t.Error("saved again")
 	}
 }
 
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -76,6 +76,7 @@
 		}
 	}
 	c.restoreLateRuns(j, p.LateFrom)
+	j.lateInSave, j.savedAt = p.LateFrom, c.now
 	j.restoreStalls(p.Stalls)
 	c.restoreSuspectedCrashes(j, p.Suspected)
 	for _, u := range j.units {
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -126,6 +126,9 @@
 	// AgentAge is the time for which the agent has run. It knows nothing of the calls of the
 	// process before.
 	AgentAge time.Duration
+	// Called holds the runs that this process has called the worker to start lately, if it has run
+	// for less than 30 s. The process before had no order for them.
+	Called []RunRef
 	// Lease is set if the worker's lease may rest on a call that was meant for an earlier
 	// incarnation, and was executed LeaseAge ago at the latest.
 	Lease    bool
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -161,6 +161,7 @@
 	}
 	if report.WorkerLeft {
 		w.responsive = false
+		c.dropLateCalls(w, "")
 		c.endLostMembers(w, noIncarnation, causeWorkerLeft)
 		return
 	}
--- a/internal/rpc/fleet.go
+++ b/internal/rpc/fleet.go
@@ -49,6 +49,10 @@
 		Lease:    r.LateLease,
 		LeaseAge: time.Duration(r.LateLeaseAgeMs) * time.Millisecond,
 	}
+	for _, ref := range r.Called {
+		task, run := TaskOf(ref)
+		out.Called = append(out.Called, plan.RunRef{Task: task, Run: run})
+	}
 	for _, u := range r.Unanswered {
 		task, run := TaskOf(u.Ref)
 		out.Starts = append(out.Starts, plan.LateStart{RunRef: plan.RunRef{Task: task, Run: run}, Age: time.Duration(u.AgeMs) * time.Millisecond})
