soak: drawn rounds of restarts, cuts and late calls

The soak played restarts under one name in four fixed forms only, with calls that came late only by the time that the worker was down. TestDrawnRounds draws rounds from a seed: which workers crash, return, are cut off and crash again, which share of their calls is left unanswered before and executed up to 10 s later, also by a later incarnation, and which entries and agents are killed.

In drawn rounds a job may be failed after three crashes under one of its tasks or gangs, each within 12 s of the run's begin and with no longer run between them (docs/incidents/crashing-tasks.md); other records allow no failed job, as before.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -116,7 +116,9 @@
 func checkOneEnd(r *Record, fail report) {
 	known, states := map[string]bool{}, map[string]string{}
 	cancelled, finals, done := map[string]bool{}, map[string]int{}, map[string]bool{}
+	crashes := newCrashes()
 	for _, e := range r.Events {
+		crashes.add(e, r.Jobs[e.Job])
 		switch {
 		case e.Kind == KindSubmit && e.reply().OK(), e.Kind == KindStart:
 			known[e.Job] = true
@@ -138,7 +140,9 @@
 			fail(e.At, "job %s is %s at %s after it was %s", e.Job, e.State, e.Entry, before)
 		} else if before == "" {
 			states[e.Job] = e.State
-			checkTrueEnd(r.Jobs[e.Job], e, cancelled[e.Job], done, fail)
+			if e.State != stateFailed || r.GivenUpAfter == 0 || crashes.most[e.Job] < r.GivenUpAfter {
+				checkTrueEnd(r.Jobs[e.Job], e, cancelled[e.Job], done, fail)
+			}
 		}
 	}
 	for job := range known {
@@ -153,6 +157,43 @@
 	}
 }
 
+const (
+	// crashesOfGivenUpTask is the number of crashes under a task after which its job is failed.
+	crashesOfGivenUpTask = 3
+	// crashTime bounds how long a run may have lasted at a crash that counts, with the time in which its report may be late.
+	crashTime = 10*time.Second + 2*time.Second
+)
+
+// crashes counts the runs of each task, or gang, that ended in a crash soon after their begin.
+type crashes struct {
+	begun map[string]time.Duration   // by task
+	runs  map[string]map[uint64]bool // by unit
+	most  map[string]int             // of any unit of a job
+}
+
+func newCrashes() *crashes {
+	return &crashes{map[string]time.Duration{}, map[string]map[uint64]bool{}, map[string]int{}}
+}
+
+func (c *crashes) add(e Event, j Job) {
+	unit := e.Task
+	if len(j.Steps) > e.Step && j.Steps[e.Step].Gang {
+		unit = fmt.Sprintf("%s.%d", e.Job, e.Step)
+	}
+	switch {
+	case e.Kind == KindStart:
+		c.begun[e.Task] = e.At
+	case e.Kind == KindEnd && e.At-c.begun[e.Task] > crashTime:
+		delete(c.runs, unit)
+	case e.Kind == KindEnd && e.End == "crashed":
+		if c.runs[unit] == nil {
+			c.runs[unit] = map[uint64]bool{}
+		}
+		c.runs[unit][e.Run] = true
+		c.most[e.Job] = max(c.most[e.Job], len(c.runs[unit]))
+	}
+}
+
 // checkTrueEnd checks the first final state that a caller saw. No task of the load
 // fails, so a job that is shown as failed is wrong.
 func checkTrueEnd(j Job, e Event, cancelled bool, done map[string]bool, fail report) {
--- /dev/null
+++ b/test/soak/drawn_test.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	hosted "github.com/coltsfootlug/coltsfootlug/platform/standin"
+)
+
+var (
+	drawnSeeds  = flag.Int64("soak.drawn-seeds", 0, "number of seeds of drawn rounds; 0 plays one short seed")
+	drawnFrom   = flag.Int64("soak.drawn-from", 1, "first seed of drawn rounds")
+	drawnRounds = flag.Int("soak.drawn-rounds", 4, "rounds of a seed")
+)
+
+const (
+	drawnHosts   = 12
+	drawnWorkers = 8
+	// firstRound is the time before the first round, after which a deadline of the first
+	// incarnation is beyond the longest lease of the next one.
+	firstRound = 5 * time.Second
+	// ownerTarget is the target of a kill of the process that owns then.
+	ownerTarget = -1
+	// jobsPerRound and moreJobs bound the number of the jobs of a round.
+	jobsPerRound, moreJobs = 19, 4
+	// shortDrawnSeed has a late start on a later incarnation.
+	shortDrawnSeed = 1
+)
+
+// drawnStep is a step of drawn rounds. The target is the number of a worker or, for a kill, of any host.
+type drawnStep struct {
+	At       time.Duration
+	Kind     string
+	Target   int
+	Share    float64       // of the calls that are left unanswered
+	Duration time.Duration // of a kill
+	Tasks    int           // of a submitted job, a gang if there are several
+	Work     time.Duration // of its tasks
+}
+
+// drawRounds returns the steps of a seed by time. Short rounds have shorter cuts and tasks.
+func drawRounds(seed int64, rounds int, short bool) (steps []drawnStep) {
+	random := rand.New(rand.NewPCG(uint64(seed), 1<<33))
+	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
+	longestLead, longestCut, longestWork := 5*time.Second, 11*time.Second, 18*time.Second
+	if short {
+		longestLead, longestCut, longestWork = 2*time.Second, 5*time.Second, 6*time.Second
+	}
+	begin := firstRound
+	for range rounds {
+		end := begin
+		kills := random.IntN(4)
+		for i, w := range random.Perm(drawnWorkers)[:2+random.IntN(4)] {
+			dark := func() time.Duration { return between(100*time.Millisecond, 1600*time.Millisecond) }
+			crash := begin + between(time.Second, longestLead)
+			back := crash + dark()
+			cut := back + between(0, 2500*time.Millisecond)
+			if random.IntN(3) == 0 {
+				cut = between(crash, back)
+			}
+			healed := cut + between(4*time.Second, longestCut)
+			steps = append(steps, drawnStep{At: begin, Kind: "leave-unanswered", Target: w, Share: 0.15 + 0.4*random.Float64()},
+				drawnStep{At: crash, Kind: "crash", Target: w}, drawnStep{At: back, Kind: "return", Target: w},
+				drawnStep{At: cut, Kind: "cut", Target: w}, drawnStep{At: healed, Kind: "heal", Target: w})
+			if random.IntN(3) == 0 {
+				again := between(max(cut, back), healed-time.Second)
+				steps = append(steps, drawnStep{At: again, Kind: "crash", Target: w}, drawnStep{At: again + dark(), Kind: "return", Target: w})
+			}
+			if i < kills {
+				entries := drawnHosts - drawnWorkers
+				kill := drawnStep{Kind: "kill", Target: []int{ownerTarget, ownerTarget, random.IntN(entries), entries + w, entries + w}[random.IntN(5)]}
+				kill.At = []time.Duration{between(begin, crash), between(crash, back), cut, between(cut, healed)}[random.IntN(4)]
+				if random.IntN(2) == 0 {
+					kill.Duration = between(0, 3*time.Second)
+				}
+				steps = append(steps, kill)
+			}
+			end = max(end, healed)
+		}
+		for range jobsPerRound + random.IntN(moreJobs+1) {
+			job := drawnStep{At: between(begin, begin+longestLead), Kind: "submit", Tasks: 1, Work: between(3*time.Second, longestWork)}
+			if random.IntN(2) == 0 {
+				job.At = between(begin, end)
+			}
+			if seed%2 == 0 && random.IntN(4) == 0 {
+				job.Tasks = 2 + random.IntN(3)
+			}
+			steps = append(steps, job)
+		}
+		begin = end + between(0, 2*time.Second)
+	}
+	slices.SortStableFunc(steps, func(a, b drawnStep) int { return int(a.At - b.At) })
+	return steps
+}
+
+// playDrawn plays the steps of a seed, with its random numbers for what happens at a step.
+func (g *rig) playDrawn(seed int64, steps []drawnStep) {
+	begin, l := time.Now(), &load{rig: g}
+	var ending sync.WaitGroup
+	for i, s := range steps {
+		time.Sleep(time.Until(begin.Add(s.At)))
+		random := rand.New(rand.NewPCG(uint64(seed), uint64(i)))
+		var n *node
+		switch {
+		case s.Kind == "submit":
+			job := hosted.TaskStep{Count: s.Tasks, Gang: s.Tasks > 1, MilliCPU: 1000, Accelerators: 1, WorkMS: int(s.Work.Milliseconds())}
+			c := &client{load: l, random: random}
+			j := l.addJob(accountOther, 1, []hosted.TaskStep{job})
+			ending.Go(func() { c.submit(j) })
+			continue
+		case s.Kind == "kill" && s.Target == ownerTarget:
+			if n = g.owner(); n == nil {
+				continue
+			}
+		case s.Kind == "kill":
+			n = append(slices.Clone(g.entries), g.agents...)[s.Target]
+		default:
+			n = g.agents[s.Target]
+		}
+		g.recorder.Add(Event{Kind: KindStep, Fault: s.Kind, Worker: n.name})
+		switch s.Kind {
+		case "leave-unanswered":
+			n.worker.LeaveUnanswered(s.Share, random)
+		case "crash":
+			n.worker.LeaveUnanswered(0, random)
+			n.worker.CrashSilently()
+		case "return":
+			g.recorder.Add(Event{Kind: KindRestart, Worker: n.name})
+			n.worker.Return()
+		case "cut", "heal":
+			n.cut(s.Kind == "cut")
+		case "kill":
+			n.process().Kill()
+			ending.Go(func() {
+				time.Sleep(s.Duration)
+				g.restart(n)
+			})
+		}
+	}
+	ending.Wait()
+}
+
+// playDrawnSeed plays drawn rounds and checks their record.
+func playDrawnSeed(t *testing.T, bin string, seed int64, rounds int, short bool) {
+	t.Helper()
+	steps := drawRounds(seed, rounds, short)
+	var schedule strings.Builder
+	for _, s := range steps {
+		fmt.Fprintf(&schedule, "%+v\n", s)
+	}
+	command := fmt.Sprintf("go test ./test/soak -run '^TestDrawnRounds$' -count=1 -args -soak.drawn-seeds 1 -soak.drawn-from %d -soak.drawn-rounds %d", seed, rounds)
+	if short {
+		command = "go test ./test/soak -run '^TestDrawnRounds$' -count=1"
+	}
+	checkPlay(t, bin, seed, drawnHosts, command, func(g *rig, dir string) {
+		if err := os.WriteFile(filepath.Join(dir, "schedule.txt"), []byte(command+"\n"+schedule.String()), 0o600); err != nil {
+			t.Error(err)
+		}
+		g.recorder.record.GivenUpAfter = crashesOfGivenUpTask
+		g.playDrawn(seed, steps)
+	})
+}
+
+// TestDrawnRounds guards against tasks that are started elsewhere while an earlier call of theirs, which has had no answer, may still be executed.
+func TestDrawnRounds(t *testing.T) {
+	bin := buildBinaries(t)
+	if *drawnSeeds == 0 {
+		playDrawnSeed(t, bin, shortDrawnSeed, 2, true)
+	}
+	for seed := *drawnFrom; seed < *drawnFrom+*drawnSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playDrawnSeed(t, bin, seed, *drawnRounds, false)
+		})
+	}
+}
