--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -161,7 +161,7 @@
 const crashesOfGivenUpTask = 3
 
 // crashes holds the runs of each task, or gang, that an owner may have lost to a crash: they ended
-// in one, or their end was never acknowledged. The value is true for a run that ended in one.
+// in one, lapsed, or had another end that was never acknowledged. The value is false for the latter.
 type crashes map[string]map[uint64]bool
 
 func (c crashes) add(e Event, j Job) {
@@ -174,7 +174,7 @@
 		if c[unit] == nil {
 			c[unit] = map[uint64]bool{}
 		}
-		c[unit][e.Run] = c[unit][e.Run] || e.End == "crashed"
+		c[unit][e.Run] = c[unit][e.Run] || e.End == "crashed" || e.End == "lapsed"
 	case e.Kind == KindNoted && !c[unit][e.Run]:
 		delete(c[unit], e.Run)
 	}
