--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -184,4 +184,7 @@
 	if !slices.Equal(a, b) || slices.Equal(a, c) {
 		t.Errorf("%v\n%v\n%v", a, b, c)
 	}
+	if a, b, c := drawRounds(1, 2), drawRounds(1, 2), drawRounds(2, 2); !slices.Equal(a, b) || slices.Equal(a, c) {
+		t.Errorf("drawn rounds %v\n%v\n%v", a, b, c)
+	}
 }
--- a/test/soak/drawn_test.go
+++ b/test/soak/drawn_test.go
@@ -18,7 +18,7 @@
 var (
 	drawnSeeds  = flag.Int64("soak.drawn-seeds", 0, "number of seeds of drawn rounds; 0 plays one short seed")
 	drawnFrom   = flag.Int64("soak.drawn-from", 1, "first seed of drawn rounds")
-	drawnRounds = flag.Int("soak.drawn-rounds", 4, "rounds of a seed")
+	drawnRounds = flag.Int("soak.drawn-rounds", 4, "rounds of a seed; up to 2 are short ones")
 )
 
 const (
@@ -31,8 +31,9 @@
 	ownerTarget = -1
 	// jobsPerRound and moreJobs bound the number of the jobs of a round.
 	jobsPerRound, moreJobs = 19, 4
-	// shortDrawnSeed has a late start on a later incarnation.
-	shortDrawnSeed = 1
+	// shortRounds is the largest number of rounds that are short. shortDrawnSeed is played by
+	// make test, in about 30 s.
+	shortRounds, shortDrawnSeed = 2, 1
 )
 
 // drawnStep is a step of drawn rounds. The target is the number of a worker or, for a kill, of any host.
@@ -46,12 +47,12 @@
 	Work     time.Duration // of its tasks
 }
 
-// drawRounds returns the steps of a seed by time. Short rounds have shorter cuts and tasks.
-func drawRounds(seed int64, rounds int, short bool) (steps []drawnStep) {
+// drawRounds returns the steps of a seed by time.
+func drawRounds(seed int64, rounds int) (steps []drawnStep) {
 	random := rand.New(rand.NewPCG(uint64(seed), 1<<33))
 	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
 	longestLead, longestCut, longestWork := 5*time.Second, 11*time.Second, 18*time.Second
-	if short {
+	if rounds <= shortRounds {
 		longestLead, longestCut, longestWork = 2*time.Second, 5*time.Second, 6*time.Second
 	}
 	begin := firstRound
@@ -149,17 +150,14 @@
 }
 
 // playDrawnSeed plays drawn rounds and checks their record.
-func playDrawnSeed(t *testing.T, bin string, seed int64, rounds int, short bool) {
+func playDrawnSeed(t *testing.T, bin string, seed int64, rounds int) {
 	t.Helper()
-	steps := drawRounds(seed, rounds, short)
+	steps := drawRounds(seed, rounds)
 	var schedule strings.Builder
 	for _, s := range steps {
 		fmt.Fprintf(&schedule, "%+v\n", s)
 	}
 	command := fmt.Sprintf("go test ./test/soak -run '^TestDrawnRounds$' -count=1 -args -soak.drawn-seeds 1 -soak.drawn-from %d -soak.drawn-rounds %d", seed, rounds)
-	if short {
-		command = "go test ./test/soak -run '^TestDrawnRounds$' -count=1"
-	}
 	checkPlay(t, bin, seed, drawnHosts, command, func(g *rig, dir string) {
 		if err := os.WriteFile(filepath.Join(dir, "schedule.txt"), []byte(command+"\n"+schedule.String()), 0o600); err != nil {
 			t.Error(err)
@@ -173,12 +171,12 @@
 func TestDrawnRounds(t *testing.T) {
 	bin := buildBinaries(t)
 	if *drawnSeeds == 0 {
-		playDrawnSeed(t, bin, shortDrawnSeed, 2, true)
+		playDrawnSeed(t, bin, shortDrawnSeed, shortRounds)
 	}
 	for seed := *drawnFrom; seed < *drawnFrom+*drawnSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playDrawnSeed(t, bin, seed, *drawnRounds, false)
+			playDrawnSeed(t, bin, seed, *drawnRounds)
 		})
 	}
 }
