test/soak, platform/standin: workers of the recut tests crash as a start call comes

TestWorkersCutOffSoonAfterTheirRestartRunNoTaskTwice and TestWorkersThatRestartUnseenRunNoTaskTwice passed whatever the owner waited for. Since an agent lists the runs of a worker before its first start call, and calls a worker that does not answer no more. The workers of the tests went silent between two calls, so only lists were kept for the next incarnation: no start ran there, and no lease came from one.

The stand-in can now crash as the next start call comes, and the next incarnation executes that call. The tests let the workers crash so; full ones, which get no start, crash as before. Both fail if no worker had a lease by a call for its earlier incarnation. The checks of the record are the same.

--- a/test/soak/record.go
+++ b/test/soak/record.go
@@ -41,6 +41,7 @@
 	KindEnd             = Kind(standin.EventEnd)
 	KindNoted           = Kind(standin.EventAcknowledged)
 	KindGangBegun       = Kind(standin.EventGangBegun)
+	KindLateLease       = Kind(standin.EventLateLease)
 )
 
 // Event is one observation of a caller, a worker, the operator or the store. Times
--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	// darkTime is how long a worker is down before it starts again under its name, cutAfter the
-	// time from then to the cut, and cutTime that of the cut.
-	darkTime = 600 * time.Millisecond
-	cutAfter = 1200 * time.Millisecond
-	cutTime  = 9 * time.Second
+	// crashTime is the time within which the workers crash, darkTime how long they are down then
+	// before they start again under their names, cutAfter the time from then to the cut, and
+	// cutTime that of the cut.
+	crashTime = 400 * time.Millisecond
+	darkTime  = 600 * time.Millisecond
+	cutAfter  = 1200 * time.Millisecond
+	cutTime   = 9 * time.Second
 	// slowClock is the rate of the slowest clock of a worker.
 	slowClock = 0.98
 	// recutWork is longer than a worker is cut off.
@@ -70,7 +72,11 @@
 // play plays one round.
 func (r *recut) play() {
 	for _, n := range r.workers {
-		n.worker.CrashSilently()
+		n.worker.CrashAtStart()
+	}
+	r.submitFor(crashTime)
+	for _, n := range r.workers {
+		n.worker.CrashSilently() // a full one has got no call
 	}
 	r.submitFor(darkTime)
 	if r.unseen {
@@ -142,6 +148,9 @@
 	g.settle()
 	record := recorder.Record()
 	t.Log(record.Summary())
+	if !slices.ContainsFunc(record.Events, func(e Event) bool { return e.Kind == KindLateLease }) {
+		t.Error("no worker had a lease by a call for its earlier incarnation")
+	}
 	for _, v := range Check(record) {
 		t.Error(v)
 	}
