plan: the placement of another task settles no run of an earlier term

The age of an agent was compared with the time of the job's last placement. The time of the placement is kept with each recovered run.

TestLaterPlacementSettlesNoEarlierRun fails without it.

--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -90,7 +90,8 @@
 	crashes     int // taskCrashes.count of its task when the unit was placed
 	// besideSuspects is set if the unit was placed although conflictsWithSuspects.
 	besideSuspects bool
-	recovered      bool // placed in an earlier term
+	recovered      bool // placed in an earlier term, at placedAt or before
+	placedAt       time.Duration
 	// callsUntil is the time until which a start call of the run that had no answer may be
 	// executed; 0 if there is none.
 	callsUntil   time.Duration
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -93,7 +93,7 @@
 // allCallsMade reports whether it is too late for another start call of a member's run.
 func (c *Core) allCallsMade(m *member) bool {
 	if m.recovered {
-		return c.now-c.placedAt(m.unit.job) > startWindow+maxClockOffset
+		return c.now-m.placedAt > startWindow+maxClockOffset
 	}
 	return c.now-m.startedAt > orderTimeout
 }
@@ -101,7 +101,7 @@
 // sinceStart returns the longest time since a start call of a member's run may have been made.
 func (c *Core) sinceStart(m *member) time.Duration {
 	if m.recovered {
-		return c.now - c.placedAt(m.unit.job) + maxClockOffset
+		return c.now - m.placedAt + maxClockOffset
 	}
 	return c.now - m.startedAt
 }
--- /dev/null
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -0,0 +1,46 @@
+package plan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/coltsfootlug/coltsfootlug/internal/graph"
+)
+
+// TestLaterPlacementSettlesNoEarlierRun guards against a recovered run that counts as settled by an agent younger than its start, as another task of its job was placed in this term.
+func TestLaterPlacementSettlesNoEarlierRun(t *testing.T) {
+	h := newLateHarness(t)
+	j := crashJob("j0", 2, 8, false).Job
+	task := graph.TaskID{Job: "j0"}
+	const run = 1<<24 + 1
+	p := &graph.Progress{Job: j.ID, State: graph.Running, PlacedAt: h.core.cfg.TermStart.Add(-time.Second).UnixMilli(), LateFrom: run,
+		Tasks: []graph.TaskProgress{{Run: run, Worker: "w0", Incarnation: "i-w0@1"}}}
+	h.step(JobSubmitted{Job: j, Progress: p})
+	running := []graph.RunState{{Task: task, Run: run}}
+	report := func() []Action { // of an agent that has begun with the term, after the placement
+		return h.step(WorkerReport{Worker: WorkerInfo{ID: "w0", Instance: "i-w0", StartUnixMillis: 1, Pool: "pool", Zone: "z0", Rack: "r0",
+			Capacity: graph.Resources{MilliCPU: 16000, Accelerators: 8}}, Session: "s", Running: running, Number: 1, WorkerResponsive: true, Late: LateCalls{AgentAge: h.now}})
+	}
+	for ; h.now < 4*time.Second; h.now += 500 * time.Millisecond {
+		report()
+	}
+	if m := h.core.workers["w0"].findMember(task, run); m.callsUntil <= h.now {
+		t.Fatalf("calls until %v before the second placement", m.callsUntil)
+	}
+	if s := starts(h.report("w1", nil)); len(s) != 1 {
+		t.Fatalf("starts %+v", s)
+	}
+	h.now += 500 * time.Millisecond
+	report()
+	if m := h.core.workers["w0"].findMember(task, run); m.callsUntil <= h.now {
+		t.Errorf("calls until %v after the second placement", m.callsUntil)
+	}
+	lost := h.now
+	for again := []StartRun(nil); len(again) == 0 && h.now < lost+time.Minute; h.now += 100 * time.Millisecond {
+		again = starts(h.step(Tick{}))
+		again = append(again, starts(h.report("w2", nil))...)
+		if len(again) > 0 && h.now-lost < lateCallTime {
+			t.Errorf("started %+v %v after the last report of w0", again[0].Task, h.now-lost)
+		}
+	}
+}
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -93,7 +93,7 @@
 func (c *Core) restoreMember(u *unit, t graph.TaskProgress) {
 	w := c.worker(t.Worker)
 	m := &member{unit: u, task: u.taskID(t.Index - u.firstIndex), run: t.Run, worker: w, incarnation: t.Incarnation,
-		recovered: true, lastProgressAt: c.now, runningSince: c.now}
+		recovered: true, placedAt: c.placedAt(u.job), lastProgressAt: c.now, runningSince: c.now}
 	u.run = max(u.run, t.Run)
 	u.members = append(u.members, m)
 	u.history.placedAt = c.now
