plan: start calls that may follow an agent's last report are awaited

The age of the last unanswered call bounded the wait though the agent went on with the order: it may make calls for 2.75 s, and be cut off from the owner or killed before its next report. The wait is shortened to what the agent reports once it makes no more calls of the run. Found by a review.

TestCallsOfAnOrderAreAwaitedBeyondTheLastReport fails without it.

--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -52,11 +52,14 @@
 	}
 	for _, m := range w.members {
 		ref := RunRef{m.task, m.run}
-		i := slices.IndexFunc(l.Starts, func(s LateStart) bool { return s.RunRef == ref })
+		until, unanswered := c.callsUntil(l, ref)
+		allMade := settled(ref) || c.allCallsMade(m)
 		switch {
-		case i >= 0:
-			m.callsUntil = c.now - l.Starts[i].Age + lateCallTime
-		case m.callsUntil > c.now && (settled(ref) || c.allCallsMade(m)) && (c.sinceStart(m) < l.AgentAge || slices.Contains(l.Called, ref)):
+		case unanswered && allMade:
+			m.callsUntil = until
+		case unanswered:
+			m.callsUntil = max(m.callsUntil, until)
+		case m.callsUntil > c.now && allMade && (c.sinceStart(m) < l.AgentAge || slices.Contains(l.Called, ref)):
 			m.callsUntil = 0
 		}
 		if w.responsive && w.listedAt > m.callsUntil {
@@ -65,6 +68,16 @@
 	}
 }
 
+// callsUntil returns the time until which a start call of a run may be executed that an agent
+// reports as unanswered.
+func (c *Core) callsUntil(l LateCalls, ref RunRef) (until time.Duration, unanswered bool) {
+	i := slices.IndexFunc(l.Starts, func(s LateStart) bool { return s.RunRef == ref })
+	if i < 0 || c.cfg.LateLeaseBound == 0 {
+		return 0, false
+	}
+	return c.now - l.Starts[i].Age + lateCallTime, true
+}
+
 // dropLateCalls drops the calls to earlier incarnations of a worker that had another instance
 // name: the one that reports refuses them. instance is empty for a worker that has left.
 func (c *Core) dropLateCalls(w *worker, instance string) {
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -44,3 +44,17 @@
 		}
 	}
 }
+
+// TestCallsOfAnOrderAreAwaitedBeyondTheLastReport guards against calls that an agent makes after its last report.
+func TestCallsOfAnOrderAreAwaitedBeyondTheLastReport(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	ref := RunRef{run.Task, run.Run}
+	h.now += 200 * time.Millisecond
+	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{ref, 150 * time.Millisecond}}}})
+	m := h.core.workers["w0"].findMember(run.Task, run.Run)
+	if want := 2750*time.Millisecond + lateCallTime; m.callsUntil < want {
+		t.Errorf("calls until %v, the agent makes calls until 2.75 s", m.callsUntil)
+	}
+}
