plan: a task is not placed again while its worker lists the run that a late call has begun

The wait ended with the longest lease of a silent worker, also where the worker answered, listed the run and its lease was extended, as it answered no stop.

TestListedLateRunIsNoTimeOver fails without it.

--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -145,14 +145,17 @@
 // by a late call to a later incarnation of its worker.
 func (c *Core) awaitsLateCalls(m *member) bool {
 	w := m.worker
+	answers := w.connected() && w.responsive
+	_, listed := w.unknownStops[RunRef{m.task, m.run}]
 	switch {
-	case m.callsUntil == 0 || c.now > c.latestEnd(m):
+	case m.callsUntil == 0:
 		return false
-	case c.now <= m.callsUntil:
+	case answers && listed || c.now <= m.callsUntil:
 		return true
+	case c.now > c.latestEnd(m):
+		return false
 	}
-	_, listed := w.unknownStops[RunRef{m.task, m.run}]
-	return listed || !w.connected() || !w.responsive || w.listedAt <= m.callsUntil
+	return listed || !answers || w.listedAt <= m.callsUntil
 }
 
 // awaitLateCalls reports whether a unit whose members have all ended must not be placed again
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -58,3 +58,21 @@
 		t.Errorf("calls until %v, the agent makes calls until 2.75 s", m.callsUntil)
 	}
 }
+
+// TestListedLateRunIsNoTimeOver guards against a task that is placed again while its worker, which answers no stop, lists the run that a late call has begun.
+func TestListedLateRunIsNoTimeOver(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: AbsentStopped}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}}
+	h.step(report)
+	report.Worker.StartUnixMillis, report.Absent, report.Late.Starts = 2, nil, nil
+	report.Running = []graph.RunState{{Task: run.Task, Run: run.Run}}
+	for ; h.now < 40*time.Second; h.now += 100 * time.Millisecond {
+		again := append(starts(h.step(report)), starts(h.report("w1", nil))...)
+		if again = append(again, starts(h.step(Tick{}))...); len(again) > 0 {
+			t.Fatalf("started on %s after %v, beside the listed run", again[0].Worker, h.now)
+		}
+	}
+}
