plan: no end is acknowledged while a late call may begin its run again

The wait of covered ends that are done, of the member alone and of the owner that had placed it. A review showed the same fault for the next owner, which knows no member of a done unit, for jobs whose rows cannot be read, for members of a gang of which another one has a call without an answer (TWICE), and for the last failure that a task may have (BUDGET). The time comes from the agent's report of the end now; an agent that is younger than 12 s says nothing of the calls of the process before it, so that ends of runs that it has not called itself wait until it is 12 s old.

--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -78,6 +78,19 @@
 	return c.now - l.Starts[i].Age + lateCallTime, true
 }
 
+// callsOfEndedRun is callsUntil for a run that has ended, and of which this owner may know nothing
+// else. Calls of the process before a young agent are not known.
+func (c *Core) callsOfEndedRun(l LateCalls, ref RunRef) time.Duration {
+	until, unanswered := c.callsUntil(l, ref)
+	if unanswered || c.cfg.LateLeaseBound == 0 || l.AgentAge >= lateCallTime || slices.Contains(l.Called, ref) {
+		return until
+	}
+	return c.now - l.AgentAge + lateCallTime
+}
+
+// countsForGood reports whether an end bars further starts of its task once it was taken note of.
+func countsForGood(kind graph.EndKind) bool { return kind == graph.EndDone || kind == graph.EndFailed }
+
 // dropLateCalls drops the calls to earlier incarnations of a worker that had another instance
 // name: the one that reports refuses them. instance is empty for a worker that has left.
 func (c *Core) dropLateCalls(w *worker, instance string) {
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -76,3 +76,90 @@
 		}
 	}
 }
+
+func (h *harness) acknowledgedAfter(each func() []Action) time.Duration {
+	from := h.now
+	for ; h.now < from+time.Minute; h.now += 100 * time.Millisecond {
+		if _, ok := first[AcknowledgeEnds](append(each(), h.step(Tick{})...)); ok {
+			break
+		}
+	}
+	return h.now - from
+}
+
+// TestNextOwnerAcknowledgesDoneEndOnceItsCallsAreTooOld guards against the end of a done run that the next owner acknowledges at once.
+func TestNextOwnerAcknowledgesDoneEndOnceItsCallsAreTooOld(t *testing.T) {
+	const age = 2 * time.Second
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	submitted := crashJob("j0", 1, 8, false).Job
+	run := starts(h.step(JobSubmitted{Job: submitted}))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true,
+		Late:  LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, age}}},
+		Ended: []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndDone}}}
+	h.step(report)
+	p := h.core.jobs["j0"].progress()
+	next := newLateHarness(t)
+	next.step(JobSubmitted{Job: crashJob("j0", 1, 8, false).Job, Progress: &p})
+	if got := next.acknowledgedAfter(func() []Action { return next.step(report) }); !within(got, lateCallTime-age) {
+		t.Errorf("acknowledged after %v by the next owner", got)
+	}
+}
+
+// TestHeldEndIsAcknowledgedOnceItsCallsAreTooOld guards against the same for a job whose rows cannot be read.
+func TestHeldEndIsAcknowledgedOnceItsCallsAreTooOld(t *testing.T) {
+	const age = 2 * time.Second
+	h := newLateHarness(t)
+	task := graph.TaskID{Job: "j0"}
+	h.step(JobUnreadable{Job: "j0"})
+	h.report("w0", nil)
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true,
+		Late:  LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{task, 1<<24 + 1}, age}}},
+		Ended: []graph.RunEnd{{Number: 1, Task: task, Run: 1<<24 + 1, Kind: graph.EndDone}}}
+	got := h.acknowledgedAfter(func() []Action {
+		out := h.step(report)
+		if s, ok := first[SaveEnds](out); ok {
+			out = append(out, h.step(EndsSaved{Job: "j0", Number: s.Number})...)
+		}
+		return out
+	})
+	if !within(got, lateCallTime-age) {
+		t.Errorf("acknowledged after %v", got)
+	}
+}
+
+// TestLastFailedEndIsAcknowledgedOnceItsCallsAreTooOld guards against a run that begins again after the last allowed failure was taken note of (BUDGET).
+func TestLastFailedEndIsAcknowledgedOnceItsCallsAreTooOld(t *testing.T) {
+	const age = 2 * time.Second
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	j := crashJob("j0", 1, 8, false).Job
+	j.MaxAttempts = 1
+	run := starts(h.step(JobSubmitted{Job: j}))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true,
+		Late:  LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, age}}},
+		Ended: []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndFailed}}}
+	if got := h.acknowledgedAfter(func() []Action { return h.step(report) }); !within(got, lateCallTime-age) {
+		t.Errorf("acknowledged after %v", got)
+	}
+}
+
+// TestGangEndWaitsForCallsOfAllMembers guards against a gang's end that is taken note of while a start call of another member may be executed.
+func TestGangEndWaitsForCallsOfAllMembers(t *testing.T) {
+	const age = 2 * time.Second
+	h := newLateHarness(t)
+	s := h.startGang(crashJob("j0", 2, 8, true).Job)
+	report := func(i int, e ...graph.RunEnd) WorkerReport {
+		r := WorkerReport{Worker: h.core.workers[s[i].Worker].info, Session: "s", WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour}, Ended: e}
+		if i == 1 {
+			r.Late.Starts = []LateStart{{RunRef{s[1].Task, s[1].Run}, age}}
+		}
+		return r
+	}
+	second := report(1)
+	second.Running = []graph.RunState{{Task: s[1].Task, Run: s[1].Run}}
+	h.step(second)
+	if got := h.acknowledgedAfter(func() []Action { return h.step(report(0, runEnd(s[0], graph.EndDone))) }); !within(got, lateCallTime-age) {
+		t.Errorf("acknowledged after %v", got)
+	}
+}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -71,8 +71,8 @@
 	end    graph.RunEnd
 	since  time.Duration // when it was reported
 	job    *job          // nil if the owner did not track the run
-	// notBefore is set on the end of a run that a later incarnation of the worker may begin
-	// again: a crash before then loses the end, so that it never counts as taken note of.
+	// notBefore is set on the end, done or failed, of a run that a later incarnation of the worker
+	// may begin again: a crash before then loses the end, so that it never counts as taken note of.
 	notBefore time.Duration
 	saved     bool
 	held      bool // its job is unreadable
@@ -155,7 +155,7 @@
 			m.accepted = true
 		}
 	}
-	c.processEnds(w, report.Ended)
+	c.processEnds(w, report.Ended, report.Late)
 	for _, a := range report.Absent {
 		c.handleAbsent(w, a)
 	}
@@ -380,7 +380,7 @@
 // processEnds handles the reported ends in order. Each is acknowledged once its
 // effect is saved. If an acknowledged end is reported again, the acknowledgement
 // is repeated.
-func (c *Core) processEnds(w *worker, ended []graph.RunEnd) {
+func (c *Core) processEnds(w *worker, ended []graph.RunEnd, late LateCalls) {
 	resend := false
 	for _, e := range ended {
 		if e.Number <= w.lastEndSeen {
@@ -389,6 +389,9 @@
 		}
 		w.lastEndSeen = e.Number
 		ack := &pendingAck{number: e.Number, end: e, since: c.now}
+		if countsForGood(e.Kind) {
+			ack.notBefore = c.callsOfEndedRun(late, RunRef{e.Task, e.Run})
+		}
 		w.pendingAcks = append(w.pendingAcks, ack)
 		c.processEnd(w, e, ack)
 	}
@@ -410,14 +413,16 @@
 	}
 	if m.ended {
 		m.unit.runDone = true
-		c.finishRunIfEnded(m.unit)
+		defer c.finishRunIfEnded(m.unit)
+	}
+	if countsForGood(e.Kind) {
+		for _, o := range m.unit.members { // one end stands for those of a whole gang
+			ack.notBefore = max(ack.notBefore, o.callsUntil)
+		}
 	}
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
 	ack.job = m.unit.job
-	if e.Kind == graph.EndDone {
-		ack.notBefore = m.callsUntil
-	}
 	then := afterSave{stored: func() {
 		ack.saved = true
 		if w.info.Incarnation() == incarnation {
