plan: a failure of a run that a late call has begun counts

Such an end was taken for one of an unknown run and acknowledged, so that a task could start once more than its attempts allow (BUDGET). TestLateFailedEndCounts fails without it.

--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -212,6 +212,19 @@
 	return nil
 }
 
+// endAgain records the end, done or failed, of a run that a late call has begun again.
+func (c *Core) endAgain(m *member, kind graph.EndKind) {
+	u := m.unit
+	switch kind {
+	case graph.EndDone:
+		u.runDone = true
+	case graph.EndFailed:
+		u.runFailed = true
+		c.recordFailure(m.worker, u, m.index())
+	}
+	c.finishRunIfEnded(u)
+}
+
 // watchLateCalls ends the runs of units whose start calls are too old to be executed.
 func (c *Core) watchLateCalls() {
 	units := c.awaitingCalls
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -163,3 +163,25 @@
 		t.Errorf("acknowledged after %v", got)
 	}
 }
+
+// TestLateFailedEndCounts guards against one start too many after a run that a late call has begun has failed (BUDGET).
+func TestLateFailedEndCounts(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	j := crashJob("j0", 1, 8, false).Job
+	j.MaxAttempts = 1
+	run := starts(h.step(JobSubmitted{Job: j}))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: AbsentStopped}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}}
+	h.step(report)
+	report.Worker.StartUnixMillis, report.Absent, report.Late.Starts = 2, nil, nil
+	report.Ended = []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndFailed}}
+	for ; h.now < 30*time.Second; h.now += 100 * time.Millisecond {
+		if again := starts(append(h.step(report), h.step(Tick{})...)); len(again) > 0 {
+			t.Fatalf("started again after %v", h.now)
+		}
+	}
+	if status, _ := h.core.JobStatus("j0"); status.State != graph.Failed {
+		t.Errorf("job is %s", status.State)
+	}
+}
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -404,22 +404,21 @@
 		c.holdEnd(e, ack)
 		return
 	}
-	if m == nil && e.Kind == graph.EndDone {
+	if m == nil && countsForGood(e.Kind) {
 		m = c.awaitedMember(e)
 	}
 	if m == nil {
 		c.recordLateEnd(w, e, ack)
 		return
 	}
-	if m.ended {
-		m.unit.runDone = true
-		defer c.finishRunIfEnded(m.unit)
-	}
 	if countsForGood(e.Kind) {
 		for _, o := range m.unit.members { // one end stands for those of a whole gang
 			ack.notBefore = max(ack.notBefore, o.callsUntil)
 		}
 	}
+	if m.ended {
+		c.endAgain(m, e.Kind)
+	}
 	c.endMember(m, e.Kind, e.Checkpoint)
 	incarnation := w.info.Incarnation()
 	ack.job = m.unit.job
