--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -50,6 +50,7 @@
 	accepted        map[runRef]bool  // runs that it has accepted and not listed yet
 	lost            lostRuns
 	unanswered      unansweredStarts
+	unansweredAcks  unansweredAcks
 	lateLease       lateLease
 	startedAt       time.Duration
 	sent            sentStarts
@@ -63,6 +64,9 @@
 	lease           lease
 	leaseTerm       uint64 // counts the grants that followed a lease which was over
 	epoch           uint64 // highest known epoch of an owner
+	validFrom       uint64 // the least epoch whose orders and lists are valid
+	epochAbove      uint64 // the owner is asked for a higher epoch than this one
+	epochDenied     uint64 // the owner has named no higher epoch than this one when asked
 	listedEpoch     uint64 // epoch under which runs was listed
 	listedAt        time.Duration
 	unresponsive    bool // logged as unresponsive
@@ -278,10 +282,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+holdReplyMargin)
 	defer cancel()
-	if err := k.beginHold(t); err != nil {
+	ack, err := k.beginHold(t)
+	if err != nil {
 		return err
 	}
 	list, err := k.runner.Hold(ctx, t.instance, external.HoldRuns{Epoch: t.epoch, Seen: t.acknowledged, Deadline: t.deadline, Wait: wait})
+	k.endHold(ack, err)
 	if err != nil {
 		metrics.GetOrRegisterCounter("keeper.hold_failures", k.registry).Inc(1)
 		k.recordHoldFailure(t, err)
@@ -329,11 +335,12 @@
 	now := k.clock()
 	k.lateLease.recordAnswer(now, t.epoch)
 	k.lease.observeClock(now, list.Clock)
-	if list.Clock < k.runs.Clock || t.epoch < k.listedEpoch {
+	earlierEpoch := t.epoch < k.listedEpoch
+	if list.Clock < k.runs.Clock || earlierEpoch && (t.epoch < k.validFrom || list.Clock == k.runs.Clock) {
 		return
 	}
-	changed := k.listedEpoch != t.epoch || runsDiffer(k.runs, list)
-	k.runs, k.listedEpoch, k.listedAt = list, t.epoch, now
+	changed := k.listedEpoch < t.epoch || runsDiffer(k.runs, list)
+	k.runs, k.listedEpoch, k.listedAt = list, max(k.listedEpoch, t.epoch), now
 	for _, r := range list.Running {
 		k.recordListed(runRef{r.Task, r.Run})
 	}
--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -234,3 +234,67 @@
 		t.Error("no work; the only unanswered acknowledgement is an hour old")
 	}
 }
+
+// startAfterLostAnswer orders a start after an acknowledgement whose repetition was answered, and waits for the report that asks for a higher epoch.
+func startAfterLostAnswer(t *testing.T) (*Keeper, *ackRunner, plan.WorkerInfo, *ownerLink) {
+	t.Helper()
+	k, runner, worker, _ := lateAckKeeper(t, time.Hour)
+	pollUntil(t, "no ends", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.runs.Ended) == 0
+	})
+	runner.RunDuration = func(graph.TaskID) time.Duration { return time.Minute }
+	l := &ownerLink{keeper: k, answers: answerMonitor{clock: k.clock, registry: metrics.NewRegistry()}}
+	if r := k.nextReport(l, true); r.EpochAbove != 0 {
+		t.Error("a higher epoch is asked for while there is nothing to start")
+	}
+	l.answers.recordAnswer(1)
+	ref := rpc.TaskRefOf(graph.TaskID{Job: "next"}, 8)
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), GrantedBeat: 1, LeaseMs: 60000, Starts: []*rpc.StartTask{{Ref: ref}}})
+	pollUntil(t, "a request for a higher epoch", func() bool { return k.nextReport(l, true).EpochAbove == 1 })
+	if n := runner.Running(); n > 0 {
+		t.Fatal("started under the epoch of an acknowledgement that has no answer")
+	}
+	return k, runner, worker, l
+}
+
+// TestStartAwaitsAnEpochAboveUnansweredAcknowledgements guards against an end that the next incarnation forgets unseen, and against a raise of the epoch that drops the order under way, its stop or the lists.
+func TestStartAwaitsAnEpochAboveUnansweredAcknowledgements(t *testing.T) {
+	k, runner, worker, l := startAfterLostAnswer(t)
+	raise := func(o *rpc.WorkerOrders) {
+		o.FirstEpoch, o.Incarnation = 1, worker.Incarnation()
+		k.order(t, o)
+		if !k.listIsCurrent() {
+			t.Error("the raise keeps reports back")
+		}
+	}
+	raise(&rpc.WorkerOrders{Epoch: 2})
+	pollUntil(t, "the start", func() bool { return runner.Running() == 1 })
+	if _, err := runner.Runner.Hold(context.Background(), worker.Instance, external.HoldRuns{Epoch: 1, Seen: 1}); !errors.Is(err, external.ErrRunStaleEpoch) {
+		t.Errorf("the late acknowledgement is executed after the start: %v", err)
+	}
+	if r := k.nextReport(l, true); r.EpochAbove != 0 {
+		t.Error("a still higher epoch is asked for")
+	}
+	raise(&rpc.WorkerOrders{Epoch: 3})
+	if err := k.applyOrders(context.Background(), &rpc.WorkerOrders{Epoch: 3, FirstEpoch: 1, Incarnation: worker.Incarnation(), Stops: []*rpc.TaskRef{rpc.TaskRefOf(graph.TaskID{Job: "next"}, 8)}}); err != nil {
+		t.Fatal(err)
+	}
+	raise(&rpc.WorkerOrders{Epoch: 4})
+	pollUntil(t, "the stop", func() bool { return runner.Running() == 0 })
+	pollUntil(t, "the end of its order", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.orders) == 0 && len(k.runs.Ended) == 1
+	})
+}
+
+// TestOwnerThatNamesNoHigherEpochGetsItsStarts guards against a worker without work (LOST) as its owner is of an earlier version or the numbers of its term are used up.
+func TestOwnerThatNamesNoHigherEpochGetsItsStarts(t *testing.T) {
+	k, runner, worker, l := startAfterLostAnswer(t)
+	l.answers.recordAnswer(l.reportNumber)
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), AnsweredBeat: l.reportNumber})
+	k.recordEpochAnswer(l)
+	pollUntil(t, "the start", func() bool { return runner.Running() == 1 })
+}
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -119,7 +119,7 @@
 	ref := runRef{task, run}
 	t := k.target()
 	t.leaseTerm = leaseTerm
-	if t.incarnation != incarnation || t.epoch != epoch {
+	if !k.isCurrent(callTarget{incarnation: incarnation, epoch: epoch}) {
 		return // settled by the next owner, or reported with the new incarnation
 	}
 	inProgress := k.beginOrder(ref, 0)
@@ -170,11 +170,14 @@
 }
 
 // startWithRetries returns nil once the worker has accepted or listed the run. It makes no
-// further attempt after the worker's incarnation or the epoch has changed. A worker that has left
+// further attempt after the worker's incarnation or its owner has changed. A worker that has left
 // several calls unanswered has not started the run, though its stop was ordered meanwhile.
 func (k *Keeper) startWithRetries(ctx context.Context, t callTarget, o *rpc.StartTask, ref runRef) (err error) {
-	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint, Epoch: t.epoch}
+	startRun := external.StartRun{Task: ref.task, Run: ref.run, Spec: o.Spec, Checkpoint: o.Checkpoint}
 	begun := k.clock()
+	if !k.awaitHigherEpoch(ctx, t, begun+longestStart) {
+		return errors.Annotate(errStartNotSent, "an acknowledgement has no answer, and the owner names no epoch")
+	}
 	if k.listUntilAnswered(ctx, t, ref) {
 		return nil
 	}
@@ -188,7 +191,10 @@
 		if (attempt > 0 || !k.extendsLease() || k.ackOverdue()) && k.listBeforeStart(ctx, t, ref) {
 			return nil
 		}
-		called := k.callStart(ctx, t, startRun, rpc.CapacityOf(o), callTimeout(attempt))
+		called := k.callStart(ctx, t, startRun, rpc.CapacityOf(o), callTimeout(attempt), begun+longestStart)
+		if errors.Is(called, errStartNotSent) && attempt > 0 {
+			return err
+		}
 		if errors.Is(called, errStopOrdered) && attempt >= refusingCalls {
 			return err
 		}
@@ -200,16 +206,25 @@
 }
 
 // callStart makes one call to start a run, whose placement rests on the given capacity of the
-// worker. It fails without a call if that may not be made now.
-func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun, capacity graph.Resources, timeout time.Duration) (err error) {
+// worker. It fails without a call if that may not be made by latest.
+func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun, capacity graph.Resources, timeout, latest time.Duration) (err error) {
 	ref := runRef{o.Task, o.Run}
-	if o.Deadline, err = k.beginStart(t, ref, capacity); err != nil {
-		return err
+	for {
+		t.epoch, o.Deadline, err = k.beginStart(t, ref, capacity)
+		if errors.Is(err, errAckUnanswered) {
+			if !k.awaitHigherEpoch(ctx, t, latest) {
+				return errors.Annotate(errStartNotSent, err.Error())
+			}
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		o.Epoch = t.epoch
+		if err = k.sendStart(ctx, t, o, timeout); !k.raisedMeanwhile(t, err) {
+			break
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	_, err = k.runner.Start(ctx, t.instance, o)
-	k.endStart(ref, err)
 	if err == nil {
 		k.recordCallUnder(t)
 	}
@@ -219,12 +234,41 @@
 	return err
 }
 
+func (k *Keeper) sendStart(ctx context.Context, t callTarget, o external.StartRun, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_, err := k.runner.Start(ctx, t.instance, o)
+	k.endStart(runRef{o.Task, o.Run}, err)
+	return err
+}
+
 // callStop makes one call to stop a run.
 func (k *Keeper) callStop(ctx context.Context, t callTarget, ref runRef, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := k.runner.Stop(ctx, t.instance, external.StopRun{Task: ref.task, Run: ref.run, Epoch: t.epoch})
-	return err
+	for {
+		t = k.underNewestEpoch(t)
+		_, err := k.runner.Stop(ctx, t.instance, external.StopRun{Task: ref.task, Run: ref.run, Epoch: t.epoch})
+		if !k.raisedMeanwhile(t, err) {
+			return err
+		}
+	}
+}
+
+// underNewestEpoch returns t with the newest epoch of its incarnation, while t is current.
+func (k *Keeper) underNewestEpoch(t callTarget) callTarget {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.current(t) {
+		t.epoch = k.epoch
+	}
+	return t
+}
+
+// raisedMeanwhile reports whether the worker has refused a call as it has executed one under
+// the epoch to which its incarnation was raised meanwhile.
+func (k *Keeper) raisedMeanwhile(t callTarget, err error) bool {
+	return errors.Is(err, external.ErrRunStaleEpoch) && k.underNewestEpoch(t).epoch > t.epoch
 }
 
 // refusal returns the reason to refuse a start by what the worker has said of itself since
@@ -358,7 +402,7 @@
 func (k *Keeper) recordWithoutStop(t callTarget, ref runRef, reason string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.current(t) || k.listedEpoch != t.epoch {
+	if !k.current(t) || k.listedEpoch < k.validFrom {
 		return false
 	}
 	switch k.runs.Presence(ref.task, ref.run) {
@@ -373,8 +417,8 @@
 	return false
 }
 
-// isCurrent reports whether the worker's incarnation and the epoch are still those
-// of t.
+// isCurrent reports whether the worker's incarnation is still that of t, and the epoch of t one
+// that its owner has named for it.
 func (k *Keeper) isCurrent(t callTarget) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -383,7 +427,7 @@
 
 // current is isCurrent for a caller that holds the lock.
 func (k *Keeper) current(t callTarget) bool {
-	return k.worker != nil && k.worker.Incarnation() == t.incarnation && k.epoch == t.epoch
+	return k.worker != nil && k.worker.Incarnation() == t.incarnation && t.epoch >= k.validFrom
 }
 
 // listsRun reports whether the current list under t shows a run.
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -35,6 +35,7 @@
 	k.unsettled = map[runRef]bool{}
 	if !sameName {
 		k.unanswered.reset()
+		k.unansweredAcks.reset()
 	}
 	for _, ref := range k.unanswered.runs(k.clock()) {
 		k.unsettled[ref] = true
@@ -66,7 +67,7 @@
 	tries := map[runRef]int{}
 	for ctx.Err() == nil && k.canHold() {
 		t := k.target()
-		if t.incarnation != last.incarnation || t.epoch != last.epoch {
+		if t.incarnation != last.incarnation || !k.isCurrent(last) {
 			last, stopped = t, map[runRef]bool{}
 		}
 		k.stopUnsettled(ctx, t, stopped, tries)
@@ -112,7 +113,7 @@
 func (k *Keeper) recordSettled(t callTarget, stopped map[runRef]bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.worker.Incarnation() != t.incarnation || k.listedEpoch != t.epoch {
+	if !k.current(t) || k.listedEpoch < k.validFrom {
 		return
 	}
 	for ref := range stopped {
@@ -178,30 +179,33 @@
 	errStopOrdered  = errors.ConstError("the run was ordered to stop")
 )
 
-// beginStart records that a start call is about to be sent, and returns its deadline. It fails
-// if t is no longer current, with an ErrUnavailable if the worker gets no lease now, or with
-// errStartRevoked or errStopOrdered: the call must not be sent.
-func (k *Keeper) beginStart(t callTarget, ref runRef, capacity graph.Resources) (deadline time.Duration, err error) {
+// beginStart records that a start call is about to be sent, and returns its epoch and deadline.
+// It fails if t is no longer current, with an ErrUnavailable if the worker gets no lease now, or
+// with errStartRevoked, errStopOrdered or errAckUnanswered: the call must not be sent.
+func (k *Keeper) beginStart(t callTarget, ref runRef, capacity graph.Resources) (epoch uint64, deadline time.Duration, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.current(t) || k.leaving() || k.leaseTerm != t.leaseTerm {
-		return 0, errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
+		return 0, 0, errors.Annotate(external.ErrRunWrongInstance, "the worker or its owner has changed, or its lease was over meanwhile")
 	}
 	if o := k.orders[ref]; o != nil && o.stopEpoch > 0 {
-		return 0, errors.Trace(errStopOrdered)
+		return 0, 0, errors.Trace(errStopOrdered)
 	}
 	if reason := k.refusalOf(capacity); reason != "" {
-		return 0, errors.Annotate(errStartRevoked, reason)
+		return 0, 0, errors.Annotate(errStartRevoked, reason)
+	}
+	if k.needsHigherEpoch() {
+		return 0, 0, errors.Trace(errAckUnanswered)
 	}
 	if !k.mayExtendLease() {
-		return 0, errors.Annotate(external.ErrUnavailable, "the worker has not answered lately and gets no lease")
+		return 0, 0, errors.Annotate(external.ErrUnavailable, "the worker has not answered lately and gets no lease")
 	}
 	deadline = k.nextDeadline()
-	if !k.sent.begin(ref, t.epoch, deadline, k.clock()) {
-		return 0, errors.Annotate(errStartRevoked, "the run was reported absent")
+	if !k.sent.begin(ref, k.epoch, deadline, k.clock()) {
+		return 0, 0, errors.Annotate(errStartRevoked, "the run was reported absent")
 	}
 	k.unanswered.begin(ref, k.clock())
-	return deadline, nil
+	return k.epoch, deadline, nil
 }
 
 // endStart records the outcome of a start call.
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -82,6 +82,7 @@
 	owner        string // address of the owner
 	stream       grpc.BidiStreamingClient[rpc.WorkerReport, rpc.WorkerOrders]
 	reportNumber uint64
+	epochAsked   uint64 // a report without an answer asks for a higher epoch than this one; 0 if none does
 	answers      answerMonitor
 	// received is signalled for each message from the owner.
 	received chan struct{}
@@ -174,12 +175,12 @@
 	return errors.Annotatef(errOwnerSuperseded, "%s instead of %s", address, l.owner)
 }
 
-// listIsCurrent reports whether the run list was obtained under the highest epoch, with no
+// listIsCurrent reports whether the run list was obtained under a valid epoch, with no
 // start for an earlier incarnation left to take effect, or the worker has ended.
 func (k *Keeper) listIsCurrent() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.epoch > 0 && k.listedEpoch == k.epoch && len(k.unsettled) == 0 || k.workerGone()
+	return k.epoch > 0 && k.listedEpoch > 0 && k.listedEpoch >= k.validFrom && len(k.unsettled) == 0 || k.workerGone()
 }
 
 func (l *ownerLink) sendReport(listed bool) error {
@@ -198,6 +199,7 @@
 	now := k.clock()
 	r.Answering, r.Gone = k.workerResponsive(), k.workerGone()
 	r.AgentAgeMs = (now - k.startedAt).Milliseconds()
+	r.EpochAbove = k.askEpoch(l)
 	r.LateLease, r.LateLeaseAgeMs = k.lateLease.possible, k.lateLease.age(now).Milliseconds()
 	if now-k.startedAt < lateCallBound {
 		for _, ref := range k.unanswered.called(now) {
@@ -231,6 +233,9 @@
 		if err == nil && ctx.Err() == nil { // the owner repeats the orders of a connection that has ended
 			l.answers.recordAnswer(o.AnsweredBeat)
 			err = l.keeper.applyOrders(l.keeper.loops.Context(), o)
+			if err == nil {
+				l.keeper.recordEpochAnswer(l)
+			}
 		}
 		if first {
 			first = false
@@ -258,6 +263,11 @@
 		k.log.Warn().Uint64("epoch", o.Epoch).Uint64("highest", k.epoch).Msg("rejected orders of an earlier owner")
 		return errStaleEpoch
 	}
+	first := o.FirstEpoch
+	if first == 0 {
+		first = o.Epoch
+	}
+	k.validFrom = max(k.validFrom, first)
 	if o.Epoch > k.epoch {
 		if rpc.TermOfEpoch(o.Epoch) != rpc.TermOfEpoch(k.epoch) {
 			k.log.Info().Uint64("epoch", o.Epoch).Uint64("before", k.epoch).Msg("owner changed")
@@ -267,7 +277,7 @@
 	}
 	forThisIncarnation := k.worker != nil && o.Incarnation == k.worker.Incarnation()
 	if forThisIncarnation {
-		k.lateLease.recordEpoch(o.Epoch)
+		k.lateLease.recordEpoch(first)
 		k.renewLease(o.GrantedBeat, time.Duration(o.LeaseMs)*time.Millisecond)
 		if o.Acknowledged > k.acknowledged {
 			k.acknowledged = o.Acknowledged
--- a/internal/entry/graphs/session.go
+++ b/internal/entry/graphs/session.go
@@ -18,7 +18,9 @@
 type session struct {
 	id     string
 	worker string // once it is the worker's session; the term's lock guards it
-	epoch  uint64 // of the worker's incarnation in the last report; the term's lock guards it
+	// epoch is that of the worker's incarnation in the last report, first the first one that the
+	// incarnation had; the term's lock guards them.
+	epoch, first uint64
 
 	mu            sync.Mutex
 	pendingOrders []*rpc.WorkerOrders // in order; each for one worker incarnation
@@ -35,13 +37,14 @@
 // specification, below a megabyte.
 const maxStartsPerMessage = 200
 
-// addOrder applies change to the pending orders of a worker incarnation.
+// addOrder applies change to the pending orders of a worker incarnation. The caller holds the
+// term's lock.
 func (s *session) addOrder(epoch uint64, incarnation string, change func(*rpc.WorkerOrders)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := len(s.pendingOrders)
 	if n == 0 || !takesOrder(s.pendingOrders[n-1], epoch, incarnation) {
-		s.pendingOrders = append(s.pendingOrders, &rpc.WorkerOrders{Epoch: epoch, Incarnation: incarnation})
+		s.pendingOrders = append(s.pendingOrders, &rpc.WorkerOrders{Epoch: epoch, FirstEpoch: s.first, Incarnation: incarnation})
 		n++
 	}
 	change(s.pendingOrders[n-1])
@@ -161,7 +164,8 @@
 			return
 		}
 		answered = true
-		sess.epoch = max(sess.epoch, t.epochs.of(event.Worker))
+		sess.epoch = max(sess.epoch, t.epochs.above(event.Worker, r.EpochAbove))
+		sess.first = t.epochs.first(event.Worker)
 		sess.addOrder(sess.epoch, event.Worker.Incarnation(), func(o *rpc.WorkerOrders) { o.AnsweredBeat = r.Beat })
 		if r.Listed {
 			event.ListAge += t.clock() - receivedAt
--- a/internal/entry/graphs/workerepochs.go
+++ b/internal/entry/graphs/workerepochs.go
@@ -22,6 +22,7 @@
 type incarnationEpoch struct {
 	incarnation string
 	number      uint64 // within the term
+	first       uint64 // the number that it had first
 }
 
 // maxKeptEpochs bounds the instance names that are kept, and the worker IDs. An incarnation
@@ -54,11 +55,37 @@
 		number = max(number, e.highest) // any host's agent may have had an earlier name
 	}
 	e.highest = max(e.highest, number)
-	last := incarnationEpoch{w.Incarnation(), number}
+	last := incarnationEpoch{w.Incarnation(), number, number}
+	for _, earlier := range []incarnationEpoch{known, host} {
+		if earlier.incarnation == last.incarnation && earlier.number == number {
+			last.first = min(last.first, earlier.first)
+		}
+	}
 	e.byInstance[w.Instance], e.byHost[w.ID] = last, last
 	return e.token + number
 }
 
+// above returns the epoch of a worker's incarnation, which is raised if it is not above one
+// that its agent names. The last number of the term is not raised.
+func (e *workerEpochs) above(w plan.WorkerInfo, epoch uint64) uint64 {
+	incarnation := w.Incarnation()
+	known := e.byInstance[w.Instance].incarnation == incarnation || e.byHost[w.ID].incarnation == incarnation
+	current := e.of(w)
+	if !known || current > epoch {
+		return current
+	}
+	host, instance := e.byHost[w.ID], e.byInstance[w.Instance]
+	host.number = e.limit(host.number + 1)
+	instance.number = max(instance.number, host.number) // the next incarnation of the name gets a higher one
+	e.byHost[w.ID], e.byInstance[w.Instance] = host, instance
+	e.highest = max(e.highest, host.number)
+	return e.token + host.number
+}
+
+// first returns the first epoch of a worker's incarnation. Orders and lists under it stay valid
+// as its epoch is raised.
+func (e *workerEpochs) first(w plan.WorkerInfo) uint64 { return e.token + e.byHost[w.ID].first }
+
 // forget drops all instance names and worker IDs. Each gets a higher number than it has had.
 func (e *workerEpochs) forget() {
 	e.floor = e.limit(e.highest + 1)
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -44,6 +44,7 @@
 	faults         RunnerFaults
 	down           bool // crashed and not back yet
 	lateAcks       atomic.Int32
+	lateOrders     atomic.Int32
 }
 
 const (
@@ -194,6 +195,7 @@
 		<-ctx.Done()
 		return 0, external.ErrUnavailable
 	case faults.ApplyDelay > 0:
+		r.lateOrders.Add(1)
 		time.AfterFunc(faults.ApplyDelay, func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -348,6 +350,16 @@
 // LateAcks returns the number of Hold calls whose acknowledgements take effect late.
 func (r *Runner) LateAcks() int { return int(r.lateAcks.Load()) }
 
+// LateOrders returns the number of starts and stops that take effect late.
+func (r *Runner) LateOrders() int { return int(r.lateOrders.Load()) }
+
+// Unacknowledged returns the number of ends that wait for an acknowledgement.
+func (r *Runner) Unacknowledged() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.unacknowledged)
+}
+
 func (r *Runner) holdNow(ctx context.Context, o external.HoldRuns) (external.RunList, error) {
 	r.mu.Lock()
 	r.enforceLease()
--- a/test/graphs/together_test.go
+++ b/test/graphs/together_test.go
@@ -216,6 +216,45 @@
 	}
 }
 
+// TestAnsweredRepetitionKeepsNoEndOpen guards against a task that runs again after it was done: an acknowledgement whose repetition was answered, and a start after it, are executed by the next incarnation of their worker.
+func TestAnsweredRepetitionKeepsNoEndOpen(t *testing.T) {
+	for _, agentReplaced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("agent replaced %v", agentReplaced), func(t *testing.T) { testAnsweredRepetition(t, agentReplaced) })
+	}
+}
+
+func testAnsweredRepetition(t *testing.T, agentReplaced bool) {
+	const lateAck, lateStart, work = 4 * time.Second, 600 * time.Millisecond, 300 * time.Millisecond
+	f := newFleet(t, 1, 1)
+	a := f.agents[0]
+	f.setTaskDuration(work)
+	a.runner.SetFaults(standin.RunnerFaults{AckDelay: lateAck})
+	earlier := f.submit(f.entries[0], 1)
+	f.await("an acknowledgement", func() bool { return a.runner.LateAcks() > 0 })
+	executed := time.Now().Add(lateAck)
+	a.runner.SetFaults(standin.RunnerFaults{})
+	f.await("its repetition", func() bool { return a.runner.Unacknowledged() == 0 })
+	if agentReplaced {
+		f.replaceAgent(a)
+		f.await("the agent", func() bool { return a.knownStart() > 0 })
+	}
+	a.runner.SetFaults(standin.RunnerFaults{ApplyDelay: lateStart})
+	next := f.submit(f.entries[0], 1)
+	f.await("a start", func() bool { return a.runner.LateOrders() > 0 })
+	a.runner.Restart()
+	a.runner.SetFaults(standin.RunnerFaults{DropCalls: true})
+	f.await("the late start", func() bool { return len(f.startCounts(next)) == 1 })
+	if left := time.Until(executed); left < work {
+		t.Fatalf("%v from the start to the acknowledgement, want an end that nobody has listed", left)
+	}
+	time.Sleep(time.Until(executed) + 50*time.Millisecond)
+	a.runner.SetFaults(standin.RunnerFaults{})
+	f.mustCompleteOnce([]graph.JobID{earlier, next}, 20*time.Second)
+	if n := len(a.runner.StartedTasks()); n != 2 {
+		t.Errorf("%d starts of two tasks", n)
+	}
+}
+
 // TestRenamedWorkerGetsWork guards against a worker that is refused until the term ends: it has started again under its name and then under another one, and its agent is replaced.
 func TestRenamedWorkerGetsWork(t *testing.T) {
 	f := newFleet(t, 1, 1)
