--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -111,6 +111,7 @@
 	}
 	if now-at > slowAck && k.epochAbove != k.epoch {
 		k.epochAbove = k.epoch
+		metrics.GetOrRegisterCounter("keeper.epoch_requests", k.registry).Inc(1)
 		wake(k.wakeSend)
 	}
 	return true
@@ -130,8 +131,11 @@
 		waited = waited || wait
 		return !wait
 	})
-	if waited {
-		metrics.GetOrRegisterTimer("keeper.epoch_wait", k.registry).Update(k.clock() - begun)
+	if took := k.clock() - begun; waited {
+		metrics.GetOrRegisterTimer("keeper.epoch_wait", k.registry).Update(took)
+		if took > slowAck {
+			k.log.Info().Dur("took_ms", took).Bool("ok", ok).Msg("a start has waited for an epoch above unanswered acknowledgements")
+		}
 	}
 	return ok
 }
