keeper: a start beside an acknowledgement that is under way is not dropped

A call that may not be made yet returned epoch 0 into the target of the order, which counted as another owner's then. The target keeps its epoch now. TestStartBesideAnAcknowledgementIsNotDropped fails without the change.

--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -290,6 +290,29 @@
 	})
 }
 
+// TestStartBesideAnAcknowledgementIsNotDropped guards against an order that fails as an acknowledgement is under way when its call is due.
+func TestStartBesideAnAcknowledgementIsNotDropped(t *testing.T) {
+	k, _, worker, _ := lateAckKeeper(t, time.Hour)
+	k.mu.Lock()
+	k.lease.recordReport(1, k.clock())
+	k.mu.Unlock()
+	k.order(t, &rpc.WorkerOrders{Epoch: 1, Incarnation: worker.Incarnation(), GrantedBeat: 1, LeaseMs: 60000})
+	started := make(chan error, 1)
+	go func() {
+		o := external.StartRun{Task: graph.TaskID{Job: "next"}, Run: 8}
+		started <- k.callStart(context.Background(), k.target(), o, graph.Resources{}, time.Second, k.clock()+5*time.Second)
+	}()
+	pollUntil(t, "a request for a higher epoch", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.epochAbove == 1
+	})
+	k.order(t, &rpc.WorkerOrders{Epoch: 2, FirstEpoch: 1, Incarnation: worker.Incarnation()})
+	if err := <-started; err != nil {
+		t.Errorf("not started: %v", err)
+	}
+}
+
 // TestOwnerThatNamesNoHigherEpochGetsItsStarts guards against a worker without work (LOST) as its owner is of an earlier version or the numbers of its term are used up.
 func TestOwnerThatNamesNoHigherEpochGetsItsStarts(t *testing.T) {
 	k, runner, worker, l := startAfterLostAnswer(t)
--- a/internal/agent/keeper/orders.go
+++ b/internal/agent/keeper/orders.go
@@ -210,7 +210,7 @@
 func (k *Keeper) callStart(ctx context.Context, t callTarget, o external.StartRun, capacity graph.Resources, timeout, latest time.Duration) (err error) {
 	ref := runRef{o.Task, o.Run}
 	for {
-		t.epoch, o.Deadline, err = k.beginStart(t, ref, capacity)
+		o.Epoch, o.Deadline, err = k.beginStart(t, ref, capacity)
 		if errors.Is(err, errAckUnanswered) {
 			if !k.awaitHigherEpoch(ctx, t, latest) {
 				return errors.Annotate(errStartNotSent, err.Error())
@@ -220,7 +220,7 @@
 		if err != nil {
 			return err
 		}
-		o.Epoch = t.epoch
+		t.epoch = o.Epoch
 		if err = k.sendStart(ctx, t, o, timeout); !k.raisedMeanwhile(t, err) {
 			break
 		}
