keeper: no acknowledgement follows a start call without an answer

The next incarnation of a worker could execute a late start, end its run, and then execute an acknowledgement that was sent after that start: the end was forgotten unseen and the task ran again (TWICE). The epoch of an acknowledgement can't be lower than that of a start before it. The agent holds acknowledgements back while a start call of the last 12 s has no answer, unless a list of ends is cut, as the ends behind it wait for them.

TestNoAcknowledgementFollowsAnUnansweredStart fails without holdsAcksBack.

--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -321,3 +321,32 @@
 	k.recordEpochAnswer(l)
 	pollUntil(t, "the start", func() bool { return runner.Running() == 1 })
 }
+
+// TestNoAcknowledgementFollowsAnUnansweredStart guards against an end that the next incarnation forgets unseen, as it executes a start and then an acknowledgement that was sent after it.
+func TestNoAcknowledgementFollowsAnUnansweredStart(t *testing.T) {
+	ref := runRef{graph.TaskID{Job: "a"}, 1}
+	for _, moreEnds := range []bool{false, true} {
+		k := New(standin.NewRunner(), nil, func() time.Duration { return time.Minute }, metrics.NewRegistry(), zerolog.Nop())
+		k.acknowledged, k.runs.MoreEnds = 5, moreEnds
+		ack := func(sentAgo time.Duration) uint64 {
+			k.unanswered.reset()
+			k.unanswered.begin(ref, time.Minute-sentAgo)
+			return k.pendingAck()
+		}
+		want := uint64(0)
+		if moreEnds {
+			want = 5
+		}
+		if got := ack(plan.LateCallTime); got != want {
+			t.Errorf("acknowledges up to %d after an unanswered start, want %d", got, want)
+		}
+		if got := ack(plan.LateCallTime + 1); got != 5 {
+			t.Errorf("acknowledges up to %d after a start that is too old", got)
+		}
+		k.unanswered.begin(ref, time.Minute)
+		k.unanswered.end(ref, true, true)
+		if got := k.pendingAck(); got != 5 || !k.hasPendingAck() {
+			t.Errorf("acknowledges up to %d after an answered start", got)
+		}
+	}
+}
--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -10,6 +10,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/external"
+	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
 	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 )
 
@@ -190,17 +191,24 @@
 	return k.ackUnansweredAt > 0 && k.clock()-k.ackUnansweredAt > slowAck
 }
 
-// pendingAck returns the acknowledgement that the worker has not answered, or 0. The caller
-// holds the lock.
+// pendingAck returns the acknowledgement that the worker has not answered and that may be sent
+// now, or 0. The caller holds the lock.
 func (k *Keeper) pendingAck() uint64 {
-	if k.acknowledged > k.ackAnswered {
+	if k.acknowledged > k.ackAnswered && !k.holdsAcksBack() {
 		return k.acknowledged
 	}
 	return 0
 }
 
+// holdsAcksBack reports whether a start call has no answer. If the next incarnation executed that
+// call and then an acknowledgement which was sent later, it would forget the end of the run.
+// Ends behind a cut list wait for the listed ones to be acknowledged. The caller holds the lock.
+func (k *Keeper) holdsAcksBack() bool {
+	return !k.runs.MoreEnds && k.unanswered.anyWithin(plan.LateCallTime, k.clock())
+}
+
 func (k *Keeper) hasPendingAck() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.pendingAck() > 0
+	return k.acknowledged > k.ackAnswered
 }
--- a/internal/agent/keeper/unanswered.go
+++ b/internal/agent/keeper/unanswered.go
@@ -79,6 +79,16 @@
 	})
 }
 
+// anyWithin reports whether a start call of the last d has no answer.
+func (u *unansweredStarts) anyWithin(d, now time.Duration) bool {
+	for ref := range u.calls {
+		if age, ok := u.age(ref, now); ok && age <= d {
+			return true
+		}
+	}
+	return false
+}
+
 // called returns the runs that this process has called the worker to start lately, ordered by task
 // and run. No earlier process had the order for one of them.
 func (u *unansweredStarts) called(now time.Duration) []runRef {
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -23,9 +23,9 @@
 	maxPlacementAge = 2 * time.Second
 	// maxClockOffset is the largest difference between the wall clocks of two owners.
 	maxClockOffset = 2 * time.Second
-	// lateCallTime is the longest time after which a worker executes a call that it has not
+	// LateCallTime is the longest time after which a worker executes a call that it has not
 	// answered.
-	lateCallTime = 12 * time.Second
+	LateCallTime = 12 * time.Second
 	// leaseCallTime is the longest time from a granted report to a Hold call of the agent that
 	// extends the lease: the first one without an answer is given up after it.
 	leaseCallTime = 1100 * time.Millisecond
@@ -75,17 +75,17 @@
 	if i < 0 || c.cfg.LateLeaseBound == 0 {
 		return 0, false
 	}
-	return c.now - l.Starts[i].Age + lateCallTime, true
+	return c.now - l.Starts[i].Age + LateCallTime, true
 }
 
 // callsOfEndedRun is callsUntil for a run that has ended, and of which this owner may know nothing
 // else. Calls of the process before a young agent are not known.
 func (c *Core) callsOfEndedRun(l LateCalls, ref RunRef) time.Duration {
 	until, unanswered := c.callsUntil(l, ref)
-	if unanswered || c.cfg.LateLeaseBound == 0 || l.AgentAge >= lateCallTime || slices.Contains(l.Called, ref) {
+	if unanswered || c.cfg.LateLeaseBound == 0 || l.AgentAge >= LateCallTime || slices.Contains(l.Called, ref) {
 		return until
 	}
-	return c.now - l.AgentAge + lateCallTime
+	return c.now - l.AgentAge + LateCallTime
 }
 
 // countsForGood reports whether an end bars further starts of its task once it was taken note of.
@@ -137,7 +137,7 @@
 	if c.cfg.LateLeaseBound == 0 {
 		return 0
 	}
-	return c.now + orderTimeout + lateCallTime
+	return c.now + orderTimeout + LateCallTime
 }
 
 // latestEnd returns the time by which a member's run has ended, also if a late call has begun it
@@ -147,7 +147,7 @@
 	if m.callsUntil == 0 {
 		return 0
 	}
-	lastCall := max(m.callsUntil, w.lastGrantAt+leaseCallTime+lateCallTime)
+	lastCall := max(m.callsUntil, w.lastGrantAt+leaseCallTime+LateCallTime)
 	for _, o := range w.members {
 		lastCall = max(lastCall, o.callsUntil)
 	}
@@ -275,7 +275,7 @@
 	if c.cfg.LateLeaseBound == 0 || j.placedAt.IsZero() || from == 0 {
 		return
 	}
-	latest := min(c.placedAt(j)+maxClockOffset, 0) + startWindow + lateCallTime
+	latest := min(c.placedAt(j)+maxClockOffset, 0) + startWindow + LateCallTime
 	for _, u := range j.units {
 		for _, m := range u.members {
 			if m.run >= from {
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -39,7 +39,7 @@
 	for again := []StartRun(nil); len(again) == 0 && h.now < lost+time.Minute; h.now += 100 * time.Millisecond {
 		again = starts(h.step(Tick{}))
 		again = append(again, starts(h.report("w2", nil))...)
-		if len(again) > 0 && h.now-lost < lateCallTime {
+		if len(again) > 0 && h.now-lost < LateCallTime {
 			t.Errorf("started %+v %v after the last report of w0", again[0].Task, h.now-lost)
 		}
 	}
@@ -54,7 +54,7 @@
 	h.now += 200 * time.Millisecond
 	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{ref, 150 * time.Millisecond}}}})
 	m := h.core.workers["w0"].findMember(run.Task, run.Run)
-	if want := 2750*time.Millisecond + lateCallTime; m.callsUntil < want {
+	if want := 2750*time.Millisecond + LateCallTime; m.callsUntil < want {
 		t.Errorf("calls until %v, the agent makes calls until 2.75 s", m.callsUntil)
 	}
 }
@@ -101,7 +101,7 @@
 	p := h.core.jobs["j0"].progress()
 	next := newLateHarness(t)
 	next.step(JobSubmitted{Job: crashJob("j0", 1, 8, false).Job, Progress: &p})
-	if got := next.acknowledgedAfter(func() []Action { return next.step(report) }); !within(got, lateCallTime-age) {
+	if got := next.acknowledgedAfter(func() []Action { return next.step(report) }); !within(got, LateCallTime-age) {
 		t.Errorf("acknowledged after %v by the next owner", got)
 	}
 }
@@ -123,7 +123,7 @@
 		}
 		return out
 	})
-	if !within(got, lateCallTime-age) {
+	if !within(got, LateCallTime-age) {
 		t.Errorf("acknowledged after %v", got)
 	}
 }
@@ -139,7 +139,7 @@
 	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true,
 		Late:  LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, age}}},
 		Ended: []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndFailed}}}
-	if got := h.acknowledgedAfter(func() []Action { return h.step(report) }); !within(got, lateCallTime-age) {
+	if got := h.acknowledgedAfter(func() []Action { return h.step(report) }); !within(got, LateCallTime-age) {
 		t.Errorf("acknowledged after %v", got)
 	}
 }
@@ -159,7 +159,7 @@
 	second := report(1)
 	second.Running = []graph.RunState{{Task: s[1].Task, Run: s[1].Run}}
 	h.step(second)
-	if got := h.acknowledgedAfter(func() []Action { return h.step(report(0, runEnd(s[0], graph.EndDone))) }); !within(got, lateCallTime-age) {
+	if got := h.acknowledgedAfter(func() []Action { return h.step(report(0, runEnd(s[0], graph.EndDone))) }); !within(got, LateCallTime-age) {
 		t.Errorf("acknowledged after %v", got)
 	}
 }
--- a/internal/graph/plan/latecalls_test.go
+++ b/internal/graph/plan/latecalls_test.go
@@ -81,7 +81,7 @@
 
 // TestNextOwnerAwaitsLateLeases guards against the same where the owner has changed, so that it never hears of the worker.
 func TestNextOwnerAwaitsLateLeases(t *testing.T) {
-	const inDoubt = startWindow + maxClockOffset + lateCallTime + lateLeaseBound
+	const inDoubt = startWindow + maxClockOffset + LateCallTime + lateLeaseBound
 	known := LateCalls{AgentAge: time.Hour}
 	late := LateCalls{AgentAge: time.Hour, Lease: true, LeaseAge: time.Second}
 	fresh := LateCalls{AgentAge: time.Second}
@@ -101,7 +101,7 @@
 		{"agent is another process", 3 * time.Second, &fresh, inDoubt - 3*time.Second, 0},
 		{"agent knows of no late lease", 3 * time.Second, &known, simLeaseBound, 0},
 		{"agent knows of a late lease", 3 * time.Second, &late, lateLeaseBound - time.Second, 0},
-		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, leaseCallTime + lateCallTime + lateLeaseBound, 0},
+		{"agent knows of an unanswered start", 3 * time.Second, &unanswered, leaseCallTime + LateCallTime + lateLeaseBound, 0},
 	} {
 		h := newLateHarness(t)
 		j := crashJob("j0", 1, 8, false).Job
@@ -152,11 +152,11 @@
 		want     time.Duration
 	}{
 		{"no start call", func(RunRef) []LateStart { return nil }, agent, false, simLeaseBound},
-		{"unanswered for 1 s", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, false, lateCallTime + leaseCallTime + lateLeaseBound},
+		{"unanswered for 1 s", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, false, LateCallTime + leaseCallTime + lateLeaseBound},
 		{"another run unanswered", func(r RunRef) []LateStart { return []LateStart{{RunRef{r.Task, r.Run - 1}, 0}} }, agent, false, simLeaseBound},
 		{"accepted", func(RunRef) []LateStart { return nil }, agent, true, simLeaseBound},
-		{"accepted by a later call", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, true, lateCallTime + leaseCallTime + lateLeaseBound},
-		{"another agent, not accepted", func(RunRef) []LateStart { return nil }, time.Millisecond, false, orderTimeout + lateCallTime + lateLeaseBound},
+		{"accepted by a later call", func(r RunRef) []LateStart { return []LateStart{{r, time.Second}} }, agent, true, LateCallTime + leaseCallTime + lateLeaseBound},
+		{"another agent, not accepted", func(RunRef) []LateStart { return nil }, time.Millisecond, false, orderTimeout + LateCallTime + lateLeaseBound},
 	} {
 		h := newLateHarness(t)
 		h.report("w0", nil)
@@ -195,7 +195,7 @@
 		t.Fatalf("%+v", s)
 	}
 	h.step(SessionClosed{Worker: "w0", Session: "s"})
-	if got, want := h.endsAfter(t, "j0", func() {}), orderTimeout+lateCallTime+lateLeaseBound; !within(got, want) {
+	if got, want := h.endsAfter(t, "j0", func() {}), orderTimeout+LateCallTime+lateLeaseBound; !within(got, want) {
 		t.Errorf("ended after %v, want %v", got, want)
 	}
 }
@@ -269,7 +269,7 @@
 			}
 			want := time.Duration(0)
 			if unanswered {
-				want = lateCallTime - age
+				want = LateCallTime - age
 			}
 			if got := h.now - settledAt; got < want || got > want+refusalBackoff+300*time.Millisecond {
 				t.Errorf("%s, unanswered %v: started again after %v, want %v", name, unanswered, got, want)
@@ -286,7 +286,7 @@
 	ref := RunRef{run.Task, run.Run}
 	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: ref.Task, Run: ref.Run, Reason: AbsentStopped}},
 		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{ref, 0}}}})
-	if got, want := h.endsAfter(t, "j0", func() {}), leaseCallTime+lateCallTime+lateLeaseBound; !within(got, want) {
+	if got, want := h.endsAfter(t, "j0", func() {}), leaseCallTime+LateCallTime+lateLeaseBound; !within(got, want) {
 		t.Errorf("placed again after %v, want %v", got, want)
 	}
 }
@@ -351,7 +351,7 @@
 			Ended: []graph.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, Kind: graph.EndDone}}}
 		want := time.Duration(0)
 		if unanswered {
-			want, report.Late.Starts = lateCallTime-age, []LateStart{{RunRef{run.Task, run.Run}, age}}
+			want, report.Late.Starts = LateCallTime-age, []LateStart{{RunRef{run.Task, run.Run}, age}}
 		}
 		_, acknowledged := first[AcknowledgeEnds](h.step(report))
 		if status, _ := h.core.JobStatus("j0"); status.State != graph.Completed {
