plan: a unit that only awaits late calls keeps no waivers from others of its job

hasRuns took it for one that runs, so that another unit of the job did not count as waiting on an idle pool for 12 s and longer (found by a review). TestAwaitedRunHoldsNoOtherUnitBack fails without it.

--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -63,14 +63,14 @@
 		if slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended && (m.running || m.accepted || m.recovered) }) {
 			return false
 		}
-		waits = waits || u.phase == unitPlaced || u.isReady(now)
+		waits = waits || u.phase == unitPlaced && !u.awaitsCalls() || u.isReady(now)
 	}
 	return waits
 }
 
-// hasRuns reports whether a unit of the job is placed.
+// hasRuns reports whether a unit of the job is placed and its runs have not ended.
 func (j *job) hasRuns() bool {
-	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced })
+	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced && !u.awaitsCalls() })
 }
 
 // poolIsIdle reports whether runs use less than idleFleetPart of a pool's connected workers,
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -194,6 +194,12 @@
 	return true
 }
 
+// awaitsCalls reports whether all runs of a placed unit have ended, so that it waits for late calls
+// only.
+func (u *unit) awaitsCalls() bool {
+	return len(u.members) > 0 && !slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended })
+}
+
 // awaitedMember returns the member whose run has ended before, and again after a late call, or nil.
 func (c *Core) awaitedMember(e graph.RunEnd) *member {
 	j := c.jobs[e.Task.Job]
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -185,3 +185,19 @@
 		t.Errorf("job is %s", status.State)
 	}
 }
+
+// TestAwaitedRunHoldsNoOtherUnitBack guards against a unit that waits on an idle fleet without its waivers, as another one of its job awaits late calls.
+func TestAwaitedRunHoldsNoOtherUnitBack(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.step(JobSubmitted{Job: crashJob("j0", 1, 8, false).Job}))[0]
+	j := h.core.jobs["j0"]
+	if !j.hasRuns() {
+		t.Fatal("no run")
+	}
+	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: "no answer"}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}})
+	if !j.unitOf(0, 0).awaitsCalls() || j.hasRuns() {
+		t.Errorf("awaits calls %v, has runs %v", j.unitOf(0, 0).awaitsCalls(), j.hasRuns())
+	}
+}
