keeper: a run that any list has shown gets no further start call

The list before a repeated start call counted only if that very call was answered, though another list had shown the run meanwhile. A further call was made then, of which the owner might never hear (found by a review, by reading).

--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -142,7 +142,8 @@
 func (k *Keeper) listBeforeStart(ctx context.Context, t callTarget, ref runRef) bool {
 	ctx, cancel := context.WithTimeout(ctx, startListTimeout)
 	defer cancel()
-	return k.holdAs(ctx, k.listTarget(), 0) == nil && k.listsRun(t, ref)
+	_ = k.holdAs(ctx, k.listTarget(), 0) // another list may have shown the run meanwhile
+	return k.listsRun(t, ref)
 }
 
 // listUntilAnswered lists the runs before the first start call of a run until the worker answers,
