--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -73,6 +73,7 @@
 	runs            external.RunList
 	acknowledged    uint64        // number of the last end acknowledged by the owner
 	ackAnswered     uint64        // the last acknowledgement that the worker has answered
+	ackOwedAt       time.Duration // when the owner acknowledged the first end since then
 	ackUnansweredAt time.Duration // when the first one since then was sent, 0 if none was
 	absent          []*rpc.AbsentTask
 	orders          map[runRef]*order // orders in progress
--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -327,7 +327,7 @@
 	ref := runRef{graph.TaskID{Job: "a"}, 1}
 	for _, moreEnds := range []bool{false, true} {
 		k := New(standin.NewRunner(), nil, func() time.Duration { return time.Minute }, metrics.NewRegistry(), zerolog.Nop())
-		k.acknowledged, k.runs.MoreEnds = 5, moreEnds
+		k.acknowledged, k.ackOwedAt, k.runs.MoreEnds = 5, time.Minute-plan.LateCallTime, moreEnds
 		ack := func(sentAgo time.Duration) uint64 {
 			k.unanswered.reset()
 			k.unanswered.begin(ref, time.Minute-sentAgo)
@@ -340,6 +340,11 @@
 		if got := ack(plan.LateCallTime); got != want {
 			t.Errorf("acknowledges up to %d after an unanswered start, want %d", got, want)
 		}
+		k.ackOwedAt--
+		if got := ack(0); got != 5 {
+			t.Errorf("acknowledges up to %d though it was owed for long", got)
+		}
+		k.ackOwedAt++
 		if got := ack(plan.LateCallTime + 1); got != 5 {
 			t.Errorf("acknowledges up to %d after a start that is too old", got)
 		}
--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -202,9 +202,11 @@
 
 // holdsAcksBack reports whether a start call has no answer. If the next incarnation executed that
 // call and then an acknowledgement which was sent later, it would forget the end of the run.
-// Ends behind a cut list wait for the listed ones to be acknowledged. The caller holds the lock.
+// Where ever more calls have none, an acknowledgement is sent all the same in the end, and ends
+// behind a cut list wait for the listed ones. The caller holds the lock.
 func (k *Keeper) holdsAcksBack() bool {
-	return !k.runs.MoreEnds && k.unanswered.anyWithin(plan.LateCallTime, k.clock())
+	now := k.clock()
+	return !k.runs.MoreEnds && now-k.ackOwedAt <= plan.LateCallTime && k.unanswered.anyWithin(plan.LateCallTime, now)
 }
 
 func (k *Keeper) hasPendingAck() bool {
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -280,6 +280,9 @@
 		k.lateLease.recordEpoch(first)
 		k.renewLease(o.GrantedBeat, time.Duration(o.LeaseMs)*time.Millisecond)
 		if o.Acknowledged > k.acknowledged {
+			if k.acknowledged <= k.ackAnswered {
+				k.ackOwedAt = k.clock()
+			}
 			k.acknowledged = o.Acknowledged
 			wake(k.wakeHold)
 		}
