--- a/test/soak/drawn_test.go
+++ b/test/soak/drawn_test.go
@@ -162,6 +162,9 @@
 			t.Error(err)
 		}
 		g.recorder.record.GivenUpAfter = crashesOfGivenUpTask
+		for _, s := range steps {
+			g.longTask = max(g.longTask, s.Work)
+		}
 		g.playDrawn(seed, steps)
 	})
 }
--- a/test/soak/rig.go
+++ b/test/soak/rig.go
@@ -81,6 +81,7 @@
 	agents   []*node
 	operator operator
 	servers  []*http.Server
+	longTask time.Duration // work of the longest task, where it is longer than FinishBound allows
 
 	mu       sync.Mutex
 	affected map[string]bool // by the faults in force
