--- a/test/soak/bounds.go
+++ b/test/soak/bounds.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlug/coltsfootlug/internal/rpc"
@@ -213,3 +214,35 @@
 		}
 	}
 }
+
+// checkAtWork: a job that has not ended within the bounds after the last fault is at work then.
+func checkAtWork(r *Record, fail report) {
+	healed := r.healedAt()
+	limit := healed + standin.RecoveryBound + standin.FinishBound
+	active, late := map[string]int{}, map[string]bool{}
+	for _, e := range r.Events {
+		switch {
+		case healed == 0:
+		case e.Kind == KindStart && e.At <= limit:
+			active[e.Job]++
+		case e.Kind == KindEnd && e.At <= limit:
+			active[e.Job]--
+		case e.Kind == KindStart || e.Kind == KindEnd:
+			late[e.Job] = true
+		}
+	}
+	for job := range late {
+		if active[job] == 0 {
+			fail(limit, "nothing of job %s is at work %v after the last fault, and it has not ended", job, limit-healed)
+		}
+	}
+}
+
+// healedAt returns when the last fault has ended, or 0.
+func (r *Record) healedAt() time.Duration {
+	i := slices.IndexFunc(r.Events, func(e Event) bool { return e.Kind == KindHealed })
+	if i < 0 {
+		return 0
+	}
+	return r.Events[i].At
+}
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -37,6 +37,7 @@
 	{"drain-bound", checkDrainBound},
 	{"tokens", checkTokens},
 	{"served-again", checkServedAgain},
+	{"at-work", checkAtWork},
 }
 
 // Check returns all violations in a record.
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -117,6 +117,7 @@
 		})},
 		{"tokens", "token of an earlier term", change(func(r *Record) { r.with(Event{Kind: KindFence, At: second}, start(second+standin.MaxLease+1)) })},
 		{"served-again", "not served", change(func(r *Record) { r.drop(func(e Event) bool { return e.Kind == KindServed && e.Entry == "e1" }) })},
+		{"at-work", "start after the bound", change(func(r *Record) { r.with(start(31 * second)) })},
 		{"served-again", "served late", change(func(r *Record) { r.Events[10].At = 17 * second })},
 	}
 	for _, c := range cases {
