--- a/test/graphs/together_test.go
+++ b/test/graphs/together_test.go
@@ -1,7 +1,9 @@
 package graphs_test
 
 import (
+	"context"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"sync"
@@ -10,6 +12,7 @@
 
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph/plan"
+	"github.com/coltsfootlug/coltsfootlug/internal/kernel"
 	"github.com/coltsfootlug/coltsfootlug/internal/standin"
 )
 
@@ -255,6 +258,33 @@
 	}
 }
 
+// TestAcknowledgementAfterALateStartForgetsNoEnd guards against the same for an acknowledgement that follows the start.
+func TestAcknowledgementAfterALateStartForgetsNoEnd(t *testing.T) {
+	const lateAck, lateStart, work = 4500 * time.Millisecond, 2 * time.Second, 900 * time.Millisecond
+	f := newFleet(t, 1, 1)
+	a := f.agents[0]
+	f.setTaskDuration(work)
+	first := f.submit(f.entries[0], 1)
+	f.await("the first start", func() bool { return len(f.startCounts(first)) == 1 })
+	time.Sleep(work / 2) // its end comes before that of the next
+	a.runner.SetFaults(standin.RunnerFaults{ApplyDelay: lateStart})
+	next := f.submit(f.entries[0], 1)
+	f.await("a start", func() bool { return a.runner.LateOrders() > 0 })
+	a.runner.SetFaults(standin.RunnerFaults{AckDelay: lateAck})
+	// Without an acknowledgement within the time of the late start, there is nothing to forget.
+	ctx, cancel := context.WithTimeout(context.Background(), lateStart-work/2)
+	defer cancel()
+	kernel.PollUntil(ctx, 10*time.Millisecond, func() bool { return a.runner.LateAcks() > 0 })
+	executed := time.Now().Add(lateAck)
+	before := f.startCounts(next)
+	a.runner.Restart()
+	a.runner.SetFaults(standin.RunnerFaults{DropCalls: true})
+	f.await("the late start", func() bool { return !maps.Equal(f.startCounts(next), before) })
+	time.Sleep(time.Until(executed) + 50*time.Millisecond)
+	a.runner.SetFaults(standin.RunnerFaults{})
+	f.mustCompleteOnce([]graph.JobID{first, next}, 20*time.Second)
+}
+
 // TestRenamedWorkerGetsWork guards against a worker that is refused until the term ends: it has started again under its name and then under another one, and its agent is replaced.
 func TestRenamedWorkerGetsWork(t *testing.T) {
 	f := newFleet(t, 1, 1)
