plan: the progress of a run that began late counts from the news of its begin

The rate of a run was measured from the order of its start. A gang works only once all its members are present, and the start of one may take up to 2.75 s where answers are lost. So a gang that had just become complete showed 0 or 1 % after seconds, counted as lagging many times behind the first member that showed progress, was stopped, and its workers counted as slow; a single run whose start had taken long did as well.

The first news that a run was accepted or is listed now tells. If it comes over 1 s after the order, progress counts from that news on, for all members of a gang, as it does for runs that resume from a checkpoint.

--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -118,6 +118,7 @@
 	startedAt     time.Duration
 	startedAfresh bool
 	runningSince  time.Duration
+	begun         bool          // the worker was known to have accepted or listed the run
 	checkpointAt  time.Duration // when checkpoint last changed
 	checkpoint    string
 	// compared is the part of the run in the comparison of its step.
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -153,6 +153,7 @@
 	for _, r := range report.Accepted {
 		if m := w.findMember(r.Task, r.Run); m != nil {
 			m.accepted = true
+			c.noteBegun(m)
 		}
 	}
 	c.processEnds(w, report.Ended, report.Late)
@@ -297,6 +298,7 @@
 		m.runningSince, m.lastProgressAt = c.now, c.now
 		m.firstPercent, m.firstListedAt = r.Percent, listedAt
 		m.percent = r.Percent
+		c.noteBegun(m)
 		if m.startedAfresh && r.Percent > 0 {
 			m.recordStep(r.Percent, listedAt-m.startedAt)
 		}
