plan: calls of an agent that was replaced age from the begin of its successor

A task whose agent had been replaced waited as if the process before had gone on with its order: up to 17 s after the order, or 21 s after the placement where the owner had changed too. The process before made its last call before the one that reports began.

TestCallsOfAnEarlierAgentAgeFromItsEnd fails without it.

--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -45,7 +45,8 @@
 
 // recordLateStarts records until when start calls of the runs on a worker may be executed. That a
 // run has begun, ended or was stopped settles none of them: the next incarnation of the worker
-// knows nothing of it. settled reports whether the agent makes no more calls of a run.
+// knows nothing of it. settled reports whether the agent makes no more calls of a run. While it may
+// make more, what it reports as unanswered does not shorten the time.
 func (c *Core) recordLateStarts(w *worker, l LateCalls, settled func(RunRef) bool) {
 	if c.cfg.LateLeaseBound == 0 {
 		return
@@ -61,6 +62,8 @@
 			m.callsUntil = max(m.callsUntil, until)
 		case m.callsUntil > c.now && allMade && (c.sinceStart(m) < l.AgentAge || slices.Contains(l.Called, ref)):
 			m.callsUntil = 0
+		case m.callsUntil > c.now && allMade: // by a process that ended before this one began
+			m.callsUntil = min(m.callsUntil, c.now-l.AgentAge+LateCallTime)
 		}
 		if w.responsive && w.listedAt > m.callsUntil {
 			m.callsUntil = 0
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -201,3 +201,24 @@
 		t.Errorf("awaits calls %v, has runs %v", j.unitOf(0, 0).awaitsCalls(), j.hasRuns())
 	}
 }
+
+// TestCallsOfAnEarlierAgentAgeFromItsEnd guards against tasks that wait as if an agent that was replaced went on with its order.
+func TestCallsOfAnEarlierAgentAgeFromItsEnd(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	h.now += 1500 * time.Millisecond
+	begun := time.Second // of the next agent
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s2", WorkerResponsive: true, Late: LateCalls{AgentAge: h.now - begun},
+		Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: AbsentStopped}}}
+	h.step(report)
+	report.Absent = nil
+	var again []StartRun
+	for ; len(again) == 0 && h.now < time.Minute; h.now += 100 * time.Millisecond {
+		report.Late.AgentAge = h.now - begun
+		again = append(starts(h.step(report)), starts(h.step(Tick{}))...)
+	}
+	if want := begun + LateCallTime; !within(h.now, want) {
+		t.Errorf("started again at %v, want %v", h.now, want)
+	}
+}
