--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -63,7 +63,7 @@
 		if slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended && (m.running || m.accepted || m.recovered) }) {
 			return false
 		}
-		waits = waits || u.phase == unitPlaced && !u.awaitsCalls() || u.isReady(now)
+		waits = waits || u.phase == unitPlaced || u.isReady(now)
 	}
 	return waits
 }
