--- a/internal/agent/keeper/keeper.go
+++ b/internal/agent/keeper/keeper.go
@@ -49,7 +49,7 @@
 	unannounced     bool             // only a list has shown its incarnation: it may be of another kind
 	accepted        map[runRef]bool  // runs that it has accepted and not listed yet
 	lost            lostRuns
-	unanswered      unansweredStarts
+	startCalls      startLog
 	unansweredAcks  unansweredAcks
 	lateLease       lateLease
 	startedAt       time.Duration
@@ -360,7 +360,7 @@
 // recordListed records that a list shows a run. The caller holds the lock.
 func (k *Keeper) recordListed(ref runRef) {
 	delete(k.accepted, ref)
-	k.unanswered.listed(ref)
+	k.startCalls.listed(ref)
 }
 
 // runsDiffer reports whether the lists contain different runs or ends. Progress is
--- a/internal/agent/keeper/lateack_test.go
+++ b/internal/agent/keeper/lateack_test.go
@@ -329,8 +329,8 @@
 		k := New(standin.NewRunner(), nil, func() time.Duration { return time.Minute }, metrics.NewRegistry(), zerolog.Nop())
 		k.acknowledged, k.ackOwedAt, k.runs.MoreEnds = 5, time.Minute-plan.LateCallTime, moreEnds
 		ack := func(sentAgo time.Duration) uint64 {
-			k.unanswered.reset()
-			k.unanswered.begin(ref, time.Minute-sentAgo)
+			k.startCalls.reset()
+			k.startCalls.begin(ref, time.Minute-sentAgo)
 			return k.pendingAck()
 		}
 		want := uint64(0)
@@ -348,8 +348,8 @@
 		if got := ack(plan.LateCallTime + 1); got != 5 {
 			t.Errorf("acknowledges up to %d after a start that is too old", got)
 		}
-		k.unanswered.begin(ref, time.Minute)
-		k.unanswered.end(ref, true, true)
+		k.startCalls.begin(ref, time.Minute)
+		k.startCalls.end(ref, true, true)
 		if got := k.pendingAck(); got != 5 || !k.hasPendingAck() {
 			t.Errorf("acknowledges up to %d after an answered start", got)
 		}
--- a/internal/agent/keeper/lateacks.go
+++ b/internal/agent/keeper/lateacks.go
@@ -206,7 +206,7 @@
 // behind a cut list wait for the listed ones. The caller holds the lock.
 func (k *Keeper) holdsAcksBack() bool {
 	now := k.clock()
-	return !k.runs.MoreEnds && now-k.ackOwedAt <= plan.LateCallTime && k.unanswered.anyWithin(plan.LateCallTime, now)
+	return !k.runs.MoreEnds && now-k.ackOwedAt <= plan.LateCallTime && k.startCalls.anyWithin(plan.LateCallTime, now)
 }
 
 func (k *Keeper) hasPendingAck() bool {
--- a/internal/agent/keeper/restart.go
+++ b/internal/agent/keeper/restart.go
@@ -34,10 +34,10 @@
 	k.lateLease.begin(sameName || k.worker == nil)
 	k.unsettled = map[runRef]bool{}
 	if !sameName {
-		k.unanswered.reset()
+		k.startCalls.reset()
 		k.unansweredAcks.reset()
 	}
-	for _, ref := range k.unanswered.runs(k.clock()) {
+	for _, ref := range k.startCalls.runs(k.clock()) {
 		k.unsettled[ref] = true
 	}
 	k.worker = &info
@@ -205,7 +205,7 @@
 	if !k.sent.begin(ref, k.epoch, deadline, k.clock()) {
 		return 0, 0, errors.Annotate(errStartRevoked, "the run was reported absent")
 	}
-	k.unanswered.begin(ref, k.clock())
+	k.startCalls.begin(ref, k.clock())
 	return k.epoch, deadline, nil
 }
 
@@ -214,5 +214,5 @@
 	unanswered := errors.Is(err, external.ErrUnavailable) && !errors.Is(err, external.ErrNotSent)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.unanswered.end(ref, !unanswered, err == nil)
+	k.startCalls.end(ref, !unanswered, err == nil)
 }
--- a/internal/agent/keeper/restart_test.go
+++ b/internal/agent/keeper/restart_test.go
@@ -300,7 +300,7 @@
 
 // TestUnansweredStartsAreKeptWhileTheyMayTakeEffect guards against a late start that nobody expects, and one that is expected for ever.
 func TestUnansweredStartsAreKeptWhileTheyMayTakeEffect(t *testing.T) {
-	var u unansweredStarts
+	var u startLog
 	a, b := runRef{graph.TaskID{Job: "a"}, 1}, runRef{graph.TaskID{Job: "b"}, 1}
 	u.begin(a, 0)
 	u.end(a, false, false)
@@ -325,7 +325,7 @@
 func TestListedRunHasExecutedAStartCall(t *testing.T) {
 	ref := runRef{graph.TaskID{Job: "a"}, 1}
 	for calls, want := range []int{0, 0, 1, 2} {
-		var u unansweredStarts
+		var u startLog
 		for range calls {
 			u.begin(ref, 0)
 			u.listed(ref) // the call under way may be the one
@@ -447,7 +447,7 @@
 	k.awaitList(t)
 	k.mu.Lock()
 	for i := range 12 {
-		k.unanswered.begin(runRef{graph.TaskID{Job: "j", Index: i}, 7}, k.clock())
+		k.startCalls.begin(runRef{graph.TaskID{Job: "j", Index: i}, 7}, k.clock())
 	}
 	k.mu.Unlock()
 	worker = restart(k, runner.countingRunner, worker)
--- a/internal/agent/keeper/session.go
+++ b/internal/agent/keeper/session.go
@@ -202,12 +202,12 @@
 	r.EpochAbove = k.askEpoch(l)
 	r.LateLease, r.LateLeaseAgeMs = k.lateLease.possible, k.lateLease.age(now).Milliseconds()
 	if now-k.startedAt < lateCallBound {
-		for _, ref := range k.unanswered.called(now) {
+		for _, ref := range k.startCalls.called(now) {
 			r.Called = append(r.Called, rpc.TaskRefOf(ref.task, ref.run))
 		}
 	}
-	for _, ref := range k.unanswered.runs(now) {
-		age, _ := k.unanswered.age(ref, now)
+	for _, ref := range k.startCalls.runs(now) {
+		age, _ := k.startCalls.age(ref, now)
 		r.Unanswered = append(r.Unanswered, &rpc.UnansweredStart{Ref: rpc.TaskRefOf(ref.task, ref.run), AgeMs: age.Milliseconds()})
 	}
 	if listed {
--- a/internal/agent/keeper/unanswered.go
+++ b/internal/agent/keeper/startlog.go
@@ -10,10 +10,10 @@
 // not answered. The platform speaks of seconds.
 const lateCallBound = 30 * time.Second
 
-// unansweredStarts holds the start calls that this process has made lately. One that the
+// startLog holds the start calls that this process has made lately. One that the
 // worker has not answered may be executed late, also by the next incarnation under the same
 // instance name, which knows no run number. It does no I/O; times are on the agent's clock.
-type unansweredStarts struct{ calls map[runRef]*startCalls }
+type startLog struct{ calls map[runRef]*startCalls }
 
 // startCalls are the start calls of a run, which are made in turn.
 type startCalls struct {
@@ -24,22 +24,22 @@
 }
 
 // begin records a start call that is about to be sent.
-func (u *unansweredStarts) begin(ref runRef, now time.Duration) {
-	u.dropOld(now)
-	if u.calls == nil {
-		u.calls = map[runRef]*startCalls{}
+func (l *startLog) begin(ref runRef, now time.Duration) {
+	l.dropOld(now)
+	if l.calls == nil {
+		l.calls = map[runRef]*startCalls{}
 	}
-	c := u.calls[ref]
+	c := l.calls[ref]
 	if c == nil {
 		c = &startCalls{}
-		u.calls[ref] = c
+		l.calls[ref] = c
 	}
 	c.unanswered, c.lastAt, c.underWay = append(c.unanswered, now), now, true
 }
 
 // end records that the last start call of a run was answered or not sent, or was given up.
-func (u *unansweredStarts) end(ref runRef, answered, executed bool) {
-	c := u.calls[ref]
+func (l *startLog) end(ref runRef, answered, executed bool) {
+	c := l.calls[ref]
 	if c == nil || !c.underWay {
 		return
 	}
@@ -51,8 +51,8 @@
 
 // listed records that a list shows a run, so that the worker has executed a call of it. The first
 // one counts as that, as the others are too old later.
-func (u *unansweredStarts) listed(ref runRef) {
-	c := u.calls[ref]
+func (l *startLog) listed(ref runRef) {
+	c := l.calls[ref]
 	if c == nil || c.underWay || c.executed {
 		return
 	}
@@ -63,8 +63,8 @@
 }
 
 // age returns the time since the last unanswered call of a run; ok is false if there is none.
-func (u *unansweredStarts) age(ref runRef, now time.Duration) (age time.Duration, ok bool) {
-	c := u.calls[ref]
+func (l *startLog) age(ref runRef, now time.Duration) (age time.Duration, ok bool) {
+	c := l.calls[ref]
 	if c == nil || len(c.unanswered) == 0 {
 		return 0, false
 	}
@@ -72,17 +72,17 @@
 }
 
 // runs returns the runs whose start may still be executed, ordered by task and run.
-func (u *unansweredStarts) runs(now time.Duration) []runRef {
-	return slices.DeleteFunc(u.called(now), func(ref runRef) bool {
-		age, ok := u.age(ref, now)
+func (l *startLog) runs(now time.Duration) []runRef {
+	return slices.DeleteFunc(l.called(now), func(ref runRef) bool {
+		age, ok := l.age(ref, now)
 		return !ok || age > lateCallBound
 	})
 }
 
 // anyWithin reports whether a start call of the last d has no answer.
-func (u *unansweredStarts) anyWithin(d, now time.Duration) bool {
-	for ref := range u.calls {
-		if age, ok := u.age(ref, now); ok && age <= d {
+func (l *startLog) anyWithin(d, now time.Duration) bool {
+	for ref := range l.calls {
+		if age, ok := l.age(ref, now); ok && age <= d {
 			return true
 		}
 	}
@@ -91,10 +91,10 @@
 
 // called returns the runs that this process has called the worker to start lately, ordered by task
 // and run. No earlier process had the order for one of them.
-func (u *unansweredStarts) called(now time.Duration) []runRef {
-	u.dropOld(now)
-	refs := make([]runRef, 0, len(u.calls))
-	for ref := range u.calls {
+func (l *startLog) called(now time.Duration) []runRef {
+	l.dropOld(now)
+	refs := make([]runRef, 0, len(l.calls))
+	for ref := range l.calls {
 		refs = append(refs, ref)
 	}
 	slices.SortFunc(refs, func(a, b runRef) int {
@@ -103,13 +103,13 @@
 	return refs
 }
 
-func (u *unansweredStarts) dropOld(now time.Duration) {
-	for ref, c := range u.calls {
+func (l *startLog) dropOld(now time.Duration) {
+	for ref, c := range l.calls {
 		if now-c.lastAt > lateCallBound {
-			delete(u.calls, ref)
+			delete(l.calls, ref)
 		}
 	}
 }
 
 // reset forgets all calls: a worker with another instance name refuses them.
-func (u *unansweredStarts) reset() { u.calls = nil }
+func (l *startLog) reset() { l.calls = nil }
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -63,7 +63,7 @@
 	workers       map[string]*worker
 	suspected     map[string][]*suspectedCrash // by worker ID
 	sortedWorkers []*worker                    // by ID
-	awaitingCalls []*unit                      // whose members have ended; see awaitLateCalls
+	unitsAwaiting []*unit                      // whose members have ended; see awaitLateCalls
 	runCounter    uint64
 	// hasReports is set by the first report of the term, received at
 	// firstReportAt.
--- a/internal/graph/plan/ends.go
+++ b/internal/graph/plan/ends.go
@@ -78,7 +78,7 @@
 	if m.ended {
 		return
 	}
-	m.ended, m.awaitsCalls = true, kind != graph.EndDone && c.awaitsLateCalls(m)
+	m.ended, m.heldForCalls = true, kind != graph.EndDone && c.awaitsLateCalls(m)
 	c.needsScheduling = true
 	c.release(m)
 	u := m.unit
--- a/internal/graph/plan/held.go
+++ b/internal/graph/plan/held.go
@@ -170,7 +170,7 @@
 func (c *Core) describeHeld(u *unit, idle bool) string {
 	h := &u.history
 	switch {
-	case u.phase == unitPlaced && u.awaitsCalls():
+	case u.phase == unitPlaced && u.onlyAwaitsCalls():
 		return "" // late-starts-awaited tells
 	case u.phase == unitPlaced && u.stopping && c.now-h.stoppingAt > heldAfter:
 		return fmt.Sprintf("stopping for %v (%s); %s", c.now-h.stoppingAt, h.stopReason, c.describeMembers(u, func(m *member) bool { return !m.ended }))
--- a/internal/graph/plan/idle.go
+++ b/internal/graph/plan/idle.go
@@ -70,7 +70,7 @@
 
 // hasRuns reports whether a unit of the job is placed and its runs have not ended.
 func (j *job) hasRuns() bool {
-	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced && !u.awaitsCalls() })
+	return slices.ContainsFunc(j.units, func(u *unit) bool { return u.phase == unitPlaced && !u.onlyAwaitsCalls() })
 }
 
 // poolIsIdle reports whether runs use less than idleFleetPart of a pool's connected workers,
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -95,7 +95,7 @@
 	// callsUntil is the time until which a start call of the run that had no answer may be
 	// executed; 0 if there is none.
 	callsUntil   time.Duration
-	awaitsCalls  bool // it has ended, and callsUntil keeps its task from being placed elsewhere
+	heldForCalls bool // it has ended, and callsUntil keeps its task from being placed elsewhere
 	startSent    bool // the start was ordered in this term, or the worker reported the run
 	running      bool // the worker reported the run as running
 	accepted     bool // the worker has accepted the start since its last list
@@ -290,7 +290,7 @@
 func (u *unit) progress() []graph.TaskProgress {
 	active := make(map[int]*member, len(u.members))
 	for _, m := range u.members {
-		if !m.ended || m.awaitsCalls {
+		if !m.ended || m.heldForCalls {
 			active[m.index()] = m
 		}
 	}
--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -53,7 +53,7 @@
 	}
 	for _, m := range w.members {
 		ref := RunRef{m.task, m.run}
-		until, unanswered := c.callsUntil(l, ref)
+		until, unanswered := c.reportedCallsUntil(l, ref)
 		allMade := settled(ref) || c.allCallsMade(m)
 		switch {
 		case unanswered && allMade:
@@ -71,9 +71,9 @@
 	}
 }
 
-// callsUntil returns the time until which a start call of a run may be executed that an agent
+// reportedCallsUntil returns the time until which a start call of a run may be executed that an agent
 // reports as unanswered.
-func (c *Core) callsUntil(l LateCalls, ref RunRef) (until time.Duration, unanswered bool) {
+func (c *Core) reportedCallsUntil(l LateCalls, ref RunRef) (until time.Duration, unanswered bool) {
 	i := slices.IndexFunc(l.Starts, func(s LateStart) bool { return s.RunRef == ref })
 	if i < 0 || c.cfg.LateLeaseBound == 0 {
 		return 0, false
@@ -81,10 +81,10 @@
 	return c.now - l.Starts[i].Age + LateCallTime, true
 }
 
-// callsOfEndedRun is callsUntil for a run that has ended, and of which this owner may know nothing
+// callsOfEndedRun is reportedCallsUntil for a run that has ended, and of which this owner may know nothing
 // else. Calls of the process before a young agent are not known.
 func (c *Core) callsOfEndedRun(l LateCalls, ref RunRef) time.Duration {
-	until, unanswered := c.callsUntil(l, ref)
+	until, unanswered := c.reportedCallsUntil(l, ref)
 	if unanswered || c.cfg.LateLeaseBound == 0 || l.AgentAge >= LateCallTime || slices.Contains(l.Called, ref) {
 		return until
 	}
@@ -105,7 +105,7 @@
 		}
 	}
 	drop(w.members)
-	for _, u := range c.awaitingCalls {
+	for _, u := range c.unitsAwaiting {
 		drop(u.members)
 	}
 }
@@ -179,15 +179,15 @@
 func (c *Core) awaitLateCalls(u *unit) bool {
 	var first *member
 	for _, m := range u.members {
-		if m.awaitsCalls = c.awaitsLateCalls(m); m.awaitsCalls && first == nil {
+		if m.heldForCalls = c.awaitsLateCalls(m); m.heldForCalls && first == nil {
 			first = m
 		}
 	}
 	if first == nil {
 		return false
 	}
-	if !slices.Contains(c.awaitingCalls, u) {
-		c.awaitingCalls = append(c.awaitingCalls, u)
+	if !slices.Contains(c.unitsAwaiting, u) {
+		c.unitsAwaiting = append(c.unitsAwaiting, u)
 	}
 	if u.awaitedRun != u.run {
 		u.awaitedRun = u.run
@@ -197,9 +197,9 @@
 	return true
 }
 
-// awaitsCalls reports whether all runs of a placed unit have ended, so that it waits for late calls
+// onlyAwaitsCalls reports whether all runs of a placed unit have ended, so that it waits for late calls
 // only.
-func (u *unit) awaitsCalls() bool {
+func (u *unit) onlyAwaitsCalls() bool {
 	return len(u.members) > 0 && !slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended })
 }
 
@@ -214,7 +214,7 @@
 		return nil
 	}
 	for _, m := range u.members {
-		if m.task == e.Task && m.run == e.Run && m.awaitsCalls {
+		if m.task == e.Task && m.run == e.Run && m.heldForCalls {
 			return m
 		}
 	}
@@ -236,8 +236,8 @@
 
 // watchLateCalls ends the runs of units whose start calls are too old to be executed.
 func (c *Core) watchLateCalls() {
-	units := c.awaitingCalls
-	c.awaitingCalls = nil
+	units := c.unitsAwaiting
+	c.unitsAwaiting = nil
 	for _, u := range units {
 		c.finishRunIfEnded(u)
 		if len(u.members) == 0 {
@@ -258,7 +258,7 @@
 		for _, m := range u.members {
 			w := m.worker
 			late := !m.startSent && !m.recovered || m.callsUntil > 0 || w.lateLeaseEnd > w.lastReportAt
-			if (!m.ended || m.awaitsCalls) && late && (first == 0 || m.run < first) {
+			if (!m.ended || m.heldForCalls) && late && (first == 0 || m.run < first) {
 				first = m.run
 			}
 		}
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -197,8 +197,8 @@
 	}
 	h.step(WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: "no answer"}},
 		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}})
-	if !j.unitOf(0, 0).awaitsCalls() || j.hasRuns() {
-		t.Errorf("awaits calls %v, has runs %v", j.unitOf(0, 0).awaitsCalls(), j.hasRuns())
+	if !j.unitOf(0, 0).onlyAwaitsCalls() || j.hasRuns() {
+		t.Errorf("awaits calls %v, has runs %v", j.unitOf(0, 0).onlyAwaitsCalls(), j.hasRuns())
 	}
 }
 
