--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -168,7 +168,7 @@
 		return false
 	case answers && listed || c.now <= m.callsUntil:
 		return true
-	case c.now > c.latestEnd(m):
+	case c.now > c.latestEnd(m) || w.info.Draining && !answers: // it has left
 		return false
 	}
 	return listed || !answers || w.listedAt <= m.callsUntil
--- a/internal/graph/plan/latecalls_ends_test.go
+++ b/internal/graph/plan/latecalls_ends_test.go
@@ -222,3 +222,18 @@
 		t.Errorf("started again at %v, want %v", h.now, want)
 	}
 }
+
+// TestDrainedWorkerIsNotAwaited guards against a task that waits for a worker which has left after it had announced that it drains.
+func TestDrainedWorkerIsNotAwaited(t *testing.T) {
+	h := newLateHarness(t)
+	h.report("w0", nil)
+	run := starts(h.submit("j0", 8))[0]
+	report := WorkerReport{Worker: h.core.workers["w0"].info, Session: "s", WorkerResponsive: true, Absent: []RunAbsent{{Task: run.Task, Run: run.Run, Reason: AbsentStopped}},
+		Late: LateCalls{AgentAge: time.Hour, Starts: []LateStart{{RunRef{run.Task, run.Run}, 0}}}}
+	report.Worker.Draining = true
+	h.step(report)
+	h.step(SessionClosed{Worker: "w0", Session: "s"})
+	if got := h.endsAfter(t, "j0", func() {}); !within(got, LateCallTime) {
+		t.Errorf("placed again after %v", got)
+	}
+}
