--- a/internal/graph/plan/latecalls.go
+++ b/internal/graph/plan/latecalls.go
@@ -10,10 +10,11 @@
 )
 
 // A worker may start again under its instance name and then execute a call that was meant for
-// the earlier incarnation. A lease in such a call is a time on the earlier clock, so the worker
+// an earlier incarnation. A lease in such a call is a time on the earlier clock, so the worker
 // takes it for the longest that it accepts, from that moment on. The agent tells until when that
-// may have happened, and of which runs a start had no answer: they may begin on an incarnation
-// that has not been heard of. Where the agent is gone too, the time of the placement bounds both.
+// may have happened, and of which runs a start call had no answer: they may begin, or begin again,
+// on any later incarnation until the call is too old. Where the agent is gone too, the time of the
+// placement bounds both.
 
 const (
 	// startWindow is the longest time from a stored placement to the last call that starts the run.
@@ -157,96 +158,6 @@
 	return min(lastCall, m.callsUntil+c.cfg.LateLeaseBound) + c.cfg.LateLeaseBound
 }
 
-// awaitsLateCalls reports whether the run of a member that has ended may begin again, or go on,
-// by a late call to a later incarnation of its worker.
-func (c *Core) awaitsLateCalls(m *member) bool {
-	w := m.worker
-	answers := w.connected() && w.responsive
-	_, listed := w.unknownStops[RunRef{m.task, m.run}]
-	switch {
-	case m.callsUntil == 0:
-		return false
-	case answers && listed || c.now <= m.callsUntil:
-		return true
-	case c.now > c.latestEnd(m) || w.info.Draining && !answers: // it has left
-		return false
-	}
-	return listed || !answers || w.listedAt <= m.callsUntil
-}
-
-// awaitLateCalls reports whether a unit whose members have all ended must not be placed again
-// yet, and if so has it checked later.
-func (c *Core) awaitLateCalls(u *unit) bool {
-	var first *member
-	for _, m := range u.members {
-		if m.heldForCalls = c.awaitsLateCalls(m); m.heldForCalls && first == nil {
-			first = m
-		}
-	}
-	if first == nil {
-		return false
-	}
-	if !slices.Contains(c.unitsAwaiting, u) {
-		c.unitsAwaiting = append(c.unitsAwaiting, u)
-	}
-	if u.awaitedRun != u.run {
-		u.awaitedRun = u.run
-		c.emit(Notice{Reason: ReasonAwaitsLateCalls, Job: u.job.ID, Task: first.task.String(), Run: first.run, Worker: first.worker.info.ID,
-			Detail: fmt.Sprintf("for %v", first.callsUntil-c.now)})
-	}
-	return true
-}
-
-// onlyAwaitsCalls reports whether all runs of a placed unit have ended, so that it waits for late calls
-// only.
-func (u *unit) onlyAwaitsCalls() bool {
-	return len(u.members) > 0 && !slices.ContainsFunc(u.members, func(m *member) bool { return !m.ended })
-}
-
-// awaitedMember returns the member whose run has ended before, and again after a late call, or nil.
-func (c *Core) awaitedMember(e graph.RunEnd) *member {
-	j := c.jobs[e.Task.Job]
-	if j == nil {
-		return nil
-	}
-	u := j.unitOf(e.Task.Step, e.Task.Index)
-	if u == nil {
-		return nil
-	}
-	for _, m := range u.members {
-		if m.task == e.Task && m.run == e.Run && m.heldForCalls {
-			return m
-		}
-	}
-	return nil
-}
-
-// endAgain records the end, done or failed, of a run that a late call has begun again.
-func (c *Core) endAgain(m *member, kind graph.EndKind) {
-	u := m.unit
-	switch kind {
-	case graph.EndDone:
-		u.runDone = true
-	case graph.EndFailed:
-		u.runFailed = true
-		c.recordFailure(m.worker, u, m.index())
-	}
-	c.finishRunIfEnded(u)
-}
-
-// watchLateCalls ends the runs of units whose start calls are too old to be executed.
-func (c *Core) watchLateCalls() {
-	units := c.unitsAwaiting
-	c.unitsAwaiting = nil
-	for _, u := range units {
-		c.finishRunIfEnded(u)
-		if len(u.members) == 0 {
-			c.needsScheduling = true
-			c.requestSave(u.job, nil)
-		}
-	}
-}
-
 // placedAt returns when a unit of a job was last placed, by the clock of the owner that did it.
 func (c *Core) placedAt(j *job) time.Duration { return j.placedAt.Sub(c.cfg.TermStart) }
 
