--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -172,7 +172,6 @@
 	checkPlay(t, bin, 0, 8, command, func(g *rig, _ string) {
 		r := &recut{rig: g, load: &load{rig: g}, workers: g.agents[:len(g.agents)/2], unseen: unseen}
 		r.kill = func() []*node { return kill(g, r.workers) }
-		g.longTask = recutWork
 		// A deadline of the earlier incarnation is then beyond the longest lease of the next one.
 		time.Sleep(hosted.MaxLease)
 		r.submitFor(fillTime)
