--- a/internal/graph/plan/awaitcalls.go
+++ b/internal/graph/plan/awaitcalls.go
@@ -59,20 +59,7 @@
 
 // awaitedMember returns the member whose run has ended before, and again after a late call, or nil.
 func (c *Core) awaitedMember(e graph.RunEnd) *member {
-	j := c.jobs[e.Task.Job]
-	if j == nil {
-		return nil
-	}
-	u := j.unitOf(e.Task.Step, e.Task.Index)
-	if u == nil {
-		return nil
-	}
-	for _, m := range u.members {
-		if m.task == e.Task && m.run == e.Run && m.heldForCalls {
-			return m
-		}
-	}
-	return nil
+	return c.memberWhere(e, func(m *member) bool { return m.heldForCalls })
 }
 
 // endAgain records the end, done or failed, of a run that a late call has begun again.
--- a/internal/graph/plan/workers.go
+++ b/internal/graph/plan/workers.go
@@ -363,6 +363,11 @@
 	if m := w.findMember(e.Task, e.Run); m != nil {
 		return m
 	}
+	return c.memberWhere(e, func(m *member) bool { return !m.ended && m.incarnation == w.info.Incarnation() })
+}
+
+// memberWhere returns the member of the run of an end that meets a condition, or nil.
+func (c *Core) memberWhere(e graph.RunEnd, meets func(*member) bool) *member {
 	j := c.jobs[e.Task.Job]
 	if j == nil {
 		return nil
@@ -372,7 +377,7 @@
 		return nil
 	}
 	for _, m := range u.members {
-		if m.task == e.Task && m.run == e.Run && !m.ended && m.incarnation == w.info.Incarnation() {
+		if m.task == e.Task && m.run == e.Run && meets(m) {
 			return m
 		}
 	}
