--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripted cases of the third review.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+go build -o target/review/third ./review/third/platform
