--- a/review/third/platform/deployment.go
+++ b/review/third/platform/deployment.go
@@ -33,9 +33,9 @@
 // worker is a minion with its agent.
 type worker struct {
 	*hosted.Worker
-	name, agentAddress string
-	server             *http.Server
-	agent              *exec.Cmd
+	name, rack, agentAddress string
+	server                   *http.Server
+	agent                    *exec.Cmd
 }
 
 // deployment is a small system: a store, entries, and workers with their agents. Each host
@@ -54,6 +54,8 @@
 	seeds     []string
 	servers   []*http.Server
 	processes []*exec.Cmd
+	// wrap, if not nil, returns the handler of the calls to a worker.
+	wrap func(*worker) http.Handler
 }
 
 // record writes what was sent, answered and run.
@@ -188,20 +190,29 @@
 
 // addWorker adds a worker of a service and starts its agent.
 func (d *deployment) addWorker(name, service string) error {
+	return d.addWorkerIn(name, service, "rack-1")
+}
+
+// addWorkerIn is addWorker for a worker in a rack, whose name is one of its labels.
+func (d *deployment) addWorkerIn(name, service, rack string) error {
 	ip := d.newIP()
 	heartbeats, err := freeAddress(ip)
 	if err != nil {
 		return err
 	}
-	w := &worker{name: name, agentAddress: heartbeats}
+	w := &worker{name: name, rack: rack, agentAddress: heartbeats}
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return err
 	}
 	app := l.Addr().String()
 	capacity := hosted.TaskStep{MilliCPU: workerMilliCPU, Accelerators: workerAccelerators}
-	w.Worker = d.fleet.AddWorker(name, "zone-a", "rack-1", service, app, heartbeats, capacity)
-	w.server = &http.Server{Handler: w.Worker}
+	w.Worker = d.fleet.AddWorker(name, "zone-a", rack, service, app, heartbeats, capacity)
+	var handler http.Handler = w.Worker
+	if d.wrap != nil {
+		handler = d.wrap(w)
+	}
+	w.server = &http.Server{Handler: handler}
 	d.servers = append(d.servers, w.server)
 	go func() { _ = w.server.Serve(l) }() // ends with close
 	d.workers[name] = w
@@ -324,6 +335,35 @@
 	return r
 }
 
+// submitRequiring submits a job of one task that requires a label.
+func (d *deployment) submitRequiring(entry int, path, label string, run time.Duration) hosted.Reply {
+	type object = map[string]any
+	step := object{"count": 1, "cpu": 8000, "gpu": workerAccelerators, "estimate_ms": run.Milliseconds(), "requires": label}
+	spec, err := json.Marshal([]object{step})
+	if err != nil {
+		panic(err) // all values are plain
+	}
+	body, err := json.Marshal(object{"spec": string(spec), "steps": []object{step}})
+	if err != nil {
+		panic(err) // all values are plain
+	}
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.front[entry]+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err) // the address is that of a listener
+	}
+	r.Host = callersHost
+	r.Header.Set("Authorization", "Token "+accountKey)
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(callWait.Milliseconds(), 10))
+	out := hosted.Reply{}
+	response, err := (&http.Client{Timeout: callWait}).Do(r)
+	if err == nil {
+		out.Status = response.StatusCode
+		_ = response.Body.Close()
+	}
+	d.record.printf("client: POST %s %s -> %d", path, body, out.Status)
+	return out
+}
+
 func (d *deployment) poll(entry int, path string) hosted.Reply {
 	r := d.caller(entry).Poll(path, accountKey, callWait)
 	d.record.printf("client: GET %s -> %d %s", path, r.Status, r.State)
