--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -16,7 +16,6 @@
 
 // cases are the scripted cases by name.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"crashes": crashesCase,
 	"epochs":  epochsCase,
 	"removed": removedCase,
 	"service": serviceCase,
