--- a/review/third/platform/deployment.go
+++ b/review/third/platform/deployment.go
@@ -33,9 +33,9 @@
 // worker is a minion with its agent.
 type worker struct {
 	*hosted.Worker
-	name, rack, agentAddress string
-	server                   *http.Server
-	agent                    *exec.Cmd
+	name, rack, agentAddress, address string
+	server                            *http.Server
+	agent                             *exec.Cmd
 }
 
 // deployment is a small system: a store, entries, and workers with their agents. Each host
@@ -206,6 +206,7 @@
 		return err
 	}
 	app := l.Addr().String()
+	w.address = app
 	capacity := hosted.TaskStep{MilliCPU: workerMilliCPU, Accelerators: workerAccelerators}
 	w.Worker = d.fleet.AddWorker(name, "zone-a", rack, service, app, heartbeats, capacity)
 	var handler http.Handler = w.Worker
@@ -279,6 +280,18 @@
 	return w.server.Close()
 }
 
+// listenAgain lets a minion that has left take calls at its address again.
+func (d *deployment) listenAgain(w *worker) error {
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.server = &http.Server{Handler: w.server.Handler}
+	d.servers = append(d.servers, w.server)
+	go func() { _ = w.server.Serve(l) }() // ends with close
+	return nil
+}
+
 // remove takes a machine away for good: its minion and its agent end at once.
 func (d *deployment) remove(name string) {
 	w := d.workers[name]
--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"epochs":  epochsCase,
 	"removed": removedCase,
+	"returns": returnsCase,
 	"service": serviceCase,
 }
 
