--- a/review/third/platform/case_epochs.go
+++ b/review/third/platform/case_epochs.go
@@ -24,8 +24,12 @@
 	crashRack = "rack-x"
 	// soundWorkers is the number of minions beside it: one of eight crashes.
 	soundWorkers = 7
-	// restartTime is the time between two crashes.
-	restartTime = 450 * time.Millisecond
+	// maxCrashes is the number of crashes before the last one. They end sooner if the agent calls
+	// two lives of the minion under one epoch number. restartTime is the least time between two, and
+	// epochTime the time for which a call under a higher number is awaited.
+	maxCrashes  = 75
+	restartTime = 300 * time.Millisecond
+	epochTime   = 1500 * time.Millisecond
 	// downTime is how long the minion is down at the last crash.
 	downTime = 300 * time.Millisecond
 	// minLateTime and maxLateTime bound the time after which a minion carries out a call that it
@@ -43,6 +47,7 @@
 	armed  bool // for the call that takes note
 
 	mu     sync.Mutex
+	epoch  uint64 // the highest of a call
 	late   *http.Request
 	body   []byte
 	sentAt time.Time
@@ -51,6 +56,12 @@
 	silent int
 }
 
+func (l *lateMinion) highestEpoch() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch
+}
+
 func (l *lateMinion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -66,6 +77,7 @@
 	}
 	l.mu.Lock()
 	l.calls++
+	l.epoch = max(l.epoch, call.Epoch)
 	if l.armed && l.late == nil && strings.HasSuffix(r.URL.Path, "/hold") && call.LastSeen > 0 {
 		l.late, l.body, l.sentAt = r.Clone(r.Context()), body, time.Now()
 		l.silent++
@@ -91,6 +103,20 @@
 	_, _ = w.Write(answer.Body.Bytes()) // the agent may have given up
 }
 
+// crashRepeatedly lets the minion crash and start again under its id, n times or until the agent
+// calls its next life under the same epoch number.
+func (l *lateMinion) crashRepeatedly(n int) {
+	count := 0
+	for raised := true; raised && count < n; count++ {
+		before := l.highestEpoch()
+		l.minion.CrashSilently()
+		l.minion.Return()
+		time.Sleep(restartTime)
+		raised = pollUntil(epochTime, func() bool { return l.highestEpoch() > before })
+	}
+	l.record.printf("%s: has crashed %d times, the last epoch number of a call is %d", l.minion.name, count, l.highestEpoch())
+}
+
 // showsEnd reports whether a list shows the end of the job's run and the late call is due.
 func (l *lateMinion) showsEnd(answer []byte) bool {
 	var list struct {
@@ -145,17 +171,13 @@
 		return false, err
 	}
 	time.Sleep(3 * time.Second) // the agents have their leases
-	crashes := 70
+	crashes := maxCrashes
 	if n, err := strconv.Atoi(os.Getenv("CRASHES")); err == nil {
 		crashes = n
 	}
 	if trouble {
-		d.record.printf("crashing: crashes %d times and starts again under its id, every %v", crashes, restartTime)
-		for range crashes {
-			late.minion.CrashSilently()
-			late.minion.Return()
-			time.Sleep(restartTime)
-		}
+		d.record.printf("crashing: crashes up to %d times and starts again under its id", crashes)
+		late.crashRepeatedly(crashes)
 		late.mu.Lock()
 		late.armed = true
 		late.mu.Unlock()
