--- a/internal/entry/graphs/explain.go
+++ b/internal/entry/graphs/explain.go
@@ -99,15 +99,15 @@
 			return nil, account, errors.NotValidf("request without an account for queue %q, which is not public", q.Name)
 		}
 		job := &graph.Job{Account: r.Account, Steps: r.Steps}
-		applyQueue(job, q)
+		applyQueue(job, q, s.Version)
 		return job, account, nil
 	}
 	return nil, account, errors.NotFoundf("queue %q", r.Queue)
 }
 
-// applyQueue sets the part of a job that follows from its queue.
-func applyQueue(job *graph.Job, q *policy.Queue) {
-	job.Queue, job.Pool = q.Name, q.Pool
+// applyQueue sets the part of a job that follows from its queue in a version of the configuration.
+func applyQueue(job *graph.Job, q *policy.Queue, version uint64) {
+	job.Queue, job.Pool, job.ConfigVersion = q.Name, q.Pool, version
 	job.Priority, job.MaxAttempts = q.Priority, q.MaxAttempts
 	job.Stretch, job.Allowance = q.Stretch, q.Allowance
 }
--- a/internal/entry/graphs/front.go
+++ b/internal/entry/graphs/front.go
@@ -218,7 +218,7 @@
 		return Answer{Outcome: Invalid, Detail: err.Error()}
 	}
 	job.ID, job.Account = t.id, t.account
-	applyQueue(job, t.queue)
+	applyQueue(job, t.queue, t.configVersion)
 	if err := job.ValidateStored(); err != nil {
 		return Answer{Outcome: Invalid, Detail: err.Error()}
 	}
--- a/internal/entry/graphs/progressrows.go
+++ b/internal/entry/graphs/progressrows.go
@@ -63,6 +63,7 @@
 	LateFrom  uint64                 `json:"late,omitempty"`
 	Stalls    []graph.UnitStalls     `json:"stalls,omitempty"`
 	Suspected []graph.SuspectedCrash `json:"suspected,omitempty"`
+	Pool      graph.QueuePool        `json:"pool,omitzero"`
 }
 
 type partCount struct {
@@ -160,7 +161,7 @@
 	}
 	groups := splitTasks(a.Steps, a.Progress.Tasks, len(r.parts))
 	head := progressHead{Job: a.Progress.Job, State: a.Progress.State, Tasks: partCount{len(groups)}, FinishedAt: a.Progress.FinishedAt,
-		PlacedAt: a.Progress.PlacedAt, LateFrom: a.Progress.LateFrom, Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected}
+		PlacedAt: a.Progress.PlacedAt, LateFrom: a.Progress.LateFrom, Stalls: a.Progress.Stalls, Suspected: a.Progress.Suspected, Pool: a.Progress.Pool}
 	out := pendingRows{
 		writes: []ledger.Write{{Key: progressKey(a.Job), Version: r.version, Data: ledger.Encode(head)}},
 		parts:  make([]partRow, len(groups)),
--- a/internal/entry/graphs/progressrows_test.go
+++ b/internal/entry/graphs/progressrows_test.go
@@ -69,6 +69,7 @@
 			a.Progress.Tasks[n/2].Done = true
 			a.Progress.Stalls = []graph.UnitStalls{{Step: 1, Index: n / 2, Count: 3}}
 			a.Progress.PlacedAt, a.Progress.LateFrom = 1_700_000_000_123, 1<<30
+			a.Progress.Pool = graph.QueuePool{Name: "pool", Version: 7}
 			a.Progress.Suspected = []graph.SuspectedCrash{{Worker: "w0", Incarnation: "i@1", Tasks: []graph.TaskRef{{Step: 1, Index: n / 2}}}}
 		}
 		if _, err := s.SaveProgress(context.Background(), fence, a, rows); err != nil {
@@ -192,7 +193,8 @@
 	text := func(n int) string { return strings.Repeat("w", n) }
 	for _, perStep := range []int{20, graph.MaxTasks} {
 		a := plan.SaveProgress{Job: "00000000000000aa"}
-		a.Progress = graph.Progress{Job: a.Job, State: graph.Cancelled, FinishedAt: time.Now(), PlacedAt: math.MaxInt64, LateFrom: math.MaxUint64}
+		a.Progress = graph.Progress{Job: a.Job, State: graph.Cancelled, FinishedAt: time.Now(), PlacedAt: math.MaxInt64, LateFrom: math.MaxUint64,
+			Pool: graph.QueuePool{Name: text(graph.MaxPoolBytes), Version: math.MaxUint64}}
 		for range graph.MaxStalledUnits {
 			a.Progress.Stalls = append(a.Progress.Stalls, graph.UnitStalls{Step: 99, Index: graph.MaxTasks - 1, Count: 99})
 		}
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -101,10 +101,14 @@
 	ID      JobID  `json:"-"`
 	Queue   string `json:"queue"`
 	Account string `json:"account"`
-	// Pool is the service whose workers run the tasks.
-	Pool  string `json:"pool"`
-	Spec  string `json:"spec"`
-	Steps []Step `json:"steps"`
+	// Pool is the service that the queue named at submission. The workers of the one that it names
+	// now run the tasks; see QueuePool.
+	Pool string `json:"pool"`
+	// ConfigVersion is the version of the configuration from which the settings are. Earlier versions
+	// of the program leave it out.
+	ConfigVersion uint64 `json:"config,omitempty"`
+	Spec          string `json:"spec"`
+	Steps         []Step `json:"steps"`
 
 	Priority    int `json:"prio"` // 0 is the highest
 	MaxAttempts int `json:"attempts"`
--- a/internal/graph/plan/core.go
+++ b/internal/graph/plan/core.go
@@ -163,8 +163,7 @@
 	case EndsSaved:
 		c.handleEndsSaved(e)
 	case PolicyChanged:
-		c.policy = e.Policy
-		c.needsScheduling = true
+		c.changePolicy(e.Policy)
 	case Tick:
 		c.handleTick()
 	}
--- a/internal/graph/plan/dump.go
+++ b/internal/graph/plan/dump.go
@@ -15,6 +15,7 @@
 type JobDump struct {
 	ID      graph.JobID `json:"id"`
 	Queue   string      `json:"queue"`
+	Pool    string      `json:"pool"` // the service whose workers run it from now on
 	State   graph.State `json:"state"`
 	Waiting int         `json:"waiting"` // units without a placement
 	Placed  int         `json:"placed"`
@@ -41,7 +42,7 @@
 func (c *Core) Dump() Dump {
 	var d Dump
 	for _, j := range c.activeJobs {
-		jd := JobDump{ID: j.ID, Queue: j.Queue, State: j.visibleState()}
+		jd := JobDump{ID: j.ID, Queue: j.Queue, Pool: j.Pool, State: j.visibleState()}
 		for _, u := range j.units {
 			switch u.phase {
 			case unitWaiting:
--- a/internal/graph/plan/held.go
+++ b/internal/graph/plan/held.go
@@ -92,6 +92,8 @@
 		return "no-session"
 	case w.info.Draining:
 		return string(ReasonWorkerDraining)
+	case w.info.Pool != m.unit.job.Pool:
+		return string(ReasonJobMoved)
 	default:
 		return "zone-out"
 	}
--- a/internal/graph/plan/job.go
+++ b/internal/graph/plan/job.go
@@ -127,6 +127,10 @@
 
 type job struct {
 	*graph.Job
+	// Pool is the service whose workers run the job's tasks from now on, as named by poolVersion of
+	// the configuration. It hides that of the submission; see followQueue.
+	Pool        string
+	poolVersion uint64
 	units       []*unit
 	unitsByStep [][]*unit
 	runTimes    []time.Duration            // by step, the expected run time of one task
@@ -168,7 +172,7 @@
 }
 
 func newJob(g *graph.Job) *job {
-	j := &job{Job: g, state: graph.Queued, durableState: graph.Queued, taskTimes: make([][]taskTime, len(g.Steps)), stepTimes: make([]time.Duration, len(g.Steps)),
+	j := &job{Job: g, Pool: g.Pool, poolVersion: g.ConfigVersion, state: graph.Queued, durableState: graph.Queued, taskTimes: make([][]taskTime, len(g.Steps)), stepTimes: make([]time.Duration, len(g.Steps)),
 		comparisons: make([]*workerhealth.Comparison, len(g.Steps))}
 	for i := range g.Steps {
 		s := &g.Steps[i]
@@ -283,6 +287,7 @@
 	}
 	p.Stalls = j.stalls()
 	p.Suspected = j.suspectedCrashes()
+	p.Pool = j.storedPool()
 	return p
 }
 
--- a/internal/graph/plan/outlook.go
+++ b/internal/graph/plan/outlook.go
@@ -258,7 +258,7 @@
 // expected run time up to its own. Its job's queue gives the least objective.
 func addKinds(kinds []outlook.Kind, u *unit) []outlook.Kind {
 	for level := time.Duration(0); level <= u.runTime(); level = nextLevel(level) {
-		k := kindOf(u.job.Job, u.step.Needs, level)
+		k := kindOf(u.job, u.step.Needs, level)
 		if len(kinds) >= maxKinds {
 			return kinds
 		}
@@ -276,7 +276,7 @@
 	return time.Duration(runTimeLevelRatio * float64(level)).Truncate(time.Millisecond)
 }
 
-func kindOf(j *graph.Job, needs graph.Resources, runTime time.Duration) outlook.Kind {
+func kindOf(j *job, needs graph.Resources, runTime time.Duration) outlook.Kind {
 	return outlook.Kind{Pool: j.Pool, Priority: j.Priority, Needs: needs, RunTime: runTime,
 		Objective: (time.Duration(j.Stretch*float64(runTime)) + j.Allowance).Truncate(time.Millisecond)}
 }
--- a/internal/graph/plan/recover.go
+++ b/internal/graph/plan/recover.go
@@ -24,6 +24,7 @@
 	c.expectRunTimes(j)
 	if !j.state.Final() {
 		c.activeJobs = append(c.activeJobs, j)
+		c.followQueue(j)
 	}
 	c.observeDemand(j)
 	c.emit(Notice{Reason: ReasonAccepted, Job: j.ID, Detail: j.describe()})
@@ -77,6 +78,7 @@
 	}
 	c.restoreLateRuns(j, p.LateFrom)
 	j.lateInSave, j.savedAt = p.LateFrom, c.now
+	j.restorePool(p.Pool)
 	j.restoreStalls(p.Stalls)
 	c.restoreSuspectedCrashes(j, p.Suspected)
 	for _, u := range j.units {
--- a/internal/graph/plan/schedule.go
+++ b/internal/graph/plan/schedule.go
@@ -286,11 +286,12 @@
 }
 
 // canStart reports whether a member may still start. While its placement was being
-// saved, its job may have been cancelled, or its worker or zone become unavailable.
+// saved, its job may have been cancelled or moved to another service, or its worker or zone become
+// unavailable.
 func (c *Core) canStart(m *member) bool {
 	w := m.worker
 	return !m.stopping && !m.ended && w.connected() && m.incarnation == w.info.Incarnation() &&
-		!w.info.Draining && !c.policy.ZonesOut[w.info.Zone]
+		!w.info.Draining && !c.policy.ZonesOut[w.info.Zone] && w.info.Pool == m.unit.job.Pool
 }
 
 // roomToStart reports whether the workers still have room for a run whose start has not
--- a/internal/graph/plan/types.go
+++ b/internal/graph/plan/types.go
@@ -330,6 +330,7 @@
 	ReasonRunTimeRevised     Reason = "run-time-revised"
 	ReasonJobWorthless       Reason = "job-worthless"
 	ReasonJobYielded         Reason = "job-yielded"
+	ReasonJobMoved           Reason = "job-moved"
 	ReasonHeadroomChanged    Reason = "headroom-changed"
 	ReasonHeadroomUsed       Reason = "headroom-used"
 	ReasonLongCheckpoint     Reason = "checkpoint-too-long"
--- a/internal/graph/progress.go
+++ b/internal/graph/progress.go
@@ -72,8 +72,22 @@
 	// Suspected holds the crashes among TaskProgress.Crashes and RunCrashed that are taken
 	// back if their worker answers again. Earlier versions leave it out.
 	Suspected []SuspectedCrash `json:"suspected,omitempty"`
+	// Pool is set if a later configuration than that of the submission has moved the job. Earlier
+	// versions leave it out.
+	Pool QueuePool `json:"pool,omitzero"`
 }
 
+// QueuePool is the service that a version of the configuration names for the queue of a job. It is
+// stored so that the job keeps it when the queue is removed.
+type QueuePool struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+// MaxPoolBytes limits the name of QueuePool in bytes of its JSON encoding without quotes. A longer
+// one is not stored.
+const MaxPoolBytes = 200
+
 // MaxStalledUnits bounds Progress.Stalls. The units with the most stops are kept.
 const MaxStalledUnits = 40
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -80,6 +80,22 @@
 	return q, rest
 }
 
+// QueueByName returns the queue of that name. It returns nil if there is none, or if several share the
+// name, so that it tells nothing of their jobs.
+func (s *Snapshot) QueueByName(name string) *Queue {
+	var found *Queue
+	for i := range s.Queues {
+		if s.Queues[i].Name != name {
+			continue
+		}
+		if found != nil {
+			return nil
+		}
+		found = &s.Queues[i]
+	}
+	return found
+}
+
 // AccountByKey returns the account that owns a key, or nil.
 func (s *Snapshot) AccountByKey(key string) *ClientAccount { return s.accountOfKey[key] }
 
