plan: the run times of a service bound nothing on another one

With admission, an entry refuses a job that would certainly end too late, by the shortest and the longest run of its queue in the owner's term. After the queue had moved to another service, the bounds were those of the former workers: where the next ones are faster, a job could be refused although it would end in time; where they are slower, its objective was taken too short.

The observed run times carry the service on which they were measured.

TestRunTimesBelongToTheirService fails without each of the four parts.

--- a/internal/graph/plan/moved_test.go
+++ b/internal/graph/plan/moved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"reflect"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/coltsfootlug/coltsfootlug/internal/feature"
 	"github.com/coltsfootlug/coltsfootlug/internal/graph"
 	"github.com/coltsfootlug/coltsfootlug/internal/policy"
 )
@@ -249,6 +251,47 @@
 	pool graph.QueuePool
 }
 
+// TestRunTimesBelongToTheirService guards against refusals of jobs by the run times of a service that their queue does not name any more.
+func TestRunTimesBelongToTheirService(t *testing.T) {
+	h := newMoveHarness(t)
+	h.core.cfg.Features = feature.NewSet(feature.Admission)
+	h.now = time.Second // a run that starts at 0 is not observed
+	runFor := func(pool, worker string, d time.Duration, jobs ...string) {
+		for _, id := range jobs {
+			run := h.mustStartOn(id, h.submit(graph.JobID(id), 8), worker)
+			h.reportIn(pool, worker, []graph.RunState{{Task: run.Task, Run: run.Run}})
+			h.now += d
+			end := runEnd(run, graph.EndDone)
+			end.Number = h.core.workers[worker].lastEndSeen + 1
+			h.reportIn(pool, worker, nil, end)
+		}
+	}
+	ids := func(prefix string, n int) (out []string) {
+		for i := range n {
+			out = append(out, fmt.Sprint(prefix, i))
+		}
+		return out
+	}
+	runFor(formerPool, "w0", time.Second, ids("f", minRunsObserved)...)
+	if got := h.core.longestRuns(); len(got) != 1 || h.core.leastRunTime("q", formerPool) == 0 {
+		t.Fatalf("before the change: %+v", got)
+	}
+	last := h.mustStartOn("last on the former service", h.submit("l0", 8), "w0")
+	h.reportIn(formerPool, "w0", []graph.RunState{{Task: last.Task, Run: last.Run}})
+	h.step(PolicyChanged{queueIn(2, nextPool)})
+	if got := h.core.longestRuns(); len(got) != 0 || h.core.leastRunTime("q", nextPool) != 0 {
+		t.Errorf("after the change: %+v, at least %v", got, h.core.leastRunTime("q", nextPool))
+	}
+	h.reportIn(nextPool, "n0", nil)
+	runFor(nextPool, "n0", 100*time.Millisecond, ids("n", minRunsObserved)...)
+	for _, what := range []string{"while one is at work on the former service", "after its end"} {
+		if got := h.core.longestRuns(); len(got) != 1 || got[0].Longest > 200*time.Millisecond {
+			t.Errorf("on the next service, %s: %+v", what, got)
+		}
+		h.reportIn(formerPool, "w0", nil, graph.RunEnd{Number: h.core.workers["w0"].lastEndSeen + 1, Task: last.Task, Run: last.Run, Kind: graph.EndDone})
+	}
+}
+
 // TestIdleWaitEndsWithTheMove guards against a job that waives its preferences on the next service for a wait on the former one.
 func TestIdleWaitEndsWithTheMove(t *testing.T) {
 	h := newMoveHarness(t)
--- a/internal/graph/plan/outlook.go
+++ b/internal/graph/plan/outlook.go
@@ -31,20 +31,26 @@
 	runTimeLevelRatio = 1.5
 )
 
-// observedRuns holds the run times of a queue's tasks in this term.
+// observedRuns holds the run times of a queue's tasks in this term, on the workers of one service.
 type observedRuns struct {
+	pool              string
 	runs              int
 	shortest, longest time.Duration
 }
 
 // observeRun records the run time of a member that is done. A run that resumed from a
-// checkpoint only counts as a long one.
+// checkpoint only counts as a long one. After the queue has moved to another service, the run times
+// on the former one bound nothing.
 func (c *Core) observeRun(m *member) {
-	if !c.cfg.Features.Has(feature.Admission) || m.startedAt == 0 {
+	j := m.unit.job
+	if !c.cfg.Features.Has(feature.Admission) || m.startedAt == 0 || m.worker.info.Pool != j.Pool {
 		return
 	}
 	took := c.now - m.startedAt
-	o := c.observed[m.unit.job.Queue]
+	o := c.observed[j.Queue]
+	if o.pool != j.Pool {
+		o = observedRuns{pool: j.Pool}
+	}
 	if m.startedAfresh {
 		if o.runs == 0 || took < o.shortest {
 			o.shortest = took
@@ -52,13 +58,13 @@
 		o.runs++
 	}
 	o.longest = max(o.longest, took)
-	c.observed[m.unit.job.Queue] = o
+	c.observed[j.Queue] = o
 }
 
-// leastRunTime returns a lower bound of the run time of a queue's tasks.
-func (c *Core) leastRunTime(queue string) time.Duration {
+// leastRunTime returns a lower bound of the run time of a queue's tasks on the workers of a service.
+func (c *Core) leastRunTime(queue, pool string) time.Duration {
 	o := c.observed[queue]
-	if o.runs < minRunsObserved {
+	if o.pool != pool || o.runs < minRunsObserved {
 		return 0
 	}
 	return time.Duration(shortestRunMargin * float64(o.shortest))
@@ -125,14 +131,16 @@
 	inProgress := map[string]time.Duration{}
 	for _, w := range c.sortedWorkers {
 		for _, m := range w.members {
-			if m.running {
-				queue := m.unit.job.Queue
+			if queue := m.unit.job.Queue; m.running && w.info.Pool == c.observed[queue].pool {
 				inProgress[queue] = max(inProgress[queue], c.now-m.runningSince)
 			}
 		}
 	}
 	var out []outlook.RunTime
 	for queue, o := range c.observed {
+		if q := c.policy.QueueByName(queue); q != nil && q.Pool != o.pool {
+			continue
+		}
 		if o.runs >= minRunsObserved {
 			out = append(out, outlook.RunTime{Queue: queue, Longest: max(o.longest, inProgress[queue])})
 		}
@@ -180,7 +188,7 @@
 		if since == 0 {
 			since = c.now // the placement is being saved
 		}
-		least = c.leastRunTime(m.unit.job.Queue) - (c.now - since)
+		least = c.leastRunTime(m.unit.job.Queue, m.worker.info.Pool) - (c.now - since)
 	}
 	return max(0, least, m.leastRemainingByProgress(c.now))
 }
@@ -235,7 +243,7 @@
 		Due: costOf(u.job).DueAt() - c.now, Guaranteed: guaranteed,
 		AheadUntil: u.job.staysOnTimeUntil() - c.now, AheadOfLowerUntil: c.aheadOfLowerUntil(u.job) - c.now}
 	if u.resumeCheckpoint() == "" {
-		w.LeastRunTime = c.leastRunTime(u.job.Queue)
+		w.LeastRunTime = c.leastRunTime(u.job.Queue, u.job.Pool)
 	}
 	return w
 }
