test/soak: queues that move, beside faults and in drawn rounds

A deployment may have workers of a second service now, and the operator moves or removes a queue. Drawn rounds move the queue on every second pair of seeds; the steps of a seed are the same otherwise.

--- a/test/soak/bounds.go
+++ b/test/soak/bounds.go
@@ -153,6 +153,43 @@
 	}
 }
 
+// checkMoves: nothing of a job starts on a service that its queue does not name any more, after the bound of the change. A queue
+// that is removed keeps its last service. In rounds with faults an order may have been under way as for other changes.
+func checkMoves(r *Record, fail report) {
+	bound := standin.ApplyBound
+	if slices.ContainsFunc(r.Events, func(e Event) bool { return e.Kind == KindStep }) {
+		bound += standin.MaxLease
+	}
+	type move struct {
+		service string
+		until   time.Duration // 0 while it is in force
+	}
+	moves := map[string][]move{}
+	for _, e := range r.Events {
+		if e.Kind == KindMove && e.Service != removedQueue {
+			if n := len(moves[e.Queue]); n > 0 {
+				moves[e.Queue][n-1].until = e.At
+			}
+			moves[e.Queue] = append(moves[e.Queue], move{service: e.Service})
+		}
+		job, known := r.Jobs[e.Job]
+		queue := queues[job.Priority].Name
+		if e.Kind != KindStart || !known || moves[queue] == nil {
+			continue
+		}
+		called := e.At
+		if e.Sent > 0 {
+			called = e.Sent // the worker executed the call late
+		}
+		named := slices.ContainsFunc(moves[queue], func(m move) bool {
+			return m.service == r.Services[e.Worker] && (m.until == 0 || called <= m.until+bound)
+		})
+		if !named {
+			fail(e.At, "task %s started on %s of service %s, queue %s has named %+v", e.Task, e.Worker, r.Services[e.Worker], queue, moves[queue])
+		}
+	}
+}
+
 // checkTokens: an epoch is used only after the write that begins its term, by one
 // owner, and at the latest for a lease after the write of the next term. A run number
 // begins with the first epoch of a term. A worker never takes a lower epoch than before.
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -35,6 +35,7 @@
 	{"versions", checkVersions},
 	{"zone-bound", checkZoneBound},
 	{"drain-bound", checkDrainBound},
+	{"moves", checkMoves},
 	{"tokens", checkTokens},
 	{"served-again", checkServedAgain},
 	{"at-work", checkAtWork},
--- a/test/soak/drawn_test.go
+++ b/test/soak/drawn_test.go
@@ -31,10 +31,13 @@
 	ownerTarget = -1
 	// jobsPerRound and moreJobs bound the number of the jobs of a round.
 	jobsPerRound, moreJobs = 19, 4
-	// shortDrawnSeed is the short round of make test, of about 30 s.
-	shortDrawnSeed = 1
+	// drawnPriority is the priority of the jobs, whose queue moves.
+	drawnPriority = 1
 )
 
+// shortDrawnSeeds are the short rounds of make test, of about 30 s each. The queue moves in the second one.
+var shortDrawnSeeds = []int64{1, 2}
+
 // drawnStep is a step of drawn rounds. The target is the number of a worker or, for a kill, of any host.
 type drawnStep struct {
 	At       time.Duration
@@ -44,6 +47,7 @@
 	Duration time.Duration // of a kill
 	Tasks    int           // of a submitted job, a gang if there are several
 	Work     time.Duration // of its tasks
+	Service  string        // that the queue of the jobs names then, or removedQueue
 }
 
 // drawRounds returns the steps of a seed by time.
@@ -97,10 +101,38 @@
 		}
 		begin = end + between(0, 2*time.Second)
 	}
+	if movesQueue(seed) {
+		steps = append(steps, drawMoves(seed, steps)...)
+	}
 	slices.SortStableFunc(steps, func(a, b drawnStep) int { return int(a.At - b.At) })
 	return steps
 }
 
+// movesQueue reports whether the queue of the jobs moves between two services in the rounds of a seed.
+func movesQueue(seed int64) bool { return seed%4 >= 2 }
+
+// drawMoves returns the moves of the queue beside the steps of a seed. A queue that is removed, or names a service without workers, is
+// moved again soon.
+func drawMoves(seed int64, steps []drawnStep) (moves []drawnStep) {
+	random := rand.New(rand.NewPCG(uint64(seed), 1<<34))
+	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
+	end := time.Duration(0)
+	for _, s := range steps {
+		end = max(end, s.At)
+	}
+	services := []string{pool, otherPool, otherPool, removedQueue, "none"}
+	for at := firstRound + between(0, time.Second); at < end; {
+		m := drawnStep{At: at, Kind: "move", Service: services[random.IntN(len(services))]}
+		moves = append(moves, m)
+		if m.Service == pool || m.Service == otherPool {
+			at += between(500*time.Millisecond, 6*time.Second)
+		} else {
+			at += between(100*time.Millisecond, 3*time.Second)
+		}
+	}
+	return append(moves, drawnStep{At: end, Kind: "move", Service: services[random.IntN(2)]})
+}
+
 // playDrawn plays the steps of a seed, with its random numbers for what happens at a step.
 func (g *rig) playDrawn(seed int64, steps []drawnStep) {
 	begin, l := time.Now(), &load{rig: g}
@@ -113,9 +145,12 @@
 		case s.Kind == "submit":
 			job := hosted.TaskStep{Count: s.Tasks, Gang: s.Tasks > 1, MilliCPU: 1000, Accelerators: 1, WorkMS: int(s.Work.Milliseconds())}
 			c := &client{load: l, random: random}
-			j := l.addJob(accountOther, 1, []hosted.TaskStep{job})
+			j := l.addJob(accountOther, drawnPriority, []hosted.TaskStep{job})
 			ending.Go(func() { c.submit(j) })
 			continue
+		case s.Kind == "move":
+			g.operator.moveQueue(queues[drawnPriority].Name, s.Service)
+			continue
 		case s.Kind == "kill" && s.Target == ownerTarget:
 			if n = g.owner(); n == nil {
 				continue
@@ -157,7 +192,11 @@
 		fmt.Fprintf(&schedule, "%+v\n", s)
 	}
 	command := fmt.Sprintf("go test ./test/soak -run '^TestDrawnRounds$' -count=1 -args -soak.drawn-seeds 1 -soak.drawn-from %d -soak.drawn-rounds %d", seed, rounds)
-	checkPlay(t, bin, seed, drawnHosts, command, func(g *rig, dir string) {
+	l := layout{hosts: drawnHosts}
+	if movesQueue(seed) {
+		l.otherWorkers = drawnWorkers / 2
+	}
+	checkPlay(t, bin, seed, l, command, func(g *rig, dir string) {
 		if err := os.WriteFile(filepath.Join(dir, "schedule.txt"), []byte(command+"\n"+schedule.String()), 0o600); err != nil {
 			t.Error(err)
 		}
@@ -172,8 +211,13 @@
 // TestDrawnRounds guards against tasks that are started elsewhere while an earlier call of theirs, which has had no answer, may still be executed.
 func TestDrawnRounds(t *testing.T) {
 	bin := buildBinaries(t)
-	if *drawnSeeds == 0 {
-		playDrawnSeed(t, bin, shortDrawnSeed, 1)
+	for _, seed := range shortDrawnSeeds {
+		if *drawnSeeds == 0 {
+			t.Run(fmt.Sprint("short ", seed), func(t *testing.T) {
+				t.Parallel()
+				playDrawnSeed(t, bin, seed, 1)
+			})
+		}
 	}
 	for seed := *drawnFrom; seed < *drawnFrom+*drawnSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/test/soak/operator.go
+++ b/test/soak/operator.go
@@ -23,20 +23,30 @@
 	mu      sync.Mutex
 	version uint64
 	keys    map[string]string // by account
+	pools   map[string]string // by queue, of those that do not name pool; removedQueue for one that is removed
 	removed []string
 }
 
 func (o *operator) begin(store *hosted.Store, recorder *Recorder) {
 	o.store, o.recorder = store, recorder
+	o.pools = map[string]string{}
 	o.keys = map[string]string{accountGuaranteed: accountGuaranteed + "-0", accountOther: accountOther + "-0"}
 	recorder.record.Guarantees[accountGuaranteed] = guaranteed
+	for _, q := range queues {
+		recorder.Add(Event{Kind: KindMove, Queue: q.Name, Service: pool})
+	}
 	o.writeConfig()
 }
 
 // writeConfig writes the configuration under its next version.
 func (o *operator) writeConfig() {
 	o.version++
-	c := hosted.Config{Version: o.version, Host: callersHost, Pool: pool, Queues: queues}
+	c := hosted.Config{Version: o.version, Host: callersHost, Pool: pool}
+	for _, q := range queues {
+		if q.Pool = o.pools[q.Name]; q.Pool != removedQueue {
+			c.Queues = append(c.Queues, q)
+		}
+	}
 	for _, name := range []string{accountGuaranteed, accountOther} {
 		c.Accounts = append(c.Accounts, hosted.Account{Name: name, Keys: []string{o.keys[name]}, GuaranteedAccelerators: o.recorder.record.Guarantees[name]})
 	}
@@ -69,6 +79,18 @@
 	o.writeConfig()
 }
 
+// removedQueue stands for the service of a queue that is not in the configuration.
+const removedQueue = "-"
+
+// moveQueue lets a queue name another service, or removes it.
+func (o *operator) moveQueue(queue, service string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.recorder.Add(Event{Kind: KindMove, Queue: queue, Service: service}) // before the write, as in replaceKey
+	o.pools[queue] = service
+	o.writeConfig()
+}
+
 // replaceKey gives the other account a new key in place of its key.
 func (o *operator) replaceKey() {
 	o.mu.Lock()
--- a/test/soak/record.go
+++ b/test/soak/record.go
@@ -33,6 +33,7 @@
 	KindKeyRemoved Kind = "key-removed"
 	KindZoneOut    Kind = "zone-out"
 	KindZoneIn     Kind = "zone-in"
+	KindMove       Kind = "move" // a queue names another service, or is removed
 	KindDrain      Kind = "drain"
 	KindRestart    Kind = "worker-restart"
 	KindStep       Kind = "step"  // of drawn rounds, named by Fault
@@ -63,7 +64,10 @@
 	Status int           `json:"status,omitempty"`
 	State  string        `json:"state,omitempty"`
 	Fault  string        `json:"fault,omitempty"`
-	Call   string        `json:"call,omitempty"` // that a worker kept
+	// Queue and Service are those of a move. Service is removedQueue for a queue that is removed.
+	Queue   string `json:"queue,omitempty"`
+	Service string `json:"service,omitempty"`
+	Call    string `json:"call,omitempty"` // that a worker kept
 	// Planned marks a fault that the operators plan, such as a zone taken out. It
 	// delays no orders.
 	Planned bool `json:"planned,omitempty"`
@@ -90,11 +94,12 @@
 
 // Record is what was seen in a run.
 type Record struct {
-	Begun      time.Time      `json:"begun"` // on the clock of the logs
-	Entries    []string       `json:"entries"`
-	Guarantees map[string]int `json:"guarantees"` // accelerators by account
-	Jobs       map[string]Job `json:"jobs"`
-	Events     []Event        `json:"events"`
+	Begun      time.Time         `json:"begun"` // on the clock of the logs
+	Entries    []string          `json:"entries"`
+	Guarantees map[string]int    `json:"guarantees"` // accelerators by account
+	Services   map[string]string `json:"services"`   // by worker
+	Jobs       map[string]Job    `json:"jobs"`
+	Events     []Event           `json:"events"`
 	// GivenUpAfter is the number of crashes under a task after which its job may be failed; 0 if none may.
 	GivenUpAfter int `json:"given_up_after,omitempty"`
 }
@@ -109,7 +114,7 @@
 
 // NewRecorder returns a recorder whose clock starts now.
 func NewRecorder() *Recorder {
-	return &Recorder{start: time.Now(), record: Record{Begun: time.Now(), Jobs: map[string]Job{}, Guarantees: map[string]int{}}}
+	return &Recorder{start: time.Now(), record: Record{Begun: time.Now(), Jobs: map[string]Job{}, Guarantees: map[string]int{}, Services: map[string]string{}}}
 }
 
 // Now returns the time on the record's clock.
@@ -203,7 +208,7 @@
 		return errors.Trace(err)
 	}
 	encoder := json.NewEncoder(file)
-	err = encoder.Encode(Record{Begun: r.Begun, Entries: r.Entries, Guarantees: r.Guarantees, Jobs: r.Jobs, GivenUpAfter: r.GivenUpAfter})
+	err = encoder.Encode(Record{Begun: r.Begun, Entries: r.Entries, Guarantees: r.Guarantees, Services: r.Services, Jobs: r.Jobs, GivenUpAfter: r.GivenUpAfter})
 	for i := 0; err == nil && i < len(r.Events); i++ {
 		err = encoder.Encode(r.Events[i])
 	}
--- a/test/soak/recut_test.go
+++ b/test/soak/recut_test.go
@@ -124,15 +124,25 @@
 	return g.entries[i]
 }
 
-// checkPlay starts a deployment with slow clocks, plays something on it and checks the record.
-func checkPlay(t *testing.T, bin string, seed int64, hosts int, command string, play func(g *rig, dir string)) {
+// checkPlay starts a deployment with slow clocks, plays something on it and checks the record, in which a worker has a late lease.
+func checkPlay(t *testing.T, bin string, seed int64, l layout, command string, play func(g *rig, dir string)) {
+	t.Helper()
+	checkPlayAnd(t, bin, seed, l, command, play, func(record *Record) {
+		if !slices.ContainsFunc(record.Events, func(e Event) bool { return e.Kind == KindLateLease }) {
+			t.Error("no worker had a lease by a call for its earlier incarnation")
+		}
+	})
+}
+
+// checkPlayAnd is checkPlay with a check of its own in place of that for a late lease.
+func checkPlayAnd(t *testing.T, bin string, seed int64, l layout, command string, play func(g *rig, dir string), check func(*Record)) {
 	t.Helper()
 	recorder := NewRecorder()
 	dir, err := makeFolder(seed)
 	if err != nil {
 		t.Fatal(err)
 	}
-	g, err := startRig(dir, bin, "", hosts, recorder)
+	g, err := startRig(dir, bin, "", l, recorder)
 	if g != nil {
 		defer g.close()
 	}
@@ -148,9 +158,7 @@
 	g.settle()
 	record := recorder.Record()
 	t.Log(record.Summary())
-	if !slices.ContainsFunc(record.Events, func(e Event) bool { return e.Kind == KindLateLease }) {
-		t.Error("no worker had a lease by a call for its earlier incarnation")
-	}
+	check(record)
 	for _, v := range Check(record) {
 		t.Error(v)
 	}
@@ -169,7 +177,7 @@
 func playRecut(t *testing.T, bin string, unseen bool, kill func(*rig, []*node) []*node) {
 	t.Helper()
 	command := "go test ./test/soak -run '^" + strings.ReplaceAll(t.Name(), "/", "$/^") + "$' -count=1"
-	checkPlay(t, bin, 0, 8, command, func(g *rig, _ string) {
+	checkPlay(t, bin, 0, layout{hosts: 8}, command, func(g *rig, _ string) {
 		r := &recut{rig: g, load: &load{rig: g}, workers: g.agents[:len(g.agents)/2], unseen: unseen}
 		r.kill = func() []*node { return kill(g, r.workers) }
 		// A deadline of the earlier incarnation is then beyond the longest lease of the next one.
--- a/test/soak/rig.go
+++ b/test/soak/rig.go
@@ -20,6 +20,7 @@
 const (
 	callersHost = "jobs.example"
 	pool        = "pool"
+	otherPool   = "other-pool"
 	zones       = 3
 	// entryShare is the number of hosts for each entry; the others are workers.
 	entryShare = 3
@@ -74,6 +75,7 @@
 	bin      string
 	features string
 	ports    []int
+	layout   layout
 	store    *hosted.Store
 	fleet    *hosted.Fleet
 	recorder *Recorder
@@ -87,14 +89,17 @@
 	affected map[string]bool // by the faults in force
 }
 
-// startRig starts a deployment of hosts, of which a part are entries.
-func startRig(dir, bin, features string, hosts int, recorder *Recorder) (*rig, error) {
-	entries := max(minEntries, hosts/entryShare)
-	workers := hosts - entries
-	if workers < minWorkers || hosts > maxHosts {
-		return nil, errors.NotValidf("%d hosts (%d to %d)", hosts, minEntries+minWorkers, maxHosts)
+// layout is the number of hosts, of which a part are entries, and of the workers that serve otherPool.
+type layout struct{ hosts, otherWorkers int }
+
+// startRig starts a deployment.
+func startRig(dir, bin, features string, l layout, recorder *Recorder) (*rig, error) {
+	entries := max(minEntries, l.hosts/entryShare)
+	workers := l.hosts - entries
+	if workers < minWorkers || l.hosts > maxHosts {
+		return nil, errors.NotValidf("%d hosts (%d to %d)", l.hosts, minEntries+minWorkers, maxHosts)
 	}
-	g := &rig{dir: dir, bin: bin, features: features, store: hosted.NewStore(), recorder: recorder, affected: map[string]bool{}}
+	g := &rig{dir: dir, bin: bin, features: features, layout: l, store: hosted.NewStore(), recorder: recorder, affected: map[string]bool{}}
 	if err := g.reservePorts(); err != nil {
 		return nil, err
 	}
@@ -168,7 +173,7 @@
 }
 
 func (g *rig) host(n *node, entries int) hosted.Host {
-	h := hosted.Host{Name: n.name, Zone: zoneName(n.number), IP: ip(sideHost, n.number), FirstPort: g.ports[portFleet], Pool: pool,
+	h := hosted.Host{Name: n.name, Zone: zoneName(n.number), IP: ip(sideHost, n.number), FirstPort: g.ports[portFleet], Pool: g.serviceOf(n.number),
 		Store: g.address(sideRelay, n.number, portStore), Cores: 1}
 	for i := range entries {
 		side := sideRelay
@@ -180,6 +185,14 @@
 	return h
 }
 
+// serviceOf returns the service of a worker: otherPool for the last ones.
+func (g *rig) serviceOf(number int) string {
+	if number >= g.layout.hosts-g.layout.otherWorkers {
+		return otherPool
+	}
+	return pool
+}
+
 func zoneName(host int) string { return fmt.Sprintf("zone-%d", host%zones) }
 
 func (g *rig) newNode(name, binary string, number int) (*node, error) {
@@ -215,8 +228,9 @@
 		return err
 	}
 	g.agents = append(g.agents, n)
+	g.recorder.record.Services[name] = g.serviceOf(number)
 	capacity := hosted.TaskStep{MilliCPU: workerMilliCPU, Accelerators: workerAccelerators}
-	n.worker = g.fleet.AddWorker(name, zoneName(number), "rack-"+zoneName(number), pool, g.address(sideRelay, number, portWorker), g.address(sideRelay, number, portHeartbeats), capacity)
+	n.worker = g.fleet.AddWorker(name, zoneName(number), "rack-"+zoneName(number), g.serviceOf(number), g.address(sideRelay, number, portWorker), g.address(sideRelay, number, portHeartbeats), capacity)
 	if err := g.serve(number, portWorker, n.worker); err != nil {
 		return err
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -57,7 +57,7 @@
 	stop := make(chan struct{})
 	defer close(stop)
 	go recorder.WatchStalls(stop)
-	g, err := startRig(dir, bin, o.Features, o.Hosts, recorder)
+	g, err := startRig(dir, bin, o.Features, layout{hosts: o.Hosts}, recorder)
 	if g != nil {
 		defer g.close()
 	}
