plan: test that a move splits no gang

A gang of which one member has begun goes on as a whole on the former service. If the start of the other member is refused after the move, the first one is stopped, and both start in one run on the next service.

--- a/internal/graph/plan/moved_test.go
+++ b/internal/graph/plan/moved_test.go
@@ -138,6 +138,42 @@
 	}
 }
 
+// TestMoveSplitsNoGang guards against a gang that is in part on the former service: one that has begun there goes on, and one of which a
+// start is refused after the move starts anew on the next service, with all members.
+func TestMoveSplitsNoGang(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		h := newMoveHarness(t)
+		h.reportIn(nextPool, "n1", nil)
+		h.reportIn(formerPool, "w1", nil)
+		gang := starts(h.step(JobSubmitted{Job: gangOfTwo()}))
+		if len(gang) != 2 {
+			t.Fatalf("started %+v", gang)
+		}
+		begun, open := gang[0], gang[1]
+		h.reportIn(formerPool, begun.Worker, []graph.RunState{{Task: begun.Task, Run: begun.Run}})
+		if s := starts(h.step(PolicyChanged{queueIn(2, nextPool)})); len(s) > 0 {
+			t.Fatalf("started by the move: %+v", s)
+		}
+		if !refused {
+			h.reportIn(formerPool, open.Worker, []graph.RunState{{Task: open.Task, Run: open.Run}})
+			h.reportIn(formerPool, open.Worker, nil, runEnd(open, graph.EndDone))
+			h.reportIn(formerPool, begun.Worker, nil, runEnd(begun, graph.EndDone))
+			if s, _ := h.core.JobStatus("j0"); s.State != graph.Completed {
+				t.Errorf("gang that has begun: %s", s.State)
+			}
+			continue
+		}
+		r := WorkerReport{Worker: h.core.workers[open.Worker].info, Session: "s", Number: 2, WorkerResponsive: true, Absent: []RunAbsent{{open.Task, open.Run, "room"}}}
+		if s := starts(h.step(r)); len(s) > 0 {
+			t.Errorf("started while a member is at work: %+v", s)
+		}
+		s := starts(h.reportIn(formerPool, begun.Worker, nil, runEnd(begun, graph.EndStopped)))
+		if len(s) != 2 || s[0].Worker[0] != 'n' || s[1].Worker[0] != 'n' || s[0].Run != s[1].Run {
+			t.Errorf("after a refused start: %+v, want one run of both members on the next service", s)
+		}
+	}
+}
+
 // TestClaimOnFormerServiceIsDropped guards against a claim that holds room on the former service for a job that has moved.
 func TestClaimOnFormerServiceIsDropped(t *testing.T) {
 	h := newMoveHarness(t)
